--- /dev/null
+++ b/kestrelbend/choice.py
@@ -0,0 +1,502 @@
+"""Every decision of the gateway, with every table and tuned value.
+
+How to call it: make one `Gateway(settings, seed, now)` for each running gateway; create its backends as
+`Target` and its customers as `Account`; set `gateway.now` before each event.  Start the generators of
+`chores()` once, one `invocation(inv)` for each invocation taken, and run `ended(delivery, ...)` to its end
+for each delivery that ended, before the invocation itself is resumed.  Call `roster` after the list changed.
+What is yielded and what comes back is in `kestrelbend/interface.py`; `docs/design.md` tells why it is so.
+"""
+from __future__ import annotations
+
+import math
+from collections import deque
+from hashlib import blake2b
+from random import Random
+
+from .interface import (
+    Backend,
+    Cancel,
+    Count,
+    Customer,
+    Deliver,
+    Delivery,
+    Effect,
+    Fail,
+    Log,
+    Pause,
+    Result,
+    Scope,
+    Spawn,
+    State,
+    Subscribe,
+    Throttle,
+    Wake,
+)
+
+SECOND = 1_000_000
+
+# Quota and retry budget.
+WINDOW_BURSTS = 8            # window of the quota names, in burst-over-rate; the design starts at 1
+LONGEST_LIFE = 60 * SECOND   # the counter service forgets by then
+RETRY_SHARE = 0.20           # a customer's marked retries over its quota total
+RETRY_FLOOR = 3              # seconds' rate that the total must exceed before the share counts
+RETRY_AFTER = SECOND
+OUT_WINDOW = 10 * SECOND     # names that count deliveries out; what a killed gateway left is forgotten then
+SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
+SILENT_PAUSE = SECOND // 4   # between calls to a silent one
+
+# Backends.
+FIRST_ROOM, MOST_ROOM = 3.0, 64.0
+FAST, SLOW = 1 / 3, 0.6      # answers within / past this part of the objective widen / narrow the room
+NARROW, NARROW_ERROR = 0.92, 0.7
+ERROR_EXPECTED, ERROR_SICK, SICK_AT = 0.02, 0.35, 4.6     # sequential test on outcomes
+BENCH, LONGEST_BENCH = SECOND, 8 * SECOND
+MOST_BENCHED = 1 / 3
+COLD_MARGIN = 0.6            # part of what the rule on cold backends would let all gateways send
+NEAR = 0.9                   # a backend of the own zone looks this much better
+
+# Further deliveries.
+SECOND_COPY_AT, SECOND_COPY_SHARE = 0.3, 0.1
+BINS, PER_OBJECTIVE, HALVE_AT = 24, 12, 256
+
+
+class Histogram:
+    """Answer times in parts of the latency objective, halved now and then."""
+
+    def __init__(self):
+        self.bins = [0] * BINS
+        self.total = 0
+
+    def add(self, part):
+        self.bins[min(BINS - 1, int(part * PER_OBJECTIVE))] += 1
+        self.total += 1
+        if self.total >= HALVE_AT:
+            self.bins = [n // 2 for n in self.bins]
+            self.total = sum(self.bins)
+
+    def quantile(self, share, otherwise):
+        if self.total < 1 / (1 - share):
+            return otherwise
+        left = share * self.total
+        for i, n in enumerate(self.bins):
+            left -= n
+            if left < 0:
+                return (i + 1) / PER_OBJECTIVE
+        return otherwise
+
+    def mean(self, otherwise):
+        """With one answer at `otherwise` thrown in, so that a few answers say little."""
+        return (sum((i + 0.5) * n for i, n in enumerate(self.bins)) / PER_OBJECTIVE + otherwise) \
+            / (self.total + 1)
+
+
+class Target(Backend):
+    """A backend, with what this gateway has seen of it."""
+
+    def __init__(self):
+        super().__init__()
+        self.fresh()
+
+    def fresh(self):
+        self.out, self.room = 0, FIRST_ROOM     # credits spent, and credits in all
+        self.sick, self.bench, self.benched = 0.0, 0, 0
+        self.times = Histogram()
+        self.sends = deque()                    # while cold: when sent to
+        self.born = self.started
+
+
+class Account(Customer):
+    """A customer, with what this gateway knows of its use."""
+
+    def __init__(self, name, plan, spread):
+        super().__init__(name, plan, spread)
+        self.left, self.as_of = None, 0         # limit less total, as of then; None: no total seen yet
+        self.window, self.total = None, 0.0     # quota window and the last total seen there
+        self.owed = 0.0                         # units the counter service should still hear of
+        self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
+        self.out = 0                            # invocations with a delivery out here
+
+
+class Gateway:
+    def __init__(self, settings, seed, now):
+        self.settings, self.now = settings, now
+        self.rng = Random(seed)
+        self.targets = []
+        self.waiting = []
+        self.times = Histogram()
+        self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
+        self.copies = 1.0                               # second copies that may be sent
+        self.silent, self.silent_until = 0, 0
+        self.subscribed = False
+        self.born = now
+
+    # Discovery.
+
+    def chores(self):
+        return [self.keep_subscribed()] if self.settings.get("must_subscribe") else []
+
+    def keep_subscribed(self):
+        while True:
+            if not self.subscribed:
+                self.subscribed = True
+                yield Subscribe()
+            yield Pause(self.now + self.settings["ask_within"] // 8)
+
+    def roster(self, targets, failed):
+        if failed:
+            self.subscribed = False
+            return
+        self.targets = [t for t in targets if t.state is State.READY]
+        for t in self.targets:
+            if t.started != t.born:
+                out = t.out
+                t.fresh()
+                t.out, t.room = out, 1.0
+
+    # One invocation, from top to bottom.
+
+    def invocation(self, inv):
+        acc = inv.customer
+        wait = yield from self.admit(inv)
+        if wait is not None or inv.done:
+            yield from self.give_back(inv)
+            yield from self.refuse(inv, wait)
+            return
+        acc.out += 1
+        yield from self.serve(inv)
+        acc.out -= 1
+        if not inv.deliveries and inv.counted:
+            yield from self.give_back(inv)
+        elif acc.plan.most_out and inv.counted_out:
+            yield Spawn(self.tally_out(acc, -1))
+
+    def serve(self, inv):
+        tick = self.settings["tick"]
+        give_up = inv.until - 2 * tick
+        objective = inv.op.objective
+        aim = inv.arrived + objective if not inv.op.late_worth else give_up
+        while not inv.done:
+            out = [d for d in inv.deliveries if d.result is None]
+            if self.now >= give_up:
+                yield from self.close(inv)
+                break
+            typical = int(self.times.quantile(0.5, 0.3) * objective)
+            copy_at = None
+            if not out:
+                if not self.may_repeat(inv) or inv.deliveries and self.now >= aim:
+                    yield from self.close(inv)
+                    break
+                target = self.pick(inv)
+                if target and (yield from self.deliver(inv, target, give_up)):
+                    continue
+                patience = min(give_up, inv.arrived + objective - typical)
+                ahead = self.waiting.index(inv) if inv in self.waiting else len(self.waiting)
+                if self.now + (ahead + 1) * self.gap() > patience:
+                    yield from self.close(inv)
+                    break
+                if inv not in self.waiting:
+                    self.waiting.append(inv)
+                yield Pause(patience)
+                if inv.done or self.now >= patience:
+                    self.waiting.remove(inv)
+                continue
+            if len(out) == 1 and self.may_repeat(inv) and self.settings["second_copies"]:
+                slow = max(SECOND_COPY_AT, self.times.quantile(0.95, 0.5))
+                copy_at = out[0].sent + int(slow * objective)
+                if copy_at <= self.now:
+                    copy_at = None
+                    if self.copies >= 1 and not self.waiting and self.now + typical < aim:
+                        target = self.pick(inv)
+                        if target and (yield from self.deliver(inv, target, give_up)):
+                            self.copies -= 1
+                            continue
+            yield Pause(min(copy_at or give_up, give_up))
+        for d in inv.deliveries:
+            if d.result is None and self.settings["may_cancel"] and not inv.streaming:
+                yield Cancel(d)
+        if inv in self.waiting:
+            self.waiting.remove(inv)
+
+    # Quota and retry budget.
+
+    def admit(self, inv):
+        """None lets the invocation in; else how long its client should wait."""
+        acc, plan = inv.customer, inv.customer.plan
+        inv.counted = inv.counted_out = inv.beyond = False
+        if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
+            return self.after((inv.units - acc.share) * acc.spread / plan.ceiling_rate)
+        if plan.rate:
+            if self.shortage(acc, inv.units) <= 0 and self.counter_answers(inv):
+                yield from self.tally(acc, inv.units)
+                inv.counted = True
+            elif acc.left is None or acc.left >= inv.units:
+                # Counter silent: let in, but remember the units, so that an own flood still ends.
+                acc.owed += inv.units
+                if acc.left is not None:
+                    acc.left -= inv.units
+                inv.counted = True
+            short = self.shortage(acc, 0.0 if inv.counted else inv.units)
+            if short > 0:
+                yield from self.give_back(inv)
+                return self.beyond(inv, self.after(short / plan.rate))
+        if plan.most_out:
+            total = acc.out + 1
+            if total <= plan.most_out and self.counter_answers(inv):
+                total = yield from self.tally_out(acc, 1)
+                inv.counted_out = True
+            if total > plan.most_out:
+                yield from self.give_back(inv)
+                return self.beyond(inv, RETRY_AFTER)
+        if inv.retry and plan.rate and self.counter_answers(inv):
+            retries = yield from self.call(self.name(acc, "retries", self.window(acc)), 1, self.life(acc))
+            pressed = self.waiting or not self.free()
+            if (retries and pressed and acc.total > RETRY_FLOOR * plan.rate
+                    and retries > RETRY_SHARE * acc.total):
+                yield from self.give_back(inv)
+                return RETRY_AFTER
+        return None
+
+    def beyond(self, inv, wait):
+        """Beyond the quota: let in where that earns more than it costs and half the credits are free."""
+        plan = inv.customer.plan
+        inv.beyond = (plan.over_worth > plan.over_cost and not self.waiting
+                      and self.free() > sum(t.room for t in self.targets) / 2)
+        return None if inv.beyond else wait
+
+    def shortage(self, acc, units):
+        """Units missing to let `units` in, by the last total seen; below 0 if there is enough."""
+        if acc.left is None:
+            return -1.0
+        plan = acc.plan
+        acc.left = min(plan.burst, acc.left + plan.rate * (self.now - acc.as_of) / SECOND)
+        acc.as_of = self.now
+        return units - acc.left
+
+    def window(self, acc):
+        return self.now // self.window_length(acc)
+
+    def window_length(self, acc):
+        plan = acc.plan
+        return max(SECOND, min(LONGEST_LIFE * 9 // 10, int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND)))
+
+    def life(self, acc):
+        return min(LONGEST_LIFE, self.window_length(acc) * 11 // 10)
+
+    def name(self, acc, what, window):
+        text = f"{acc.plan.name} {acc.name} {what} {window}"
+        return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") >> 1
+
+    def call(self, name, add, life):
+        """The total, or None if the counter service did not answer."""
+        reply = yield Count(name, add, life)
+        if reply.result is Result.SUCCEEDED:
+            if self.silent >= SILENT_AFTER:
+                yield Log("counter service answers again", None)
+            self.silent = 0
+            return reply.total
+        self.silent += 1
+        if self.silent == SILENT_AFTER:
+            yield Log("counter service silent: quotas go by what was last seen", None)
+        if self.silent >= SILENT_AFTER:
+            self.silent_until = self.now + SILENT_PAUSE
+        return None
+
+    def counter_answers(self, inv):
+        """Whether to ask it; never when its answer might come after the client gave up (rule 1)."""
+        s = self.settings
+        return (s["may_count"] and inv.until - self.now > s["counter_timeout"] + 4 * s["tick"]
+                and (self.silent < SILENT_AFTER or self.now >= self.silent_until))
+
+    def tally(self, acc, units):
+        """Add units to the customer's total and bring `left` up to date by what comes back."""
+        window = self.window(acc)
+        owed, acc.owed = acc.owed, 0.0
+        total = yield from self.call(self.name(acc, "units", window), units + owed, self.life(acc))
+        if window != acc.window:
+            acc.window, acc.total = window, 0.0
+        self.shortage(acc, 0.0)
+        if total is None:       # may have been added: the next total tells, as if another had used it
+            acc.owed += owed + units
+            if acc.left is not None:
+                acc.left -= units
+            return
+        plan, length = acc.plan, self.window_length(acc)
+        if acc.left is None:
+            elapsed = self.now - window * length
+            limit = min(plan.burst + plan.rate * elapsed / SECOND, plan.rate * length / SECOND)
+            acc.left, acc.as_of = min(plan.burst, limit - (total - units)) - units, self.now
+        else:
+            used = total - acc.total - owed
+            if used < -acc.total / 2:       # the service came back empty
+                used = max(units, total - owed)
+            acc.left -= used
+        acc.total = total
+
+    def give_back(self, inv):
+        """Take back what was counted for an invocation that is not sent on."""
+        acc = inv.customer
+        if inv.counted:
+            inv.counted = False
+            acc.owed -= inv.units
+            if acc.left is not None:
+                acc.left = acc.left + inv.units
+        if inv.counted_out:
+            inv.counted_out = False
+            yield Spawn(self.tally_out(acc, -1))
+
+    def tally_out(self, acc, add):
+        window = self.now // OUT_WINDOW
+        total = yield from self.call(self.name(acc, "out", window), add, 2 * OUT_WINDOW)
+        return acc.out + add if total is None else total
+
+    def after(self, seconds):
+        return max(RETRY_AFTER, int(seconds * SECOND))
+
+    def ceiling_share(self, acc):
+        """This gateway's part of a hard ceiling; it starts empty, since a former life may have spent it."""
+        plan = acc.plan
+        since = self.born if acc.share_as_of is None else acc.share_as_of
+        acc.share = min(plan.ceiling_burst / acc.spread,
+                        acc.share + plan.ceiling_rate / acc.spread * (self.now - since) / SECOND)
+        acc.share_as_of = self.now
+        return acc.share
+
+    # The choice of backend.
+
+    def free(self):
+        return sum(max(0, int(t.room) - t.out) for t in self.targets if t.bench <= self.now)
+
+    def pick(self, inv):
+        tried = {d.backend for d in inv.deliveries}
+        usual = self.times.mean(0.2)
+        best, least = None, math.inf
+        for t in self.targets:
+            if t.out + 1 > t.room or t.bench > self.now or not self.may_send(inv, t):
+                continue
+            score = (t.out + 1) * t.times.mean(usual) / t.weight * (0.9 + 0.2 * self.rng.random())
+            if t.zone == self.settings["zone"]:
+                score *= NEAR
+            if t in tried:
+                score *= 100
+            if score < least:
+                best, least = t, score
+        return best
+
+    def ended(self, delivery, load=None, used=None, actual=0):
+        """A delivery ended: earn its credit back, judge its backend, wake who waits."""
+        t, inv, result = delivery.backend, delivery.inv, delivery.result
+        t.out = max(0, t.out - 1)
+        part = delivery.took / inv.op.objective
+        if result is Result.SUCCEEDED:
+            t.times.add(part)
+            self.times.add(part)
+            if not self.cold(t):
+                self.answers += 1
+                if self.now - self.answers_from > 10 * SECOND:
+                    self.answers /= 2
+                    self.answers_from += (self.now - self.answers_from) // 2
+            if part > SLOW:
+                t.room = max(1.0, t.room * NARROW)
+            elif part < FAST and t.out + 2 > t.room:
+                t.room = min(MOST_ROOM, t.room + 1 / t.room)
+            if actual and inv.customer.plan.rate and inv.counted:
+                inv.customer.owed += actual - inv.units
+                if inv.customer.left is not None:
+                    inv.customer.left -= actual - inv.units
+        elif result is Result.REJECTED:
+            t.room = max(1.0, t.room * NARROW_ERROR)
+        if result in (Result.ERRORED, Result.UNREACHABLE, Result.BROKEN, Result.TIMED_OUT):
+            t.room = max(1.0, t.room * NARROW_ERROR)
+            t.sick += math.log(ERROR_SICK / ERROR_EXPECTED)
+        elif result is Result.SUCCEEDED:
+            t.sick = max(0.0, t.sick + math.log((1 - ERROR_SICK) / (1 - ERROR_EXPECTED)))
+            if not t.sick:
+                t.benched = 0
+        if t.sick >= SICK_AT and t.bench <= self.now:
+            sick = sum(o.bench > self.now for o in self.targets)
+            if sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
+                t.bench = self.now + min(LONGEST_BENCH, BENCH << t.benched)
+                t.benched += 1
+                t.room, t.sick = 1.0, SICK_AT - 1
+                yield Log("backend benched by its outcomes", t)
+        for waiter in self.waiting[:self.free()]:
+            yield Wake(waiter)
+
+    def gap(self):
+        """Mean time between answers here."""
+        return max(SECOND, self.now - self.answers_from) / max(1.0, self.answers)
+
+    # The rules: each send passes `deliver`, each answer `close` or `refuse`.
+
+    def may_repeat(self, inv):
+        """Rule 2, without a backend in view."""
+        ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
+        if len(inv.deliveries) >= self.settings["most_deliveries"]:
+            return False
+        if ran and not self.settings["second_copies"] and any(d.result is None for d in ran):
+            return False
+        if ran and inv.op.effect is Effect.TOKENED:
+            return self.now < min(d.sent for d in ran) + inv.op.memory - self.settings["tick"]
+        return not ran or inv.op.effect is Effect.IDEMPOTENT
+
+    def may_send(self, inv, t):
+        if inv.done or self.now >= inv.until or t.state is not State.READY or not self.may_repeat(inv):
+            return False
+        if inv.op.effect is Effect.TOKENED and inv.op.scope is not Scope.ALL:
+            for d in inv.deliveries:
+                if d.result is not None and d.result.never_ran:
+                    continue
+                if (d.backend.zone != t.zone if inv.op.scope is Scope.ZONE else d.backend.group != t.group):
+                    return False
+        acc = inv.customer
+        if not inv.deliveries and acc.plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
+            return False
+        return not self.cold(t) or self.cold_room(t)
+
+    def deliver(self, inv, t, until):
+        """The one way to a backend: all five rules are kept here."""
+        if not self.may_send(inv, t):
+            return False
+        if not inv.deliveries:
+            inv.customer.share -= inv.units
+            self.copies = min(10.0, self.copies + SECOND_COPY_SHARE)
+        if inv in self.waiting:
+            self.waiting.remove(inv)
+        t.out += 1
+        if self.cold(t):
+            t.sends.append(self.now)
+        d = Delivery(inv, t, self.now, until, len(inv.deliveries))
+        inv.deliveries.append(d)
+        yield Deliver(d)
+        return True
+
+    def cold(self, t):
+        return t.started is not None and self.now - t.started < self.settings["cold"]
+
+    def cold_room(self, t):
+        """Whether a cold backend may get one more.  What this gateway gets answered by a warm backend is its
+        share of what that can do; a cold one gets that share of the part of it that it must by now reach."""
+        s = self.settings
+        span = s["fall"]
+        while t.sends and t.sends[0] <= self.now - span:
+            t.sends.popleft()
+        warm = [o for o in self.targets if not self.cold(o)]
+        part = s["cold_from"] + (1 - s["cold_from"]) * max(0, self.now - t.started) / s["cold"]
+        pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, len(warm))
+        most = COLD_MARGIN * s["fall_multiple"] * part * pace * span
+        if not t.sends:
+            return t.out == 0
+        return len(t.sends) + 1 <= most
+
+    def close(self, inv):
+        """Give up: throttled where that promise holds, else errored."""
+        ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
+        if not ran or inv.op.effect is Effect.IDEMPOTENT or (
+                inv.op.effect is Effect.TOKENED and inv.op.scope is Scope.ALL):
+            yield from self.refuse(inv, RETRY_AFTER)
+        elif not inv.done:
+            yield Fail(inv)
+
+    def refuse(self, inv, wait):
+        if not inv.done:
+            yield Throttle(inv, wait)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,124 @@
+"""A slow, plain model of the five rules beside the module on generated inputs."""
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kestrelbend.interface import Effect, Result, Scope, State
+
+from .helpers import MS, Front
+
+STATES = [State.READY, State.READY, State.DRAINING, State.GONE]
+RESULTS = [r for r in Result if r is not Result.VOID]
+
+
+class Model:
+    """Keeps every event and works each answer out from the start."""
+
+    def __init__(self, front, plan, spread):
+        self.front, self.plan, self.spread, self.born = front, plan, spread, front.now
+        self.firsts = []        # (when, units) of first deliveries
+
+    def ceiling(self):
+        """What is left of this gateway's part, replayed from its first moment."""
+        part = self.plan.ceiling_rate / self.spread / 1e6
+        left, at = 0.0, self.born
+        for when, units in [*self.firsts, (self.front.now, 0.0)]:
+            left = min(self.plan.ceiling_burst / self.spread, left + part * (when - at)) - units
+            at = when
+        return left
+
+    def allowed(self, inv, target):
+        s, op, now = self.front.inst.settings, inv.op, self.front.now
+        ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
+        if inv.done or now >= inv.until or len(inv.deliveries) >= s["most_deliveries"]:
+            return False
+        if target.state is not State.READY:
+            return False
+        if not s["second_copies"] and any(d.result is None for d in inv.deliveries):
+            return False
+        if ran and op.effect is Effect.NON_IDEMPOTENT:
+            return False
+        if ran and op.effect is Effect.TOKENED:
+            if any(now >= d.sent + op.memory - s["tick"] for d in ran):
+                return False
+            if op.scope is Scope.ZONE and any(d.backend.zone != target.zone for d in ran):
+                return False
+            if op.scope is Scope.GROUP and any(d.backend.group != target.group for d in ran):
+                return False
+        if not inv.deliveries and self.plan.ceiling_rate and self.ceiling() < inv.units - 1e-9:
+            return False
+        return True
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.data())
+def test_module_and_model_agree(data):
+    draw = data.draw
+    effect = draw(st.sampled_from(["idempotent", "deduplicated", "at_most_once"]))
+    ceiling = draw(st.sampled_from([0, 3]))
+    front = Front(classes__0__effect=effect,
+                  classes__0__keyScope=draw(st.sampled_from(["all", "zone", "cell"])),
+                  policyLimits__mayDuplicate=draw(st.sampled_from(["true", "false"])),
+                  policyLimits__tryLimit=draw(st.integers(1, 4)),
+                  contracts__0__ceilingRate=ceiling, contracts__0__capDepth=12 * bool(ceiling),
+                  contracts__0__refill=draw(st.sampled_from([0, 2])),
+                  contracts__0__concurrency=draw(st.sampled_from([0, 2])),
+                  familyInfo__mayCount=draw(st.sampled_from(["true", "false"])))
+    spread = draw(st.integers(1, 3))
+    model = Model(front, front.inst.settings["plans"][0], spread)
+    invs, answered, store = {}, set(), {}
+    states = dict.fromkeys(range(1, 5), State.READY)
+    front.roster(*states.items())
+    front.now += draw(st.integers(0, 9000)) * MS
+
+    def check(lines):
+        """Each line written was allowed by the model before it was written."""
+        for line in lines:
+            if line[0] in ("deny", "lose"):
+                inv = invs[int(line[2])]
+                assert line[2] not in answered and front.now <= inv.until
+                answered.add(line[2])
+                ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
+                if line[0] == "deny" and ran:
+                    assert effect == "idempotent" or effect == "deduplicated" and inv.op.scope is Scope.ALL
+            if line[0] == "pass_on":
+                inv = invs[int(line[2])]
+                d = next(d for d in inv.deliveries if d.sent == front.now and d not in seen)
+                seen.add(d)
+                at, later = inv.deliveries.index(d), inv.deliveries
+                done, inv.done = inv.done, line[2] in answered
+                inv.deliveries = later[:at]
+                assert model.allowed(inv, d.backend)
+                inv.deliveries, inv.done = later, done
+                if not at:
+                    model.firsts.append((front.now, inv.units))
+
+    seen = set()
+    for number in range(draw(st.integers(1, 25))):
+        step = draw(st.sampled_from(["accept", "accept", "end", "end", "time", "roster", "leave"]))
+        out = [(n, d) for n, inv in invs.items() for d in inv.deliveries if d.result is None]
+        if step == "accept":
+            front.tell("accept", [], number, "op", "plan", "c", front.now + draw(st.integers(1, 3000)) * MS,
+                       float(draw(st.integers(1, 4))), spread, 0, draw(st.sampled_from([0, 2])))
+            if number in front.inst.invs:
+                invs[number] = front.inst.invs[number]
+            else:               # refused on the spot
+                assert [line[0] for line in front.take() if line[0] != "trace"] == ["deny"]
+        elif step == "end" and out:
+            number, d = draw(st.sampled_from(out))
+            front.returned(number, d.number, draw(st.sampled_from(RESULTS)))
+        elif step == "time":
+            front.pass_time(draw(st.integers(1, 1500)))
+        elif step == "roster":
+            states[draw(st.integers(1, 4))] = draw(st.sampled_from(STATES))
+            front.roster(*states.items())
+        elif step == "leave" and invs:
+            front.tell("withdrawn", [], draw(st.sampled_from(sorted(invs))))
+        check(front.answer_counts(store, draw(st.sampled_from([Result.SUCCEEDED] * 3 + [Result.TIMED_OUT]))))
+        for inv in invs.values():
+            for target in front.inst.backends.values():
+                assert front.gateway.may_send(inv, target) == model.allowed(inv, target)
+    check(front.answer_counts(store))
+    while front.inst.alarms:
+        front.pass_time(4000)
+        check(front.answer_counts(store))
+    assert all(inv.done for inv in invs.values())
