Credits in parts shared over the gateways, earned by quick answers and lost by slow ones

Told from a counter fault by backend times: every backend alike was slow, refused tries had their quota unused.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -46,9 +46,9 @@
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
 
 # Backends.
-FIRST_ROOM, MOST_ROOM = 3.0, 64.0
-FAST, SLOW = 1 / 3, 0.6      # answers within / past this part of the objective widen / narrow the room
-NARROW, NARROW_ERROR = 0.92, 0.7
+FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 0.75, 192.0     # credits at a backend, over all gateways
+SLOW = 0.45                  # an answer past this part of the objective earns less than it cost
+QUICK_EARNS, SLOW_LOSES, ERROR_LOSES = 0.1, 0.4, 0.7     # a quick one earns more, so one in five may be slow
 ERROR_EXPECTED, ERROR_SICK, SICK_AT = 0.02, 0.35, 4.6     # sequential test on outcomes
 BENCH, LONGEST_BENCH = SECOND, 8 * SECOND
 MOST_BENCHED = 1 / 3
@@ -95,10 +95,10 @@
 
     def __init__(self):
         super().__init__()
+        self.out, self.room = 0, 0.0            # credits spent, and credits in all
         self.fresh()
 
     def fresh(self):
-        self.out, self.room = 0, FIRST_ROOM     # credits spent, and credits in all
         self.sick, self.bench, self.benched = 0.0, 0, 0
         self.times = Histogram()
         self.sends = deque()                    # while cold: when sent to
@@ -149,9 +149,10 @@
         self.targets = [t for t in targets if t.state is State.READY]
         for t in self.targets:
             if t.started != t.born:
-                out = t.out
                 t.fresh()
-                t.out, t.room = out, 1.0
+                t.room = 0.0
+            if not t.room:
+                t.room = (LEAST_ROOM if self.cold(t) else FIRST_ROOM) / self.settings["gateways"]
 
     # One invocation, from top to bottom.
 
@@ -191,7 +192,7 @@
                     continue
                 patience = min(give_up, inv.arrived + objective - typical)
                 ahead = self.waiting.index(inv) if inv in self.waiting else len(self.waiting)
-                if self.now + (ahead + 1) * self.gap() > patience:
+                if self.now + (ahead + 1) * self.gap(inv.op) > patience:
                     yield from self.close(inv)
                     break
                 if inv not in self.waiting:
@@ -260,7 +261,7 @@
         """Beyond the quota: let in where that earns more than it costs and half the credits are free."""
         plan = inv.customer.plan
         inv.beyond = (plan.over_worth > plan.over_cost and not self.waiting
-                      and self.free() > sum(t.room for t in self.targets) / 2)
+                      and self.free() > self.room() / 2)
         return None if inv.beyond else wait
 
     def shortage(self, acc, units):
@@ -363,15 +364,25 @@
 
     # The choice of backend.
 
+    def room(self):
+        """Credits in all; a part of one still lets one invocation through."""
+        return max(1, int(sum(t.room for t in self.targets if t.bench <= self.now)))
+
     def free(self):
-        return sum(max(0, int(t.room) - t.out) for t in self.targets if t.bench <= self.now)
+        return max(0, self.room() - sum(t.out for t in self.targets if t.bench <= self.now))
+
+    def earn(self, t, credit):
+        n = self.settings["gateways"]
+        t.room = min(MOST_ROOM / n, max(LEAST_ROOM / n, t.room + credit))
 
     def pick(self, inv):
+        if not self.free():
+            return None
         tried = {d.backend for d in inv.deliveries}
         usual = self.times.mean(0.2)
         best, least = None, math.inf
         for t in self.targets:
-            if t.out + 1 > t.room or t.bench > self.now or not self.may_send(inv, t):
+            if t.out >= max(1.0, t.room) or t.bench > self.now or not self.may_send(inv, t):
                 continue
             score = (t.out + 1) * t.times.mean(usual) / t.weight * (0.9 + 0.2 * self.rng.random())
             if t.zone == self.settings["zone"]:
@@ -396,17 +407,17 @@
                     self.answers /= 2
                     self.answers_from += (self.now - self.answers_from) // 2
             if part > SLOW:
-                t.room = max(1.0, t.room * NARROW)
-            elif part < FAST and t.out + 2 > t.room:
-                t.room = min(MOST_ROOM, t.room + 1 / t.room)
+                self.earn(t, -SLOW_LOSES)
+            elif t.out + 2 > t.room:
+                self.earn(t, QUICK_EARNS)
             if actual and inv.customer.plan.rate and inv.counted:
                 inv.customer.owed += actual - inv.units
                 if inv.customer.left is not None:
                     inv.customer.left -= actual - inv.units
         elif result is Result.REJECTED:
-            t.room = max(1.0, t.room * NARROW_ERROR)
+            self.earn(t, -ERROR_LOSES)
         if result in (Result.ERRORED, Result.UNREACHABLE, Result.BROKEN, Result.TIMED_OUT):
-            t.room = max(1.0, t.room * NARROW_ERROR)
+            self.earn(t, -ERROR_LOSES)
             t.sick += math.log(ERROR_SICK / ERROR_EXPECTED)
         elif result is Result.SUCCEEDED:
             t.sick = max(0.0, t.sick + math.log((1 - ERROR_SICK) / (1 - ERROR_EXPECTED)))
@@ -417,14 +428,14 @@
             if sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
                 t.bench = self.now + min(LONGEST_BENCH, BENCH << t.benched)
                 t.benched += 1
-                t.room, t.sick = 1.0, SICK_AT - 1
+                t.room, t.sick = LEAST_ROOM / self.settings["gateways"], SICK_AT - 1
                 yield Log("backend benched by its outcomes", t)
         for waiter in self.waiting[:self.free()]:
             yield Wake(waiter)
 
-    def gap(self):
-        """Mean time between answers here."""
-        return max(SECOND, self.now - self.answers_from) / max(1.0, self.answers)
+    def gap(self, op):
+        """Mean time between answers here, with all credits in use."""
+        return int(self.times.mean(0.2) * op.objective / self.room())
 
     # The rules: each send passes `deliver`, each answer `close` or `refuse`.
 
