A crowded counter is called only for customers near their limit; the rest is guessed

Change: failed calls shrink the part of the burst under which a customer is called for; uncalled units are owed and taken off the limit spread-fold, until the next total tells the truth.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -44,6 +44,7 @@
 OUT_WINDOW = 10 * SECOND     # names that count deliveries out; what a killed gateway left is forgotten then
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
+CROWDED, QUIET, LEAST_CALLED = 0.8, 0.01, 0.05    # failed calls cut the part called for, good ones restore it
 
 # Backends.
 FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 0.75, 192.0     # credits at a backend, over all gateways
@@ -113,6 +114,7 @@
         self.left, self.as_of = None, 0         # limit less total, as of then; None: no total seen yet
         self.window, self.total = None, 0.0     # quota window and the last total seen there
         self.owed = 0.0                         # units the counter service should still hear of
+        self.guessed = 0.0                      # taken off `left` for other gateways since the last total
         self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
         self.out = 0                            # invocations with a delivery out here
 
@@ -127,6 +129,7 @@
         self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
         self.copies = 1.0                               # second copies that may be sent
         self.silent, self.silent_until = 0, 0
+        self.called = 1.0                               # customers with less of their burst left are called for
         self.subscribed = False
         self.born = now
 
@@ -227,16 +230,20 @@
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
             return self.after((inv.units - acc.share) * acc.spread / plan.ceiling_rate)
         if plan.rate:
-            if self.shortage(acc, inv.units) <= 0 and self.counter_answers(inv):
+            short = self.shortage(acc, inv.units)
+            # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
+            near = acc.left is None or acc.left - inv.units < self.called * plan.burst
+            if short <= 0 and near and self.counter_answers(inv):
                 yield from self.tally(acc, inv.units)
                 inv.counted = True
-            elif acc.left is None or acc.left >= inv.units:
-                # Counter silent: let in, but remember the units, so that an own flood still ends.
+                short = self.shortage(acc, 0.0)
+            elif short <= 0:
+                # No call: let in, and guess that the customer's other gateways do the like, so that a flood
+                # still ends; the next total tells.
                 acc.owed += inv.units
-                if acc.left is not None:
-                    acc.left -= inv.units
+                acc.guessed += inv.units * (acc.spread - 1)
+                acc.left = (plan.burst if acc.left is None else acc.left) - inv.units * acc.spread
                 inv.counted = True
-            short = self.shortage(acc, 0.0 if inv.counted else inv.units)
             if short > 0:
                 yield from self.give_back(inv)
                 return self.beyond(inv, self.after(short / plan.rate))
@@ -248,9 +255,9 @@
             if total > plan.most_out:
                 yield from self.give_back(inv)
                 return self.beyond(inv, RETRY_AFTER)
-        if inv.retry and plan.rate and self.counter_answers(inv):
+        pressed = self.waiting or not self.free()
+        if inv.retry and plan.rate and self.counter_answers(inv) and (pressed or self.called >= 1):
             retries = yield from self.call(self.name(acc, "retries", self.window(acc)), 1, self.life(acc))
-            pressed = self.waiting or not self.free()
             if (retries and pressed and acc.total > RETRY_FLOOR * plan.rate
                     and retries > RETRY_SHARE * acc.total):
                 yield from self.give_back(inv)
@@ -294,8 +301,10 @@
             if self.silent >= SILENT_AFTER:
                 yield Log("counter service answers again", None)
             self.silent = 0
+            self.called = min(1.0, self.called + QUIET)
             return reply.total
         self.silent += 1
+        self.called = max(LEAST_CALLED, self.called * CROWDED)
         if self.silent == SILENT_AFTER:
             yield Log("counter service silent: quotas go by what was last seen", None)
         if self.silent >= SILENT_AFTER:
@@ -318,8 +327,9 @@
         self.shortage(acc, 0.0)
         if total is None:       # may have been added: the next total tells, as if another had used it
             acc.owed += owed + units
-            if acc.left is not None:
-                acc.left -= units
+            acc.guessed += units * (acc.spread - 1)
+            acc.left = (acc.plan.burst if acc.left is None else acc.left) - units * acc.spread
+            acc.left = max(0.0, acc.left)
             return
         plan, length = acc.plan, self.window_length(acc)
         if acc.left is None:
@@ -330,8 +340,8 @@
             used = total - acc.total - owed
             if used < -acc.total / 2:       # the service came back empty
                 used = max(units, total - owed)
-            acc.left -= used
-        acc.total = total
+            acc.left = min(plan.burst, acc.left + acc.guessed) - used
+        acc.total, acc.guessed = total, 0.0
 
     def give_back(self, inv):
         """Take back what was counted for an invocation that is not sent on."""
