--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -129,7 +129,7 @@
         self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
         self.copies = 1.0                               # second copies that may be sent
         self.silent, self.silent_until = 0, 0
-        self.called = 1.0                               # customers with less of their burst left are called for
+        self.called = 1.0           # who has less of the burst left than this part is called for
         self.subscribed = False
         self.born = now
 
@@ -238,11 +238,9 @@
                 inv.counted = True
                 short = self.shortage(acc, 0.0)
             elif short <= 0:
-                # No call: let in, and guess that the customer's other gateways do the like, so that a flood
-                # still ends; the next total tells.
+                # No call: let in, but so that a flood still ends; the next total tells.
                 acc.owed += inv.units
-                acc.guessed += inv.units * (acc.spread - 1)
-                acc.left = (plan.burst if acc.left is None else acc.left) - inv.units * acc.spread
+                self.guess(acc, inv.units)
                 inv.counted = True
             if short > 0:
                 yield from self.give_back(inv)
@@ -275,10 +273,10 @@
         """Units missing to let `units` in, by the last total seen; below 0 if there is enough."""
         if acc.left is None:
             return -1.0
-        plan = acc.plan
-        acc.left = min(plan.burst, acc.left + plan.rate * (self.now - acc.as_of) / SECOND)
-        acc.as_of = self.now
-        return units - acc.left
+        return units - min(acc.plan.burst, self.refilled(acc))
+
+    def refilled(self, acc):
+        return acc.left + acc.plan.rate * (self.now - acc.as_of) / SECOND
 
     def window(self, acc):
         return self.now // self.window_length(acc)
@@ -324,12 +322,9 @@
         total = yield from self.call(self.name(acc, "units", window), units + owed, self.life(acc))
         if window != acc.window:
             acc.window, acc.total = window, 0.0
-        self.shortage(acc, 0.0)
         if total is None:       # may have been added: the next total tells, as if another had used it
             acc.owed += owed + units
-            acc.guessed += units * (acc.spread - 1)
-            acc.left = (acc.plan.burst if acc.left is None else acc.left) - units * acc.spread
-            acc.left = max(0.0, acc.left)
+            self.guess(acc, units)
             return
         plan, length = acc.plan, self.window_length(acc)
         if acc.left is None:
@@ -340,9 +335,17 @@
             used = total - acc.total - owed
             if used < -acc.total / 2:       # the service came back empty
                 used = max(units, total - owed)
-            acc.left = min(plan.burst, acc.left + acc.guessed) - used
+            # Others' use since the last total is taken as even, so refill is cut off only after it.
+            acc.left, acc.as_of = min(plan.burst, self.refilled(acc) + acc.guessed - used), self.now
         acc.total, acc.guessed = total, 0.0
 
+    def guess(self, acc, units):
+        """Without a total, the customer's other gateways are taken to let in as much as this one."""
+        if acc.left is None:
+            acc.left, acc.as_of = acc.plan.burst, self.now
+        acc.left = min(acc.plan.burst, self.refilled(acc)) - units * acc.spread
+        acc.guessed, acc.as_of = acc.guessed + units * (acc.spread - 1), self.now
+
     def give_back(self, inv):
         """Take back what was counted for an invocation that is not sent on."""
         acc = inv.customer
