--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -335,8 +335,10 @@
             used = total - acc.total - owed
             if used < -acc.total / 2:       # the service came back empty
                 used = max(units, total - owed)
-            # Others' use since the last total is taken as even, so refill is cut off only after it.
-            acc.left, acc.as_of = min(plan.burst, self.refilled(acc) + acc.guessed - used), self.now
+            # Others' use since the last total may have come evenly or at once: refill that the store could
+            # not hold is cut off half after it, half before.
+            refilled = self.refilled(acc) + acc.guessed
+            acc.left, acc.as_of = min(plan.burst, (refilled + min(plan.burst, refilled)) / 2 - used), self.now
         acc.total, acc.guessed = total, 0.0
 
     def guess(self, acc, units):
