Shorter waits for a credit; unreachable backends benched without limit, other zone next

Told from overload: result 'unreachable' within a millisecond, one zone only. Also guards against a cut link or any dead part of the fleet; harm: a gateway cut off itself benches all, and tries one backend each time a bench ends.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -52,7 +52,8 @@
 QUICK_EARNS, SLOW_LOSES, ERROR_LOSES = 0.1, 0.4, 0.7     # a quick one earns more, so one in five may be slow
 ERROR_EXPECTED, ERROR_SICK, SICK_AT = 0.02, 0.35, 4.6     # sequential test on outcomes
 BENCH, LONGEST_BENCH = SECOND, 8 * SECOND
-MOST_BENCHED = 1 / 3
+MOST_BENCHED = 1 / 3         # by errors alone, which all may share; any number that cannot be reached
+WAIT = 0.3                   # part of the objective that an invocation may wait for a credit
 COLD_MARGIN = 0.6            # part of what the rule on cold backends would let all gateways send
 NEAR = 0.9                   # a backend of the own zone looks this much better
 
@@ -193,7 +194,7 @@
                 target = self.pick(inv)
                 if target and (yield from self.deliver(inv, target, give_up)):
                     continue
-                patience = min(give_up, inv.arrived + objective - typical)
+                patience = min(give_up, inv.arrived + int(WAIT * objective))
                 ahead = self.waiting.index(inv) if inv in self.waiting else len(self.waiting)
                 if self.now + (ahead + 1) * self.gap(inv.op) > patience:
                     yield from self.close(inv)
@@ -335,10 +336,8 @@
             used = total - acc.total - owed
             if used < -acc.total / 2:       # the service came back empty
                 used = max(units, total - owed)
-            # Others' use since the last total may have come evenly or at once: refill that the store could
-            # not hold is cut off half after it, half before.
-            refilled = self.refilled(acc) + acc.guessed
-            acc.left, acc.as_of = min(plan.burst, (refilled + min(plan.burst, refilled)) / 2 - used), self.now
+            # Others' use since the last total is taken as even, so refill is cut off only after it.
+            acc.left, acc.as_of = min(plan.burst, self.refilled(acc) + acc.guessed - used), self.now
         acc.total, acc.guessed = total, 0.0
 
     def guess(self, acc, units):
@@ -394,6 +393,7 @@
         if not self.free():
             return None
         tried = {d.backend for d in inv.deliveries}
+        lost = {d.backend.zone for d in inv.deliveries if d.result is Result.UNREACHABLE}
         usual = self.times.mean(0.2)
         best, least = None, math.inf
         for t in self.targets:
@@ -404,6 +404,8 @@
                 score *= NEAR
             if t in tried:
                 score *= 100
+            elif t.zone in lost:    # a hall may be lost as a whole
+                score *= 10
             if score < least:
                 best, least = t, score
         return best
@@ -440,7 +442,7 @@
                 t.benched = 0
         if t.sick >= SICK_AT and t.bench <= self.now:
             sick = sum(o.bench > self.now for o in self.targets)
-            if sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
+            if result is not Result.ERRORED or sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
                 t.bench = self.now + min(LONGEST_BENCH, BENCH << t.benched)
                 t.benched += 1
                 t.room, t.sick = LEAST_ROOM / self.settings["gateways"], SICK_AT - 1
