A marked retry must leave a quarter of the burst to the customer's first tries

Cause: near the limit refused clients came back, took the units of fresh first tries and were answered after their first try's objective.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -39,6 +39,7 @@
 WINDOW_BURSTS = 8            # window of the quota names, in burst-over-rate; the design starts at 1
 LONGEST_LIFE = 60 * SECOND   # the counter service forgets by then
 RETRY_SHARE = 0.20           # a customer's marked retries over its quota total
+RETRY_RESERVE = 0.25         # part of the burst that a retry must leave to first tries
 RETRY_FLOOR = 3              # seconds' rate that the total must exceed before the share counts
 RETRY_AFTER = SECOND
 OUT_WINDOW = 10 * SECOND     # names that count deliveries out; what a killed gateway left is forgotten then
@@ -231,7 +232,8 @@
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
             return self.after((inv.units - acc.share) * acc.spread / plan.ceiling_rate)
         if plan.rate:
-            short = self.shortage(acc, inv.units)
+            # Near the limit a first try, with all its objective before it, goes before a marked retry.
+            short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
             # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
             near = acc.left is None or acc.left - inv.units < self.called * plan.burst
             if short <= 0 and near and self.counter_answers(inv):
