--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -118,7 +118,7 @@
         self.owed = 0.0                         # units the counter service should still hear of
         self.guessed = 0.0                      # taken off `left` for other gateways since the last total
         self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
-        self.out = 0                            # invocations with a delivery out here
+        self.out, self.full_until = 0, 0        # invocations here that count as out; cap taken as reached
 
 
 class Gateway:
@@ -197,7 +197,7 @@
                     continue
                 patience = min(give_up, inv.arrived + int(WAIT * objective))
                 ahead = self.waiting.index(inv) if inv in self.waiting else len(self.waiting)
-                if self.now + (ahead + 1) * self.gap(inv.op) > patience:
+                if self.now + (ahead + 1) * self.gap(inv.op, self.room()) > patience:
                     yield from self.close(inv)
                     break
                 if inv not in self.waiting:
@@ -206,7 +206,9 @@
                 if inv.done or self.now >= patience:
                     self.waiting.remove(inv)
                 continue
-            if len(out) == 1 and self.may_repeat(inv) and self.settings["second_copies"]:
+            # A second copy would count as out, and put the customer's next try beyond its cap.
+            if (len(out) == 1 and self.may_repeat(inv) and self.settings["second_copies"]
+                    and not inv.customer.plan.most_out):
                 slow = max(SECOND_COPY_AT, self.times.quantile(0.95, 0.5))
                 copy_at = out[0].sent + int(slow * objective)
                 if copy_at <= self.now:
@@ -250,9 +252,15 @@
                 return self.beyond(inv, self.after(short / plan.rate))
         if plan.most_out:
             total = acc.out + 1
-            if total <= plan.most_out and self.counter_answers(inv):
+            if self.now < acc.full_until:       # the last total seen was at the cap, and none has ended since
+                total = plan.most_out + 1
+            elif total <= plan.most_out and self.counter_answers(inv):
                 total = yield from self.tally_out(acc, 1)
                 inv.counted_out = True
+                if total > plan.most_out:
+                    acc.full_until = self.now + self.gap(inv.op, plan.most_out)
+            elif total > max(1, plan.most_out // acc.spread):   # no total: keep to a part of the cap
+                total = plan.most_out + 1
             if total > plan.most_out:
                 yield from self.give_back(inv)
                 return self.beyond(inv, RETRY_AFTER)
@@ -364,7 +372,9 @@
     def tally_out(self, acc, add):
         window = self.now // OUT_WINDOW
         total = yield from self.call(self.name(acc, "out", window), add, 2 * OUT_WINDOW)
-        return acc.out + add if total is None else total
+        if add < 0:
+            acc.full_until = 0
+        return acc.out + add if total is None else max(total, acc.out + add)
 
     def after(self, seconds):
         return max(RETRY_AFTER, int(seconds * SECOND))
@@ -452,9 +462,9 @@
         for waiter in self.waiting[:self.free()]:
             yield Wake(waiter)
 
-    def gap(self, op):
-        """Mean time between answers here, with all credits in use."""
-        return int(self.times.mean(0.2) * op.objective / self.room())
+    def gap(self, op, out):
+        """Mean time between answers with so many deliveries out."""
+        return int(self.times.mean(0.2) * op.objective / out)
 
     # The rules: each send passes `deliver`, each answer `close` or `refuse`.
 
