Second copies earned by those that won; a crowded counter is not a silent one

A copy that loses shows that the work itself is slow; a turned-away call shows a living counter, so only time-outs and lost calls count as silence, and the part called for recovers five times slower.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -45,7 +45,7 @@
 OUT_WINDOW = 10 * SECOND     # names that count deliveries out; what a killed gateway left is forgotten then
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
-CROWDED, QUIET, LEAST_CALLED = 0.8, 0.01, 0.05    # failed calls cut the part called for, good ones restore it
+CROWDED, QUIET, LEAST_CALLED = 0.8, 0.002, 0.05    # failed calls cut the part called for, good ones restore it
 
 # Backends.
 FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 0.75, 192.0     # credits at a backend, over all gateways
@@ -130,6 +130,7 @@
         self.times = Histogram()
         self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
         self.copies = 1.0                               # second copies that may be sent
+        self.copy_tries, self.copy_wins = 2.0, 2.0      # a copy that loses shows that the work is slow itself
         self.silent, self.silent_until = 0, 0
         self.called = 1.0           # who has less of the burst left than this part is called for
         self.subscribed = False
@@ -217,6 +218,9 @@
                         target = self.pick(inv)
                         if target and (yield from self.deliver(inv, target, give_up)):
                             self.copies -= 1
+                            self.copy_tries += 1
+                            if self.copy_tries > 16:
+                                self.copy_tries, self.copy_wins = self.copy_tries / 2, self.copy_wins / 2
                             continue
             yield Pause(min(copy_at or give_up, give_up))
         for d in inv.deliveries:
@@ -312,8 +316,10 @@
             self.silent = 0
             self.called = min(1.0, self.called + QUIET)
             return reply.total
-        self.silent += 1
         self.called = max(LEAST_CALLED, self.called * CROWDED)
+        if reply.result is Result.REJECTED:     # crowded, not silent
+            return None
+        self.silent += 1
         if self.silent == SILENT_AFTER:
             yield Log("counter service silent: quotas go by what was last seen", None)
         if self.silent >= SILENT_AFTER:
@@ -428,6 +434,8 @@
         t.out = max(0, t.out - 1)
         part = delivery.took / inv.op.objective
         if result is Result.SUCCEEDED:
+            if any(d is not delivery and d.result is None for d in inv.deliveries[:delivery.number]):
+                self.copy_wins += 1
             t.times.add(part)
             self.times.add(part)
             if not self.cold(t):
@@ -499,7 +507,7 @@
             return False
         if not inv.deliveries:
             inv.customer.share -= inv.units
-            self.copies = min(10.0, self.copies + SECOND_COPY_SHARE)
+            self.copies = min(10.0, self.copies + SECOND_COPY_SHARE * self.copy_wins / self.copy_tries)
         if inv in self.waiting:
             self.waiting.remove(inv)
         t.out += 1
