--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -174,8 +174,8 @@
         acc.out -= 1
         if not inv.deliveries and inv.counted:
             yield from self.give_back(inv)
-        elif acc.plan.most_out and inv.counted_out:
-            yield Spawn(self.tally_out(acc, -1))
+        elif inv.counted_out is not None:
+            yield Spawn(self.tally_out(acc, -1, inv.counted_out))
 
     def serve(self, inv):
         tick = self.settings["tick"]
@@ -234,7 +234,7 @@
     def admit(self, inv):
         """None lets the invocation in; else how long its client should wait."""
         acc, plan = inv.customer, inv.customer.plan
-        inv.counted = inv.counted_out = inv.beyond = False
+        inv.counted = inv.beyond = False
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
             return self.after((inv.units - acc.share) * acc.spread / plan.ceiling_rate)
         if plan.rate:
@@ -259,8 +259,8 @@
             if self.now < acc.full_until:       # the last total seen was at the cap, and none has ended since
                 total = plan.most_out + 1
             elif total <= plan.most_out and self.counter_answers(inv):
-                total = yield from self.tally_out(acc, 1)
-                inv.counted_out = True
+                inv.counted_out = self.now // OUT_WINDOW
+                total = yield from self.tally_out(acc, 1, inv.counted_out)
                 if total > plan.most_out:
                     acc.full_until = self.now + self.gap(inv.op, plan.most_out)
             elif total > max(1, plan.most_out // acc.spread):   # no total: keep to a part of the cap
@@ -371,12 +371,13 @@
             acc.owed -= inv.units
             if acc.left is not None:
                 acc.left = acc.left + inv.units
-        if inv.counted_out:
-            inv.counted_out = False
-            yield Spawn(self.tally_out(acc, -1))
+        if inv.counted_out is not None:
+            yield Spawn(self.tally_out(acc, -1, inv.counted_out))
+            inv.counted_out = None
 
-    def tally_out(self, acc, add):
-        window = self.now // OUT_WINDOW
+    def tally_out(self, acc, add, window):
+        if window != self.now // OUT_WINDOW:
+            return acc.out      # counted under a name now past: taking it off the next would leave that short
         total = yield from self.call(self.name(acc, "out", window), add, 2 * OUT_WINDOW)
         if add < 0:
             acc.full_until = 0
--- a/kestrelbend/interface.py
+++ b/kestrelbend/interface.py
@@ -112,7 +112,7 @@
     done: bool = False             # has its final answer, or its client left, or its stream began
     streaming: bool = False
     counted: bool = False          # its units stand in the customer's total
-    counted_out: bool = False      # it stands in the count of what is out
+    counted_out: int | None = None # window in which it stands in the count of what is out
     beyond: bool = False           # sent on beyond the quota
     deliveries: list[Delivery] = field(default_factory=list)
 
