--- a/kestrelbend/benchlink/codec.py
+++ b/kestrelbend/benchlink/codec.py
@@ -221,7 +221,7 @@
 
 
 def count(inst, name, add, life):
-    return f"incr {inst} {add:.6g} {_ms(life)} {name}"
+    return f"incr {inst} {round(add, 6):.10g} {_ms(life)} {name}"
 
 
 def probe(inst, backend):
--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -42,7 +42,8 @@
 RETRY_RESERVE = 0.25         # part of the burst that a retry must leave to first tries
 RETRY_FLOOR = 3              # seconds' rate that the total must exceed before the share counts
 RETRY_AFTER = SECOND
-OUT_WINDOW = 10 * SECOND     # names that count deliveries out; what a killed gateway left is forgotten then
+OUT_WINDOW = 10 * SECOND     # window under a cap: what a killed gateway left out is forgotten then
+PACK = 1000                  # a unit over a delivery out, in one total
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
 CROWDED, QUIET, LEAST_CALLED = 0.8, 0.002, 0.05    # failed calls cut the part called for, good ones restore it
@@ -118,7 +119,8 @@
         self.owed = 0.0                         # units the counter service should still hear of
         self.guessed = 0.0                      # taken off `left` for other gateways since the last total
         self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
-        self.out, self.full_until = 0, 0        # invocations here that count as out; cap taken as reached
+        self.out, self.all_out = 0, 0           # invocations out here, and at all gateways as last seen
+        self.owed_out, self.full_until = 0, 0   # those to tell the counter service of; cap taken as reached
 
 
 class Gateway:
@@ -172,10 +174,10 @@
         acc.out += 1
         yield from self.serve(inv)
         acc.out -= 1
-        if not inv.deliveries and inv.counted:
+        if not inv.deliveries:
             yield from self.give_back(inv)
-        elif inv.counted_out is not None:
-            yield Spawn(self.tally_out(acc, -1, inv.counted_out))
+        elif inv.counted is not None:
+            yield from self.release(inv)
 
     def serve(self, inv):
         tick = self.settings["tick"]
@@ -234,45 +236,39 @@
     def admit(self, inv):
         """None lets the invocation in; else how long its client should wait."""
         acc, plan = inv.customer, inv.customer.plan
-        inv.counted = inv.beyond = False
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
             return self.after((inv.units - acc.share) * acc.spread / plan.ceiling_rate)
-        if plan.rate:
-            # Near the limit a first try, with all its objective before it, goes before a marked retry.
-            short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
-            # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
-            near = acc.left is None or acc.left - inv.units < self.called * plan.burst
-            if short <= 0 and near and self.counter_answers(inv):
-                yield from self.tally(acc, inv.units)
-                inv.counted = True
-                short = self.shortage(acc, 0.0)
-            elif short <= 0:
-                # No call: let in, but so that a flood still ends; the next total tells.
-                acc.owed += inv.units
-                self.guess(acc, inv.units)
-                inv.counted = True
-            if short > 0:
+        # Near the limit a first try, with all its objective before it, goes before a marked retry.
+        short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
+        if short > 0:
+            return self.beyond(inv, self.after(short / plan.rate))
+        # The last total seen was at the cap, and none has ended here since.
+        if plan.most_out and (acc.out >= plan.most_out or self.now < acc.full_until):
+            return self.beyond(inv, RETRY_AFTER)
+        part = plan.most_out // acc.spread if plan.most_out else math.inf
+        # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
+        near = plan.rate and (acc.left is None or acc.left - inv.units < self.called * plan.burst)
+        near = near or acc.out >= part or plan.most_out and self.called >= 1
+        inv.counted = math.ceil(inv.units) if plan.most_out else inv.units
+        inv.window = self.window(acc)
+        if near and self.counter_answers(inv):
+            yield from self.tally(acc, inv.counted, 1)
+            if self.shortage(acc, 0.0) > 0:
                 yield from self.give_back(inv)
-                return self.beyond(inv, self.after(short / plan.rate))
-        if plan.most_out:
-            total = acc.out + 1
-            if self.now < acc.full_until:       # the last total seen was at the cap, and none has ended since
-                total = plan.most_out + 1
-            elif total <= plan.most_out and self.counter_answers(inv):
-                inv.counted_out = self.now // OUT_WINDOW
-                total = yield from self.tally_out(acc, 1, inv.counted_out)
-                if total > plan.most_out:
-                    acc.full_until = self.now + self.gap(inv.op, plan.most_out)
-            elif total > max(1, plan.most_out // acc.spread):   # no total: keep to a part of the cap
-                total = plan.most_out + 1
-            if total > plan.most_out:
+                return self.beyond(inv, self.after(self.shortage(acc, 0.0) / plan.rate))
+            if plan.most_out and acc.all_out > plan.most_out:
+                acc.full_until = self.now + self.gap(inv.op, plan.most_out)
                 yield from self.give_back(inv)
                 return self.beyond(inv, RETRY_AFTER)
+        elif acc.out >= max(1, part):       # no total: keep to a part of the cap
+            inv.counted = None
+            return self.beyond(inv, RETRY_AFTER)
+        else:                       # no call: let in, but so that a flood still ends; the next total tells
+            self.guess(acc, inv.counted, 1)
         pressed = self.waiting or not self.free()
         if inv.retry and plan.rate and self.counter_answers(inv) and (pressed or self.called >= 1):
-            retries = yield from self.call(self.name(acc, "retries", self.window(acc)), 1, self.life(acc))
-            if (retries and pressed and acc.total > RETRY_FLOOR * plan.rate
-                    and retries > RETRY_SHARE * acc.total):
+            reply = yield from self.call(self.name(acc, "retries", self.window(acc)), 1, self.life(acc))
+            if (pressed and acc.total > RETRY_FLOOR * plan.rate and reply.total > RETRY_SHARE * acc.total):
                 yield from self.give_back(inv)
                 return RETRY_AFTER
         return None
@@ -285,9 +281,9 @@
         return None if inv.beyond else wait
 
     def shortage(self, acc, units):
-        """Units missing to let `units` in, by the last total seen; below 0 if there is enough."""
-        if acc.left is None:
-            return -1.0
+        """Units missing to let `units` in, by the last total seen; not above 0 if there is enough."""
+        if acc.left is None or not acc.plan.rate:
+            return 0.0
         return units - min(acc.plan.burst, self.refilled(acc))
 
     def refilled(self, acc):
@@ -298,7 +294,8 @@
 
     def window_length(self, acc):
         plan = acc.plan
-        return max(SECOND, min(LONGEST_LIFE * 9 // 10, int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND)))
+        length = int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND) if plan.rate else OUT_WINDOW
+        return max(SECOND, min(length, OUT_WINDOW if plan.most_out else LONGEST_LIFE * 9 // 10))
 
     def life(self, acc):
         return min(LONGEST_LIFE, self.window_length(acc) * 11 // 10)
@@ -308,23 +305,22 @@
         return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") >> 1
 
     def call(self, name, add, life):
-        """The total, or None if the counter service did not answer."""
         reply = yield Count(name, add, life)
         if reply.result is Result.SUCCEEDED:
             if self.silent >= SILENT_AFTER:
                 yield Log("counter service answers again", None)
             self.silent = 0
             self.called = min(1.0, self.called + QUIET)
-            return reply.total
+            return reply
+        reply.total = 0.0
         self.called = max(LEAST_CALLED, self.called * CROWDED)
-        if reply.result is Result.REJECTED:     # crowded, not silent
-            return None
-        self.silent += 1
-        if self.silent == SILENT_AFTER:
-            yield Log("counter service silent: quotas go by what was last seen", None)
-        if self.silent >= SILENT_AFTER:
-            self.silent_until = self.now + SILENT_PAUSE
-        return None
+        if reply.result is not Result.REJECTED:     # that would be a crowded one, not a silent one
+            self.silent += 1
+            if self.silent == SILENT_AFTER:
+                yield Log("counter service silent: quotas go by what was last seen", None)
+            if self.silent >= SILENT_AFTER:
+                self.silent_until = self.now + SILENT_PAUSE
+        return reply
 
     def counter_answers(self, inv):
         """Whether to ask it; never when its answer might come after the client gave up (rule 1)."""
@@ -332,18 +328,32 @@
         return (s["may_count"] and inv.until - self.now > s["counter_timeout"] + 4 * s["tick"]
                 and (self.silent < SILENT_AFTER or self.now >= self.silent_until))
 
-    def tally(self, acc, units):
-        """Add units to the customer's total and bring `left` up to date by what comes back."""
-        window = self.window(acc)
-        owed, acc.owed = acc.owed, 0.0
-        total = yield from self.call(self.name(acc, "units", window), units + owed, self.life(acc))
+    def tally(self, acc, units, out):
+        """Add to the customer's total and bring `left` and `all_out` up to date by what comes back.
+        The one number holds whole units and, under a cap, deliveries out in thousandths."""
+        plan, window, length = acc.plan, self.window(acc), self.window_length(acc)
+        if window != acc.window:
+            acc.window, acc.total, acc.owed_out = window, 0.0, 0
+        out = (out + acc.owed_out) if self.packs(plan) else 0
+        owed, acc.owed, acc.owed_out = acc.owed, 0.0, 0
+        name = self.name(acc, "units", window)
+        reply = yield from self.call(name, units + owed + out / PACK, self.life(acc))
+        if reply.result is not Result.SUCCEEDED:
+            if reply.result is Result.TIMED_OUT:    # it may have counted: take it so, the next total tells
+                acc.total += units + owed
+                self.guess(acc, units, 0)
+            else:
+                acc.owed += owed
+                self.guess(acc, units, out)
+            acc.all_out = acc.out
+            return
+        total = reply.total
+        if out or plan.most_out:
+            packed = round(total * PACK)
+            total = (packed + PACK // 2) // PACK
+            acc.all_out = packed - total * PACK
         if window != acc.window:
-            acc.window, acc.total = window, 0.0
-        if total is None:       # may have been added: the next total tells, as if another had used it
-            acc.owed += owed + units
-            self.guess(acc, units)
             return
-        plan, length = acc.plan, self.window_length(acc)
         if acc.left is None:
             elapsed = self.now - window * length
             limit = min(plan.burst + plan.rate * elapsed / SECOND, plan.rate * length / SECOND)
@@ -356,32 +366,36 @@
             acc.left, acc.as_of = min(plan.burst, self.refilled(acc) + acc.guessed - used), self.now
         acc.total, acc.guessed = total, 0.0
 
-    def guess(self, acc, units):
+    def packs(self, plan):
+        """Whether the total leaves digits for deliveries out: the counter service gives seven."""
+        return plan.most_out and plan.burst * (WINDOW_BURSTS + 1) * PACK < 1e7 and 2 * plan.most_out < PACK
+
+    def guess(self, acc, units, out):
         """Without a total, the customer's other gateways are taken to let in as much as this one."""
+        acc.owed, acc.owed_out = acc.owed + units, acc.owed_out + out
         if acc.left is None:
             acc.left, acc.as_of = acc.plan.burst, self.now
         acc.left = min(acc.plan.burst, self.refilled(acc)) - units * acc.spread
         acc.guessed, acc.as_of = acc.guessed + units * (acc.spread - 1), self.now
 
+    def release(self, inv):
+        """What counted as out no longer does; under a name now past it stands until that is forgotten."""
+        acc = inv.customer
+        if acc.plan.most_out and inv.window == self.window(acc) == acc.window:
+            acc.owed_out -= 1
+            acc.full_until = 0
+            if acc.owed_out and (self.called >= 1 or 2 * acc.all_out > acc.plan.most_out):
+                yield Spawn(self.tally(acc, 0, 0))
+
     def give_back(self, inv):
         """Take back what was counted for an invocation that is not sent on."""
-        acc = inv.customer
-        if inv.counted:
-            inv.counted = False
-            acc.owed -= inv.units
+        acc, units = inv.customer, inv.counted
+        if units is not None:
+            inv.counted = None
+            acc.owed -= units
             if acc.left is not None:
-                acc.left = acc.left + inv.units
-        if inv.counted_out is not None:
-            yield Spawn(self.tally_out(acc, -1, inv.counted_out))
-            inv.counted_out = None
-
-    def tally_out(self, acc, add, window):
-        if window != self.now // OUT_WINDOW:
-            return acc.out      # counted under a name now past: taking it off the next would leave that short
-        total = yield from self.call(self.name(acc, "out", window), add, 2 * OUT_WINDOW)
-        if add < 0:
-            acc.full_until = 0
-        return acc.out + add if total is None else max(total, acc.out + add)
+                acc.left += units
+            yield from self.release(inv)
 
     def after(self, seconds):
         return max(RETRY_AFTER, int(seconds * SECOND))
@@ -448,10 +462,9 @@
                 self.earn(t, -SLOW_LOSES)
             elif t.out + 2 > t.room:
                 self.earn(t, QUICK_EARNS)
-            if actual and inv.customer.plan.rate and inv.counted:
-                inv.customer.owed += actual - inv.units
-                if inv.customer.left is not None:
-                    inv.customer.left -= actual - inv.units
+            if actual and inv.customer.plan.rate and inv.counted is not None:
+                inv.customer.owed += actual - inv.counted
+                inv.customer.left -= actual - inv.counted
         elif result is Result.REJECTED:
             self.earn(t, -ERROR_LOSES)
         if result in (Result.ERRORED, Result.UNREACHABLE, Result.BROKEN, Result.TIMED_OUT):
--- a/kestrelbend/interface.py
+++ b/kestrelbend/interface.py
@@ -111,8 +111,8 @@
     retry: bool                    # marked by the client as a repeat
     done: bool = False             # has its final answer, or its client left, or its stream began
     streaming: bool = False
-    counted: bool = False          # its units stand in the customer's total
-    counted_out: int | None = None # window in which it stands in the count of what is out
+    counted: float | None = None   # its units in the customer's total, and the window of that total
+    window: int = 0
     beyond: bool = False           # sent on beyond the quota
     deliveries: list[Delivery] = field(default_factory=list)
 
