--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -248,7 +248,7 @@
         part = plan.most_out // acc.spread if plan.most_out else math.inf
         # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
         near = plan.rate and (acc.left is None or acc.left - inv.units < self.called * plan.burst)
-        near = near or acc.out >= part or plan.most_out and self.called >= 1
+        near = near or plan.most_out
         inv.counted = math.ceil(inv.units) if plan.most_out else inv.units
         inv.window = self.window(acc)
         if near and self.counter_answers(inv):
@@ -384,7 +384,7 @@
         if acc.plan.most_out and inv.window == self.window(acc) == acc.window:
             acc.owed_out -= 1
             acc.full_until = 0
-            if acc.owed_out and (self.called >= 1 or 2 * acc.all_out > acc.plan.most_out):
+            if acc.owed_out:
                 yield Spawn(self.tally(acc, 0, 0))
 
     def give_back(self, inv):
