--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -345,7 +345,7 @@
             else:
                 acc.owed += owed
                 self.guess(acc, units, out)
-            acc.all_out = acc.out
+            acc.all_out = max(acc.out + 1, 0 if self.silent >= SILENT_AFTER else acc.all_out)
             return
         total = reply.total
         if out or plan.most_out:
