--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -177,6 +177,7 @@
         if not inv.deliveries:
             yield from self.give_back(inv)
         elif inv.counted is not None:
+            acc.full_until = 0
             yield from self.release(inv)
 
     def serve(self, inv):
@@ -383,7 +384,6 @@
         acc = inv.customer
         if acc.plan.most_out and inv.window == self.window(acc) == acc.window:
             acc.owed_out -= 1
-            acc.full_until = 0
             if acc.owed_out:
                 yield Spawn(self.tally(acc, 0, 0))
 
