--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -41,7 +41,7 @@
 RETRY_SHARE = 0.20           # a customer's marked retries over its quota total
 RETRY_RESERVE = 0.25         # part of the burst that a retry must leave to first tries
 RETRY_FLOOR = 3              # seconds' rate that the total must exceed before the share counts
-RETRY_AFTER = SECOND
+RETRY_AFTER = 0.2           # part of the objective; the design starts at 1 s
 OUT_WINDOW = 10 * SECOND     # window under a cap: what a killed gateway left out is forgotten then
 PACK = 1000                  # a unit over a delivery out, in one total
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
@@ -238,14 +238,14 @@
         """None lets the invocation in; else how long its client should wait."""
         acc, plan = inv.customer, inv.customer.plan
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
-            return self.after((inv.units - acc.share) * acc.spread / plan.ceiling_rate)
+            return self.after(inv, (inv.units - acc.share) * acc.spread / plan.ceiling_rate)
         # Near the limit a first try, with all its objective before it, goes before a marked retry.
         short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
         if short > 0:
-            return self.beyond(inv, self.after(short / plan.rate))
+            return self.beyond(inv, self.after(inv, short / plan.rate))
         # The last total seen was at the cap, and none has ended here since.
         if plan.most_out and (acc.out >= plan.most_out or self.now < acc.full_until):
-            return self.beyond(inv, RETRY_AFTER)
+            return self.beyond(inv, self.after(inv))
         part = plan.most_out // acc.spread if plan.most_out else math.inf
         # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
         near = plan.rate and (acc.left is None or acc.left - inv.units < self.called * plan.burst)
@@ -256,14 +256,14 @@
             yield from self.tally(acc, inv.counted, 1)
             if self.shortage(acc, 0.0) > 0:
                 yield from self.give_back(inv)
-                return self.beyond(inv, self.after(self.shortage(acc, 0.0) / plan.rate))
+                return self.beyond(inv, self.after(inv, self.shortage(acc, 0.0) / plan.rate))
             if plan.most_out and acc.all_out > plan.most_out:
                 acc.full_until = self.now + self.gap(inv.op, plan.most_out)
                 yield from self.give_back(inv)
-                return self.beyond(inv, RETRY_AFTER)
+                return self.beyond(inv, self.after(inv))
         elif acc.out >= max(1, part):       # no total: keep to a part of the cap
             inv.counted = None
-            return self.beyond(inv, RETRY_AFTER)
+            return self.beyond(inv, self.after(inv))
         else:                       # no call: let in, but so that a flood still ends; the next total tells
             self.guess(acc, inv.counted, 1)
         pressed = self.waiting or not self.free()
@@ -271,7 +271,7 @@
             reply = yield from self.call(self.name(acc, "retries", self.window(acc)), 1, self.life(acc))
             if (pressed and acc.total > RETRY_FLOOR * plan.rate and reply.total > RETRY_SHARE * acc.total):
                 yield from self.give_back(inv)
-                return RETRY_AFTER
+                return self.after(inv)
         return None
 
     def beyond(self, inv, wait):
@@ -397,8 +397,9 @@
                 acc.left += units
             yield from self.release(inv)
 
-    def after(self, seconds):
-        return max(RETRY_AFTER, int(seconds * SECOND))
+    def after(self, inv, seconds=0.0):
+        """A retry-after: when there will be units, else soon enough to be in time yet."""
+        return max(int(RETRY_AFTER * inv.op.objective), int(seconds * SECOND))
 
     def ceiling_share(self, acc):
         """This gateway's part of a hard ceiling; it starts empty, since a former life may have spent it."""
@@ -555,7 +556,7 @@
         ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
         if not ran or inv.op.effect is Effect.IDEMPOTENT or (
                 inv.op.effect is Effect.TOKENED and inv.op.scope is Scope.ALL):
-            yield from self.refuse(inv, RETRY_AFTER)
+            yield from self.refuse(inv, self.after(inv))
         elif not inv.done:
             yield Fail(inv)
 
