--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -50,12 +50,12 @@
 
 # Backends.
 FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 0.75, 192.0     # credits at a backend, over all gateways
-SLOW = 0.45                  # an answer past this part of the objective earns less than it cost
+SLOW = 0.32                  # an answer past this part of the objective earns less than it cost
 QUICK_EARNS, SLOW_LOSES, ERROR_LOSES = 0.1, 0.4, 0.7     # a quick one earns more, so one in five may be slow
 ERROR_EXPECTED, ERROR_SICK, SICK_AT = 0.02, 0.35, 4.6     # sequential test on outcomes
 BENCH, LONGEST_BENCH = SECOND, 8 * SECOND
 MOST_BENCHED = 1 / 3         # by errors alone, which all may share; any number that cannot be reached
-WAIT = 0.3                   # part of the objective that an invocation may wait for a credit
+WAIT = 0.2                   # part of the objective that an invocation may wait for a credit
 COLD_MARGIN = 0.6            # part of what the rule on cold backends would let all gateways send
 NEAR = 0.9                   # a backend of the own zone looks this much better
 
