--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -46,7 +46,8 @@
 PACK = 1000                  # a unit over a delivery out, in one total
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
-CROWDED, QUIET, LEAST_CALLED = 0.8, 0.002, 0.05    # failed calls cut the part called for, good ones restore it
+CROWDED, QUIET, LEAST_CALLED = 0.8, 0.002, 0.05    # calls that fail cut the part called for
+SPARED = SECOND              # at most, times the part not called for: a customer whose call was turned away
 
 # Backends.
 FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 0.75, 192.0     # credits at a backend, over all gateways
@@ -118,6 +119,7 @@
         self.window, self.total = None, 0.0     # quota window and the last total seen there
         self.owed = 0.0                         # units the counter service should still hear of
         self.guessed = 0.0                      # taken off `left` for other gateways since the last total
+        self.spared_until = 0                   # its last call was turned away: none before then
         self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
         self.out, self.all_out = 0, 0           # invocations out here, and at all gateways as last seen
         self.owed_out, self.full_until = 0, 0   # those to tell the counter service of; cap taken as reached
@@ -249,7 +251,7 @@
         part = plan.most_out // acc.spread if plan.most_out else math.inf
         # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
         near = plan.rate and (acc.left is None or acc.left - inv.units < self.called * plan.burst)
-        near = near or plan.most_out
+        near = (near or plan.most_out) and self.now >= acc.spared_until
         inv.counted = math.ceil(inv.units) if plan.most_out else inv.units
         inv.window = self.window(acc)
         if near and self.counter_answers(inv):
@@ -346,6 +348,7 @@
             else:
                 acc.owed += owed
                 self.guess(acc, units, out)
+                acc.spared_until = self.now + int((1 - self.called) * SPARED)
             acc.all_out = max(acc.out + 1, 0 if self.silent >= SILENT_AFTER else acc.all_out)
             return
         total = reply.total
@@ -376,8 +379,9 @@
         acc.owed, acc.owed_out = acc.owed + units, acc.owed_out + out
         if acc.left is None:
             acc.left, acc.as_of = acc.plan.burst, self.now
-        acc.left = min(acc.plan.burst, self.refilled(acc)) - units * acc.spread
-        acc.guessed, acc.as_of = acc.guessed + units * (acc.spread - 1), self.now
+        others = units * (acc.spread - 1)
+        acc.left = min(acc.plan.burst, self.refilled(acc)) - units - others
+        acc.guessed, acc.as_of = acc.guessed + others, self.now
 
     def release(self, inv):
         """What counted as out no longer does; under a name now past it stands until that is forgotten."""
