--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -50,7 +50,7 @@
 SPARED = SECOND              # at most, times the part not called for: a customer whose call was turned away
 
 # Backends.
-FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 0.75, 192.0     # credits at a backend, over all gateways
+FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 1.5, 192.0     # credits at a backend, over all gateways
 SLOW = 0.32                  # an answer past this part of the objective earns less than it cost
 QUICK_EARNS, SLOW_LOSES, ERROR_LOSES = 0.1, 0.4, 0.7     # a quick one earns more, so one in five may be slow
 ERROR_EXPECTED, ERROR_SICK, SICK_AT = 0.02, 0.35, 4.6     # sequential test on outcomes
