While no credit is free, the dearest plan's invocations go first

The wait for a credit is now in order of price; who has too many before it is refused at once, as before. Acts only while credits are out; the quota still decides first. Harm: the cheapest plan is served least in overload.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -202,12 +202,13 @@
                 if target and (yield from self.deliver(inv, target, give_up)):
                     continue
                 patience = min(give_up, inv.arrived + int(WAIT * objective))
-                ahead = self.waiting.index(inv) if inv in self.waiting else len(self.waiting)
+                ahead = sum(w is not inv and self.value(w) >= self.value(inv) for w in self.waiting)
                 if self.now + (ahead + 1) * self.gap(inv.op, self.room()) > patience:
                     yield from self.close(inv)
                     break
                 if inv not in self.waiting:
                     self.waiting.append(inv)
+                    self.waiting.sort(key=self.value, reverse=True)
                 yield Pause(patience)
                 if inv.done or self.now >= patience:
                     self.waiting.remove(inv)
@@ -489,6 +490,9 @@
         for waiter in self.waiting[:self.free()]:
             yield Wake(waiter)
 
+    def value(self, inv):
+        return inv.customer.plan.price
+
     def gap(self, op, out):
         """Mean time between answers with so many deliveries out."""
         return int(self.times.mean(0.2) * op.objective / out)
