--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -264,7 +264,8 @@
                 acc.full_until = self.now + self.gap(inv.op, plan.most_out)
                 yield from self.give_back(inv)
                 return self.beyond(inv, self.after(inv))
-        elif acc.out >= max(1, part):       # no total: keep to a part of the cap
+        elif acc.out >= max(1, part) or self.rng.random() * acc.spread > max(plan.most_out, part):
+            # No total: keep to a part of the cap, below one by chance.
             inv.counted = None
             return self.beyond(inv, self.after(inv))
         else:                       # no call: let in, but so that a flood still ends; the next total tells
