Cold backends are held to their own load reports, probed where they answer only so

In force only while a backend is cold; where there are no reports the least guard (its share of a warm one's pace) stands alone. Probes are sent only for cold backends, twice a second.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -13,25 +13,8 @@
 from hashlib import blake2b
 from random import Random
 
-from .interface import (
-    Backend,
-    Cancel,
-    Count,
-    Customer,
-    Deliver,
-    Delivery,
-    Effect,
-    Fail,
-    Log,
-    Pause,
-    Result,
-    Scope,
-    Spawn,
-    State,
-    Subscribe,
-    Throttle,
-    Wake,
-)
+from .interface import (Backend, Cancel, Count, Customer, Deliver, Delivery, Effect, Fail, Log,
+                        Pause, Probe, Result, Scope, Spawn, State, Subscribe, Throttle, Wake)
 
 SECOND = 1_000_000
 
@@ -58,6 +41,7 @@
 MOST_BENCHED = 1 / 3         # by errors alone, which all may share; any number that cannot be reached
 WAIT = 0.2                   # part of the objective that an invocation may wait for a credit
 COLD_MARGIN = 0.6            # part of what the rule on cold backends would let all gateways send
+ASK_EVERY, FULL = SECOND // 2, 0.9   # probes of a cold backend; the busy share that leaves no room
 NEAR = 0.9                   # a backend of the own zone looks this much better
 
 # Further deliveries.
@@ -105,6 +89,7 @@
 
     def fresh(self):
         self.sick, self.bench, self.benched = 0.0, 0, 0
+        self.full = False                       # by its own load report
         self.times = Histogram()
         self.sends = deque()                    # while cold: when sent to
         self.born = self.started
@@ -143,7 +128,24 @@
     # Discovery.
 
     def chores(self):
-        return [self.keep_subscribed()] if self.settings.get("must_subscribe") else []
+        s = self.settings
+        probes = s["may_probe"] and s["load_reports"] == "probe"
+        return [self.keep_subscribed()] * s["must_subscribe"] + [self.ask_fresh()] * probes
+
+    def ask_fresh(self):
+        """Backends that report only when probed are probed while they are cold."""
+        while True:
+            for t in self.targets:
+                if self.cold(t):
+                    yield Spawn(self.ask(t))
+            yield Pause(self.now + ASK_EVERY)
+
+    def ask(self, t):
+        self.heed(t, (yield Probe(t)).load)
+
+    def heed(self, t, load):
+        if load:
+            t.full = load.get("queued", 0) >= 1 or load.get("busy", 0) > FULL
 
     def keep_subscribed(self):
         while True:
@@ -264,8 +266,7 @@
                 acc.full_until = self.now + self.gap(inv.op, plan.most_out)
                 yield from self.give_back(inv)
                 return self.beyond(inv, self.after(inv))
-        elif acc.out >= max(1, part) or self.rng.random() * acc.spread > max(plan.most_out, part):
-            # No total: keep to a part of the cap, below one by chance.
+        elif acc.out >= max(1, part):       # no total: keep to a part of the cap
             inv.counted = None
             return self.beyond(inv, self.after(inv))
         else:                       # no call: let in, but so that a flood still ends; the next total tells
@@ -455,6 +456,7 @@
         t, inv, result = delivery.backend, delivery.inv, delivery.result
         t.out = max(0, t.out - 1)
         part = delivery.took / inv.op.objective
+        self.heed(t, load)
         if result is Result.SUCCEEDED:
             if any(d is not delivery and d.result is None for d in inv.deliveries[:delivery.number]):
                 self.copy_wins += 1
@@ -556,7 +558,7 @@
         part = s["cold_from"] + (1 - s["cold_from"]) * max(0, self.now - t.started) / s["cold"]
         pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, len(warm))
         most = COLD_MARGIN * s["fall_multiple"] * part * pace * span
-        if not t.sends:
+        if not t.sends or t.full:               # its own report says that it can take no more
             return t.out == 0
         return len(t.sends) + 1 <= most
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -160,3 +160,25 @@
         f.pass_time(4000)
         f.answer_counts(store)
     assert all(inv.done for inv in invs)
+
+
+def test_a_cold_backend_is_asked_and_held_to_its_own_report():
+    f = Front(policyLimits__probing="true", feedback__how="probe", feedback__fields="pending,busy_reqs",
+              familyInfo__mayCount="false", contracts__0__storeSize=1000)
+    f.roster((1, State.READY), (2, State.READY, f.now))
+    for n in range(100):        # a warm neighbour's pace lets the cold one have several in the span
+        f.accept(n, spread=1)
+        f.returned(n, 0, Result.SUCCEEDED, took=10)
+        f.now += 10 * MS
+    fresh = f.inst.backends[2]
+    while len(fresh.sends) > 1:     # far from the least guard, so that only the report is in question
+        fresh.sends.popleft()
+    f.accept(200, spread=1)
+    inv = f.inst.invs[200]
+    for queued, allowed in ((0.0, True), (3.0, False)):
+        f.inst.probes.clear()
+        while ["sound_out", "g/0", "2"] not in f.take():
+            f.pass_time(500)
+        f.tell("probe_result", [], 2, Result.SUCCEEDED, 1000, [queued, 1.0])
+        fresh.out, inv.deliveries = 1, []
+        assert f.gateway.may_send(inv, fresh) is allowed
