Mend three holes found by reading: full reports, late first totals, windows entered late

Each has a test that fails without the fix. A customer whose spread is not told is now taken to reach every gateway (its hard ceiling is split over all).

--- a/kestrelbend/benchlink/codec.py
+++ b/kestrelbend/benchlink/codec.py
@@ -75,7 +75,7 @@
 EVENTS = {
     "init": (whole, str),
     "roster_change": (_or(whole, 0), _one_of({name: name for name in LISTS}, "kind of list"), _or(whole, 0)),
-    "accept": (whole, str, str, str, micros, _or(number, 1.0), _or(whole, 1), _or(whole, 0), _or(whole, 0)),
+    "accept": (whole, str, str, str, micros, _or(number, 1.0), _or(whole, 0), _or(whole, 0), _or(whole, 0)),
     "returned": (whole, whole, _or(whole, None), result, _or(micros, 0), _or(flag, False), _or(whole, 0),
                  _or(whole, 0), _or(_row, None)),
     "reminder": (whole,),
--- a/kestrelbend/benchlink/host.py
+++ b/kestrelbend/benchlink/host.py
@@ -127,20 +127,21 @@
             raise codec.Malformed(f"'accept': unknown operation or plan: {operation!r}, {plan!r}")
         customer = self.customers.get((plan, name))
         if customer is None:
-            customer = self.customers[plan, name] = Account(name, contract, max(1, spread))
+            spread = spread or self.settings["gateways"]
+            customer = self.customers[plan, name] = Account(name, contract, spread)
         inv = i.Invocation(op, customer, self.gateway.now, until, units, bool(flags & codec.RETRY_FLAG))
         self.invs[number], self.inv_ids[inv] = inv, number
         self.tasks[inv] = task = Task(self.gateway.invocation(inv), inv)
         self.run(task)
 
-    def returned(self, _, number, trial, _backend, result, took, ended, used, actual, load):
+    def returned(self, _, number, trial, _backend, result, took, ended, _used, actual, load):
         inv = self.invs.get(number)
         if inv is None or trial >= len(inv.deliveries) or inv.deliveries[trial].result is not None:
             return
         delivery = inv.deliveries[trial]
         delivery.result, delivery.took = result, took
         inv.done = inv.done or ended
-        self.run(Task(self.gateway.ended(delivery, self.load(load), used, actual)))
+        self.run(Task(self.gateway.ended(delivery, self.load(load), actual)))
         self.resume(inv, delivery)
         self.forget(inv)
 
--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -256,7 +256,7 @@
         near = plan.rate and (acc.left is None or acc.left - inv.units < self.called * plan.burst)
         near = (near or plan.most_out) and self.now >= acc.spared_until
         inv.counted = (math.ceil(inv.units) if plan.most_out else inv.units) if plan.rate else 0
-        inv.window = self.window(acc)
+        inv.window = self.enter(acc)
         if near and self.counter_answers(inv):
             yield from self.tally(acc, inv.counted, 1)
             if self.shortage(acc, 0.0) > 0:
@@ -273,7 +273,7 @@
             self.guess(acc, inv.counted, 1)
         pressed = self.waiting or not self.free()
         if inv.retry and plan.rate and self.counter_answers(inv) and (pressed or self.called >= 1):
-            reply = yield from self.call(self.name(acc, "retries", self.window(acc)), 1, self.life(acc))
+            reply = yield from self.call(self.name(acc, "retries", self.enter(acc)), 1, self.life(acc))
             if (pressed and acc.total > RETRY_FLOOR * plan.rate and reply.total > RETRY_SHARE * acc.total):
                 yield from self.give_back(inv)
                 return self.after(inv)
@@ -282,9 +282,8 @@
     def beyond(self, inv, wait):
         """Beyond the quota: let in where that earns more than it costs and half the credits are free."""
         plan = inv.customer.plan
-        inv.beyond = (plan.over_worth > plan.over_cost and not self.waiting
-                      and self.free() > self.room() / 2)
-        return None if inv.beyond else wait
+        pays = plan.over_worth > plan.over_cost and not self.waiting and self.free() > self.room() / 2
+        return None if pays else wait
 
     def shortage(self, acc, units):
         """Units missing to let `units` in, by the last total seen; not above 0 if there is enough."""
@@ -295,8 +294,12 @@
     def refilled(self, acc):
         return acc.left + acc.plan.rate * (self.now - acc.as_of) / SECOND
 
-    def window(self, acc):
-        return self.now // self.window_length(acc)
+    def enter(self, acc):
+        """The present window; what is out but counted under the last one's name is let go."""
+        window = self.now // self.window_length(acc)
+        if window != acc.window:
+            acc.window, acc.total, acc.owed_out = window, 0.0, 0
+        return window
 
     def window_length(self, acc):
         plan = acc.plan
@@ -337,9 +340,7 @@
     def tally(self, acc, units, out):
         """Add to the customer's total and bring `left` and `all_out` up to date by what comes back.
         The one number holds whole units and, under a cap, deliveries out in thousandths."""
-        plan, window, length = acc.plan, self.window(acc), self.window_length(acc)
-        if window != acc.window:
-            acc.window, acc.total, acc.owed_out = window, 0.0, 0
+        plan, window, length = acc.plan, self.enter(acc), self.window_length(acc)
         out = (out + acc.owed_out) if self.packs(plan) else 0
         owed, acc.owed, acc.owed_out = acc.owed, 0.0, 0
         name = self.name(acc, "units", window)
@@ -389,7 +390,7 @@
     def release(self, inv):
         """What counted as out no longer does; under a name now past it stands until that is forgotten."""
         acc = inv.customer
-        if acc.plan.most_out and inv.window == self.window(acc) == acc.window:
+        if acc.plan.most_out and inv.window == self.enter(acc):
             acc.owed_out -= 1
             if acc.owed_out:
                 yield Spawn(self.tally(acc, 0, 0))
@@ -451,7 +452,7 @@
                 best, least = t, score
         return best
 
-    def ended(self, delivery, load=None, used=None, actual=0):
+    def ended(self, delivery, load=None, actual=0):
         """A delivery ended: earn its credit back, judge its backend, wake who waits."""
         t, inv, result = delivery.backend, delivery.inv, delivery.result
         t.out = max(0, t.out - 1)
@@ -473,7 +474,8 @@
                 self.earn(t, QUICK_EARNS)
             if actual and inv.customer.plan.rate and inv.counted is not None:
                 inv.customer.owed += actual - inv.counted
-                inv.customer.left -= actual - inv.counted
+                if inv.customer.left is not None:       # a first total may be late, its window past
+                    inv.customer.left -= actual - inv.counted
         elif result is Result.REJECTED:
             self.earn(t, -ERROR_LOSES)
         if result in (Result.ERRORED, Result.UNREACHABLE, Result.BROKEN, Result.TIMED_OUT):
@@ -558,7 +560,7 @@
         part = s["cold_from"] + (1 - s["cold_from"]) * max(0, self.now - t.started) / s["cold"]
         pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, len(warm))
         most = COLD_MARGIN * s["fall_multiple"] * part * pace * span
-        if not t.sends or t.full:               # its own report says that it can take no more
+        if not t.sends or t.full and t.out:     # full: its own report says that it can take no more
             return t.out == 0
         return len(t.sends) + 1 <= most
 
--- a/kestrelbend/interface.py
+++ b/kestrelbend/interface.py
@@ -113,7 +113,6 @@
     streaming: bool = False
     counted: float | None = None   # its units in the customer's total, and the window of that total
     window: int = 0
-    beyond: bool = False           # sent on beyond the quota
     deliveries: list[Delivery] = field(default_factory=list)
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -182,3 +182,28 @@
         f.tell("probe_result", [], 2, Result.SUCCEEDED, 1000, [queued, 1.0])
         fresh.out, inv.deliveries = 1, []
         assert f.gateway.may_send(inv, fresh) is allowed
+    fresh.out = 0
+    fresh.sends.extend([f.now] * 200)       # a full report does not open the way past the least guard
+    assert not f.gateway.may_send(inv, fresh)
+
+
+def test_a_first_total_that_comes_after_its_window_is_harmless():
+    f = front()
+    f.accept(1, left=60_000)
+    f.now += 24_000 * MS
+    f.accept(2)
+    f.counted(int(f.take("incr")[0][4]), 1.0)
+    f.returned(1, 0, Result.SUCCEEDED, actual=3)
+    assert f.inst.customers["plan", "c"].left is None and f.inst.customers["plan", "c"].owed == 2
+
+
+def test_uncalled_deliveries_out_survive_a_new_window():
+    f, store = front(contracts__0__concurrency=8, contracts__0__refill=0), {}
+    f.gateway.silent, f.gateway.silent_until = 9, f.now + 50 * MS
+    f.accept(1)
+    f.now += 60 * MS
+    f.accept(2)
+    f.answer_counts(store)
+    f.returned(1, 0, Result.SUCCEEDED)
+    f.answer_counts(store)
+    assert list(store.values()) == [pytest.approx(0.001)]
