--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -392,7 +392,7 @@
         acc = inv.customer
         if acc.plan.most_out and inv.window == self.enter(acc):
             acc.owed_out -= 1
-            if acc.owed_out:
+            if acc.owed_out and self.settings["may_count"]:
                 yield Spawn(self.tally(acc, 0, 0))
 
     def give_back(self, inv):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -55,6 +55,7 @@
         while lines := self.take():
             for line in lines:
                 if line[0] == "incr":
+                    assert self.inst.settings["may_count"]
                     name = int(line[4])
                     store[name] = store.get(name, 0.0) + float(line[2])
                     self.counted(name, store[name], result)
