--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -194,6 +194,9 @@
             if self.now >= give_up:
                 yield from self.close(inv)
                 break
+            for d in out:
+                if not d.overdue and self.now >= d.sent + objective:
+                    yield from self.overdue(d)
             typical = int(self.times.quantile(0.5, 0.3) * objective)
             copy_at = None
             if not out:
@@ -230,7 +233,8 @@
                             if self.copy_tries > 16:
                                 self.copy_tries, self.copy_wins = self.copy_tries / 2, self.copy_wins / 2
                             continue
-            yield Pause(min(copy_at or give_up, give_up))
+            due = [d.sent + objective for d in out if not d.overdue]
+            yield Pause(min([copy_at or give_up, give_up, *due]))
         for d in inv.deliveries:
             if d.result is None and self.settings["may_cancel"] and not inv.streaming:
                 yield Cancel(d)
@@ -455,9 +459,10 @@
     def ended(self, delivery, load=None, actual=0):
         """A delivery ended: earn its credit back, judge its backend, wake who waits."""
         t, inv, result = delivery.backend, delivery.inv, delivery.result
-        t.out = max(0, t.out - 1)
         part = delivery.took / inv.op.objective
         self.heed(t, load)
+        if not delivery.overdue:
+            t.out = max(0, t.out - 1)
         if result is Result.SUCCEEDED:
             if any(d is not delivery and d.result is None for d in inv.deliveries[:delivery.number]):
                 self.copy_wins += 1
@@ -468,23 +473,41 @@
                 if self.now - self.answers_from > 10 * SECOND:
                     self.answers /= 2
                     self.answers_from += (self.now - self.answers_from) // 2
-            if part > SLOW:
-                self.earn(t, -SLOW_LOSES)
-            elif t.out + 2 > t.room:
+            if part <= SLOW and t.out + 2 > t.room:
                 self.earn(t, QUICK_EARNS)
+            elif part > SLOW and not delivery.overdue:
+                self.earn(t, -SLOW_LOSES)
             if actual and inv.customer.plan.rate and inv.counted is not None:
                 inv.customer.owed += actual - inv.counted
                 if inv.customer.left is not None:       # a first total may be late, its window past
                     inv.customer.left -= actual - inv.counted
-        elif result is Result.REJECTED:
-            self.earn(t, -ERROR_LOSES)
-        if result in (Result.ERRORED, Result.UNREACHABLE, Result.BROKEN, Result.TIMED_OUT):
+            yield from self.judge(t, result)
+        elif not delivery.overdue and result not in (Result.CANCELLED, Result.VOID):
             self.earn(t, -ERROR_LOSES)
+            if result is not Result.REJECTED:
+                yield from self.judge(t, result)
+        yield from self.wake()
+
+    def wake(self):
+        for waiter in self.waiting[:self.free()]:
+            yield Wake(waiter)
+
+    def overdue(self, d):
+        """Past its objective a delivery gives its credit back, as a slow answer would: a few pieces of long
+        work, or a backend fallen silent, must not hold all credits until the client gives up."""
+        d.overdue = True
+        d.backend.out = max(0, d.backend.out - 1)
+        self.earn(d.backend, -SLOW_LOSES)
+        yield from self.judge(d.backend, Result.TIMED_OUT)
+        yield from self.wake()
+
+    def judge(self, t, result):
+        """The sequential test: outcomes speak for a sick backend or a sound one until one side has it."""
+        if result is not Result.SUCCEEDED:
             t.sick += math.log(ERROR_SICK / ERROR_EXPECTED)
-        elif result is Result.SUCCEEDED:
+        else:
             t.sick = max(0.0, t.sick + math.log((1 - ERROR_SICK) / (1 - ERROR_EXPECTED)))
-            if not t.sick:
-                t.benched = 0
+            t.benched = t.benched if t.sick else 0
         if t.sick >= SICK_AT and t.bench <= self.now:
             sick = sum(o.bench > self.now for o in self.targets)
             if result is not Result.ERRORED or sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
@@ -492,8 +515,6 @@
                 t.benched += 1
                 t.room, t.sick = LEAST_ROOM / self.settings["gateways"], SICK_AT - 1
                 yield Log("backend benched by its outcomes", t)
-        for waiter in self.waiting[:self.free()]:
-            yield Wake(waiter)
 
     def value(self, inv):
         return inv.customer.plan.price
--- a/kestrelbend/interface.py
+++ b/kestrelbend/interface.py
@@ -99,6 +99,7 @@
     number: int
     result: Result | None = None
     took: int = 0
+    overdue: bool = False          # out past the latency objective
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -207,3 +207,17 @@
     f.returned(1, 0, Result.SUCCEEDED)
     f.answer_counts(store)
     assert list(store.values()) == [pytest.approx(0.001)]
+
+
+def test_long_work_does_not_hold_all_credits():
+    f = front(familyInfo__mayCount="false", contracts__0__storeSize=1000, policyLimits__mayDuplicate="false")
+    room = f.gateway.room()
+    for n in range(room):
+        f.accept(n)
+    f.accept(50)
+    assert len(f.take("pass_on")) == room and not f.gateway.free()
+    while f.now < f.inst.invs[0].arrived + 1000 * MS:
+        f.pass_time(1000)
+    assert f.gateway.free() and sum(t.out for t in f.gateway.targets) == 0
+    f.returned(0, 0, Result.SUCCEEDED, took=1500)
+    assert sum(t.out for t in f.gateway.targets) == 0
