--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -44,8 +44,6 @@
 ASK_EVERY, FULL = SECOND // 2, 0.9   # probes of a cold backend; the busy share that leaves no room
 NEAR = 0.9                   # a backend of the own zone looks this much better
 
-# Further deliveries.
-SECOND_COPY_AT, SECOND_COPY_SHARE = 0.3, 0.1
 BINS, PER_OBJECTIVE, HALVE_AT = 24, 12, 256
 
 
@@ -63,16 +61,6 @@
             self.bins = [n // 2 for n in self.bins]
             self.total = sum(self.bins)
 
-    def quantile(self, share, otherwise):
-        if self.total < 1 / (1 - share):
-            return otherwise
-        left = share * self.total
-        for i, n in enumerate(self.bins):
-            left -= n
-            if left < 0:
-                return (i + 1) / PER_OBJECTIVE
-        return otherwise
-
     def mean(self, otherwise):
         """With one answer at `otherwise` thrown in, so that a few answers say little."""
         return (sum((i + 0.5) * n for i, n in enumerate(self.bins)) / PER_OBJECTIVE + otherwise) \
@@ -118,8 +106,6 @@
         self.waiting = []
         self.times = Histogram()
         self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
-        self.copies = 1.0                               # second copies that may be sent
-        self.copy_tries, self.copy_wins = 2.0, 2.0      # a copy that loses shows that the work is slow itself
         self.silent, self.silent_until = 0, 0
         self.called = 1.0           # who has less of the burst left than this part is called for
         self.subscribed = False
@@ -197,8 +183,6 @@
             for d in out:
                 if not d.overdue and self.now >= d.sent + objective:
                     yield from self.overdue(d)
-            typical = int(self.times.quantile(0.5, 0.3) * objective)
-            copy_at = None
             if not out:
                 if not self.may_repeat(inv) or inv.deliveries and self.now >= aim:
                     yield from self.close(inv)
@@ -218,23 +202,8 @@
                 if inv.done or self.now >= patience:
                     self.waiting.remove(inv)
                 continue
-            # A second copy would count as out, and put the customer's next try beyond its cap.
-            if (len(out) == 1 and self.may_repeat(inv) and self.settings["second_copies"]
-                    and not inv.customer.plan.most_out):
-                slow = max(SECOND_COPY_AT, self.times.quantile(0.95, 0.5))
-                copy_at = out[0].sent + int(slow * objective)
-                if copy_at <= self.now:
-                    copy_at = None
-                    if self.copies >= 1 and not self.waiting and self.now + typical < aim:
-                        target = self.pick(inv)
-                        if target and (yield from self.deliver(inv, target, give_up)):
-                            self.copies -= 1
-                            self.copy_tries += 1
-                            if self.copy_tries > 16:
-                                self.copy_tries, self.copy_wins = self.copy_tries / 2, self.copy_wins / 2
-                            continue
             due = [d.sent + objective for d in out if not d.overdue]
-            yield Pause(min([copy_at or give_up, give_up, *due]))
+            yield Pause(min([give_up, *due]))
         for d in inv.deliveries:
             if d.result is None and self.settings["may_cancel"] and not inv.streaming:
                 yield Cancel(d)
@@ -464,8 +433,6 @@
         if not delivery.overdue:
             t.out = max(0, t.out - 1)
         if result is Result.SUCCEEDED:
-            if any(d is not delivery and d.result is None for d in inv.deliveries[:delivery.number]):
-                self.copy_wins += 1
             t.times.add(part)
             self.times.add(part)
             if not self.cold(t):
@@ -556,7 +523,6 @@
             return False
         if not inv.deliveries:
             inv.customer.share -= inv.units
-            self.copies = min(10.0, self.copies + SECOND_COPY_SHARE * self.copy_wins / self.copy_tries)
         if inv in self.waiting:
             self.waiting.remove(inv)
         t.out += 1
