--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestrelbend.interface import Effect, Result, Scope, State
+from kestrelbend.interface import Effect, Invocation, Result, Scope, State
 
 from .helpers import MS, Front
 
@@ -114,7 +114,11 @@
         elif step == "leave" and invs:
             front.tell("withdrawn", [], draw(st.sampled_from(sorted(invs))))
         check(front.answer_counts(store, draw(st.sampled_from([Result.SUCCEEDED] * 3 + [Result.TIMED_OUT]))))
-        for inv in invs.values():
+        ghosts = []         # never admitted, so that only the gate itself stands in their way
+        for customer in front.inst.customers.values():
+            op = front.inst.settings["operations"][0]
+            ghosts.append(Invocation(op, customer, front.now, front.now + 9, 3.0005, False))
+        for inv in [*invs.values(), *ghosts]:
             for target in front.inst.backends.values():
                 assert front.gateway.may_send(inv, target) == model.allowed(inv, target)
     check(front.answer_counts(store))
