--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -66,7 +66,7 @@
     def pass_time(self, ms):
         """Go on to the next reminder due within `ms`, or by `ms` if there is none."""
         due = min([due for _, due in self.inst.alarms.values()], default=self.now + ms * MS)
-        self.now = max(self.now, min(due, self.now + ms * MS))
+        self.now = self.gateway.now = max(self.now, min(due, self.now + ms * MS))
         for handle, (_, due) in list(self.inst.alarms.items()):
             if due <= self.now:
                 self.tell("reminder", [], handle)
