Sampled calls where a customer's set is wide and the counter crowded (in work)

Cause: at full size nine in ten pairs of gateway and customer meet too seldom for the spread-fold guess, which refused half of the tries with quota unused; calls were turned away at random. Now a part of the tries is called for, each for all that are not, and the share of use with room decides by chance. Slow answers at backends at their least room are owed by all rooms while the median is slow; no preference for the own hall; a gateway with few credits lets an invocation wait for one; past its objective an invocation ends where late answers earn nothing.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import defaultdict, deque
 from hashlib import blake2b
 from random import Random
 
@@ -19,7 +19,7 @@
 SECOND = 1_000_000
 
 # Quota and retry budget.
-WINDOW_BURSTS = 8            # window of the quota names, in burst-over-rate; the design starts at 1
+WINDOW_BURSTS = 3            # window of the quota names, in burst-over-rate; the design starts at 1
 LONGEST_LIFE = 60 * SECOND   # the counter service forgets by then
 RETRY_SHARE = 0.20           # a customer's marked retries over its quota total
 RETRY_RESERVE = 0.5         # part of the burst that a retry must leave to first tries
@@ -29,8 +29,11 @@
 PACK = 1000                  # a unit over a delivery out, in one total
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
-CROWDED, QUIET, LEAST_CALLED = 0.8, 0.002, 0.05    # calls that fail cut the part called for
+CROWDED, QUIET, LEAST_CALLED = 0.8, 1.01, 0.02    # calls that fail cut the part called for
+CAP_USE = 0.4
+CAP_SETS = 4
 SPARED = SECOND              # at most, times the part not called for: a customer whose call was turned away
+UNKNOWN = 3.0                # a customer not seen before is called for more often than others
 
 # Backends.
 FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 1.5, 192.0     # credits at a backend, over all gateways
@@ -39,10 +42,10 @@
 ERROR_EXPECTED, ERROR_SICK, SICK_AT = 0.02, 0.35, 4.6     # sequential test on outcomes
 BENCH, LONGEST_BENCH = SECOND, 8 * SECOND
 MOST_BENCHED = 1 / 3         # by errors alone, which all may share; any number that cannot be reached
+ALL_SLOW = 0.2               # a median answer past this part of the objective: all backends are pressed
 WAIT = 0.2                   # part of the objective that an invocation may wait for a credit
 COLD_MARGIN = 0.6            # part of what the rule on cold backends would let all gateways send
 ASK_EVERY, FULL = SECOND // 2, 0.9   # probes of a cold backend; the busy share that leaves no room
-NEAR = 0.9                   # a backend of the own zone looks this much better
 
 BINS, PER_OBJECTIVE, HALVE_AT = 24, 12, 256
 
@@ -50,17 +53,25 @@
 class Histogram:
     """Answer times in parts of the latency objective, halved now and then."""
 
-    def __init__(self):
+    def __init__(self, halve_at=HALVE_AT):
         self.bins = [0] * BINS
-        self.total = 0
+        self.total, self.halve_at = 0, halve_at
 
     def add(self, part):
         self.bins[min(BINS - 1, int(part * PER_OBJECTIVE))] += 1
         self.total += 1
-        if self.total >= HALVE_AT:
+        if self.total >= self.halve_at:
             self.bins = [n // 2 for n in self.bins]
             self.total = sum(self.bins)
 
+    def median(self):
+        below = 0
+        for i, n in enumerate(self.bins):
+            if n and below + n >= self.total / 2:
+                return (i + (self.total / 2 - below) / n) / PER_OBJECTIVE
+            below += n
+        return 0.0
+
     def mean(self, otherwise):
         """With one answer at `otherwise` thrown in, so that a few answers say little."""
         return (sum((i + 0.5) * n for i, n in enumerate(self.bins)) / PER_OBJECTIVE + otherwise) \
@@ -93,6 +104,7 @@
         self.owed = 0.0                         # units the counter service should still hear of
         self.guessed = 0.0                      # taken off `left` for other gateways since the last total
         self.spared_until = 0                   # its last call was turned away: none before then
+        self.share_in = None                    # while the counter is crowded: share of its use with room
         self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
         self.out, self.all_out = 0, 0           # invocations out here, and at all gateways as last seen
         self.owed_out, self.full_until = 0, 0   # those to tell the counter service of; cap taken as reached
@@ -104,7 +116,9 @@
         self.rng = Random(seed)
         self.targets = []
         self.waiting = []
+        self.debt = 0.0             # what slow answers cost beyond the least room of their backends
         self.times = Histogram()
+        self.zone_times = defaultdict(lambda: Histogram(HALVE_AT // 4))
         self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
         self.silent, self.silent_until = 0, 0
         self.called = 1.0           # who has less of the burst left than this part is called for
@@ -177,7 +191,7 @@
         aim = inv.arrived + objective if not inv.op.late_worth else give_up
         while not inv.done:
             out = [d for d in inv.deliveries if d.result is None]
-            if self.now >= give_up:
+            if self.now >= min(give_up, aim):       # later it earns nothing, and holds a place under a cap
                 yield from self.close(inv)
                 break
             for d in out:
@@ -190,20 +204,21 @@
                 target = self.pick(inv)
                 if target and (yield from self.deliver(inv, target, give_up)):
                     continue
-                patience = min(give_up, inv.arrived + int(WAIT * objective))
+                gap = self.gap(inv.op, self.room())
+                patience = min(give_up, inv.arrived + int(WAIT * objective) + gap)
                 ahead = sum(w is not inv and self.value(w) >= self.value(inv) for w in self.waiting)
-                if self.now + (ahead + 1) * self.gap(inv.op, self.room()) > patience:
+                if self.now + (ahead + 1) * gap > patience:
                     yield from self.close(inv)
                     break
                 if inv not in self.waiting:
                     self.waiting.append(inv)
                     self.waiting.sort(key=self.value, reverse=True)
                 yield Pause(patience)
-                if inv.done or self.now >= patience:
+                if (inv.done or self.now >= patience) and inv in self.waiting:
                     self.waiting.remove(inv)
                 continue
             due = [d.sent + objective for d in out if not d.overdue]
-            yield Pause(min([give_up, *due]))
+            yield Pause(min([give_up, aim, *due]))
         for d in inv.deliveries:
             if d.result is None and self.settings["may_cancel"] and not inv.streaming:
                 yield Cancel(d)
@@ -217,6 +232,8 @@
         acc, plan = inv.customer, inv.customer.plan
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
             return self.after(inv, (inv.units - acc.share) * acc.spread / plan.ceiling_rate)
+        if self.called < 1 and self.sparse(inv):
+            return (yield from self.admit_sampled(inv))
         # Near the limit a first try, with all its objective before it, goes before a marked retry.
         short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
         if short > 0:
@@ -224,12 +241,11 @@
         # The last total seen was at the cap, and none has ended here since.
         if plan.most_out and (acc.out >= plan.most_out or self.now < acc.full_until):
             return self.beyond(inv, self.after(inv))
-        part = plan.most_out // acc.spread if plan.most_out else math.inf
+        inv.counted = (math.ceil(inv.units) if plan.most_out else inv.units) if plan.rate else 0
+        inv.window = self.enter(acc)
         # A crowded counter turns calls away blindly; spare it those for whom the total matters least.
         near = plan.rate and (acc.left is None or acc.left - inv.units < self.called * plan.burst)
         near = (near or plan.most_out) and self.now >= acc.spared_until
-        inv.counted = (math.ceil(inv.units) if plan.most_out else inv.units) if plan.rate else 0
-        inv.window = self.enter(acc)
         if near and self.counter_answers(inv):
             yield from self.tally(acc, inv.counted, 1)
             if self.shortage(acc, 0.0) > 0:
@@ -239,8 +255,8 @@
                 acc.full_until = self.now + self.gap(inv.op, plan.most_out)
                 yield from self.give_back(inv)
                 return self.beyond(inv, self.after(inv))
-        elif acc.out >= max(1, part):       # no total: keep to a part of the cap
-            inv.counted = None
+        elif plan.most_out and acc.out >= max(1, plan.most_out // acc.spread):
+            inv.counted = None          # no total: keep to a part of the cap
             return self.beyond(inv, self.after(inv))
         else:                       # no call: let in, but so that a flood still ends; the next total tells
             self.guess(acc, inv.counted, 1)
@@ -252,6 +268,47 @@
                 return self.after(inv)
         return None
 
+    def sparse(self, inv):
+        """Whether the customer's burst, or cap, is less than one invocation for each gateway of its set, so
+        that what this gateway last saw of its use is old whenever it is asked again."""
+        plan = inv.customer.plan
+        return inv.customer.spread * inv.units > (plan.burst if plan.rate else CAP_SETS * plan.most_out)
+
+    def admit_sampled(self, inv):
+        """The counter service takes fewer calls than there are tries: a part of the tries is called for, each
+        for all that are not; what was refused stays counted, and of a customer's tries the share goes on for
+        which there was room.  Deliveries out are not counted, and a marked retry needs known room."""
+        acc, plan = inv.customer, inv.customer.plan
+        acc.left = None                         # it must be learned anew when all are called for again
+        known = acc.share_in is not None
+        if inv.retry and (not known or acc.share_in < 1) or plan.most_out and acc.out >= plan.most_out:
+            return self.beyond(inv, self.after(inv))
+        if self.counter_answers(inv) and (plan.rate or plan.most_out):
+            part = self.called if known else min(1.0, UNKNOWN * self.called)
+            if self.rng.random() < part:
+                yield from self.sample(inv, part)
+        if acc.share_in is not None and self.rng.random() >= acc.share_in:
+            return self.beyond(inv, self.after(inv))
+        return None
+
+    def sample(self, inv, part):
+        """Count for those not called for too, and learn what share of the use there is room for."""
+        acc, plan, units = inv.customer, inv.customer.plan, inv.units
+        window, length = self.enter(acc), self.window_length(acc)
+        rate, burst = plan.rate, plan.burst
+        if not rate:
+            rate = CAP_USE * plan.most_out * SECOND / (self.times.mean(0.2) * inv.op.objective)
+            burst = plan.most_out
+        add = units / part
+        if plan.most_out:                       # whole ones: deliveries out may stand behind the point
+            add = math.floor(add + self.rng.random())
+        reply = yield from self.call(self.name(acc, "units", window), add, self.life(acc))
+        if reply.result is Result.SUCCEEDED and window == acc.window:
+            # A customer that was short before is taken to have begun this window short.
+            refill = rate * (self.now - window * length) / SECOND
+            used = reply.total - add + units - burst * (1.0 if acc.share_in is None else acc.share_in)
+            acc.share_in = refill / used if used > refill else 1.0
+
     def beyond(self, inv, wait):
         """Beyond the quota: let in where that earns more than it costs and half the credits are free."""
         plan = inv.customer.plan
@@ -292,7 +349,7 @@
             if self.silent >= SILENT_AFTER:
                 yield Log("counter service answers again", None)
             self.silent = 0
-            self.called = min(1.0, self.called + QUIET)
+            self.called = min(1.0, self.called * QUIET)
             return reply
         reply.total = 0.0
         self.called = max(LEAST_CALLED, self.called * CROWDED)
@@ -395,28 +452,40 @@
 
     def room(self):
         """Credits in all; a part of one still lets one invocation through."""
-        return max(1, int(sum(t.room for t in self.targets if t.bench <= self.now)))
+        return max(1, int(self.credits()))
+
+    def credits(self):
+        return sum(t.room for t in self.targets if t.bench <= self.now) - self.debt
 
     def free(self):
         return max(0, self.room() - sum(t.out for t in self.targets if t.bench <= self.now))
 
     def earn(self, t, credit):
         n = self.settings["gateways"]
-        t.room = min(MOST_ROOM / n, max(LEAST_ROOM / n, t.room + credit))
+        if credit > 0:
+            paid = min(credit, self.debt)
+            self.debt, credit = self.debt - paid, credit - paid
+        wanted = t.room + credit
+        t.room = min(MOST_ROOM / n, max(LEAST_ROOM / n, wanted))
+        most = sum(t.room for t in self.targets) - LEAST_ROOM / n * len(self.targets)
+        if self.times.median() > ALL_SLOW:      # else it is this backend's own matter
+            self.debt += max(0.0, t.room - wanted)
+        self.debt = min(max(0.0, most), self.debt)
 
     def pick(self, inv):
         if not self.free():
             return None
         tried = {d.backend for d in inv.deliveries}
         lost = {d.backend.zone for d in inv.deliveries if d.result is Result.UNREACHABLE}
-        usual = self.times.mean(0.2)
+        # A hall not sent to of late is taken to be as quick as the quickest, so that it is tried.
+        usual = {zone: times.mean(0.2) for zone, times in self.zone_times.items()}
+        quickest = min(usual.values(), default=0.2)
         best, least = None, math.inf
         for t in self.targets:
             if t.out >= max(1.0, t.room) or t.bench > self.now or not self.may_send(inv, t):
                 continue
-            score = (t.out + 1) * t.times.mean(usual) / t.weight * (0.9 + 0.2 * self.rng.random())
-            if t.zone == self.settings["zone"]:
-                score *= NEAR
+            score = (t.out + 1) * t.times.mean(usual.get(t.zone, quickest)) / t.weight
+            score *= 0.9 + 0.2 * self.rng.random()
             if t in tried:
                 score *= 100
             elif t.zone in lost:    # a hall may be lost as a whole
@@ -435,12 +504,13 @@
         if result is Result.SUCCEEDED:
             t.times.add(part)
             self.times.add(part)
+            self.zone_times[t.zone].add(part)
             if not self.cold(t):
                 self.answers += 1
                 if self.now - self.answers_from > 10 * SECOND:
                     self.answers /= 2
                     self.answers_from += (self.now - self.answers_from) // 2
-            if part <= SLOW and t.out + 2 > t.room:
+            if part <= SLOW and t.out + 2 > t.room and self.free() < self.credits() / 2 + 1:
                 self.earn(t, QUICK_EARNS)
             elif part > SLOW and not delivery.overdue:
                 self.earn(t, -SLOW_LOSES)
@@ -484,7 +554,7 @@
                 yield Log("backend benched by its outcomes", t)
 
     def value(self, inv):
-        return inv.customer.plan.price
+        return inv.customer.plan.price * (inv.customer.share_in or 1.0)
 
     def gap(self, op, out):
         """Mean time between answers with so many deliveries out."""
