--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict, deque
+from collections import deque
 from hashlib import blake2b
 from random import Random
 
@@ -29,11 +29,10 @@
 PACK = 1000                  # a unit over a delivery out, in one total
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
-CROWDED, QUIET, LEAST_CALLED = 0.8, 1.01, 0.02    # calls that fail cut the part called for
-CAP_USE = 0.4
-CAP_SETS = 4
+CROWDED, QUIET, LEAST_CALLED = 0.8, 1.01, 0.1    # calls that fail cut the part called for
+CAP_USE, CAP_SETS = 0.4, 4   # a cap held as a rate: mean part out; caps in a set so wide are not counted
 SPARED = SECOND              # at most, times the part not called for: a customer whose call was turned away
-UNKNOWN = 3.0                # a customer not seen before is called for more often than others
+UNKNOWN, SHORT, BLIND_MOVES = 3.0, 2.0, 0.02    # unknown and short customers are called for more often
 
 # Backends.
 FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 1.5, 192.0     # credits at a backend, over all gateways
@@ -53,14 +52,14 @@
 class Histogram:
     """Answer times in parts of the latency objective, halved now and then."""
 
-    def __init__(self, halve_at=HALVE_AT):
+    def __init__(self):
         self.bins = [0] * BINS
-        self.total, self.halve_at = 0, halve_at
+        self.total = 0
 
     def add(self, part):
         self.bins[min(BINS - 1, int(part * PER_OBJECTIVE))] += 1
         self.total += 1
-        if self.total >= self.halve_at:
+        if self.total >= HALVE_AT:
             self.bins = [n // 2 for n in self.bins]
             self.total = sum(self.bins)
 
@@ -116,9 +115,9 @@
         self.rng = Random(seed)
         self.targets = []
         self.waiting = []
+        self.blind = 0.0            # part of the sampled tries that no total was known for
         self.debt = 0.0             # what slow answers cost beyond the least room of their backends
         self.times = Histogram()
-        self.zone_times = defaultdict(lambda: Histogram(HALVE_AT // 4))
         self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
         self.silent, self.silent_until = 0, 0
         self.called = 1.0           # who has less of the burst left than this part is called for
@@ -191,7 +190,9 @@
         aim = inv.arrived + objective if not inv.op.late_worth else give_up
         while not inv.done:
             out = [d for d in inv.deliveries if d.result is None]
-            if self.now >= min(give_up, aim):       # later it earns nothing, and holds a place under a cap
+            # At its cap a late one holds the place of another in vain.
+            end = aim if 0 < inv.customer.plan.most_out <= inv.customer.all_out else give_up
+            if self.now >= min(end, give_up):
                 yield from self.close(inv)
                 break
             for d in out:
@@ -218,7 +219,7 @@
                     self.waiting.remove(inv)
                 continue
             due = [d.sent + objective for d in out if not d.overdue]
-            yield Pause(min([give_up, aim, *due]))
+            yield Pause(min(at for at in (give_up, aim, *due) if at > self.now))
         for d in inv.deliveries:
             if d.result is None and self.settings["may_cancel"] and not inv.streaming:
                 yield Cancel(d)
@@ -232,14 +233,17 @@
         acc, plan = inv.customer, inv.customer.plan
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
             return self.after(inv, (inv.units - acc.share) * acc.spread / plan.ceiling_rate)
-        if self.called < 1 and self.sparse(inv):
+        # A set so wide that what this gateway saw of the customer's use is old whenever it is asked again.
+        store = plan.burst if plan.rate else CAP_SETS * plan.most_out or math.inf
+        if self.called < 1 and acc.spread * inv.units > store:
             return (yield from self.admit_sampled(inv))
         # Near the limit a first try, with all its objective before it, goes before a marked retry.
         short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
         if short > 0:
             return self.beyond(inv, self.after(inv, short / plan.rate))
         # The last total seen was at the cap, and none has ended here since.
-        if plan.most_out and (acc.out >= plan.most_out or self.now < acc.full_until):
+        if plan.most_out and (acc.out >= plan.most_out or self.now < acc.full_until
+                              or inv.retry and self.rng.random() >= self.called):
             return self.beyond(inv, self.after(inv))
         inv.counted = (math.ceil(inv.units) if plan.most_out else inv.units) if plan.rate else 0
         inv.window = self.enter(acc)
@@ -252,7 +256,7 @@
                 yield from self.give_back(inv)
                 return self.beyond(inv, self.after(inv, self.shortage(acc, 0.0) / plan.rate))
             if plan.most_out and acc.all_out > plan.most_out:
-                acc.full_until = self.now + self.gap(inv.op, plan.most_out)
+                acc.full_until = self.now + int(self.gap(inv.op, plan.most_out) / max(self.called, 0.2))
                 yield from self.give_back(inv)
                 return self.beyond(inv, self.after(inv))
         elif plan.most_out and acc.out >= max(1, plan.most_out // acc.spread):
@@ -268,12 +272,6 @@
                 return self.after(inv)
         return None
 
-    def sparse(self, inv):
-        """Whether the customer's burst, or cap, is less than one invocation for each gateway of its set, so
-        that what this gateway last saw of its use is old whenever it is asked again."""
-        plan = inv.customer.plan
-        return inv.customer.spread * inv.units > (plan.burst if plan.rate else CAP_SETS * plan.most_out)
-
     def admit_sampled(self, inv):
         """The counter service takes fewer calls than there are tries: a part of the tries is called for, each
         for all that are not; what was refused stays counted, and of a customer's tries the share goes on for
@@ -284,10 +282,13 @@
         if inv.retry and (not known or acc.share_in < 1) or plan.most_out and acc.out >= plan.most_out:
             return self.beyond(inv, self.after(inv))
         if self.counter_answers(inv) and (plan.rate or plan.most_out):
-            part = self.called if known else min(1.0, UNKNOWN * self.called)
+            part = min(1.0, self.called * (UNKNOWN if not known else SHORT if acc.share_in < 1 else 1.0))
             if self.rng.random() < part:
                 yield from self.sample(inv, part)
-        if acc.share_in is not None and self.rng.random() >= acc.share_in:
+        self.blind += BLIND_MOVES * ((acc.share_in is None) - self.blind)
+        # What goes on without a total here and elsewhere takes its room first.
+        if acc.share_in is not None and acc.share_in < 1 and self.rng.random() >= (
+                acc.share_in - self.blind) / max(0.01, 1 - self.blind):
             return self.beyond(inv, self.after(inv))
         return None
 
@@ -452,10 +453,7 @@
 
     def room(self):
         """Credits in all; a part of one still lets one invocation through."""
-        return max(1, int(self.credits()))
-
-    def credits(self):
-        return sum(t.room for t in self.targets if t.bench <= self.now) - self.debt
+        return max(1, int(sum(t.room for t in self.targets if t.bench <= self.now) - self.debt))
 
     def free(self):
         return max(0, self.room() - sum(t.out for t in self.targets if t.bench <= self.now))
@@ -477,15 +475,12 @@
             return None
         tried = {d.backend for d in inv.deliveries}
         lost = {d.backend.zone for d in inv.deliveries if d.result is Result.UNREACHABLE}
-        # A hall not sent to of late is taken to be as quick as the quickest, so that it is tried.
-        usual = {zone: times.mean(0.2) for zone, times in self.zone_times.items()}
-        quickest = min(usual.values(), default=0.2)
+        usual = self.times.mean(0.2)
         best, least = None, math.inf
         for t in self.targets:
             if t.out >= max(1.0, t.room) or t.bench > self.now or not self.may_send(inv, t):
                 continue
-            score = (t.out + 1) * t.times.mean(usual.get(t.zone, quickest)) / t.weight
-            score *= 0.9 + 0.2 * self.rng.random()
+            score = (t.out + 1) * t.times.mean(usual) / t.weight * (0.9 + 0.2 * self.rng.random())
             if t in tried:
                 score *= 100
             elif t.zone in lost:    # a hall may be lost as a whole
@@ -504,13 +499,12 @@
         if result is Result.SUCCEEDED:
             t.times.add(part)
             self.times.add(part)
-            self.zone_times[t.zone].add(part)
             if not self.cold(t):
                 self.answers += 1
                 if self.now - self.answers_from > 10 * SECOND:
                     self.answers /= 2
                     self.answers_from += (self.now - self.answers_from) // 2
-            if part <= SLOW and t.out + 2 > t.room and self.free() < self.credits() / 2 + 1:
+            if part <= SLOW and t.out + 2 > t.room and self.free() < self.room() / 2 + 1:
                 self.earn(t, QUICK_EARNS)
             elif part > SLOW and not delivery.overdue:
                 self.earn(t, -SLOW_LOSES)
