By time-outs too, at most a third of the backends is benched

Cause: while answers are lost but the work runs, the sequential test benched up to two thirds of backends that were sound. Guards against lost answers and slow spells alike; harm: a fleet of which more than a third is dead silent (not refusing connections) is tried more often.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -541,7 +541,7 @@
             t.benched = t.benched if t.sick else 0
         if t.sick >= SICK_AT and t.bench <= self.now:
             sick = sum(o.bench > self.now for o in self.targets)
-            if result is not Result.ERRORED or sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
+            if result is Result.UNREACHABLE or sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
                 t.bench = self.now + min(LONGEST_BENCH, BENCH << t.benched)
                 t.benched += 1
                 t.room, t.sick = LEAST_ROOM / self.settings["gateways"], SICK_AT - 1
