A cold backend's part is drawn for each quarter span, so that the sum holds for any number of gateways

One free send a span from each gateway overran it with hundreds of them; the part is now fall multiple x ramp x this gateway's share of a warm one's pace, halved, as a whole number drawn for each quarter span.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from hashlib import blake2b
 from random import Random
 
@@ -43,7 +42,7 @@
 MOST_BENCHED = 1 / 3         # by errors alone, which all may share; any number that cannot be reached
 ALL_SLOW = 0.2               # a median answer past this part of the objective: all backends are pressed
 WAIT = 0.2                   # part of the objective that an invocation may wait for a credit
-COLD_MARGIN = 0.6            # part of what the rule on cold backends would let all gateways send
+COLD_MARGIN = 0.5            # part of what the rule on cold backends would let all gateways send
 ASK_EVERY, FULL = SECOND // 2, 0.9   # probes of a cold backend; the busy share that leaves no room
 
 BINS, PER_OBJECTIVE, HALVE_AT = 24, 12, 256
@@ -89,7 +88,7 @@
         self.sick, self.bench, self.benched = 0.0, 0, 0
         self.full = False                       # by its own load report
         self.times = Histogram()
-        self.sends = deque()                    # while cold: when sent to
+        self.slot, self.sent, self.most = None, 0, 0    # while cold: sent in this quarter span, of how many
         self.born = self.started
 
 
@@ -591,7 +590,7 @@
             self.waiting.remove(inv)
         t.out += 1
         if self.cold(t):
-            t.sends.append(self.now)
+            t.sent += 1
         d = Delivery(inv, t, self.now, until, len(inv.deliveries))
         inv.deliveries.append(d)
         yield Deliver(d)
@@ -602,18 +601,19 @@
 
     def cold_room(self, t):
         """Whether a cold backend may get one more.  What this gateway gets answered by a warm backend is its
-        share of what that can do; a cold one gets that share of the part of it that it must by now reach."""
+        share of what that can do; a cold one gets that share of the part of it that it must by now reach.
+        A share of less than one is drawn for each quarter span, so that the sum over any number of gateways
+        holds: any span meets five quarters at most, and COLD_MARGIN leaves room for them and for chance."""
         s = self.settings
-        span = s["fall"]
-        while t.sends and t.sends[0] <= self.now - span:
-            t.sends.popleft()
-        warm = [o for o in self.targets if not self.cold(o)]
-        part = s["cold_from"] + (1 - s["cold_from"]) * max(0, self.now - t.started) / s["cold"]
-        pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, len(warm))
-        most = COLD_MARGIN * s["fall_multiple"] * part * pace * span
-        if not t.sends or t.full and t.out:     # full: its own report says that it can take no more
-            return t.out == 0
-        return len(t.sends) + 1 <= most
+        quarter = max(1, s["fall"] // 4)
+        if (slot := (self.now - t.started) // quarter) != t.slot:
+            warm = sum(not self.cold(o) for o in self.targets)
+            part = s["cold_from"] + (1 - s["cold_from"]) * max(0, self.now - t.started) / s["cold"]
+            pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, warm)
+            most = COLD_MARGIN * s["fall_multiple"] * part * pace * quarter
+            # With nothing answered yet, one from all gateways together.
+            t.slot, t.sent, t.most = slot, 0, int(max(most, 1 / s["gateways"]) + self.rng.random())
+        return t.sent < t.most and not (t.full and t.out)   # full by its own report: one at a time
 
     def close(self, inv):
         """Give up: throttled where that promise holds, else errored."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -157,8 +157,6 @@
         f.returned(n, 0, Result.SUCCEEDED, took=10)
         f.now += 10 * MS
     fresh = f.inst.backends[2]
-    while len(fresh.sends) > 1:     # far from the least guard, so that only the report is in question
-        fresh.sends.popleft()
     f.accept(200, spread=1)
     inv = f.inst.invs[200]
     for queued, allowed in ((0.0, True), (3.0, False)):
@@ -167,12 +165,66 @@
             f.pass_time(500)
         f.tell("probe_result", [], 2, Result.SUCCEEDED, 1000, [queued, 1.0])
         fresh.out, inv.deliveries = 1, []
+        fresh.slot, fresh.sent = None, 0        # the least guard starts anew: only the report is in question
         assert f.gateway.may_send(inv, fresh) is allowed
-    fresh.out = 0
-    fresh.sends.extend([f.now] * 200)       # a full report does not open the way past the least guard
+    fresh.out, fresh.sent = 0, 200          # a full report does not open the way past the least guard
     assert not f.gateway.may_send(inv, fresh)
 
 
+@pytest.mark.parametrize("gateways", [2, 20, 220])
+def test_a_cold_backend_is_not_overrun_by_all_gateways_together(gateways):
+    """The sum over gateways that know nothing of each other, each always ready to send."""
+    pace, fall, multiple, cold, cold_from = 40, 2, 2, 10, 0.2
+    fronts, sent = [], []
+    for n in range(gateways):
+        f = Front(seed=n, instances=gateways, familyInfo__mayCount="false", contracts__0__storeSize=10**6)
+        f.roster((1, State.READY), (2, State.READY, f.now))
+        f.gateway.answers, f.gateway.answers_from = 10.0 * pace / gateways, f.now - 10_000 * MS
+        f.accept(1, left=60_000, spread=1)
+        fronts.append(f)
+    start = fronts[0].now
+    for at in range(0, cold * 1000, 50):
+        for f in fronts:
+            f.gateway.now = f.now = start + at * MS
+            f.gateway.answers, f.gateway.answers_from = 10.0 * pace / gateways, f.now - 10_000 * MS
+            inv, fresh = f.inst.invs[1], f.inst.backends[2]
+            inv.deliveries, inv.done = [], False
+            while f.gateway.may_send(inv, fresh):
+                fresh.sent += 1
+                sent.append(at)
+    for end in range(fall * 1000, cold * 1000, 50):
+        within = sum(end - fall * 1000 < at <= end for at in sent)
+        part = cold_from + (1 - cold_from) * (end - fall * 1000) / (cold * 1000)
+        assert within <= multiple * part * pace * fall
+    assert len(sent) > pace * cold * cold_from      # and yet it is warmed
+
+
+def test_a_crowded_counter_and_a_wide_set_leave_the_blameless_alone():
+    f = front(instances=200, contracts__0__storeSize=6)
+    f.gateway.called = 0.5
+    for n in range(20):         # each customer's first visit here, calls turned away
+        f.accept(n, spread=200, customer=f"c{n}")
+        assert kinds(f.answer_counts(result=Result.REJECTED)) == ["pass_on"]
+        f.returned(n, 0, Result.SUCCEEDED)
+    f.accept(30, spread=200, customer="new", retry=True)      # the budget: no room known for a marked retry
+    assert kinds(f.answer_counts()) == ["deny"]
+
+
+def test_sampled_calls_count_for_all_and_thin_a_flood():
+    store, sent = {}, 0
+    fronts = [front(seed=n, instances=50) for n in range(50)]
+    for n in range(1000):       # ten times the rate, over fifty gateways, for fifty seconds
+        f = fronts[n * 7 % 50]
+        f.now = 1_000_000 * MS + n * 50 * MS
+        f.gateway.called = 0.3
+        f.accept(n, spread=50)
+        if kinds(f.answer_counts(store)) == ["pass_on"]:
+            sent += 1
+            f.returned(n, 0, Result.SUCCEEDED)
+    assert 700 < sum(store.values()) < 1300      # each call stood for those not called for
+    assert 106 / 3 < sent < 400                  # there was room for 106; letting all in would be 1000
+
+
 def test_a_first_total_that_comes_after_its_window_is_harmless():
     f = front()
     f.accept(1, left=60_000)
