--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -29,7 +29,7 @@
 SILENT_AFTER = 3             # failed calls in a row that make the counter service count as silent
 SILENT_PAUSE = SECOND // 4   # between calls to a silent one
 CROWDED, QUIET, LEAST_CALLED = 0.8, 1.01, 0.1    # calls that fail cut the part called for
-CAP_USE, CAP_SETS = 0.4, 4   # a cap held as a rate: mean part out; caps in a set so wide are not counted
+CAP_USE, CAP_SETS = 0.25, 4   # a cap held as a rate: mean part out; caps in a set so wide are not counted
 SPARED = SECOND              # at most, times the part not called for: a customer whose call was turned away
 UNKNOWN, SHORT, BLIND_MOVES = 3.0, 2.0, 0.02    # unknown and short customers are called for more often
 
