--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -18,7 +18,7 @@
 SECOND = 1_000_000
 
 # Quota and retry budget.
-WINDOW_BURSTS = 3            # window of the quota names, in burst-over-rate; the design starts at 1
+WINDOW_BURSTS, WIDE_BURSTS = 8, 3   # window of the quota names, in burst-over-rate, and in wide sets
 LONGEST_LIFE = 60 * SECOND   # the counter service forgets by then
 RETRY_SHARE = 0.20           # a customer's marked retries over its quota total
 RETRY_RESERVE = 0.5         # part of the burst that a retry must leave to first tries
@@ -333,7 +333,8 @@
 
     def window_length(self, acc):
         plan = acc.plan
-        length = int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND) if plan.rate else OUT_WINDOW
+        bursts = WIDE_BURSTS if acc.spread > plan.burst else WINDOW_BURSTS
+        length = int(bursts * plan.burst / plan.rate * SECOND) if plan.rate else OUT_WINDOW
         return max(SECOND, min(length, OUT_WINDOW if plan.most_out else LONGEST_LIFE * 9 // 10))
 
     def life(self, acc):
@@ -503,7 +504,7 @@
                 if self.now - self.answers_from > 10 * SECOND:
                     self.answers /= 2
                     self.answers_from += (self.now - self.answers_from) // 2
-            if part <= SLOW and t.out + 2 > t.room and self.free() < self.room() / 2 + 1:
+            if part <= SLOW and t.out + 2 > t.room:
                 self.earn(t, QUICK_EARNS)
             elif part > SLOW and not delivery.overdue:
                 self.earn(t, -SLOW_LOSES)
