--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -18,7 +18,7 @@
 SECOND = 1_000_000
 
 # Quota and retry budget.
-WINDOW_BURSTS, WIDE_BURSTS = 8, 3   # window of the quota names, in burst-over-rate, and in wide sets
+WINDOW_BURSTS = 3            # window of the quota names, in burst-over-rate; the design starts at 1
 LONGEST_LIFE = 60 * SECOND   # the counter service forgets by then
 RETRY_SHARE = 0.20           # a customer's marked retries over its quota total
 RETRY_RESERVE = 0.5         # part of the burst that a retry must leave to first tries
@@ -41,8 +41,9 @@
 BENCH, LONGEST_BENCH = SECOND, 8 * SECOND
 MOST_BENCHED = 1 / 3         # by errors alone, which all may share; any number that cannot be reached
 ALL_SLOW = 0.2               # a median answer past this part of the objective: all backends are pressed
+IDLE = 0.5                   # rooms do not grow while more than this part is free
 WAIT = 0.2                   # part of the objective that an invocation may wait for a credit
-COLD_MARGIN = 0.5            # part of what the rule on cold backends would let all gateways send
+COLD_MARGIN, COLD_CHANCE = 0.7, 0.5     # part of the rule for all gateways; where a part is under one
 ASK_EVERY, FULL = SECOND // 2, 0.9   # probes of a cold backend; the busy share that leaves no room
 
 BINS, PER_OBJECTIVE, HALVE_AT = 24, 12, 256
@@ -310,9 +311,9 @@
             acc.share_in = refill / used if used > refill else 1.0
 
     def beyond(self, inv, wait):
-        """Beyond the quota: let in where that earns more than it costs and half the credits are free."""
+        """Beyond the quota: let in where that earns more than it costs and a quarter is free."""
         plan = inv.customer.plan
-        pays = plan.over_worth > plan.over_cost and not self.waiting and self.free() > self.room() / 2
+        pays = plan.over_worth > plan.over_cost and not self.waiting and self.free() > self.room() / 4
         return None if pays else wait
 
     def shortage(self, acc, units):
@@ -333,8 +334,7 @@
 
     def window_length(self, acc):
         plan = acc.plan
-        bursts = WIDE_BURSTS if acc.spread > plan.burst else WINDOW_BURSTS
-        length = int(bursts * plan.burst / plan.rate * SECOND) if plan.rate else OUT_WINDOW
+        length = int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND) if plan.rate else OUT_WINDOW
         return max(SECOND, min(length, OUT_WINDOW if plan.most_out else LONGEST_LIFE * 9 // 10))
 
     def life(self, acc):
@@ -504,7 +504,7 @@
                 if self.now - self.answers_from > 10 * SECOND:
                     self.answers /= 2
                     self.answers_from += (self.now - self.answers_from) // 2
-            if part <= SLOW and t.out + 2 > t.room:
+            if part <= SLOW and t.out + 2 > t.room and self.free() < IDLE * self.room() + 1:
                 self.earn(t, QUICK_EARNS)
             elif part > SLOW and not delivery.overdue:
                 self.earn(t, -SLOW_LOSES)
@@ -611,7 +611,8 @@
             warm = sum(not self.cold(o) for o in self.targets)
             part = s["cold_from"] + (1 - s["cold_from"]) * max(0, self.now - t.started) / s["cold"]
             pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, warm)
-            most = COLD_MARGIN * s["fall_multiple"] * part * pace * quarter
+            most = s["fall_multiple"] * part * pace * quarter
+            most *= COLD_MARGIN if most >= 1 else COLD_CHANCE
             # With nothing answered yet, one from all gateways together.
             t.slot, t.sent, t.most = slot, 0, int(max(most, 1 / s["gateways"]) + self.rng.random())
         return t.sent < t.most and not (t.full and t.out)   # full by its own report: one at a time
