--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -62,8 +62,10 @@
                   contracts__0__ceilingRate=ceiling, contracts__0__capDepth=12 * bool(ceiling),
                   contracts__0__refill=draw(st.sampled_from([0, 2])),
                   contracts__0__concurrency=draw(st.sampled_from([0, 2])),
+                  instances=draw(st.sampled_from([1, 2, 1000])),
                   familyInfo__mayCount=draw(st.sampled_from(["true", "false"])))
-    spread = draw(st.integers(1, 3))
+    front.gateway.called = draw(st.sampled_from([1.0, 0.1]))       # a counter that answers, a crowded one
+    spread = draw(st.sampled_from([1, 2, 3, 1000]))
     model = Model(front, front.inst.settings["plans"][0], spread)
     invs, answered, store = {}, set(), {}
     states = dict.fromkeys(range(1, 5), State.READY)
