--- /dev/null
+++ b/kestrelbend/__main__.py
@@ -0,0 +1,71 @@
+"""One real gateway: `python -m kestrelbend`, told by its environment where everything is."""
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+import time
+
+import uvloop
+
+from .net import configuration, lines, tally
+from .net.backends import Backends
+from .net.clients import Clients
+from .net.counter import CounterService
+from .net.owner import Owner
+from .net.roster import Roster, entries
+from .terms import Malformed
+
+LINGER_S = 0.5          # new connections go on coming so long after SIGTERM
+
+
+def make_clock():
+    """Unix time in whole microseconds, that never steps back: gateways name counts by it."""
+    base = time.time_ns() - time.monotonic_ns()
+    return lambda: (base + time.monotonic_ns()) // 1000
+
+
+async def gateway(told):
+    loop, clock, queue = asyncio.get_running_loop(), make_clock(), asyncio.Queue()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, tally.report)
+    owner = Owner(told.settings, told.seed, clock, queue)
+    owner.clients = Clients(queue)
+    owner.backend_peer = Backends(queue, clock, told.settings, told.sockets)
+    owner.counter = CounterService(queue, told.counter, told.settings)
+    owner.roster = Roster(queue, told.discovery)
+    await owner.backend_peer.start()
+    await owner.roster.start()
+    if told.known:
+        owner.on_listing(entries(told.known))
+    serving = asyncio.create_task(owner.serve())
+    owner.roster.watch()
+    await owner.clients.start(told.listen)
+    owner.clients.ready = True
+    logging.info("serving", extra={"gateway": told.name, "listen": "%s:%d" % told.listen})
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    if serving.done():
+        serving.result()
+    logging.info("draining")
+    await owner.clients.drain(LINGER_S)
+    tally.report()
+
+
+def main():
+    lines.start()
+    if len(sys.argv) > 1:
+        sys.exit("usage: python -m kestrelbend   (told by ROUTER_CONFIG and the other ROUTER_ variables)")
+    try:
+        told = configuration.read(os.environ)
+        uvloop.run(gateway(told))
+    except (Malformed, OSError) as trouble:
+        sys.exit(f"kestrelbend: {trouble}")
+
+
+if __name__ == "__main__":
+    main()
--- a/kestrelbend/benchlink/host.py
+++ b/kestrelbend/benchlink/host.py
@@ -1,149 +1,85 @@
-"""Hosts instances: ids become objects here, generators are run, and effects become wire lines."""
+"""Hosts instances on the simulator's wire: its ids become objects here, and effects become its lines."""
 from __future__ import annotations
 
 import sys
 import traceback
-from collections import defaultdict, deque
 
 from .. import interface as i
-from ..choice import Account, Gateway, Target
+from ..hosting import Host
+from ..terms import Malformed, settings
 from . import codec
 
 
-class Task:
-    """A running generator and what it waits for."""
-    __slots__ = ("work", "inv", "alarm")
+class Instance(Host):
+    """One gateway, its invocations by their wire ids, its alarms by their handles."""
 
-    def __init__(self, work, inv=None):
-        self.work, self.inv, self.alarm = work, inv, None
+    def __init__(self, name, seed, settings, now, out):
+        super().__init__(settings, seed, now)
+        self.name, self.out = name, out
+        self.invs, self.inv_ids, self.alarms, self.handles = {}, {}, {}, 0
+        self.start()
 
+    # Effects.
 
-class Instance:
-    """One gateway: its module, its objects by id, its running tasks."""
+    def deliver(self, d):
+        number, backend = self.inv_ids[d.inv], self.backend_ids[d.backend]
+        self.out.append(codec.deliver(self.name, number, backend, d.until))
 
-    def __init__(self, name, seed, settings, now, out):
-        self.name, self.out, self.settings = name, out, settings
-        self.gateway = Gateway(settings, seed, now)
-        self.operations = {op.name: op for op in settings["operations"]}
-        self.plans = {plan.name: plan for plan in settings["plans"]}
-        self.backends, self.backend_ids, self.listed = {}, {}, {}
-        self.customers, self.invs, self.inv_ids, self.tasks = {}, {}, {}, {}
-        self.alarms, self.handles = {}, 0
-        self.counts, self.probes = defaultdict(deque), defaultdict(deque)
-        for work in self.gateway.chores():
-            self.run(Task(work))
-
-    def run(self, task, value=None):
-        """Resume a task until it waits or ends."""
-        task.alarm = None
-        while True:
-            try:
-                effect = task.work.send(value)
-            except StopIteration:
-                if task.inv is not None:
-                    self.over(task.inv)
-                return
-            value = None
-            match effect:
-                case i.Deliver(d):
-                    number, backend = self.inv_ids[d.inv], self.backend_ids[d.backend]
-                    self.out.append(codec.deliver(self.name, number, backend, d.until))
-                case i.Cancel(d):
-                    self.out.append(codec.cancel(self.name, self.inv_ids[d.inv], d.number))
-                case i.Throttle(inv, retry_after):
-                    self.out.append(codec.throttle(self.name, self.inv_ids[inv], retry_after))
-                    inv.done = True
-                case i.Fail(inv):
-                    self.out.append(codec.fail(self.name, self.inv_ids[inv]))
-                    inv.done = True
-                case i.Pause(until):
-                    self.handles += 1
-                    task.alarm = self.handles
-                    self.alarms[self.handles] = task, until
-                    self.out.append(codec.alarm(self.name, self.handles, max(0, until - self.gateway.now)))
-                    return
-                case i.Count(name, add, life):
-                    self.out.append(codec.count(self.name, name, add, life))
-                    self.counts[name].append(task)
-                    return
-                case i.Probe(backend):
-                    self.out.append(codec.probe(self.name, self.backend_ids[backend]))
-                    self.probes[backend].append(task)
-                    return
-                case i.Spawn(work):
-                    self.run(Task(work))
-                case i.Wake(inv):
-                    self.resume(inv)
-                case i.Subscribe():
-                    self.out.append(codec.subscribe(self.name))
-                case i.Log(text, about):
-                    about = self.backend_ids.get(about, getattr(about, "name", ""))
-                    self.out.append(codec.log(self.name, f"{text} {about}".strip()))
-                case _:
-                    raise TypeError(f"not an effect: {effect!r}")
-
-    def resume(self, inv, value=None):
-        """Resume an invocation that pauses; one that waits for a count sees `inv.done` by itself."""
-        task = self.tasks.get(inv)
-        if task is not None and task.alarm is not None:
-            self.alarms.pop(task.alarm, None)
-            self.run(task, value)
-
-    def over(self, inv):
-        """The generator has ended; ids stay while deliveries are out."""
-        if not inv.done:
-            raise RuntimeError("an invocation ended without an answer")
-        self.tasks.pop(inv, None)
-        self.forget(inv)
-
-    def forget(self, inv):
-        if inv not in self.tasks and all(d.result is not None for d in inv.deliveries):
-            self.invs.pop(self.inv_ids.pop(inv, None), None)
+    def cancel(self, d):
+        self.out.append(codec.cancel(self.name, self.inv_ids[d.inv], d.number))
+
+    def throttle(self, inv, retry_after):
+        self.out.append(codec.throttle(self.name, self.inv_ids[inv], retry_after))
+
+    def fail(self, inv):
+        self.out.append(codec.fail(self.name, self.inv_ids[inv]))
+
+    def alarm(self, task, until):
+        self.handles += 1
+        self.alarms[self.handles] = task, until
+        self.out.append(codec.alarm(self.name, self.handles, max(0, until - self.gateway.now)))
+        return self.handles
+
+    def quiet(self, alarm):
+        self.alarms.pop(alarm, None)
+
+    def count(self, name, add, life):
+        self.out.append(codec.count(self.name, name, add, life))
+
+    def probe(self, backend):
+        self.out.append(codec.probe(self.name, self.backend_ids[backend]))
+
+    def subscribe(self):
+        self.out.append(codec.subscribe(self.name))
+
+    def log(self, text, about):
+        self.out.append(codec.log(self.name, f"{text} {about}".strip()))
+
+    def forgotten(self, inv):
+        self.invs.pop(self.inv_ids.pop(inv, None), None)
 
     # Events, by their wire names.
 
     def roster_change(self, entries, _version, kind, _count):
-        if kind != "broken":
-            if kind != "patch":
-                for target in self.listed.values():
-                    target.state = i.State.GONE
-                self.listed = {}
-            for number, zone, machine, group, state, weight, started in entries:
-                target = self.backends.get(number)
-                if target is None:
-                    target = self.backends[number] = Target()
-                    self.backend_ids[target] = number
-                target.zone, target.kind, target.group, target.state = zone, machine, group, state
-                target.weight, target.started = weight if weight > 0 else 1.0, started or None
-                if state is i.State.GONE:
-                    self.listed.pop(number, None)
-                else:
-                    self.listed[number] = target
-        self.gateway.roster(list(self.listed.values()), kind == "broken")
+        if kind == "broken":
+            self.unlisted()
+        else:
+            self.listing(entries, kind != "patch")
 
     def accept(self, _, number, operation, plan, name, until, units, spread, _first, flags):
-        op, contract = self.operations.get(operation), self.plans.get(plan)
-        if op is None or contract is None:
-            raise codec.Malformed(f"'accept': unknown operation or plan: {operation!r}, {plan!r}")
-        customer = self.customers.get((plan, name))
-        if customer is None:
-            spread = spread or self.settings["gateways"]
-            customer = self.customers[plan, name] = Account(name, contract, spread)
-        inv = i.Invocation(op, customer, self.gateway.now, until, units, bool(flags & codec.RETRY_FLAG))
+        op = self.operations.get(operation)
+        if op is None or plan not in self.plans:
+            raise Malformed(f"'accept': unknown operation or plan: {operation!r}, {plan!r}")
+        inv = i.Invocation(op, self.account(plan, name, spread), self.gateway.now, until, units,
+                           bool(flags & codec.RETRY_FLAG))
         self.invs[number], self.inv_ids[inv] = inv, number
-        self.tasks[inv] = task = Task(self.gateway.invocation(inv), inv)
-        self.run(task)
+        self.take(inv)
 
     def returned(self, _, number, trial, _backend, result, took, ended, _used, actual, load):
         inv = self.invs.get(number)
         if inv is None or trial >= len(inv.deliveries) or inv.deliveries[trial].result is not None:
             return
-        delivery = inv.deliveries[trial]
-        delivery.result, delivery.took = result, took
-        inv.done = inv.done or ended
-        self.run(Task(self.gateway.ended(delivery, self.load(load), actual)))
-        self.resume(inv, delivery)
-        self.forget(inv)
+        self.ended(inv.deliveries[trial], result, took, ended, self.load(load), actual)
 
     def streaming(self, _, number, _backend, _took, _trial):
         inv = self.invs.get(number)
@@ -152,10 +88,8 @@
             self.resume(inv)
 
     def withdrawn(self, _, number):
-        inv = self.invs.get(number)
-        if inv is not None and not inv.done:
-            inv.done = True
-            self.resume(inv)
+        if number in self.invs:
+            self.left(self.invs[number])
 
     def reminder(self, _, handle):
         task, _ = self.alarms.pop(handle, (None, 0))
@@ -163,16 +97,10 @@
             self.run(task)
 
     def counter_reply(self, _, name, _took, result, total):
-        if self.counts.get(name):
-            task = self.counts[name].popleft()
-            if not self.counts[name]:
-                del self.counts[name]
-            self.run(task, i.Counted(result, total))
+        self.counted(name, result, total)
 
     def probe_result(self, _, backend, result, took, load):
-        waiting = self.probes.get(self.backends.get(backend))
-        if waiting:
-            self.run(waiting.popleft(), i.Probed(result, took, self.load(load)))
+        self.probed(self.backends.get(backend), result, took, self.load(load))
 
     def peer(self, _, sender, data):
         """The module has no messages for its siblings yet."""
@@ -191,15 +119,16 @@
         for message, name, values, entries in events:
             try:
                 if message == "init":
-                    instances[name] = Instance(name, values[0], codec.settings(values[1]), now, out)
+                    instances[name] = Instance(name, values[0], settings(values[1]), now, out)
                 elif message == "destroy":
                     instances.pop(name, None)
                 elif name in instances:
                     instance = instances[name]
                     instance.out, instance.gateway.now = out, now
                     getattr(instance, message)(entries, *values)
-            except codec.Malformed:
-                raise
+            except Malformed as trouble:
+                named = str(trouble) if message in str(trouble) else f"{message!r}: {trouble}"
+                raise Malformed(named) from None
             except Exception as trouble:
                 traceback.print_exc(file=sys.stderr)
                 out.append(codec.fault(name, f"{type(trouble).__name__}: {trouble}"))
--- /dev/null
+++ b/kestrelbend/net/configuration.py
@@ -0,0 +1,59 @@
+"""What a gateway is told at its start: environment and configuration file, checked once."""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from ..terms import Malformed, flatten, settings
+
+
+@dataclass(slots=True)
+class Told:
+    name: str
+    listen: tuple[str, int]
+    discovery: str                      # host:port
+    counter: tuple[str, int] | None
+    seed: int
+    sockets: int                        # descriptors that the process may hold
+    known: dict[str, Any] | None        # the list as this gateway last had it
+    settings: dict[str, Any]
+
+
+def address(text, what):
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise Malformed(f"{what}: not an address: {text!r}")
+    return host, int(port)
+
+
+def read(env):
+    path = env.get("ROUTER_CONFIG")
+    if not path:
+        raise Malformed("ROUTER_CONFIG names no configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            given = json.load(file)
+    except (OSError, ValueError) as trouble:
+        raise Malformed(f"{path}: {trouble}") from None
+    if not isinstance(given, dict) or not isinstance(given.get("settings"), dict):
+        raise Malformed(f"{path}: holds no settings")
+
+    def need(variable, key):
+        value = env.get(variable) or given.get(key)
+        if not value:
+            raise Malformed(f"neither {variable} nor {key!r} in {path} is given")
+        return value
+
+    try:
+        seed = int(str(given.get("seed", "0")), 16)
+        sockets = int(given.get("limits", {}).get("sockets", 1024))
+    except (ValueError, AttributeError, TypeError) as trouble:
+        raise Malformed(f"{path}: {trouble}") from None
+    discovery = need("ROUTER_DISCOVERY", "discovery")
+    address(discovery, "discovery")
+    return Told(
+        name=need("ROUTER_NAME", "name"), listen=address(need("ROUTER_LISTEN", "listen"), "listen"),
+        discovery=discovery, seed=seed, sockets=sockets, known=given.get("known"),
+        counter=address(given["counter"], "counter") if given.get("counter") else None,
+        settings=settings(dict(flatten(given["settings"]))))
--- /dev/null
+++ b/kestrelbend/net/lines.py
@@ -0,0 +1,31 @@
+"""Logging as key=value lines."""
+from __future__ import annotations
+
+import json
+import logging
+import time
+
+PLAIN = set(logging.makeLogRecord({}).__dict__) | {"message", "asctime", "taskName"}
+
+
+class KeyValue(logging.Formatter):
+    def format(self, record):
+        at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        pairs = {"at": f"{at}.{int(record.msecs):03}Z", "level": record.levelname.lower(),
+                 "event": record.getMessage()}
+        pairs.update((k, v) for k, v in record.__dict__.items() if k not in PLAIN)
+        if record.exc_info:
+            pairs["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={self.quoted(value)}" for key, value in pairs.items())
+
+    @staticmethod
+    def quoted(value):
+        text = str(value)
+        plain = text and not any(c in '"=\\' or c.isspace() or not c.isprintable() for c in text)
+        return text if plain else json.dumps(text)
+
+
+def start(level="INFO"):
+    handler = logging.StreamHandler()
+    handler.setFormatter(KeyValue())
+    logging.basicConfig(level=level, handlers=[handler], force=True)
--- /dev/null
+++ b/kestrelbend/net/owner.py
@@ -0,0 +1,114 @@
+"""The one task that owns the module: events come in by its queue, effects go out to the peers."""
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from ..hosting import Host
+from ..interface import Invocation, Result
+from .tally import counters, must
+
+log = logging.getLogger(__name__)
+
+
+class Owner(Host):
+    def __init__(self, settings, seed, clock, queue):
+        super().__init__(settings, seed, clock())
+        self.clock, self.queue, self.requests = clock, queue, {}
+        self.clients = self.backend_peer = self.roster = self.counter = None
+
+    async def serve(self):
+        self.gateway.now = self.clock()
+        self.start()
+        while True:
+            what, *values = await self.queue.get()
+            self.gateway.now = self.clock()
+            try:
+                getattr(self, "on_" + what)(*values)
+            except Exception:
+                counters["faults"] += 1
+                log.exception("fault", extra={"on": what})
+
+    # Events.
+
+    def on_taken(self, request):
+        op = self.operations.get(request.operation)
+        if op is None or request.plan not in self.plans:
+            counters["malformed"] += 1
+            self.clients.errored(request, 400)
+            return
+        customer = self.account(request.plan, request.customer, request.spread)
+        now = self.gateway.now
+        wait = op.timeout if request.wait is None else request.wait
+        inv = request.inv = Invocation(op, customer, now, now + wait, request.units, request.retry)
+        self.requests[inv] = request
+        if request.answer.cancelled():
+            inv.done = True
+        self.take(inv)
+
+    def on_left(self, request):
+        if request.inv is not None:
+            self.left(request.inv)
+
+    def on_ended(self, d, result, took, body, content_type, load, actual):
+        final = result is Result.SUCCEEDED and not d.inv.done
+        if final:
+            self.clients.succeeded(self.requests[d.inv], body, content_type)
+        self.ended(d, result, took, final, load, actual)
+
+    def on_alarm(self, task, until):
+        if task.alarm is not None and task.alarm[1] == until:
+            self.run(task)
+
+    def on_counted(self, name, result, total):
+        self.counted(name, result, total)
+
+    def on_probed(self, backend, result, took, load):
+        self.probed(backend, result, took, load)
+
+    def on_listing(self, told):
+        _, whole, rows, endpoints = told
+        self.listing(rows, whole)
+        for uid, endpoint in endpoints.items():
+            if uid in self.backends:
+                self.backend_peer.endpoints[self.backends[uid]] = endpoint
+
+    def on_unlisted(self):
+        self.unlisted()
+
+    # Effects.
+
+    def deliver(self, d):
+        must(not d.inv.done, "nothing_sent_after_the_answer")
+        self.backend_peer.deliver(d, self.requests[d.inv])
+
+    def cancel(self, d):
+        self.backend_peer.cancel(d)
+
+    def throttle(self, inv, retry_after):
+        self.clients.throttled(self.requests[inv], retry_after)
+
+    def fail(self, inv):
+        self.clients.errored(self.requests[inv])
+
+    def alarm(self, task, until):
+        left, event = max(0, until - self.gateway.now) / 1e6, ("alarm", task, until)
+        return asyncio.get_running_loop().call_later(left, self.queue.put_nowait, event), until
+
+    def quiet(self, alarm):
+        alarm[0].cancel()
+
+    def count(self, name, add, life):
+        self.counter.add(name, add, life)
+
+    def probe(self, backend):
+        self.backend_peer.probe(backend)
+
+    def subscribe(self):
+        self.roster.watch()
+
+    def log(self, text, about):
+        log.info(text, extra={"about": about} if about != "" else None)
+
+    def forgotten(self, inv):
+        self.requests.pop(inv, None)
--- /dev/null
+++ b/kestrelbend/net/roster.py
@@ -0,0 +1,75 @@
+"""Discovery: asks for the whole list, then watches it for changes."""
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+
+import aiohttp
+
+from ..interface import State
+from ..terms import Malformed
+from .tally import counters
+
+log = logging.getLogger(__name__)
+STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+WAIT_MS, SPARE_S, AGAIN_S = 2000, 1.0, 0.1
+
+
+def entries(told):
+    """(version, whole, entries, endpoints) of one answer in discovery's form."""
+    try:
+        rows, endpoints = [], {}
+        for row in told["targets"]:
+            uid, state = str(row["uid"]), STATES[row["state"]]
+            weight, started = float(row.get("capacity_hint") or 1.0), float(row.get("boot_ms") or 0)
+            rows.append((uid, str(row.get("az", "")), str(row.get("model", "")), row.get("pod_group", 0),
+                         state, weight, round(started * 1000)))
+            if row.get("endpoint"):
+                endpoints[uid] = str(row["endpoint"])
+        return int(told["rev"]), bool(told["all"]), rows, endpoints
+    except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+        raise Malformed(f"discovery: {type(trouble).__name__}: {trouble}") from None
+
+
+class Roster:
+    def __init__(self, queue, address):
+        self.queue, self.base, self.version, self.session, self.watching = queue, address, None, None, None
+
+    async def start(self):
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=2, happy_eyeballs_delay=None), trust_env=False,
+            cookie_jar=aiohttp.DummyCookieJar())
+
+    def watch(self):
+        if self.watching is None or self.watching.done():
+            self.watching = asyncio.create_task(self.follow())
+
+    async def follow(self):
+        """A watch goes on while the next call comes within 200 ms of the last answer; the answer is handed
+        over first, which takes no time here."""
+        failing = False
+        while True:
+            query = "" if self.version is None else f"?since={self.version}&timeout_ms={WAIT_MS}"
+            try:
+                async with asyncio.timeout(WAIT_MS / 1000 + SPARE_S):
+                    async with self.session.get(f"http://{self.base}/catalog/members{query}") as response:
+                        text = await response.read()
+                if response.status != 200:
+                    raise Malformed(f"discovery: status {response.status}")
+                told = entries(json.loads(text))
+            except (TimeoutError, aiohttp.ClientError, OSError, ValueError, Malformed) as trouble:
+                counters["discovery_failed"] += 1
+                if not failing:
+                    failing = True
+                    log.warning("discovery silent", extra={"why": repr(trouble)})
+                    self.queue.put_nowait(("unlisted",))
+                await asyncio.sleep(AGAIN_S)
+                continue
+            if failing:
+                log.info("discovery answers again")
+            failing = False
+            self.version = told[0]
+            counters["discovery_answers"] += 1
+            if told[1] or told[2]:
+                self.queue.put_nowait(("listing", told))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,8 @@
 """A stand-in front end: one instance on the wire's host, fed by hand, its replies read back as tuples."""
+from kestrelbend import terms
 from kestrelbend.benchlink import codec
 from kestrelbend.benchlink.host import Instance
+from kestrelbend.interface import Result
 
 MS = 1000
 BASE = {
@@ -18,7 +20,7 @@
     def __init__(self, now=1_000_000 * MS, seed=7, **changes):
         pairs = {**BASE, **{key.replace("__", "."): value for key, value in changes.items()}}
         self.now, self.out = now, []
-        self.inst = Instance("g/0", seed, codec.settings(" ".join(f"{k}={v}" for k, v in pairs.items())), now,
+        self.inst = Instance("g/0", seed, terms.settings({k: str(v) for k, v in pairs.items()}), now,
                              self.out)
         self.gateway = self.inst.gateway
 
@@ -37,10 +39,10 @@
         return self.inst.invs.get(number)
 
     def returned(self, number, trial, result, took=100, ended=None, actual=0):
-        ended = result is codec.Result.SUCCEEDED if ended is None else ended
+        ended = result is Result.SUCCEEDED if ended is None else ended
         self.tell("returned", [], number, trial, None, result, took * MS, ended, 0, actual, None)
 
-    def counted(self, name, total=0.0, result=codec.Result.SUCCEEDED):
+    def counted(self, name, total=0.0, result=Result.SUCCEEDED):
         self.tell("counter_reply", [], name, 2 * MS, result, total)
 
     def take(self, *messages):
@@ -49,7 +51,7 @@
         self.out.clear()
         return [line for line in lines if not messages or line[0] in messages]
 
-    def answer_counts(self, store=None, result=codec.Result.SUCCEEDED):
+    def answer_counts(self, store=None, result=Result.SUCCEEDED):
         """Answer each call to the counter service from `store`; returns the other lines."""
         rest, store = [], {} if store is None else store
         while lines := self.take():
