Links to backends given up when silent; drains seen before the first byte; faults answered

Each backend has its own client session, replaced when a delivery found it silent all the time or its address changed. A last check before the first byte keeps rule 3 while a connection is being made. The oldest client connection ends with its present answer beyond half of the descriptors. A fault of the program errors its invocation.

--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -27,25 +28,29 @@
     return lambda: (base + time.monotonic_ns()) // 1000
 
 
-async def gateway(told):
-    loop, clock, queue = asyncio.get_running_loop(), make_clock(), asyncio.Queue()
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGUSR1, tally.report)
+async def start(told):
+    """The owner with its peers, and the task in which it serves."""
+    clock, queue = make_clock(), asyncio.Queue()
     owner = Owner(told.settings, told.seed, clock, queue)
-    owner.clients = Clients(queue)
-    owner.backend_peer = Backends(queue, clock, told.settings, told.sockets)
+    owner.clients = Clients(queue, told.sockets // 2)
+    owner.backend_peer = Backends(queue, clock, told.settings, told.sockets // 4)
     owner.counter = CounterService(queue, told.counter, told.settings)
     owner.roster = Roster(queue, told.discovery)
-    await owner.backend_peer.start()
-    await owner.roster.start()
     if told.known:
         owner.on_listing(entries(told.known))
     serving = asyncio.create_task(owner.serve())
     owner.roster.watch()
     await owner.clients.start(told.listen)
-    owner.clients.ready = True
+    return owner, serving
+
+
+async def gateway(told):
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, tally.report)
+    owner, serving = await start(told)
+    gc.freeze()
     logging.info("serving", extra={"gateway": told.name, "listen": "%s:%d" % told.listen})
     stopping = asyncio.create_task(stop.wait())
     await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -5,114 +5,193 @@
 import json
 
 import aiohttp
+from yarl import URL
 
-from ..interface import Result
+from ..interface import Result, State
 from ..terms import LOADS
 from .tally import counters, must
 
 NOT_PASSED = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
               "content-length", "x-timeout"}
 AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+PASSED_BACK = ("Content-Type", "Content-Encoding")
 
 
-def load_report(text):
-    """The module's names for a report's fields; what cannot be read is none."""
-    try:
-        report = json.loads(text) if text else None
-        return {LOADS.get(k, k): float(v) for k, v in report.items()} if report else None
-    except (ValueError, TypeError, AttributeError):
-        counters["unreadable_reports"] += 1
-        return None
+class NotWanted(Exception):
+    """Nothing is written: no time or socket is left, or the backend began to drain or went meanwhile."""
 
 
-class Backends:
-    def __init__(self, queue, clock, settings, sockets):
-        self.queue, self.clock, self.settings = queue, clock, settings
-        self.endpoints, self.running = {}, {}       # by backend: host:port; by delivery: its task
-        self.sockets, self.session = sockets, None
-
-    async def start(self):
-        idle = (self.settings["idle_close"] - 2 * self.settings["connect_timeout"]) / 1e6
-        connector = aiohttp.TCPConnector(limit=self.sockets // 2, keepalive_timeout=max(0.0, idle),
-                                         force_close=False, happy_eyeballs_delay=None, use_dns_cache=False)
+class Sending:
+    """What is known of one sending: to whom, and whether a byte of it may have been written."""
+    __slots__ = ("backend", "begun")
+
+    def __init__(self, backend):
+        self.backend, self.begun = backend, False
+
+
+async def _begins(_session, context, _params):
+    """There is a connection, and nothing is written yet: the last moment to keep away from a backend that the
+    list has taken off since the delivery was decided (rule 3 counts from the first byte)."""
+    sending = context.trace_request_ctx
+    if sending.backend.state is not State.READY:
+        raise NotWanted
+    sending.begun = True
+
+
+def trace():
+    config = aiohttp.TraceConfig()
+    config.on_request_headers_sent.append(_begins)
+    return config
+
+
+class Link:
+    """The connections to one backend at one address."""
+
+    def __init__(self, endpoint, settings):
+        idle = (settings["idle_close"] - 2 * settings["connect_timeout"]) / 1e6
+        # Closed here before the far side's machine does: what is written after that would be lost.
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=max(0.0, idle), happy_eyeballs_delay=None)
         self.session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
-            skip_auto_headers=AUTO_HEADERS,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.settings["connect_timeout"] / 1e6))
+            skip_auto_headers=AUTO_HEADERS, trace_configs=[trace()],
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=settings["connect_timeout"] / 1e6))
         # It would send a GET again by itself when a kept connection breaks; each sending is a delivery.
         must(hasattr(self.session, "_retry_connection"), "client_resends_can_be_stopped")
         self.session._retry_connection = False
+        self.endpoint, self.users, self.heard, self.retired = endpoint, 0, 0, False
+
+
+class Backends:
+    def __init__(self, queue, clock, settings, most):
+        self.queue, self.clock, self.settings, self.most = queue, clock, settings, most
+        self.links, self.running, self.tasks = {}, {}, set()    # by backend; by delivery: its task; probes
+
+    # Addresses.
+
+    def listed(self, backend, endpoint):
+        link = self.links.get(backend)
+        if link is None or link.endpoint != endpoint:
+            self.unlisted(backend)
+            self.links[backend] = Link(endpoint, self.settings)
+
+    def unlisted(self, backend):
+        """Its idle connections go now, those in use with their last user."""
+        link = self.links.pop(backend, None)
+        if link is not None:
+            link.retired = True
+            self.release(link)
+
+    def release(self, link):
+        if link.retired and not link.users:
+            self.keep(asyncio.create_task(link.session.close()))
+
+    def keep(self, task):
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    # Deliveries.
 
     def deliver(self, d, request):
-        task = asyncio.create_task(self.delivery(d, request))
-        self.running[d] = task
         counters["deliveries"] += 1
+        self.running[d] = asyncio.create_task(self.delivery(d, request))
 
     def cancel(self, d):
         if d in self.running:
             self.running[d].cancel()
 
     async def delivery(self, d, request):
-        result, body, content_type, load, actual = Result.CANCELLED, b"", None, None, 0
+        """Ends with exactly one event, whatever comes; an outcome is never said safer than it was seen."""
+        sending, answer, load, actual = Sending(d.backend), None, None, 0
+        result = Result.CANCELLED
         try:
             left = (d.until - self.clock()) / 1e6
-            if left <= 0:
-                result = Result.VOID
-                return
-            result = Result.TIMED_OUT
             headers = {k: v for k, v in request.headers.items() if k.lower() not in NOT_PASSED}
-            headers["X-Timeout"] = f"{left:.3f}"
-            async with asyncio.timeout(left):
-                async with self.session.request(
-                        request.method, self.url(d.backend, request.target), headers=headers,
-                        data=request.body or None, allow_redirects=False) as response:
-                    body = await response.read()
-                result, load = self.outcome(response), load_report(response.headers.get("X-Server-Load"))
-                content_type = response.headers.get("Content-Type")
-                actual = int(response.headers.get("Api-Charge") or 0)
-        except TimeoutError as trouble:
-            if isinstance(trouble, aiohttp.ConnectionTimeoutError):
-                result = Result.UNREACHABLE
-        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL):
-            result = Result.UNREACHABLE
-        except (aiohttp.ClientError, OSError, ValueError):
-            result = Result.BROKEN
+            headers["X-Timeout"] = f"{max(0.0, left):.3f}"
+            status, answer, got = await self.exchange(
+                sending, request.method, request.target, left, headers=headers, data=request.body or None)
+            result, load = self.outcome(status, got), load_report(got.get("X-Server-Load"))
+            answer = answer, {name: got[name] for name in PASSED_BACK if name in got}
+            actual = charge(got.get("Api-Charge"))
         except asyncio.CancelledError:
-            result = Result.CANCELLED
+            pass
+        except Exception as trouble:
+            result = self.failure(trouble, sending)
+            link = self.links.get(d.backend)
+            if result is Result.TIMED_OUT and link is not None and link.heard < d.sent:
+                # Silent for all that time: other connections kept from before would each cost a delivery.
+                self.unlisted(d.backend)
+                self.listed(d.backend, link.endpoint)
         finally:
-            del self.running[d]
+            self.running.pop(d, None)
             counters["deliveries_" + result.name.lower()] += 1
-            took = self.clock() - d.sent
-            self.queue.put_nowait(("ended", d, result, took, body, content_type, load, actual))
-
-    def url(self, backend, target):
-        return aiohttp.client.URL(f"http://{self.endpoints[backend]}{target}", encoded=True)
+            self.queue.put_nowait(("ended", d, result, self.clock() - d.sent, answer, load, actual))
+
+    async def exchange(self, sending, method, target, left, **more):
+        """One request on one connection: (status, body, headers)."""
+        link = self.links.get(sending.backend)
+        if link is None or left <= 0 or len(self.running) > self.most:
+            raise NotWanted
+        link.users += 1
+        try:
+            async with asyncio.timeout(left):
+                async with link.session.request(
+                        method, URL(f"http://{link.endpoint}{target}", encoded=True), allow_redirects=False,
+                        trace_request_ctx=sending, **more) as response:
+                    body = await response.read()
+            link.heard = self.clock()
+            return response.status, body, response.headers
+        finally:
+            link.users -= 1
+            self.release(link)
 
     @staticmethod
-    def outcome(response):
-        if response.status == 200:
+    def outcome(status, headers):
+        if status == 200:
             return Result.SUCCEEDED
-        if response.status in (503, 504) and response.headers.get("X-Not-Processed") == "1":
+        if status in (503, 504) and headers.get("X-Not-Processed") == "1":
             return Result.REJECTED
         return Result.ERRORED
 
+    @staticmethod
+    def failure(trouble, sending):
+        if not sending.begun:
+            return Result.UNREACHABLE
+        return Result.TIMED_OUT if isinstance(trouble, TimeoutError) else Result.BROKEN
+
+    # Probes.
+
     def probe(self, backend):
-        asyncio.create_task(self.probing(backend))
+        counters["probes"] += 1
+        self.keep(asyncio.create_task(self.probing(backend)))
 
     async def probing(self, backend):
-        counters["probes"] += 1
-        reports = self.settings["load_reports"] != "none"
-        result, load, sent = Result.ERRORED, None, self.clock()
+        reports, sending = self.settings["load_reports"] != "none", Sending(backend)
+        result, load, sent = Result.CANCELLED, None, self.clock()
         try:
-            async with asyncio.timeout(self.settings["connect_timeout"] / 1e6):
-                async with self.session.get(self.url(backend, "/_load" if reports else "/ping")) as response:
-                    text = await response.read()
-                if response.status == 200:
-                    result, load = Result.SUCCEEDED, load_report(text) if reports else None
-        except TimeoutError:
-            result = Result.TIMED_OUT
-        except aiohttp.ClientConnectorError:
-            result = Result.UNREACHABLE
-        except (aiohttp.ClientError, OSError):
-            result = Result.BROKEN
-        self.queue.put_nowait(("probed", backend, result, self.clock() - sent, load))
+            status, body, _ = await self.exchange(sending, "GET", "/_load" if reports else "/ping",
+                                                  self.settings["connect_timeout"] / 1e6)
+            result = Result.SUCCEEDED if status == 200 else Result.ERRORED
+            load = load_report(body) if reports and status == 200 else None
+        except Exception as trouble:
+            result = self.failure(trouble, sending)
+        finally:
+            self.queue.put_nowait(("probed", backend, result, self.clock() - sent, load))
+
+
+def load_report(text):
+    """The module's names for a report's fields; what cannot be read is none."""
+    try:
+        report = json.loads(text) if text else {}
+        return {LOADS.get(k, k): float(v) for k, v in report.items()} or None
+    except (ValueError, TypeError, AttributeError):
+        counters["unreadable_reports"] += 1
+        return None
+
+
+def charge(text):
+    """The units that take the place of the guess; 0: none told."""
+    try:
+        return max(0.0, float(text or 0))
+    except ValueError:
+        counters["unreadable_charges"] += 1
+        return 0
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -2,111 +2,126 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from aiohttp import web
 
 from .tally import counters, must
 
 READY = "/_health"
-COUNTERS = "/_counters"
 
 
 class Request:
-    """One request as it came; `answer` is settled once by the owner."""
+    """One request as it came, and the fields that decisions need; `answer` is settled once."""
     __slots__ = ("method", "target", "headers", "body", "operation", "plan", "customer", "wait", "units",
                  "spread", "retry", "answer", "inv")
 
     def __init__(self, method, target, headers, body):
         self.method, self.target, self.headers, self.body = method, target, headers, body
-        path = target.partition("?")[0].strip("/").split("/")
-        if len(path) < 2:
-            raise ValueError("the path names no operation and customer")
-        self.operation = headers.get("X-Priority-Class") or path[0]
+        path = target.partition("?")[0].split("/")
+        if len(path) < 3 or path[0]:
+            raise ValueError("the path is not /operation/customer")
+        self.operation = headers.get("X-Priority-Class") or path[1]
         self.plan, self.customer = headers.get("Api-Plan", ""), path[-1]
-        self.wait = round(float(headers["X-Timeout"]) * 1_000_000) if "X-Timeout" in headers else None
-        if self.wait is not None and not 0 <= self.wait < 1 << 40:
-            raise ValueError("X-Timeout is out of range")
-        terms = headers.get("Api-Terms", "").replace(" ", "").split(",")
-        terms = dict(part.partition("=")[::2] for part in terms if part)
-        self.units, self.spread = float(terms.get("units", 1)), int(terms.get("spread", 0))
-        if not 0 <= self.units < 1e9 or not 0 <= self.spread < 1 << 32:
-            raise ValueError("Api-Terms is out of range")
+        self.wait = bounded(float, headers["X-Timeout"], 1e6) if "X-Timeout" in headers else None
+        terms = dict(part.strip().partition("=")[::2] for part in headers.get("Api-Terms", "").split(","))
+        self.units = bounded(float, terms.get("units", 1), 1e9)
+        self.spread = bounded(int, terms.get("spread", 0), 1e6)
         self.retry = headers.get("X-Retried") == "1"
-        self.answer, self.inv = None, None
+        self.answer, self.inv = asyncio.get_running_loop().create_future(), None
+
+
+def bounded(kind, text, most):
+    value = kind(text)
+    if not (math.isfinite(value) and 0 <= value <= most):
+        raise ValueError(f"out of range: {text!r}")
+    return value
+
+
+class Door(web.Server):
+    """aiohttp's low-level server; beyond `most` connections the oldest ends with its present answer."""
+
+    def __init__(self, handle, most):
+        super().__init__(handle, handler_cancellation=True, access_log=None, auto_decompress=False)
+        self.most, self.open = most, {}
+
+    def connection_made(self, handler, transport):
+        super().connection_made(handler, transport)
+        self.open[handler] = None
+        counters["connections"] += 1
+        if len(self.open) > self.most:
+            oldest = next(iter(self.open))
+            del self.open[oldest]
+            counters["connections_closed_as_oldest"] += 1
+            oldest.close()
+
+    def connection_lost(self, handler, exc=None):
+        super().connection_lost(handler, exc)
+        self.open.pop(handler, None)
 
 
 class Clients:
-    def __init__(self, queue):
-        self.queue, self.ready, self.leaving, self.out = queue, False, False, 0
+    def __init__(self, queue, most):
+        self.queue, self.most, self.leaving, self.out = queue, most, False, 0
         self.server = self.listener = None
 
     async def start(self, listen):
-        loop = asyncio.get_running_loop()
-        self.server = web.Server(self.handle, handler_cancellation=True, access_log=None,
-                                 auto_decompress=False)
-        self.listener = await loop.create_server(self.server, *listen, backlog=1024)
+        self.server = Door(self.handle, self.most)
+        self.listener = await asyncio.get_running_loop().create_server(self.server, *listen, backlog=1024)
 
     async def handle(self, message):
-        if message.method == "GET" and message.path in (READY, COUNTERS):
-            if message.path == COUNTERS:
-                return self.plain(200, "".join(f"{k} {v}\n" for k, v in sorted(counters.items())))
-            return self.plain(200 if self.ready and not self.leaving else 503, "")
+        if message.method == "GET" and message.path == READY:
+            response = web.Response(status=503 if self.leaving else 200)
+        else:
+            response = await self.invocation(message)
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def invocation(self, message):
         try:
             body = await message.read() if message.body_exists else b""
             request = Request(message.method, message.raw_path, message.headers, body)
         except ValueError as trouble:
             counters["malformed"] += 1
-            return self.plain(400, f"{trouble}\n")
+            return web.Response(status=400, text=f"{trouble}\n")
         counters["taken"] += 1
-        request.answer = asyncio.get_running_loop().create_future()
         self.out += 1
         self.queue.put_nowait(("taken", request))
         try:
-            response = await request.answer
+            return await request.answer
         except asyncio.CancelledError:
             counters["clients_left"] += 1
             self.queue.put_nowait(("left", request))
             raise
         finally:
             self.out -= 1
-        if self.leaving:
-            response.force_close()
-        return response
-
-    def plain(self, status, text):
-        response = web.Response(status=status, text=text)
-        if self.leaving:
-            response.force_close()
-        return response
 
     @staticmethod
-    def settle(request, response, what):
-        """The one place where a request gets its answer."""
+    def settle(request, what, *answer, **more):
+        """The one place where a request gets its answer; a client that left gets none."""
         if request.answer.cancelled():
             return
         if must(not request.answer.done(), "one_answer"):
             counters[what] += 1
-            request.answer.set_result(response)
+            request.answer.set_result(web.Response(*answer, **more))
 
-    def succeeded(self, request, body, content_type):
-        headers = {"Content-Type": content_type} if content_type else None
-        self.settle(request, web.Response(body=body, headers=headers), "succeeded")
+    def succeeded(self, request, body, headers):
+        self.settle(request, "succeeded", body=body, headers=headers)
 
     def throttled(self, request, retry_after):
         headers = {"Retry-After": f"{retry_after / 1_000_000:.3f}"} if retry_after > 0 else None
-        self.settle(request, web.Response(status=429, headers=headers), "throttled")
+        self.settle(request, "throttled", status=429, headers=headers)
 
     def errored(self, request, status=502):
-        self.settle(request, web.Response(status=status), "errored")
+        self.settle(request, "errored", status=status)
 
     async def drain(self, linger):
-        """After SIGTERM: what comes is served, each connection ends with its next answer; new ones go on
-        coming for `linger` seconds.  Then those that stand idle are closed, which clients must bear."""
+        """After SIGTERM each connection ends with its next answer, and new ones are served for `linger` s.
+        Then those that stand idle are closed, which clients must bear, and what came is answered."""
         self.leaving = True
         await asyncio.sleep(linger)
         self.listener.close()
-        while self.out:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(0.01)
         self.server.pre_shutdown()
-        await self.server.shutdown(1.0)
+        while self.out or self.server.open:
+            await asyncio.sleep(0.005)
--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -28,6 +28,18 @@
             except Exception:
                 counters["faults"] += 1
                 log.exception("fault", extra={"on": what})
+                self.abandon(values[0] if values else None)
+
+    def abandon(self, about):
+        """A fault of the program leaves nobody waiting: its invocation errors at once, which promises
+        nothing."""
+        inv = about if isinstance(about, Invocation) else getattr(about, "inv", None)
+        if inv is not None:
+            if not inv.done:
+                inv.done = True
+                self.clients.errored(self.requests[inv])
+            self.tasks.pop(inv, None)
+            self.forget(inv)
 
     # Events.
 
@@ -39,7 +51,7 @@
             return
         customer = self.account(request.plan, request.customer, request.spread)
         now = self.gateway.now
-        wait = op.timeout if request.wait is None else request.wait
+        wait = op.timeout if request.wait is None else round(request.wait * 1e6)
         inv = request.inv = Invocation(op, customer, now, now + wait, request.units, request.retry)
         self.requests[inv] = request
         if request.answer.cancelled():
@@ -50,10 +62,10 @@
         if request.inv is not None:
             self.left(request.inv)
 
-    def on_ended(self, d, result, took, body, content_type, load, actual):
+    def on_ended(self, d, result, took, answer, load, actual):
         final = result is Result.SUCCEEDED and not d.inv.done
         if final:
-            self.clients.succeeded(self.requests[d.inv], body, content_type)
+            self.clients.succeeded(self.requests[d.inv], *answer)
         self.ended(d, result, took, final, load, actual)
 
     def on_alarm(self, task, until):
@@ -68,10 +80,12 @@
 
     def on_listing(self, told):
         _, whole, rows, endpoints = told
+        before = set(self.listed)
         self.listing(rows, whole)
-        for uid, endpoint in endpoints.items():
-            if uid in self.backends:
-                self.backend_peer.endpoints[self.backends[uid]] = endpoint
+        for uid in self.listed.keys() & endpoints.keys():
+            self.backend_peer.listed(self.backends[uid], endpoints[uid])
+        for uid in before - set(self.listed):
+            self.backend_peer.unlisted(self.backends[uid])
 
     def on_unlisted(self):
         self.unlisted()
--- a/kestrelbend/net/roster.py
+++ b/kestrelbend/net/roster.py
@@ -34,9 +34,7 @@
 
 class Roster:
     def __init__(self, queue, address):
-        self.queue, self.base, self.version, self.session, self.watching = queue, address, None, None, None
-
-    async def start(self):
+        self.queue, self.base, self.version, self.watching = queue, address, None, None
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=2, happy_eyeballs_delay=None), trust_env=False,
             cookie_jar=aiohttp.DummyCookieJar())
