The real gateway's tests between stand-ins; idle connections really end at SIGTERM

Seen by the new test: aiohttp's handler.close() cancels the wait of an idle connection but leaves its transport open, so that a drain closed none (clients.py, drain and connection_made). Idle ones are now closed a few turns of the loop later, when what was read of them by then would show as a request. Told apart from a connection that waits for its backend by the set of busy ones. The drain is bounded by the longest integration timeout.

--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -57,7 +57,7 @@
     if serving.done():
         serving.result()
     logging.info("draining")
-    await owner.clients.drain(LINGER_S)
+    await owner.clients.drain(LINGER_S, max(op.timeout for op in owner.operations.values()) / 1e6)
     tally.report()
 
 
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -9,6 +9,7 @@
 from .tally import counters, must
 
 READY = "/_health"
+SETTLE = 0.005          # seconds: some turns of the loop
 
 
 class Request:
@@ -43,7 +44,7 @@
 
     def __init__(self, handle, most):
         super().__init__(handle, handler_cancellation=True, access_log=None, auto_decompress=False)
-        self.most, self.open = most, {}
+        self.most, self.open, self.busy = most, {}, set()
 
     def connection_made(self, handler, transport):
         super().connection_made(handler, transport)
@@ -53,7 +54,17 @@
             oldest = next(iter(self.open))
             del self.open[oldest]
             counters["connections_closed_as_oldest"] += 1
-            oldest.close()
+            self.hang_up(oldest)
+
+    def hang_up(self, handler):
+        """It ends with its present answer.  aiohttp leaves one that stands idle open: it is closed after a
+        moment, in which what was read of it by now is seen as a request."""
+        handler.close()
+        asyncio.get_running_loop().call_later(SETTLE, self.close_idle, handler)
+
+    def close_idle(self, handler):
+        if handler not in self.busy and handler.transport is not None:
+            handler.transport.close()
 
     def connection_lost(self, handler, exc=None):
         super().connection_lost(handler, exc)
@@ -62,7 +73,7 @@
 
 class Clients:
     def __init__(self, queue, most):
-        self.queue, self.most, self.leaving, self.out = queue, most, False, 0
+        self.queue, self.most, self.leaving = queue, most, False
         self.server = self.listener = None
 
     async def start(self, listen):
@@ -73,7 +84,11 @@
         if message.method == "GET" and message.path == READY:
             response = web.Response(status=503 if self.leaving else 200)
         else:
-            response = await self.invocation(message)
+            self.server.busy.add(message.protocol)
+            try:
+                response = await self.invocation(message)
+            finally:
+                self.server.busy.discard(message.protocol)
         if self.leaving:
             response.force_close()
         return response
@@ -86,7 +101,6 @@
             counters["malformed"] += 1
             return web.Response(status=400, text=f"{trouble}\n")
         counters["taken"] += 1
-        self.out += 1
         self.queue.put_nowait(("taken", request))
         try:
             return await request.answer
@@ -94,8 +108,6 @@
             counters["clients_left"] += 1
             self.queue.put_nowait(("left", request))
             raise
-        finally:
-            self.out -= 1
 
     @staticmethod
     def settle(request, what, *answer, **more):
@@ -116,12 +128,15 @@
     def errored(self, request, status=502):
         self.settle(request, "errored", status=status)
 
-    async def drain(self, linger):
+    async def drain(self, linger, longest):
         """After SIGTERM each connection ends with its next answer, and new ones are served for `linger` s.
-        Then those that stand idle are closed, which clients must bear, and what came is answered."""
+        Then those that stand idle are closed, which clients must bear, and what came is answered, within the
+        `longest` integration timeout."""
         self.leaving = True
         await asyncio.sleep(linger)
         self.listener.close()
-        self.server.pre_shutdown()
-        while self.out or self.server.open:
-            await asyncio.sleep(0.005)
+        end = asyncio.get_running_loop().time() + longest
+        while self.server.open and asyncio.get_running_loop().time() < end:
+            for handler in self.server.open:
+                self.server.hang_up(handler)
+            await asyncio.sleep(4 * SETTLE)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,8 +1,16 @@
-"""A stand-in front end: one instance on the wire's host, fed by hand, its replies read back as tuples."""
+"""Stand-ins: a front end on the wire's host, fed by hand; and what a real gateway speaks to on sockets."""
+import asyncio
+import json
+import socket
+
+import hiredis
+
 from kestrelbend import terms
+from kestrelbend.__main__ import start
 from kestrelbend.benchlink import codec
 from kestrelbend.benchlink.host import Instance
 from kestrelbend.interface import Result
+from kestrelbend.net.configuration import Told
 
 MS = 1000
 BASE = {
@@ -72,3 +80,157 @@
         for handle, (_, due) in list(self.inst.alarms.items()):
             if due <= self.now:
                 self.tell("reminder", [], handle)
+
+
+# Stand-ins for what a real gateway speaks to, from the published protocols; `play` is what the next ones do.
+
+class Stand:
+    """A TCP server on loopback with its connections; closed at the end of a test."""
+
+    async def open(self, port=0):
+        self.writers = set()
+        self.server = await asyncio.start_server(self.met, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        return self
+
+    async def met(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.talk(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def close(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+async def read_request(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {k.lower(): v for k, _, v in (line.partition(": ") for line in head[1:] if line)}
+    return head[0], headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+class StandBackend(Stand):
+    def __init__(self):
+        self.seen, self.play, self.left = [], [], 0
+
+    async def talk(self, reader, writer):
+        while True:
+            self.seen.append(await read_request(reader))
+            what = self.play.pop(0) if self.play else b"200 OK\r\n\r\nfine"
+            if what == "cut":
+                return
+            if what == "hang":
+                await reader.read()
+                self.left += 1
+                return
+            head, _, body = what.partition(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (head, len(body), body))
+
+
+class StandDiscovery(Stand):
+    def __init__(self, *rows):
+        self.rows, self.rev, self.asked, self.changed, self.silent = list(rows), 1, [], asyncio.Event(), False
+
+    async def talk(self, reader, writer):
+        while True:
+            line, _, _ = await read_request(reader)
+            self.asked.append(line.split()[1])
+            if self.silent:
+                await reader.read()
+            if "since" in line and int(line.split("since=")[1].split("&")[0]) >= self.rev:
+                self.changed.clear()
+                await self.changed.wait()
+            body = json.dumps({"rev": self.rev, "all": True, "targets": self.rows}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def tell(self, *rows):
+        self.rows, self.rev = list(rows), self.rev + 1
+        self.changed.set()
+
+
+class StandCounter(Stand):
+    def __init__(self):
+        self.totals, self.calls, self.play = {}, [], []
+
+    async def talk(self, reader, writer):
+        parser = hiredis.Reader()
+        while data := await reader.read(4096):
+            parser.feed(data)
+            while (call := parser.gets()) is not False:
+                verb, name, add, life = (part.decode() for part in call)
+                assert verb == "CNT.ADD" and 1 <= len(name) <= 64 and 1 <= int(life) <= 60_000
+                self.calls.append(name)
+                what = self.play.pop(0) if self.play else None
+                if what == "cut":
+                    return
+                if what is None:
+                    total = self.totals[name] = self.totals.get(name, 0.0) + float(add)
+                    what = b"$%d\r\n%s" % (len(b"%g" % total), b"%g" % total)
+                if what != "silent":
+                    writer.write(what + b"\r\n")
+
+
+def row(uid, stand, state="ready", started=0):
+    return {"uid": uid, "endpoint": stand.address, "az": "a", "model": "m", "pod_group": 1, "state": state,
+            "capacity_hint": 1.0, "boot_ms": started}
+
+
+class World:
+    """A gateway on loopback sockets between stand-ins."""
+
+    def __init__(self, backends=1, **changes):
+        self.pairs = {**BASE, "policyLimits.connectTimeout": 100, "policyLimits.idleClose": 5000,
+                      **{key.replace("__", "."): value for key, value in changes.items()}}
+        self.backends = [StandBackend() for _ in range(backends)]
+
+    async def __aenter__(self):
+        self.counter = await StandCounter().open()
+        for backend in self.backends:
+            await backend.open()
+        self.rows = [row(f"s{n}", backend) for n, backend in enumerate(self.backends)]
+        self.discovery = await StandDiscovery(*self.rows).open()
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.listen = free.getsockname()
+        self.told = Told("n0", self.listen, self.discovery.address, ("127.0.0.1", self.counter.port), 7, 256,
+                         None, terms.settings({k: str(v) for k, v in self.pairs.items()}))
+        self.owner, self.serving = await start(self.told)
+        await self.until(lambda: len(self.owner.listed) == len(self.rows))
+        return self
+
+    async def __aexit__(self, *_):
+        self.serving.cancel()
+        self.owner.roster.watching.cancel()
+        self.owner.clients.listener.close()
+        for stand in (self.counter, self.discovery, *self.backends):
+            stand.close()
+        await self.owner.roster.session.close()
+        for backend in list(self.owner.backend_peer.links):
+            self.owner.backend_peer.unlisted(backend)
+        await asyncio.gather(*self.owner.backend_peer.tasks, return_exceptions=True)
+
+    async def until(self, held, seconds=3.0):
+        async with asyncio.timeout(seconds):
+            while not held():
+                await asyncio.sleep(0.005)
+
+    async def ask(self, path="/op/00000000000000c1", method="GET", body=b"", wait="1.0", plan="plan",
+                  on=None):
+        """(status, headers, body) of one request, on a connection of its own unless one is given."""
+        reader, writer = on or await asyncio.open_connection(*self.listen)
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: api\r\nX-Request-ID: 9b1f\r\nApi-Plan: {plan}\r\n"
+                     f"X-Timeout: {wait}\r\nApi-Terms: units=1,spread=2,first=0\r\nX-Odd: \u00e9 b\r\n"
+                     f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        try:
+            line, headers, answer = await asyncio.wait_for(read_request(reader), 5)
+        finally:
+            if on is None:
+                writer.close()
+        return int(line.split()[1]), headers, answer
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,281 @@
+"""The real gateway between stand-ins on loopback sockets."""
+import asyncio
+import json
+import logging
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from kestrelbend import terms
+from kestrelbend.interface import Delivery, Invocation, Result, State
+from kestrelbend.net import configuration, lines
+from kestrelbend.net.clients import Request
+from kestrelbend.net.roster import entries
+from kestrelbend.net.tally import counters
+
+from .helpers import BASE, World
+
+
+def run(test):
+    asyncio.run(asyncio.wait_for(test, 20))
+
+
+def test_what_goes_on_unchanged_stays_the_bytes_that_came():
+    async def test():
+        async with World() as world:
+            backend, body = world.backends[0], bytes(range(256)) * 16
+            backend.play = [b"200 OK\r\nContent-Type: x/y\r\nX-Server-Load: {oops\r\n\r\n" + body[::-1]]
+            path = "/op/%2e%2E/a//b;c=%zz/00000000000000c1?x=%20+&y=/../"
+            status, headers, answer = await world.ask(path, "POST", body)
+            assert (status, headers["content-type"], answer) == (200, "x/y", body[::-1])
+            line, headers, came = backend.seen[0]
+            assert line == f"POST {path} HTTP/1.1" and came == body
+            assert headers["x-request-id"] == "9b1f" and headers["x-odd"] == "\u00e9 b"
+            assert 0.5 < float(headers["x-timeout"]) < 1.0 and len(world.counter.calls) == 1
+    run(test())
+
+
+@pytest.mark.parametrize("first, effect, status, seen", [
+    (b"500 No\r\n\r\n", "at_most_once", 502, 1),
+    (b"503 Busy\r\n\r\n", "at_most_once", 502, 1),                    # not said that it never ran
+    (b"503 Busy\r\nX-Not-Processed: 1\r\n\r\n", "at_most_once", 200, 2),
+    (b"504 Late\r\nX-Not-Processed: 1\r\n\r\n", "at_most_once", 200, 2),
+    ("cut", "at_most_once", 502, 1), ("cut", "idempotent", 200, 2), ("hang", "at_most_once", 502, 1),
+    (b"200 OK\r\nX-Server-Load: {\"queue\":2}\r\nApi-Charge: 3\r\n\r\n", "at_most_once", 200, 1)])
+def test_each_outcome_is_said_as_it_was_seen(first, effect, status, seen):
+    """The client library would send a GET again by itself when a kept connection breaks."""
+    async def test():
+        async with World(classes__0__effect=effect) as world:
+            assert (await world.ask())[0] == 200                    # leaves a kept connection
+            world.backends[0].play = [first]
+            assert (await world.ask(wait="0.4"))[0] == status
+            assert len(world.backends[0].seen) == 1 + seen
+    run(test())
+
+
+def test_a_refused_connection_never_ran():
+    async def test():
+        async with World(2, classes__0__effect="at_most_once") as world:
+            world.backends[0].server.close()
+            for _ in range(6):
+                assert (await world.ask())[0] == 200
+            assert len(world.backends[1].seen) == 6
+    run(test())
+
+
+def test_nothing_goes_to_a_backend_taken_off_the_list_while_its_connection_is_made():
+    async def test():
+        async with World() as world:
+            owner, sent = world.owner, asyncio.Queue()
+            target, request = owner.backends["s0"], Request("GET", "/op/c1", {}, b"")
+            inv = Invocation(owner.operations["op"], owner.account("plan", "c1", 1), 0, 1 << 62, 1.0, False)
+            peer, target.state = owner.backend_peer, State.DRAINING
+            peer.queue = sent
+            peer.deliver(Delivery(inv, target, owner.clock(), owner.clock() + 500_000, 0), request)
+            assert (await sent.get())[2] is Result.UNREACHABLE and not world.backends[0].seen
+    run(test())
+
+
+def test_a_client_that_leaves_frees_its_backend():
+    async def test():
+        async with World() as world:
+            world.backends[0].play = ["hang"]
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(world.ask(wait="3"), 0.2)
+            await world.until(lambda: world.backends[0].left == 1)
+            await world.until(lambda: not world.owner.requests and not world.owner.tasks)
+            assert len(world.backends[0].seen) == 1
+    run(test())
+
+
+def test_connections_kept_from_before_a_silence_are_not_used_again():
+    async def test():
+        async with World(classes__0__objective=100) as world:
+            target, backend = world.owner.backends["s0"], world.backends[0]
+            backend.play = ["hang"]
+            before = world.owner.backend_peer.links[target]
+            assert (await world.ask(wait="0.3"))[0] in (429, 502)
+            await world.until(lambda: before.session.closed)
+            assert world.owner.backend_peer.links[target] is not before
+    run(test())
+
+
+@pytest.mark.parametrize("play, result", [
+    ([b"-BUSY"], Result.REJECTED), ([b"-ERR no"], Result.UNREACHABLE), (["silent"], Result.TIMED_OUT),
+    (["cut"], Result.TIMED_OUT), ([b"+?"], Result.TIMED_OUT), ([], Result.SUCCEEDED)])
+def test_each_answer_of_the_counter_is_said_as_it_was_seen(play, result):
+    async def test():
+        async with World() as world:
+            service, world.counter.play = world.owner.counter, list(play)
+            service.queue = asyncio.Queue()
+            service.add(5, 1.5, 4_000_000)
+            total = 1.5 if result is Result.SUCCEEDED else 0.0
+            assert await service.queue.get() == ("counted", 5, result, total)
+    run(test())
+
+
+def test_a_counter_fallen_silent_is_called_anew_and_in_order():
+    async def test():
+        async with World() as world:
+            service, counter = world.owner.counter, world.counter
+            service.queue = asyncio.Queue()
+            counter.play = ["silent"] * 2
+            for _ in range(2):
+                service.add(5, 1, 4_000_000)
+            assert [(await service.queue.get())[2] for _ in range(2)] == [Result.TIMED_OUT] * 2
+            await asyncio.sleep(0.12)                   # more than a connection may take to come up
+            for _ in range(2):
+                service.add(5, 1, 4_000_000)
+            assert [(await service.queue.get())[3] for _ in range(2)] == [1.0, 2.0]
+            counter.close()
+            service.add(6, 1, 4_000_000)
+            assert (await service.queue.get())[2] in (Result.UNREACHABLE, Result.TIMED_OUT)
+    run(test())
+
+
+def test_invocations_go_on_with_counter_and_discovery_silent():
+    async def test():
+        async with World() as world:
+            world.counter.play, world.discovery.silent = ["silent"] * 9, True
+            world.discovery.changed.set()
+            assert [(await world.ask())[0] for _ in range(3)] == [200] * 3
+    run(test())
+
+
+def test_the_list_is_watched_on():
+    async def test():
+        async with World(2) as world:
+            owner, rows = world.owner, world.rows
+            world.discovery.tell(rows[0] | {"state": "draining"}, rows[1])
+            await world.until(lambda: owner.backends["s0"].state is State.DRAINING)
+            world.discovery.tell(rows[1] | {"boot_ms": 5})
+            await world.until(lambda: owner.backends["s0"].state is State.GONE)
+            assert owner.backends["s1"].started == 5000 and len(owner.backend_peer.links) == 1
+            assert "since=2&" in world.discovery.asked[2]
+            world.discovery.close()                     # the agent is gone, then back
+            await world.until(lambda: counters["discovery_failed"])
+            world.discovery.rows = rows
+            await world.discovery.open(world.discovery.port)
+            world.discovery.tell(*rows)
+            await world.until(lambda: len(owner.listed) == 2)
+    run(test())
+
+
+@pytest.mark.parametrize("path, wait, plan", [
+    ("/op", "1", "plan"), ("http://x/op/c1", "1", "plan"), ("/op/c1", "nan", "plan"),
+    ("/op/c1", "-1", "plan"), ("/op/c1", "soon", "plan"), ("/op/c1", "1", "other"),
+    ("/nothing/c1", "1", "plan")])
+def test_malformed_requests_are_errored_at_once(path, wait, plan):
+    async def test():
+        async with World() as world:
+            assert (await world.ask(path, wait=wait, plan=plan))[0] == 400
+            assert not world.backends[0].seen and not world.owner.requests
+    run(test())
+
+
+def test_a_fault_of_the_program_leaves_nobody_waiting(monkeypatch):
+    async def test():
+        async with World() as world:
+            def broken(*_):
+                raise ZeroDivisionError
+            monkeypatch.setattr(world.owner.gateway, "ended", broken)
+            assert (await world.ask())[0] in (200, 502)
+            monkeypatch.setattr(world.owner.gateway, "admit", broken)
+            assert (await world.ask())[0] == 502
+            await world.until(lambda: not world.owner.tasks)
+    run(test())
+
+
+def test_beyond_its_sockets_the_oldest_connection_ends_with_its_answer():
+    async def test():
+        async with World() as world:
+            world.owner.clients.server.most = 2
+            first = await asyncio.open_connection(*world.listen)
+            assert (await world.ask(on=first))[0] == 200
+            others = [await asyncio.open_connection(*world.listen) for _ in range(2)]
+            assert await asyncio.wait_for(first[0].read(), 1) == b""
+            assert [(await world.ask(on=other))[0] for other in others] == [200] * 2
+    run(test())
+
+
+def test_sigterm_serves_what_came_and_what_still_comes(tmp_path):
+    """In a process of its own, as the operators start it."""
+    async def test():
+        async with World() as world:
+            await world.__aexit__()
+            for stand in (world.counter, world.discovery, world.backends[0]):
+                await stand.open(stand.port)
+            given = {"name": "n0", "listen": "%s:%d" % world.listen, "discovery": world.discovery.address,
+                     "counter": world.counter.address, "seed": "8c1f30d27a5be964",
+                     "limits": {"sockets": 1024}, "settings": nested(world.pairs),
+                     "known": {"rev": 1, "all": True, "targets": world.rows}}
+            (tmp_path / "config.json").write_text(json.dumps(given))
+            env = {**os.environ, "ROUTER_CONFIG": str(tmp_path / "config.json")}
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", "kestrelbend", env=env, stderr=subprocess.PIPE)
+            for _ in range(200):
+                try:
+                    idle = await asyncio.open_connection(*world.listen)
+                    break
+                except OSError:
+                    await asyncio.sleep(0.05)
+            world.backends[0].play = ["hang"]
+            out = asyncio.create_task(world.ask(wait="1.2"))
+            await world.until(lambda: world.backends[0].seen)
+            process.send_signal(signal.SIGTERM)
+            at = time.monotonic()
+            await asyncio.sleep(0.3)
+            status, headers, _ = await world.ask()
+            assert status == 200 and headers["connection"] == "close"
+            assert await asyncio.wait_for(idle[0].read(), 1) == b"" and time.monotonic() - at < 0.7
+            assert (await out)[0] in (429, 502)
+            log = (await process.communicate())[1].decode()
+            assert process.returncode == 0 and "event=counters" in log and "taken=2" in log
+    run(test())
+
+
+def nested(pairs):
+    """The settings as a configuration has them."""
+    tree = {}
+    for path, value in pairs.items():
+        *way, last = path.split(".")
+        if last == "count":
+            continue
+        node = tree
+        for part in way:
+            node = node.setdefault(part, {})
+        node[last] = {"true": True, "false": False}.get(value, value)
+    for name in ("classes", "contracts"):
+        tree[name] = list(tree[name].values())
+    return tree
+
+
+def test_settings_are_read_alike_from_the_wire_and_from_a_configuration():
+    pairs = {k: str(v) for k, v in BASE.items()} | {"feedback.fields": "pending,cpu_share"}
+    given = nested(pairs) | {"feedback": {"fields": ["pending", "cpu_share"]}, "new": None}
+    assert repr(terms.settings(dict(terms.flatten(given)))) == repr(terms.settings(pairs))
+
+
+@pytest.mark.parametrize("given, what", [
+    (None, "ROUTER_CONFIG"), ("{", "config.json"), ('{"settings": 3}', "no settings"),
+    ('{"settings": {"tick": "x"}, "name": "n", "listen": "a:1", "discovery": "b:2"}', "tick"),
+    ('{"settings": {}, "name": "n", "listen": "here", "discovery": "b:2"}', "listen")])
+def test_wrong_configurations_end_in_one_plain_message(given, what, tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(given or "")
+    with pytest.raises(terms.Malformed, match=what):
+        configuration.read({"ROUTER_CONFIG": str(path)} if given else {})
+
+
+def test_lists_that_cannot_be_read_are_named():
+    with pytest.raises(terms.Malformed, match="discovery"):
+        entries({"rev": 1, "all": True, "targets": [{"uid": "s0", "state": "odd"}]})
+
+
+def test_log_lines_are_key_value():
+    record = logging.makeLogRecord({"msg": "two words", "levelname": "INFO", "about": 'a"b', "n": 3})
+    assert lines.KeyValue().format(record).endswith('level=info event="two words" about="a\\"b" n=3')
