--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -54,14 +54,15 @@
 
     def __init__(self):
         self.bins = [0] * BINS
-        self.total = 0
+        self.total, self.sum = 0, 0.0           # of bins, and of their middles
 
     def add(self, part):
-        self.bins[min(BINS - 1, int(part * PER_OBJECTIVE))] += 1
-        self.total += 1
+        i = min(BINS - 1, int(part * PER_OBJECTIVE))
+        self.bins[i] += 1
+        self.total, self.sum = self.total + 1, self.sum + i + 0.5
         if self.total >= HALVE_AT:
             self.bins = [n // 2 for n in self.bins]
-            self.total = sum(self.bins)
+            self.total, self.sum = sum(self.bins), sum((i + 0.5) * n for i, n in enumerate(self.bins))
 
     def median(self):
         below = 0
@@ -73,8 +74,7 @@
 
     def mean(self, otherwise):
         """With one answer at `otherwise` thrown in, so that a few answers say little."""
-        return (sum((i + 0.5) * n for i, n in enumerate(self.bins)) / PER_OBJECTIVE + otherwise) \
-            / (self.total + 1)
+        return (self.sum / PER_OBJECTIVE + otherwise) / (self.total + 1)
 
 
 class Target(Backend):
@@ -82,11 +82,11 @@
 
     def __init__(self):
         super().__init__()
-        self.out, self.room = 0, 0.0            # credits spent, and credits in all
+        self.out = 0                            # credits spent
         self.fresh()
 
     def fresh(self):
-        self.sick, self.bench, self.benched = 0.0, 0, 0
+        self.room, self.sick, self.bench, self.benched = 0.0, 0.0, 0, 0
         self.full = False                       # by its own load report
         self.times = Histogram()
         self.slot, self.sent, self.most = None, 0, 0    # while cold: sent in this quarter span, of how many
@@ -134,9 +134,8 @@
     def ask_fresh(self):
         """Backends that report only when probed are probed while they are cold."""
         while True:
-            for t in self.targets:
-                if self.cold(t):
-                    yield Spawn(self.ask(t))
+            for t in filter(self.cold, self.targets):
+                yield Spawn(self.ask(t))
             yield Pause(self.now + ASK_EVERY)
 
     def ask(self, t):
@@ -161,7 +160,6 @@
         for t in self.targets:
             if t.started != t.born:
                 t.fresh()
-                t.room = 0.0
             if not t.room:
                 t.room = (LEAST_ROOM if self.cold(t) else FIRST_ROOM) / self.settings["gateways"]
 
@@ -436,6 +434,12 @@
                 acc.left += units
             yield from self.release(inv)
 
+    def past(self, acc):
+        """Whether a new account would know as much, so that the front end may forget this one."""
+        over = ((acc.window or 0) + 1) * self.window_length(acc) + LONGEST_LIFE
+        return not acc.out and self.now > over and (
+            not acc.plan.ceiling_rate or self.ceiling_share(acc) >= acc.plan.ceiling_burst / acc.spread)
+
     def after(self, inv, seconds=0.0):
         """A retry-after: when there will be units, else soon enough to be in time yet."""
         return max(int(RETRY_AFTER * inv.op.objective), int(seconds * SECOND))
@@ -558,7 +562,7 @@
 
     def may_repeat(self, inv):
         """Rule 2, without a backend in view."""
-        ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
+        ran = [d for d in inv.deliveries if d.may_have_run]
         if len(inv.deliveries) >= self.settings["most_deliveries"]:
             return False
         if ran and not self.settings["second_copies"] and any(d.result is None for d in ran):
@@ -572,9 +576,8 @@
             return False
         if inv.op.effect is Effect.TOKENED and inv.op.scope is not Scope.ALL:
             for d in inv.deliveries:
-                if d.result is not None and d.result.never_ran:
-                    continue
-                if (d.backend.zone != t.zone if inv.op.scope is Scope.ZONE else d.backend.group != t.group):
+                if d.may_have_run and (d.backend.zone != t.zone if inv.op.scope is Scope.ZONE
+                                       else d.backend.group != t.group):
                     return False
         acc = inv.customer
         if not inv.deliveries and acc.plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
@@ -619,9 +622,7 @@
 
     def close(self, inv):
         """Give up: throttled where that promise holds, else errored."""
-        ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
-        if not ran or inv.op.effect is Effect.IDEMPOTENT or (
-                inv.op.effect is Effect.TOKENED and inv.op.scope is Scope.ALL):
+        if inv.op.repeats_anywhere or not any(d.may_have_run for d in inv.deliveries):
             yield from self.refuse(inv, self.after(inv))
         elif not inv.done:
             yield Fail(inv)
--- a/kestrelbend/hosting.py
+++ b/kestrelbend/hosting.py
@@ -10,6 +10,8 @@
 from . import interface as i
 from .choice import Account, Gateway, Target
 
+SWEEP = 1024        # customers held before those that the module is done with are first looked for
+
 
 class Task:
     """A running generator and what it waits for."""
@@ -28,7 +30,7 @@
         self.operations = {op.name: op for op in settings["operations"]}
         self.plans = {plan.name: plan for plan in settings["plans"]}
         self.backends, self.backend_ids, self.listed = {}, {}, {}
-        self.customers, self.tasks = {}, {}
+        self.customers, self.tasks, self.sweep_at = {}, {}, SWEEP
         self.counts, self.probes = defaultdict(deque), defaultdict(deque)
 
     def start(self):
@@ -93,6 +95,9 @@
     def account(self, plan, name, spread):
         customer = self.customers.get((plan, name))
         if customer is None:
+            if len(self.customers) >= self.sweep_at:    # they would fill the memory in the end
+                kept = {k: acc for k, acc in self.customers.items() if not self.gateway.past(acc)}
+                self.customers, self.sweep_at = kept, max(SWEEP, 2 * len(kept))
             spread = spread or self.settings["gateways"]
             customer = self.customers[plan, name] = Account(name, self.plans[plan], spread)
         return customer
--- a/kestrelbend/interface.py
+++ b/kestrelbend/interface.py
@@ -57,6 +57,10 @@
     late_worth: float              # part of the billed value left after the objective
     streamed: bool
 
+    @property
+    def repeats_anywhere(self) -> bool:
+        return self.effect is Effect.IDEMPOTENT or self.effect is Effect.TOKENED and self.scope is Scope.ALL
+
 
 @dataclass(slots=True, eq=False)
 class Plan:
@@ -101,6 +105,10 @@
     took: int = 0
     overdue: bool = False          # out past the latency objective
 
+    @property
+    def may_have_run(self) -> bool:
+        return self.result is None or not self.result.never_ran
+
 
 @dataclass(slots=True, eq=False)
 class Invocation:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -259,3 +259,19 @@
     assert f.gateway.free() and sum(t.out for t in f.gateway.targets) == 0
     f.returned(0, 0, Result.SUCCEEDED, took=1500)
     assert sum(t.out for t in f.gateway.targets) == 0
+
+
+def test_customers_done_with_are_forgotten_but_no_spent_ceiling():
+    """A gateway that runs for weeks meets more customers than its memory holds."""
+    front = Front(contracts__0__ceilingRate=1, contracts__0__capDepth=400, familyInfo__mayCount="false")
+    front.roster((1, State.READY))
+    front.now += 400_000 * MS
+    front.accept(1, customer="old")
+    front.accept(2, customer="spent", units=200.0)
+    for number in (1, 2):
+        front.returned(number, 0, Result.SUCCEEDED)
+    front.accept(3, customer="out", left=10**6)
+    front.now += 120_000 * MS
+    front.inst.sweep_at = 3
+    front.accept(4, customer="new")
+    assert {name for _, name in front.inst.customers} == {"spent", "out", "new"}
