Descriptors are bounded: one accept at a time, none beyond the limit; bad list entries left out

Cause: connections were accepted as they came (clients.py connection_made) and pooled connections to backends were not counted (backends.py). Now the rest takes what is free, with a part of its own, and such a delivery is void, which says nothing of its backend. An entry of the list that cannot be read is left out; before, it held up the whole list for good (roster.py entries).

--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -32,8 +32,9 @@
     """The owner with its peers, and the task in which it serves."""
     clock, queue = make_clock(), asyncio.Queue()
     owner = Owner(told.settings, told.seed, clock, queue)
-    owner.clients = Clients(queue, told.sockets // 2)
-    owner.backend_peer = Backends(queue, clock, told.settings, told.sockets // 4)
+    sockets = tally.Sockets(told.sockets)
+    owner.backend_peer = Backends(queue, clock, told.settings, sockets)
+    owner.clients = Clients(queue, sockets, owner.backend_peer.renew)
     owner.counter = CounterService(queue, told.counter, told.settings)
     owner.roster = Roster(queue, told.discovery)
     if told.known:
--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -22,11 +22,18 @@
 
 
 class Sending:
-    """What is known of one sending: to whom, and whether a byte of it may have been written."""
-    __slots__ = ("backend", "begun")
+    """What is known of one sending: to whom, whether it makes a connection, and whether a byte of it may have
+    been written."""
+    __slots__ = ("backend", "peer", "connects", "begun")
 
-    def __init__(self, backend):
-        self.backend, self.begun = backend, False
+    def __init__(self, backend, peer):
+        self.backend, self.peer, self.connects, self.begun = backend, peer, False, False
+
+
+    def over(self):
+        """It makes no connection any more."""
+        self.peer.connecting -= self.connects
+        self.connects = False
 
 
 async def _begins(_session, context, _params):
@@ -38,8 +45,25 @@
     sending.begun = True
 
 
+async def _connects(_session, context, _params):
+    """The process may hold only so many descriptors, and none is left for this connection."""
+    sending = context.trace_request_ctx
+    peer = sending.peer
+    if not peer.sockets.room_beside_clients(peer.connecting):
+        counters["no_descriptor_left"] += 1
+        peer.renew()
+        raise NotWanted
+    sending.connects, peer.connecting = True, peer.connecting + 1
+
+
+async def _connected(_session, context, _params):
+    context.trace_request_ctx.over()
+
+
 def trace():
     config = aiohttp.TraceConfig()
+    config.on_connection_create_start.append(_connects)
+    config.on_connection_create_end.append(_connected)
     config.on_request_headers_sent.append(_begins)
     return config
 
@@ -62,8 +86,9 @@
 
 
 class Backends:
-    def __init__(self, queue, clock, settings, most):
-        self.queue, self.clock, self.settings, self.most = queue, clock, settings, most
+    def __init__(self, queue, clock, settings, sockets):
+        self.queue, self.clock, self.settings = queue, clock, settings
+        self.sockets, self.connecting = sockets, 0
         self.links, self.running, self.tasks = {}, {}, set()    # by backend; by delivery: its task; probes
 
     # Addresses.
@@ -85,6 +110,13 @@
         if link.retired and not link.users:
             self.keep(asyncio.create_task(link.session.close()))
 
+    def renew(self, *backends):
+        """Give up the connections kept to these backends, or to all."""
+        for backend in backends or list(self.links):
+            endpoint = self.links[backend].endpoint
+            self.unlisted(backend)
+            self.listed(backend, endpoint)
+
     def keep(self, task):
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -101,7 +133,7 @@
 
     async def delivery(self, d, request):
         """Ends with exactly one event, whatever comes; an outcome is never said safer than it was seen."""
-        sending, answer, load, actual = Sending(d.backend), None, None, 0
+        sending, answer, load, actual = Sending(d.backend, self), None, None, 0
         result = Result.CANCELLED
         try:
             left = (d.until - self.clock()) / 1e6
@@ -120,8 +152,7 @@
             link = self.links.get(d.backend)
             if answer is None and d.overdue and link is not None and link.heard < d.sent:
                 # Silent for all that time: other connections kept from before would each cost a delivery.
-                self.unlisted(d.backend)
-                self.listed(d.backend, link.endpoint)
+                self.renew(d.backend)
             self.running.pop(d, None)
             counters["deliveries_" + result.name.lower()] += 1
             self.queue.put_nowait(("ended", d, result, self.clock() - d.sent, answer, load, actual))
@@ -129,7 +160,7 @@
     async def exchange(self, sending, method, target, left, **more):
         """One request on one connection: (status, body, headers)."""
         link = self.links.get(sending.backend)
-        if link is None or left <= 0 or len(self.running) > self.most:
+        if link is None or left <= 0:
             raise NotWanted
         link.users += 1
         try:
@@ -141,6 +172,7 @@
             link.heard = self.clock()
             return response.status, body, response.headers
         finally:
+            sending.over()
             link.users -= 1
             self.release(link)
 
@@ -154,6 +186,8 @@
 
     @staticmethod
     def failure(trouble, sending):
+        if isinstance(trouble, NotWanted):
+            return Result.VOID
         if not sending.begun:
             return Result.UNREACHABLE
         return Result.TIMED_OUT if isinstance(trouble, TimeoutError) else Result.BROKEN
@@ -165,7 +199,7 @@
         self.keep(asyncio.create_task(self.probing(backend)))
 
     async def probing(self, backend):
-        reports, sending = self.settings["load_reports"] != "none", Sending(backend)
+        reports, sending = self.settings["load_reports"] != "none", Sending(backend, self)
         result, load, sent = Result.CANCELLED, None, self.clock()
         try:
             status, body, _ = await self.exchange(sending, "GET", "/_load" if reports else "/ping",
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import socket
 import sys
@@ -10,6 +11,7 @@
 
 from .tally import counters, must
 
+log = logging.getLogger(__name__)
 READY = "/_health"
 SETTLE = 0.005          # seconds: some turns of the loop
 
@@ -53,21 +55,17 @@
 
 
 class Door(web.Server):
-    """aiohttp's low-level server; beyond `most` connections the oldest ends with its present answer."""
+    """aiohttp's low-level server, which knows its connections and which of them wait for an answer."""
 
-    def __init__(self, handle, most):
+    def __init__(self, handle, sockets):
         super().__init__(handle, handler_cancellation=True, access_log=None, auto_decompress=False)
-        self.most, self.open, self.busy = most, {}, set()
+        self.sockets, self.open, self.busy = sockets, {}, set()     # open: oldest first
 
     def connection_made(self, handler, transport):
         super().connection_made(handler, transport)
         self.open[handler] = None
+        self.sockets.clients = len(self.open)
         counters["connections"] += 1
-        if len(self.open) > self.most:
-            oldest = next(iter(self.open))
-            del self.open[oldest]
-            counters["connections_closed_as_oldest"] += 1
-            self.hang_up(oldest)
 
     def hang_up(self, handler):
         """It ends with its present answer.  aiohttp leaves one that stands idle open: it is closed after a
@@ -82,16 +80,40 @@
     def connection_lost(self, handler, exc=None):
         super().connection_lost(handler, exc)
         self.open.pop(handler, None)
+        self.sockets.clients = len(self.open)
 
 
 class Clients:
-    def __init__(self, queue, most):
-        self.queue, self.most, self.leaving = queue, most, False
-        self.server = self.listener = None
+    def __init__(self, queue, sockets, spare):
+        self.queue, self.sockets, self.spare, self.leaving = queue, sockets, spare, False
+        self.server = self.listener = self.accepting = None
 
     async def start(self, listen):
-        self.server = Door(self.handle, self.most)
-        self.listener = await asyncio.get_running_loop().create_server(self.server, *listen, backlog=1024)
+        self.server = Door(self.handle, self.sockets)
+        self.listener = socket.create_server(listen, backlog=1024)
+        self.listener.setblocking(False)
+        self.accepting = asyncio.create_task(self.accept())
+
+    async def accept(self):
+        """One at a time, so that no burst passes the limit on sockets: the oldest that stands idle makes room
+        for a new one, or what is kept to backends (`spare`); others wait in the kernel's line."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                connection, _ = await loop.sock_accept(self.listener)
+                while not self.sockets.room_for_client():
+                    idle = next((h for h in self.server.open if h not in self.server.busy), None)
+                    if idle is not None:
+                        counters["connections_closed_as_oldest"] += 1
+                        self.server.hang_up(idle)
+                    else:
+                        self.spare()
+                    await asyncio.sleep(2 * SETTLE)
+                await loop.connect_accepted_socket(self.server, connection)
+            except OSError as trouble:
+                counters["accept_failed"] += 1
+                log.warning("accept failed", extra={"why": repr(trouble)})
+                await asyncio.sleep(10 * SETTLE)
 
     async def handle(self, message):
         if message.method == "GET" and message.path == READY:
@@ -147,6 +169,7 @@
         `longest` integration timeout."""
         self.leaving = True
         await asyncio.sleep(linger)
+        self.accepting.cancel()
         self.listener.close()
         end = asyncio.get_running_loop().time() + longest
         while self.server.open and asyncio.get_running_loop().time() < end:
--- a/kestrelbend/net/roster.py
+++ b/kestrelbend/net/roster.py
@@ -9,6 +9,7 @@
 
 from ..interface import State
 from ..terms import Malformed
+from .configuration import address
 from .tally import counters
 
 log = logging.getLogger(__name__)
@@ -17,19 +18,26 @@
 
 
 def entries(told):
-    """(version, whole, entries, endpoints) of one answer in discovery's form."""
+    """(version, whole, entries, endpoints) of one answer in discovery's form.  An entry that cannot be read
+    is left out: the rest of the list must not wait for its mending."""
     try:
-        rows, endpoints = [], {}
-        for row in told["targets"]:
-            uid, state = str(row["uid"]), STATES[row["state"]]
-            weight, started = float(row.get("capacity_hint") or 1.0), float(row.get("boot_ms") or 0)
-            rows.append((uid, str(row.get("az", "")), str(row.get("model", "")), row.get("pod_group", 0),
-                         state, weight, round(started * 1000)))
-            if row.get("endpoint"):
-                endpoints[uid] = str(row["endpoint"])
-        return int(told["rev"]), bool(told["all"]), rows, endpoints
-    except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+        version, whole, given = int(told["rev"]), bool(told["all"]), list(told["targets"])
+    except (KeyError, TypeError, ValueError) as trouble:
         raise Malformed(f"discovery: {type(trouble).__name__}: {trouble}") from None
+    rows, endpoints = [], {}
+    for row in given:
+        try:
+            uid, state = str(row["uid"]), STATES[row["state"]]
+            weight = float(row.get("capacity_hint") or 1.0)
+            started = round(1000 * float(row.get("boot_ms") or 0))
+            if state is not State.GONE or row.get("endpoint"):
+                endpoints[uid] = "%s:%d" % address(row["endpoint"], "endpoint")
+        except (KeyError, TypeError, ValueError, OverflowError, AttributeError, Malformed):
+            counters["unreadable_rows"] += 1
+            continue
+        rows.append((uid, str(row.get("az", "")), str(row.get("model", "")), row.get("pod_group", 0), state,
+                     weight, started))
+    return version, whole, rows, endpoints
 
 
 class Roster:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -212,6 +212,7 @@
     async def __aexit__(self, *_):
         self.serving.cancel()
         self.owner.roster.watching.cancel()
+        self.owner.clients.accepting.cancel()
         self.owner.clients.listener.close()
         for stand in (self.counter, self.discovery, *self.backends):
             stand.close()
