--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 .venv/installed.txt: requirements.txt
 	test -x .venv/bin/python || $(PYTHON) -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt
+	.venv/bin/python -O -m compileall -q .venv/lib kestrelbend
 	cp requirements.txt $@
 
 test: build
