--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -28,6 +28,11 @@
     return lambda: (base + time.monotonic_ns()) // 1000
 
 
+def longest(told):
+    """Seconds that an invocation may take: the longest integration timeout."""
+    return max((op.timeout for op in told.settings["operations"]), default=0) / 1e6
+
+
 async def start(told):
     """The owner with its peers, and the task in which it serves."""
     clock, queue = make_clock(), asyncio.Queue()
@@ -40,8 +45,8 @@
     if told.known:
         owner.on_listing(entries(told.known))
     serving = asyncio.create_task(owner.serve())
+    await owner.clients.start(told.listen, longest(told))
     owner.roster.watch()
-    await owner.clients.start(told.listen)
     return owner, serving
 
 
@@ -58,7 +63,7 @@
     if serving.done():
         serving.result()
     logging.info("draining")
-    await owner.clients.drain(LINGER_S, max(op.timeout for op in owner.operations.values()) / 1e6)
+    await owner.clients.drain(LINGER_S, longest(told))
     tally.report()
 
 
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
 import socket
@@ -88,9 +89,17 @@
         self.queue, self.sockets, self.spare, self.leaving = queue, sockets, spare, False
         self.server = self.listener = self.accepting = None
 
-    async def start(self, listen):
+    async def start(self, listen, longest):
+        """Its former life may still hold the address for as long as it drains."""
         self.server = Door(self.handle, self.sockets)
-        self.listener = socket.create_server(listen, backlog=1024)
+        end = asyncio.get_running_loop().time() + longest
+        while self.listener is None:
+            try:
+                self.listener = socket.create_server(listen, backlog=1024)
+            except OSError as trouble:
+                if trouble.errno != errno.EADDRINUSE or asyncio.get_running_loop().time() > end:
+                    raise
+                await asyncio.sleep(10 * SETTLE)
         self.listener.setblocking(False)
         self.accepting = asyncio.create_task(self.accept())
 
--- a/kestrelbend/net/roster.py
+++ b/kestrelbend/net/roster.py
@@ -42,10 +42,8 @@
 
 class Roster:
     def __init__(self, queue, address):
-        self.queue, self.base, self.version, self.watching = queue, address, None, None
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=2, happy_eyeballs_delay=None), trust_env=False,
-            cookie_jar=aiohttp.DummyCookieJar())
+        self.queue, self.base, self.version = queue, address, None
+        self.session = self.watching = None
 
     def watch(self):
         if self.watching is None or self.watching.done():
@@ -55,6 +53,9 @@
         """A watch goes on while the next call comes within 200 ms of the last answer; the answer is handed
         over first, which takes no time here."""
         failing = False
+        self.session = self.session or aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=2, happy_eyeballs_delay=None), trust_env=False,
+            cookie_jar=aiohttp.DummyCookieJar())
         while True:
             query = "" if self.version is None else f"?since={self.version}&timeout_ms={WAIT_MS}"
             try:
@@ -68,7 +69,7 @@
                 counters["discovery_failed"] += 1
                 if not failing:
                     failing = True
-                    log.warning("discovery silent", extra={"why": repr(trouble)})
+                    log.warning("discovery silent", extra={"why": f"{type(trouble).__name__}: {trouble}"})
                     self.queue.put_nowait(("unlisted",))
                 await asyncio.sleep(AGAIN_S)
                 continue
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from kestrelbend import terms
+from kestrelbend.__main__ import start
 from kestrelbend.hosting import Task
 from kestrelbend.interface import Delivery, Invocation, Result, State
 from kestrelbend.net import configuration, lines
@@ -284,6 +285,23 @@
     run(test())
 
 
+def test_a_gateway_waits_for_the_address_that_its_former_life_still_holds():
+    async def test():
+        async with World() as world:
+            later = asyncio.create_task(start(world.told))
+            await asyncio.sleep(0.2)
+            assert not later.done()
+            world.owner.clients.accepting.cancel()
+            world.owner.clients.listener.close()
+            world.owner.roster.watching.cancel()
+            await world.owner.roster.session.close()
+            world.owner, serving = await later
+            await world.until(lambda: world.owner.listed)
+            assert (await world.ask())[0] == 200
+            serving.cancel()
+    run(test())
+
+
 def nested(pairs):
     """The settings as a configuration has them."""
     tree = {}
