A request's arrival is taken where it is read, not after its wait in the queue

Seen in the code while looking at starved gateways: owner.py on_taken took the age of the last byte off the time at which the event left the queue, so the wait in the queue was given to the client.

--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -39,7 +39,7 @@
     owner = Owner(told.settings, told.seed, clock, queue)
     sockets = tally.Sockets(told.sockets)
     owner.backend_peer = Backends(queue, clock, told.settings, sockets)
-    owner.clients = Clients(queue, sockets, owner.backend_peer.renew)
+    owner.clients = Clients(queue, clock, sockets, owner.backend_peer.renew)
     owner.counter = CounterService(queue, told.counter, told.settings)
     owner.roster = Roster(queue, told.discovery)
     if told.known:
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -20,9 +20,9 @@
 class Request:
     """One request as it came, and the fields that decisions need; `answer` is settled once."""
     __slots__ = ("method", "target", "headers", "body", "operation", "plan", "customer", "wait", "units",
-                 "spread", "retry", "age", "answer", "inv")
+                 "spread", "retry", "came", "answer", "inv")
 
-    def __init__(self, method, target, headers, body, age=0):
+    def __init__(self, method, target, headers, body, came):
         self.method, self.target, self.headers, self.body = method, target, headers, body
         path = target.partition("?")[0].split("/")
         if len(path) < 3 or path[0]:
@@ -34,7 +34,7 @@
         self.units = bounded(float, terms.get("units", 1), 1e9)
         self.spread = bounded(int, terms.get("spread", 0), 1e6)
         self.retry = headers.get("X-Retried") == "1"
-        self.age = age
+        self.came = came
         self.answer, self.inv = asyncio.get_running_loop().create_future(), None
 
 
@@ -85,8 +85,8 @@
 
 
 class Clients:
-    def __init__(self, queue, sockets, spare):
-        self.queue, self.sockets, self.spare, self.leaving = queue, sockets, spare, False
+    def __init__(self, queue, clock, sockets, spare):
+        self.queue, self.clock, self.sockets, self.spare, self.leaving = queue, clock, sockets, spare, False
         self.server = self.listener = self.accepting = None
 
     async def start(self, listen, longest):
@@ -140,7 +140,8 @@
     async def invocation(self, message):
         try:
             body = await message.read() if message.body_exists else b""
-            request = Request(message.method, message.raw_path, message.headers, body, age(message.transport))
+            request = Request(message.method, message.raw_path, message.headers, body,
+                              self.clock() - age(message.transport))
         except ValueError as trouble:
             counters["malformed"] += 1
             return web.Response(status=400, text=f"{trouble}\n")
--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -51,10 +51,10 @@
             self.clients.errored(request, 400)
             return
         customer = self.account(request.plan, request.customer, request.spread)
-        came = self.gateway.now - request.age
         wait = op.timeout if request.wait is None else round(request.wait * 1e6)
-        until = came + wait - min(self.late, wait // 4)         # its last alarm will be as late as others
-        inv = request.inv = Invocation(op, customer, came, until, request.units, request.retry)
+        until = request.came + wait - min(self.late, wait // 4)     # its last alarm will be late, too
+        inv = request.inv = Invocation(op, customer, request.came, until, request.units,
+                                        request.retry)
         self.requests[inv] = request
         if request.answer.cancelled():
             inv.done = True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -76,7 +76,7 @@
     async def test():
         async with World() as world:
             owner, sent = world.owner, asyncio.Queue()
-            target, request = owner.backends["s0"], Request("GET", "/op/c1", {}, b"")
+            target, request = owner.backends["s0"], Request("GET", "/op/c1", {}, b"", 0)
             inv = Invocation(owner.operations["op"], owner.account("plan", "c1", 1), 0, 1 << 62, 1.0, False)
             peer, target.state = owner.backend_peer, State.DRAINING
             peer.queue = sent
@@ -169,7 +169,8 @@
             assert max(inv.arrived for inv in world.owner.requests) < stalled - 150_000
             world.owner.late, world.owner.gateway.now = 0, world.owner.clock()
             world.owner.on_alarm(Task(None), world.owner.gateway.now - 80_000)
-            request = Request("GET", "/op/c3", {"Api-Plan": "plan", "X-Timeout": "1"}, b"")
+            fields = {"Api-Plan": "plan", "X-Timeout": "1"}
+            request = Request("GET", "/op/c3", fields, b"", world.owner.clock())
             world.owner.on_taken(request)
             assert request.inv.until - request.inv.arrived == 920_000
             writer.close()
