Bodies that never end or never come hold nothing up; requests that are no HTTP are counted

Found by reading the code for peers that misbehave, each shown by a test that failed before: a POST whose body stopped half-way counted as busy for good, so that it could not make room (clients.py invocation); bodies were held up to a megabyte on each of 512 connections, beside a limit of 192 MB (64 KiB now, the protocol's figure); a backend's answer without end would have filled the memory (backends.py exchange); each request that is no HTTP was logged with a trace.

--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -39,13 +39,13 @@
     owner = Owner(told.settings, told.seed, clock, queue)
     sockets = tally.Sockets(told.sockets)
     owner.backend_peer = Backends(queue, clock, told.settings, sockets)
-    owner.clients = Clients(queue, clock, sockets, owner.backend_peer.renew)
+    owner.clients = Clients(queue, clock, sockets, owner.backend_peer.renew, longest(told))
     owner.counter = CounterService(queue, told.counter, told.settings)
     owner.roster = Roster(queue, told.discovery)
     if told.known:
         owner.on_listing(entries(told.known))
     serving = asyncio.create_task(owner.serve())
-    await owner.clients.start(told.listen, longest(told))
+    await owner.clients.start(told.listen)
     owner.roster.watch()
     return owner, serving
 
@@ -63,7 +63,7 @@
     if serving.done():
         serving.result()
     logging.info("draining")
-    await owner.clients.drain(LINGER_S, longest(told))
+    await owner.clients.drain(LINGER_S)
     tally.report()
 
 
--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -9,6 +9,7 @@
 
 from ..interface import Result, State
 from ..terms import LOADS
+from .clients import LONGEST_BODY
 from .tally import counters, must
 
 NOT_PASSED = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
@@ -168,9 +169,13 @@
                 async with link.session.request(
                         method, URL(f"http://{link.endpoint}{target}", encoded=True), allow_redirects=False,
                         trace_request_ctx=sending, **more) as response:
-                    body = await response.read()
+                    body = bytearray()
+                    async for part in response.content.iter_any():
+                        body += part
+                        if len(body) > LONGEST_BODY:    # one that never ends would fill the memory
+                            raise aiohttp.ClientPayloadError("longer than the protocol allows")
             link.heard = self.clock()
-            return response.status, body, response.headers
+            return response.status, bytes(body), response.headers
         finally:
             sending.over()
             link.users -= 1
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -14,6 +14,7 @@
 
 log = logging.getLogger(__name__)
 READY = "/_health"
+LONGEST_BODY = 1 << 16  # bytes, by the protocol
 SETTLE = 0.005          # seconds: some turns of the loop
 
 
@@ -59,9 +60,15 @@
     """aiohttp's low-level server, which knows its connections and which of them wait for an answer."""
 
     def __init__(self, handle, sockets):
-        super().__init__(handle, handler_cancellation=True, access_log=None, auto_decompress=False)
+        super().__init__(handle, request_factory=self.message, handler_cancellation=True, access_log=None,
+                         auto_decompress=False)
         self.sockets, self.open, self.busy = sockets, {}, set()     # open: oldest first
 
+    @staticmethod
+    def message(message, payload, protocol, writer, task):
+        return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
+                               client_max_size=LONGEST_BODY)
+
     def connection_made(self, handler, transport):
         super().connection_made(handler, transport)
         self.open[handler] = None
@@ -85,14 +92,15 @@
 
 
 class Clients:
-    def __init__(self, queue, clock, sockets, spare):
-        self.queue, self.clock, self.sockets, self.spare, self.leaving = queue, clock, sockets, spare, False
+    def __init__(self, queue, clock, sockets, spare, longest):
+        self.queue, self.clock, self.sockets, self.spare = queue, clock, sockets, spare
+        self.longest, self.leaving = longest, False         # seconds that an invocation may take
         self.server = self.listener = self.accepting = None
 
-    async def start(self, listen, longest):
+    async def start(self, listen):
         """Its former life may still hold the address for as long as it drains."""
         self.server = Door(self.handle, self.sockets)
-        end = asyncio.get_running_loop().time() + longest
+        end = asyncio.get_running_loop().time() + self.longest
         while self.listener is None:
             try:
                 self.listener = socket.create_server(listen, backlog=1024)
@@ -128,24 +136,26 @@
         if message.method == "GET" and message.path == READY:
             response = web.Response(status=503 if self.leaving else 200)
         else:
-            self.server.busy.add(message.protocol)
-            try:
-                response = await self.invocation(message)
-            finally:
-                self.server.busy.discard(message.protocol)
+            response = await self.invocation(message)
         if self.leaving:
             response.force_close()
         return response
 
     async def invocation(self, message):
+        """Taken with its last byte; until then the connection counts as idle and may be closed."""
         try:
-            body = await message.read() if message.body_exists else b""
+            async with asyncio.timeout(self.longest if message.body_exists else None):
+                body = await message.read() if message.body_exists else b""
             request = Request(message.method, message.raw_path, message.headers, body,
                               self.clock() - age(message.transport))
         except ValueError as trouble:
             counters["malformed"] += 1
             return web.Response(status=400, text=f"{trouble}\n")
+        except TimeoutError:
+            counters["bodies_too_slow"] += 1
+            return web.Response(status=408)
         counters["taken"] += 1
+        self.server.busy.add(message.protocol)
         self.queue.put_nowait(("taken", request))
         try:
             return await request.answer
@@ -153,6 +163,8 @@
             counters["clients_left"] += 1
             self.queue.put_nowait(("left", request))
             raise
+        finally:
+            self.server.busy.discard(message.protocol)
 
     @staticmethod
     def settle(request, what, *answer, **more):
@@ -173,15 +185,14 @@
     def errored(self, request, status=502):
         self.settle(request, "errored", status=status)
 
-    async def drain(self, linger, longest):
+    async def drain(self, linger):
         """After SIGTERM each connection ends with its next answer, and new ones are served for `linger` s.
-        Then those that stand idle are closed, which clients must bear, and what came is answered, within the
-        `longest` integration timeout."""
+        Then those that stand idle are closed, which clients must bear, and what came is answered."""
         self.leaving = True
         await asyncio.sleep(linger)
         self.accepting.cancel()
         self.listener.close()
-        end = asyncio.get_running_loop().time() + longest
+        end = asyncio.get_running_loop().time() + self.longest
         while self.server.open and asyncio.get_running_loop().time() < end:
             for handler in self.server.open:
                 self.server.hang_up(handler)
--- a/kestrelbend/net/lines.py
+++ b/kestrelbend/net/lines.py
@@ -5,6 +5,10 @@
 import logging
 import time
 
+from aiohttp.http_exceptions import HttpProcessingError
+
+from .tally import counters
+
 PLAIN = set(logging.makeLogRecord({}).__dict__) | {"message", "asctime", "taskName"}
 
 
@@ -25,7 +29,16 @@
         return text if plain else json.dumps(text)
 
 
+def no_bad_requests(record):
+    """aiohttp logs each request that is no HTTP with a trace; its sender gets a 400, which says it all."""
+    if not (record.exc_info and isinstance(record.exc_info[1], HttpProcessingError)):
+        return True
+    counters["malformed"] += 1
+    return False
+
+
 def start(level="INFO"):
     handler = logging.StreamHandler()
     handler.setFormatter(KeyValue())
+    logging.getLogger("aiohttp.server").addFilter(no_bad_requests)
     logging.basicConfig(level=level, handlers=[handler], force=True)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -100,7 +100,7 @@
         self.writers.add(writer)
         try:
             await self.talk(reader, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -129,6 +129,11 @@
             self.played.append((self.seen[-1][0].split()[1], what))
             if what == "half":
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+            if what == "endless":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n")
+                while True:
+                    writer.write(bytes(4096))
+                    await writer.drain()
             if what in ("cut", "half"):
                 return
             if what == "hang":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -241,6 +241,26 @@
     run(test())
 
 
+def test_bodies_that_never_end_or_never_come_hold_nothing_up(caplog):
+    async def test():
+        async with World(classes__0__deadline=300) as world:
+            assert (await world.ask(method="POST", body=bytes(1 << 17)))[0] == 413
+            world.backends[0].play = ["endless"]
+            assert (await world.ask())[0] == 200 and len(world.backends[0].seen) == 2
+            reader, writer = await asyncio.open_connection(*world.listen)
+            writer.write(b"POST /op/c1 HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf")
+            assert b" 408 " in await asyncio.wait_for(reader.readline(), 1)
+            assert not world.owner.clients.server.busy
+            logging.getLogger("aiohttp.server").addFilter(lines.no_bad_requests)
+            for garbage in (b"\x00garbage\r\n\r\n", b"GET /op/c1 HTTP/1.1\r\n\r\n"):
+                reader, writer = await asyncio.open_connection(*world.listen)
+                writer.write(garbage)
+                assert b" 400 " in await asyncio.wait_for(reader.readline(), 1)
+    before = counters["malformed"]
+    run(test())
+    assert counters["malformed"] > before and not [r for r in caplog.records if r.name == "aiohttp.server"]
+
+
 def test_a_fault_of_the_program_leaves_nobody_waiting(monkeypatch):
     async def test():
         async with World() as world:
