A fault stays in its own task, and only the first twenty are logged

Read in the code: a fault in a task woken on behalf of another was charged to the other's invocation, and its own waited for ever (owner.py serve). Test: the module's wake raises while an answer comes in; the answer is passed on.

--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -9,6 +9,7 @@
 from .tally import counters, must
 
 log = logging.getLogger(__name__)
+FAULTS_LOGGED = 20
 
 
 class Owner(Host):
@@ -27,14 +28,21 @@
             try:
                 getattr(self, "on_" + what)(*values)
             except Exception:
-                counters["faults"] += 1
-                log.exception("fault", extra={"on": what})
-                self.abandon(values[0] if values else None)
+                self.fault(what, getattr(values[0], "inv", None) if values else None)
 
-    def abandon(self, about):
+    def run(self, task, value=None):
+        """A fault stays in its own task, whichever event led there."""
+        try:
+            super().run(task, value)
+        except Exception:
+            self.fault("run", task.inv)
+
+    def fault(self, where, inv):
         """A fault of the program leaves nobody waiting: its invocation errors at once, which promises
         nothing."""
-        inv = about if isinstance(about, Invocation) else getattr(about, "inv", None)
+        counters["faults"] += 1
+        if counters["faults"] <= FAULTS_LOGGED:
+            log.exception("fault", extra={"on": where})
         if inv is not None:
             if not inv.done:
                 inv.done = True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -271,6 +271,9 @@
             monkeypatch.setattr(world.owner.gateway, "admit", broken)
             assert (await world.ask())[0] == 502
             await world.until(lambda: not world.owner.tasks)
+            monkeypatch.undo()
+            monkeypatch.setattr(world.owner.gateway, "wake", broken)        # on behalf of one, by another
+            assert (await world.ask())[0] == 200 and counters["faults"] >= 3
     run(test())
 
 
