--- a/kestrelbend/net/counter.py
+++ b/kestrelbend/net/counter.py
@@ -1,8 +1,7 @@
-"""The counter service: CNT.ADD over RESP2, calls written one behind another on a few connections."""
+"""The counter service: CNT.ADD over RESP2, on as many connections as calls are out beside one another."""
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections import deque
 
 import hiredis
@@ -10,19 +9,30 @@
 from ..interface import Result
 from .tally import counters
 
-log = logging.getLogger(__name__)
-CONNECTIONS = 4     # a name keeps to one of them, so that its answers come in the order of its calls
+CONNECTIONS = 8     # at most
 TURN = 0.001        # seconds: the loop reads its sockets once before a timer so far off
 
 
 class Line(asyncio.Protocol):
-    """One connection: what was written on it and not answered."""
+    """One connection: the calls written on it and not answered, and those that wait for it to come up."""
 
     def __init__(self):
-        self.transport, self.reader, self.pending, self.heard = None, hiredis.Reader(), deque(), 0.0
+        self.transport, self.reader, self.pending, self.waiting = None, hiredis.Reader(), deque(), []
+        self.heard, self.over = 0.0, False
 
     def connection_made(self, transport):
         self.transport = transport
+        for call in self.waiting:
+            self.write(call)
+        self.waiting.clear()
+
+    def write(self, call):
+        if self.transport is None:
+            self.waiting.append(call)
+        elif not call.done:
+            call.written()
+            self.pending.append(call)
+            self.transport.write(call.data)
 
     def data_received(self, data):
         self.heard = asyncio.get_running_loop().time()
@@ -34,94 +44,98 @@
         except hiredis.ProtocolError:
             self.transport.abort()
 
-    def connection_lost(self, _):
-        self.transport = None
+    def connection_lost(self, _=None):
+        self.over = True
         for call in self.pending:
-            call.over(Result.TIMED_OUT)     # written whole: it may have been added
+            call.end(Result.TIMED_OUT)      # written whole: it may have been added
+        for call in self.waiting:
+            call.end(Result.UNREACHABLE)
         self.pending.clear()
+        self.waiting.clear()
+
+    def usable(self, now, patience):
+        """Not one that ended, nor one that says nothing: a fresh connection may be heard."""
+        if self.over or self.transport is not None and self.transport.is_closing():
+            return False
+        if self.pending and now - max(self.heard, self.pending[0].since) > patience:
+            self.transport.abort()
+            return False
+        return True
+
+    def load(self):
+        return len(self.pending) + len(self.waiting)
+
+    def has(self, name):
+        return any(call.name == name and not call.done for call in (*self.pending, *self.waiting))
 
 
 class Call:
-    __slots__ = ("name", "counter", "done", "timer", "since")
+    __slots__ = ("name", "data", "service", "done", "timer", "since")
+
+    def __init__(self, name, data, service):
+        loop = asyncio.get_running_loop()
+        self.name, self.data, self.service, self.done, self.since = name, data, service, False, loop.time()
+        self.timer = loop.call_later(service.wait, self.end, Result.UNREACHABLE)
 
-    def __init__(self, name, counter):
-        self.name, self.counter, self.done, self.timer = name, counter, False, None
-        self.since = asyncio.get_running_loop().time()
+    def written(self):
+        self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_at(self.since + self.service.wait, self.due)
+
+    def due(self):
+        """After a stall of this gateway the timer comes before what lies unread: that is read first."""
+        self.timer = asyncio.get_running_loop().call_later(TURN, self.end, Result.TIMED_OUT)
 
     def answered(self, reply):
         if isinstance(reply, hiredis.ReplyError):
-            self.over(Result.REJECTED if str(reply).startswith("BUSY") else Result.UNREACHABLE)
+            self.end(Result.REJECTED if str(reply).startswith("BUSY") else Result.UNREACHABLE)
             return
         try:
-            total = float(reply)
+            self.end(Result.SUCCEEDED, float(reply))
         except (TypeError, ValueError):
-            self.over(Result.TIMED_OUT)
-            return
-        self.over(Result.SUCCEEDED, total)
+            self.end(Result.TIMED_OUT)
 
-    def due(self):
-        """After a stall of this gateway the timer comes before what lies unread: that is read first."""
-        self.timer = asyncio.get_running_loop().call_later(TURN, self.over, Result.TIMED_OUT)
-
-    def over(self, result, total=0.0):
-        if self.done:
-            return
-        self.done = True
-        if self.timer is not None:
+    def end(self, result, total=0.0):
+        if not self.done:
+            self.done = True
             self.timer.cancel()
-        counters["counter_" + result.name.lower()] += 1
-        self.counter.queue.put_nowait(("counted", self.name, result, total))
+            counters["counter_" + result.name.lower()] += 1
+            self.service.queue.put_nowait(("counted", self.name, result, total))
 
 
 class CounterService:
     def __init__(self, queue, address, settings):
-        self.queue, self.address = queue, address
+        self.queue, self.address, self.lines = queue, address, []
         self.wait, self.connect_wait = settings["counter_timeout"] / 1e6, settings["connect_timeout"] / 1e6
-        self.lines, self.opening = [None] * CONNECTIONS, [None] * CONNECTIONS
+        self.patience, self.opening = max(self.connect_wait, 2 * self.wait), set()
 
     def add(self, name, amount, life):
-        call = Call(name, self)
-        loop = asyncio.get_running_loop()
         counters["counter_calls"] += 1
-        if self.address is None:
-            call.timer = loop.call_later(0, call.over, Result.UNREACHABLE)
-            return
-        call.timer = loop.call_later(self.wait, call.over, Result.UNREACHABLE)
-        place = name % CONNECTIONS
         amount, life_ms = f"{round(amount, 6):.10g}", str(max(1, life // 1000))
-        data = hiredis.pack_command(("CNT.ADD", str(name), amount, life_ms))
-        line = self.lines[place]
-        if line is not None and line.pending and loop.time() - max(line.heard, line.pending[0].since) \
-                > self.connect_wait:
-            line.transport and line.transport.abort()      # silent: a fresh connection may be heard
-            line = None
-        if line is not None and line.transport is not None and not line.transport.is_closing():
-            self.write(line, call, data)
-            return
-        if self.opening[place] is None:
-            self.opening[place] = []
-            asyncio.create_task(self.open(place))
-        self.opening[place].append((call, data))
-
-    def write(self, line, call, data):
-        if call.done:
-            return
-        call.timer.cancel()
-        loop = asyncio.get_running_loop()
-        call.timer = loop.call_at(call.since + self.wait, call.due)
-        line.pending.append(call)
-        line.transport.write(data)
-
-    async def open(self, place):
-        loop, line = asyncio.get_running_loop(), None
+        call = Call(name, hiredis.pack_command(("CNT.ADD", str(name), amount, life_ms)), self)
+        if self.address is not None:
+            self.line(name).write(call)
+
+    def line(self, name):
+        """Answers come in the order of the calls, so that one to a slow part of the service holds up all
+        behind it: calls take free connections, but those for one name stay behind one another."""
+        now = asyncio.get_running_loop().time()
+        self.lines = [line for line in self.lines if line.usable(now, self.patience)]
+        for line in self.lines:
+            if line.has(name):
+                return line
+        least = min(self.lines, key=Line.load, default=None)
+        if least is None or least.load() and len(self.lines) < CONNECTIONS:
+            least = Line()
+            self.lines.append(least)
+            task = asyncio.create_task(self.open(least))
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+        return least
+
+    async def open(self, line):
         try:
             async with asyncio.timeout(self.connect_wait):
-                _, line = await loop.create_connection(Line, *self.address)
+                await asyncio.get_running_loop().create_connection(lambda: line, *self.address)
         except (OSError, TimeoutError):
             counters["counter_connects_failed"] += 1
-        waiting, self.opening[place], self.lines[place] = self.opening[place], None, line
-        for call, data in waiting:
-            if line is not None and line.transport is not None:
-                self.write(line, call, data)
-            else:
-                call.over(Result.UNREACHABLE)
+            line.connection_lost()
