Repeated headers go on as they came; those of the client's connection and Expect do not

Read in the code: headers were made a plain map, which kept one of several of a name (backends.py delivery); what the client's Connection header names went on; an Expect would have made the client library wait for a 100 of the backend's, and no 100 went to the client. The test covers all three.

--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -13,7 +13,7 @@
 from .tally import counters, must
 
 NOT_PASSED = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-              "content-length", "x-timeout"}
+              "content-length", "expect", "x-timeout"}
 AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 PASSED_BACK = ("Content-Type", "Content-Encoding")
 
@@ -138,8 +138,7 @@
         result = Result.CANCELLED
         try:
             left = (d.until - self.clock()) / 1e6
-            headers = {k: v for k, v in request.headers.items() if k.lower() not in NOT_PASSED}
-            headers["X-Timeout"] = f"{max(0.0, left):.3f}"
+            headers = [*passed_on(request.headers), ("X-Timeout", f"{max(0.0, left):.3f}")]
             status, answer, got = await self.exchange(
                 sending, request.method, request.target, left, headers=headers, data=request.body or None)
             result, load = self.outcome(status, got), load_report(got.get("X-Server-Load"))
@@ -217,6 +216,13 @@
             self.queue.put_nowait(("probed", backend, result, self.clock() - sent, load))
 
 
+def passed_on(headers):
+    """All but what belongs to the client's connection, in order, each as often as it came."""
+    named = headers.get("Connection")
+    left_out = NOT_PASSED.union(part.strip().lower() for part in named.split(",")) if named else NOT_PASSED
+    return [(k, v) for k, v in headers.items() if k.lower() not in left_out]
+
+
 def load_report(text):
     """The module's names for a report's fields; what cannot be read is none."""
     try:
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -150,6 +150,9 @@
     async def invocation(self, message):
         """Taken with its last byte; until then the connection counts as idle and may be closed."""
         try:
+            if message.headers.get("Expect", "").lower() == "100-continue":
+                await message.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                message.writer.output_size = 0          # the answer itself has not begun
             async with asyncio.timeout(self.longest if message.body_exists else None):
                 body = await message.read() if message.body_exists else b""
             request = Request(message.method, message.raw_path, message.headers, body,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -112,19 +112,22 @@
             writer.transport.abort()
 
 
-async def read_request(reader):
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+async def read_request(reader, heads=None):
+    raw = await reader.readuntil(b"\r\n\r\n")
+    if heads is not None:
+        heads.append(raw)
+    head = raw.decode().split("\r\n")
     headers = {k.lower(): v for k, _, v in (line.partition(": ") for line in head[1:] if line)}
     return head[0], headers, await reader.readexactly(int(headers.get("content-length", 0)))
 
 
 class StandBackend(Stand):
     def __init__(self):
-        self.seen, self.play, self.played, self.left = [], [], [], 0
+        self.seen, self.raw, self.play, self.played, self.left = [], [], [], [], 0
 
     async def talk(self, reader, writer):
         while True:
-            self.seen.append(await read_request(reader))
+            self.seen.append(await read_request(reader, self.raw))
             what = self.play.pop(0) if self.play else b"200 OK\r\n\r\nfine"
             self.played.append((self.seen[-1][0].split()[1], what))
             if what == "half":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -44,6 +44,22 @@
     run(test())
 
 
+def test_headers_go_on_but_for_those_of_the_connection():
+    async def test():
+        async with World() as world:
+            reader, writer = await asyncio.open_connection(*world.listen)
+            writer.write(b"POST /op/c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\nX-Timeout: 1\r\n"
+                         b"Twice: 1\r\nTwice: 2\r\nConnection: X-Own\r\nX-Own: 3\r\nExpect: 100-continue\r\n"
+                         b"Content-Length: 4\r\n\r\n")
+            assert b" 100 " in await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1)
+            writer.write(b"body")
+            assert b" 200 " in await asyncio.wait_for(reader.readline(), 1)
+            (_, headers, body), twice = world.backends[0].seen[0], world.backends[0].raw[0]
+            assert body == b"body" and headers["host"] == "api" and not {"x-own", "expect"} & headers.keys()
+            assert b"Twice: 1\r\nTwice: 2\r\n" in twice
+    run(test())
+
+
 @pytest.mark.parametrize("first, effect, status, seen", [
     (b"500 No\r\n\r\n", "at_most_once", 502, 1),
     (b"503 Busy\r\n\r\n", "at_most_once", 502, 1),                    # not said that it never ran
