--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -17,6 +17,7 @@
 from .net.counter import CounterService
 from .net.owner import Owner
 from .net.roster import Roster, entries
+from .net.tally import counters
 from .terms import Malformed
 
 LINGER_S = 0.5          # new connections go on coming so long after SIGTERM
@@ -50,12 +51,36 @@
     return owner, serving
 
 
+def reload(told, owner):
+    """SIGHUP: the configuration file was replaced.  Addresses and limits hold from now on; settings, by which
+    customers and backends are already known, from the next start.  A file that cannot be used changes
+    nothing."""
+    counters["reloads"] += 1
+    try:
+        new = configuration.read(os.environ, anew=True)
+    except Malformed as trouble:
+        logging.error("configuration not taken", extra={"why": str(trouble)})
+        return
+    owner.roster.move(new.discovery)
+    owner.counter.move(new.counter)
+    owner.clients.sockets.most = new.sockets
+    if repr(new.settings) != repr(told.settings):
+        logging.warning("settings changed: they hold from the next start")
+    logging.info("configuration taken", extra={"discovery": new.discovery, "counter": "%s:%d" % new.counter
+                                               if new.counter else "none"})
+
+
 async def gateway(told):
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    replaced = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, replaced.set)
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, tally.report)
     owner, serving = await start(told)
+    loop.add_signal_handler(signal.SIGHUP, reload, told, owner)
+    if replaced.is_set():
+        reload(told, owner)
     gc.freeze()
     logging.info("serving", extra={"gateway": told.name, "listen": "%s:%d" % told.listen})
     stopping = asyncio.create_task(stop.wait())
--- a/kestrelbend/net/configuration.py
+++ b/kestrelbend/net/configuration.py
@@ -27,7 +27,8 @@
     return host, int(port)
 
 
-def read(env):
+def read(env, anew=False):
+    """`anew`: the file was replaced since the start, and its word goes before that of the environment."""
     path = env.get("ROUTER_CONFIG")
     if not path:
         raise Malformed("ROUTER_CONFIG names no configuration file")
@@ -40,7 +41,7 @@
         raise Malformed(f"{path}: holds no settings")
 
     def need(variable, key):
-        value = env.get(variable) or given.get(key)
+        value = given.get(key) or env.get(variable) if anew else env.get(variable) or given.get(key)
         if not value:
             raise Malformed(f"neither {variable} nor {key!r} in {path} is given")
         return value
--- a/kestrelbend/net/counter.py
+++ b/kestrelbend/net/counter.py
@@ -16,7 +16,8 @@
 class Line(asyncio.Protocol):
     """One connection: the calls written on it and not answered, and those that wait for it to come up."""
 
-    def __init__(self):
+    def __init__(self, address):
+        self.address = address
         self.transport, self.reader, self.pending, self.waiting = None, hiredis.Reader(), deque(), []
         self.heard, self.over = 0.0, False
 
@@ -53,8 +54,13 @@
         self.pending.clear()
         self.waiting.clear()
 
-    def usable(self, now, patience):
-        """Not one that ended, nor one that says nothing: a fresh connection may be heard."""
+    def usable(self, now, patience, address):
+        """Not one that ended, nor one that says nothing: a fresh connection may be heard.  One to where the
+        service was before stays for the calls out on it."""
+        if self.address != address and not self.load():
+            if self.transport is not None:
+                self.transport.close()
+            return False
         if self.over or self.transport is not None and self.transport.is_closing():
             return False
         if self.pending and now - max(self.heard, self.pending[0].since) > patience:
@@ -115,17 +121,22 @@
         if self.address is not None:
             self.line(name).write(call)
 
+    def move(self, address):
+        """The service is at another address now; what is out ends where it was sent."""
+        self.address = address
+
     def line(self, name):
         """Answers come in the order of the calls, so that one to a slow part of the service holds up all
         behind it: calls take free connections, but those for one name stay behind one another."""
         now = asyncio.get_running_loop().time()
-        self.lines = [line for line in self.lines if line.usable(now, self.patience)]
+        self.lines = [line for line in self.lines if line.usable(now, self.patience, self.address)]
         for line in self.lines:
             if line.has(name):
                 return line
-        least = min(self.lines, key=Line.load, default=None)
-        if least is None or least.load() and len(self.lines) < CONNECTIONS:
-            least = Line()
+        lines = [line for line in self.lines if line.address == self.address]
+        least = min(lines, key=Line.load, default=None)
+        if least is None or least.load() and len(lines) < CONNECTIONS:
+            least = Line(self.address)
             self.lines.append(least)
             task = asyncio.create_task(self.open(least))
             self.opening.add(task)
@@ -135,7 +146,7 @@
     async def open(self, line):
         try:
             async with asyncio.timeout(self.connect_wait):
-                await asyncio.get_running_loop().create_connection(lambda: line, *self.address)
+                await asyncio.get_running_loop().create_connection(lambda: line, *line.address)
         except (OSError, TimeoutError):
             counters["counter_connects_failed"] += 1
             line.connection_lost()
--- a/kestrelbend/net/roster.py
+++ b/kestrelbend/net/roster.py
@@ -45,6 +45,15 @@
         self.queue, self.base, self.version = queue, address, None
         self.session = self.watching = None
 
+    def move(self, address):
+        """Discovery is at another address now: what it knows is asked for as a whole, at once."""
+        if address != self.base:
+            self.base, self.version = address, None
+            if self.watching is not None:
+                self.watching.cancel()
+                self.watching = None
+            self.watch()
+
     def watch(self):
         if self.watching is None or self.watching.done():
             self.watching = asyncio.create_task(self.follow())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from kestrelbend import terms
-from kestrelbend.__main__ import start
+from kestrelbend.__main__ import reload, start
 from kestrelbend.hosting import Task
 from kestrelbend.interface import Delivery, Invocation, Result, State
 from kestrelbend.net import configuration, lines
@@ -22,7 +22,7 @@
 from kestrelbend.net.roster import entries
 from kestrelbend.net.tally import counters
 
-from .helpers import BASE, World
+from .helpers import BASE, StandCounter, StandDiscovery, World, row
 
 
 def run(test):
@@ -348,7 +348,8 @@
                      "limits": {"sockets": 1024}, "settings": nested(world.pairs),
                      "known": {"rev": 1, "all": True, "targets": world.rows}}
             (tmp_path / "config.json").write_text(json.dumps(given))
-            env = {**os.environ, "ROUTER_CONFIG": str(tmp_path / "config.json")}
+            env = {**os.environ, "ROUTER_CONFIG": str(tmp_path / "config.json"),
+                   "ROUTER_DISCOVERY": world.discovery.address}
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-O", "-m", "kestrelbend", env=env, stderr=subprocess.PIPE)
             for _ in range(200):
@@ -360,6 +361,10 @@
             world.backends[0].play = ["hang"]
             out = asyncio.create_task(world.ask(wait="1.2"))
             await world.until(lambda: world.backends[0].seen)
+            moved = await StandDiscovery(*world.rows).open()
+            (tmp_path / "config.json").write_text(json.dumps(given | {"discovery": moved.address}))
+            process.send_signal(signal.SIGHUP)
+            await world.until(lambda: moved.asked)
             process.send_signal(signal.SIGTERM)
             at = time.monotonic()
             await asyncio.sleep(0.3)
@@ -372,6 +377,39 @@
     run(test())
 
 
+def test_sighup_moves_discovery_and_counter_under_load(tmp_path, monkeypatch):
+    async def test():
+        async with World() as world:
+            path, owner = tmp_path / "config.json", world.owner
+            monkeypatch.setenv("ROUTER_CONFIG", str(path))
+            monkeypatch.setenv("ROUTER_DISCOVERY", world.discovery.address)     # as at the start
+            discovery, counter = await StandDiscovery().open(), await StandCounter().open()
+            discovery.rows = [world.rows[0], row("s9", world.backends[0])]
+            given = {"name": "n0", "listen": "%s:%d" % world.listen, "discovery": discovery.address,
+                     "counter": counter.address, "limits": {"sockets": 99}, "settings": nested(world.pairs)}
+            path.write_text(json.dumps(given)[:-9])
+            reload(world.told, owner)                       # half written: nothing changes
+            assert (await world.ask())[0] == 200 and owner.counter.address[1] == world.counter.port
+            path.write_text(json.dumps(given))
+            owner.counter.queue = asyncio.Queue()
+            owner.counter.add(5, 1, 4_000_000)              # out while the service moves
+            reload(world.told, owner)
+            owner.counter.add(5, 1, 4_000_000)              # in order with the one before
+            owner.counter.add(6, 1, 4_000_000)
+            ended = [await owner.counter.queue.get() for _ in range(3)]
+            assert [e[3] for e in ended if e[1] == 5] == [1.0, 2.0]
+            assert counter.calls == ["6"] and owner.clients.sockets.most == 99
+            owner.counter.queue = owner.queue
+            await world.until(lambda: set(owner.listed) == {"s0", "s9"})
+            assert "since" not in discovery.asked[0]
+            for stand in (world.discovery, world.counter):
+                stand.close()
+            assert (await world.ask())[0] == 200 and len(counter.calls) == 2
+            discovery.close()
+            counter.close()
+    run(test())
+
+
 def test_a_gateway_waits_for_the_address_that_its_former_life_still_holds():
     async def test():
         async with World() as world:
