--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -1,11 +1,10 @@
 """Every decision of the gateway, with every table and tuned value.
 
-How to call it: make one `Gateway(settings, seed, now)` for each running gateway; create its backends as
-`Target` and its customers as `Account`; set `gateway.now` before each event.  Start the generators of
-`chores()` once, one `invocation(inv)` for each invocation taken, and run `ended(delivery, ...)` to its end
-for each delivery that ended, before the invocation itself is resumed.  Call `roster` after the list changed.
-What is yielded and what comes back is in `kestrelbend/interface.py`; `docs/design.md` tells why it is so.
-"""
+How to call it: one `Gateway(settings, seed, now)` for each running gateway; backends are made as `Target`,
+customers as `Account`; set `gateway.now` before each event.  Start the generators of `chores()` once, one
+`invocation(inv)` for each one taken, and run `ended(delivery, ...)` to its end for each delivery that ended,
+before the invocation itself is resumed.  Call `roster` after the list changed.  What is yielded and what
+comes back is in `kestrelbend/interface.py`; `docs/design.md` tells why it is so."""
 from __future__ import annotations
 
 import math
@@ -20,17 +19,14 @@
 # Quota and retry budget.
 WINDOW_BURSTS = 3            # window of the quota names, in burst-over-rate; the design starts at 1
 LONGEST_LIFE = 60 * SECOND   # the counter service forgets by then
-RETRY_SHARE = 0.20           # a customer's marked retries over its quota total
+RETRY_SHARE, RETRY_FLOOR = 0.20, 3     # marked retries over the quota total; rate-seconds it must exceed
 RETRY_RESERVE = 0.5         # part of the burst that a retry must leave to first tries
-RETRY_FLOOR = 3              # seconds' rate that the total must exceed before the share counts
 RETRY_AFTER = 0.2           # part of the objective; the design starts at 1 s
-OUT_WINDOW = 10 * SECOND     # window under a cap: what a killed gateway left out is forgotten then
-PACK = 1000                  # a unit over a delivery out, in one total
+OUT_WINDOW, PACK = 10 * SECOND, 1000     # window under a cap; a unit over a delivery out, in one total
 SILENT_AFTER, SILENT_PAUSE = 3, SECOND // 4     # failed calls in a row: counter silent; between calls to it
 CROWDED, QUIET, LEAST_CALLED = 0.8, 1.01, 0.1    # calls that fail cut the part called for
 CAP_USE, CAP_SETS = 0.25, 4   # a cap held as a rate: mean part out; caps in a set so wide are not counted
-PATIENCE = 0.15              # part of the objective that a total may take where late ones still come
-SPARED = SECOND              # at most, times the part not called for: a customer whose call was turned away
+PATIENCE, SPARED = 0.15, SECOND   # part of the objective for a late total; after a call turned away, at most
 UNKNOWN, SHORT, BLIND_MOVES = 3.0, 2.0, 0.02    # unknown and short customers are called for more often
 
 # Backends.
@@ -99,27 +95,23 @@
         super().__init__(name, plan, spread)
         self.left, self.as_of = None, 0         # limit less total, as of then; None: no total seen yet
         self.window, self.total = None, 0.0     # quota window and the last total seen there
-        self.owed = 0.0                         # units the counter service should still hear of
-        self.guessed = 0.0                      # taken off `left` for other gateways since the last total
-        self.spared_until = 0                   # its last call was turned away: none before then
-        self.share_in = None                    # while the counter is crowded: share of its use with room
+        self.owed, self.guessed = 0.0, 0.0      # units to tell the service of; taken off `left` for others
+        self.spared_until, self.share_in = 0, None  # call turned away: none before; share of use with room
         self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
-        self.out, self.all_out = 0, 0           # invocations out here, and at all gateways as last seen
-        self.owed_out, self.full_until = 0, 0   # those to tell the counter service of; cap taken as reached
+        self.out, self.all_out, self.asking = 0, 0, 0   # out here, at all as last seen; being counted
+        self.owed_out, self.full_until, self.line = 0, 0, []    # to tell of; cap taken as reached; who waits
 
 
 class Gateway:
     def __init__(self, settings, seed, now):
-        self.settings, self.now = settings, now
-        self.rng = Random(seed)
+        self.settings, self.now, self.rng = settings, now, Random(seed)
         self.targets, self.waiting = [], []
-        self.failed = 0.0           # part of the outcomes of late, at all backends
-        self.units = 1.0            # of an invocation, on average
+        self.failed, self.units = 0.0, 1.0      # part of the outcomes of late; mean of an invocation
         self.blind = 0.0            # part of the sampled tries that no total was known for
         self.debt = 0.0             # what slow answers cost beyond the least room of their backends
         self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
-        self.silent, self.silent_until = 0, 0
-        self.called = 1.0           # who has less of the burst left than this part is called for
+        # Who has less of the burst left than the part `called` is called for.
+        self.silent, self.silent_until, self.called = 0, 0, 1.0
         self.subscribed, self.born, self.times = False, now, Histogram()
         objective = min((op.objective for op in settings["operations"]), default=0)
         self.counter_wait = max(settings["counter_timeout"], int(PATIENCE * objective))
@@ -153,9 +145,7 @@
             yield Pause(self.now + self.settings["ask_within"] // 8)
 
     def roster(self, targets, failed):
-        if failed:
-            self.subscribed = False
-            return
+        self.subscribed = self.subscribed and not failed
         self.targets = [t for t in targets if t.state is State.READY]
         for t in self.targets:
             if t.started != t.born:
@@ -171,15 +161,17 @@
         if wait is not None or inv.done:
             yield from self.give_back(inv)
             yield from self.refuse(inv, wait)
-            return
-        acc.out += 1
-        yield from self.serve(inv)
-        acc.out -= 1
-        if not inv.deliveries:
-            yield from self.give_back(inv)
-        elif inv.counted is not None:
-            acc.full_until = 0
-            yield from self.release(inv)
+        else:
+            acc.out += 1
+            yield from self.serve(inv)
+            acc.out -= 1
+            if not inv.deliveries:
+                yield from self.give_back(inv)
+            elif inv.counted is not None:
+                acc.full_until = 0
+                yield from self.release(inv)
+        if acc.line:
+            yield Wake(acc.line[0])
 
     def serve(self, inv):
         give_up = inv.until - 2 * self.settings["tick"]
@@ -192,9 +184,8 @@
             if self.now >= min(end, give_up):
                 yield from self.close(inv)
                 break
-            for d in out:
-                if not d.overdue and self.now >= d.sent + objective:
-                    yield from self.overdue(d)
+            for d in [d for d in out if not d.overdue and self.now >= d.sent + objective]:
+                yield from self.overdue(d)
             if not out:
                 if not self.may_repeat(inv) or inv.deliveries and self.now >= aim:
                     yield from self.close(inv)
@@ -237,9 +228,8 @@
         short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
         if short > 0:
             return self.beyond(inv, self.after(inv, short / plan.rate))
-        # The last total seen was at the cap, and none has ended here since.
-        if plan.most_out and (acc.out >= plan.most_out or self.now < acc.full_until
-                              or inv.retry and self.rng.random() >= self.called):
+        spared = inv.retry and self.rng.random() >= self.called
+        if plan.most_out and (spared or (yield from self.no_place(inv))):
             return self.beyond(inv, self.after(inv))
         inv.counted = (math.ceil(inv.units) if plan.most_out else inv.units) if plan.rate else 0
         inv.window = self.enter(acc)
@@ -247,7 +237,9 @@
         near = plan.rate and (acc.left is None or acc.left - inv.units < self.called * plan.burst)
         near = (near or plan.most_out) and self.now >= acc.spared_until
         if near and self.counter_answers(inv):
+            acc.asking += 1
             yield from self.tally(acc, inv.counted, 1)
+            acc.asking -= 1
             if self.shortage(acc, 0.0) > 0:
                 yield from self.give_back(inv)
                 return self.beyond(inv, self.after(inv, self.shortage(acc, 0.0) / plan.rate))
@@ -268,10 +260,23 @@
                 return self.after(inv)
         return None
 
+    def no_place(self, inv):
+        """Under a cap an invocation waits for a place as it would for a credit, in turn.  While the last
+        total seen was at the cap and none has ended here since, there is none."""
+        acc, most = inv.customer, inv.customer.plan.most_out
+        end = min(inv.until, inv.arrived + int(WAIT * inv.op.objective))
+        acc.line.append(inv)
+        while full := acc.out + acc.asking >= most or self.now < acc.full_until:
+            if inv.done or self.now + (acc.line.index(inv) + 1) * self.gap(inv.op, most) > end:
+                break
+            yield Pause(end if self.now >= acc.full_until else min(end, acc.full_until))
+        acc.line.remove(inv)
+        return inv.done or full
+
     def admit_sampled(self, inv):
-        """The counter service takes fewer calls than there are tries: a part of the tries is called for, each
-        for all that are not; what was refused stays counted, and of a customer's tries the share goes on for
-        which there was room.  Deliveries out are not counted, and a marked retry needs known room."""
+        """The counter service takes fewer calls than there are tries: a part is called for, each for all that
+        are not; what was refused stays counted, and the share of a customer's tries goes on that there was
+        room for.  Deliveries out are not counted, and a marked retry needs known room."""
         acc, plan = inv.customer, inv.customer.plan
         acc.left = None                         # it must be learned anew when all are called for again
         known = acc.share_in is not None
@@ -495,8 +500,7 @@
         t, inv, result = delivery.backend, delivery.inv, delivery.result
         part = delivery.took / inv.op.objective
         self.heed(t, load)
-        if not delivery.overdue:
-            t.out = max(0, t.out - 1)
+        t.out = max(0, t.out - (not delivery.overdue))
         if result is Result.SUCCEEDED:
             t.times.add(part)
             self.times.add(part)
@@ -526,8 +530,7 @@
     def overdue(self, d):
         """Past its objective a delivery gives its credit back, as a slow answer would: a few pieces of long
         work, or a backend fallen silent, must not hold all credits until the client gives up."""
-        d.overdue = True
-        d.backend.out = max(0, d.backend.out - 1)
+        d.overdue, d.backend.out = True, max(0, d.backend.out - 1)
         self.earn(d.backend, -SLOW_LOSES)
         yield from self.judge(d.backend, Result.TIMED_OUT)
         yield from self.wake()
@@ -592,9 +595,7 @@
             inv.customer.share -= inv.units
         if inv in self.waiting:
             self.waiting.remove(inv)
-        t.out += 1
-        if self.cold(t):
-            t.sent += 1
+        t.out, t.sent = t.out + 1, t.sent + self.cold(t)
         d = Delivery(inv, t, self.now, until, len(inv.deliveries))
         inv.deliveries.append(d)
         yield Deliver(d)
