A request in pieces on a connection long idle has its time; backends long gone are forgotten

Found by reading the code: Door.end_silent measured a request that has begun from the connection's last answer, so one whose bytes came in two pieces after 2 s of quiet could be answered 408 between them; Host kept each backend that ever was on the list. Now the time runs from a request's first byte, and a backend is forgotten once it is off the list for longer than it could come back cold.

--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -92,7 +92,10 @@
     def data_received(self, data):
         if data and self in self._manager.busy:
             self.alone()
-        self.begun = True
+        elif not self.begun:
+            self.begun = True
+            if self in self._manager.idle:      # it has its time anew: it may come in pieces
+                self.since = self._loop.time()
         super().data_received(data)
 
 
--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -16,6 +16,7 @@
     def __init__(self, settings, seed, clock, queue):
         super().__init__(settings, seed, clock())
         self.clock, self.queue, self.requests = clock, queue, {}
+        self.gone = {}                  # backends off the list, and since when
         self.late = 0                   # how late alarms came of late: the gateway is short of CPU
         self.clients = self.backend_peer = self.roster = self.counter = None
 
@@ -93,6 +94,14 @@
             self.backend_peer.listed(self.backends[uid], endpoints[uid])
         for uid in before - set(self.listed):
             self.backend_peer.unlisted(self.backends[uid])
+            self.gone[uid] = self.gateway.now
+        # What is known of one counts while it could come back cold; after that it would only fill the memory.
+        for uid, since in list(self.gone.items()):
+            if uid in self.listed or self.gateway.now - since > self.settings["cold"]:
+                del self.gone[uid]
+                if uid not in self.listed:
+                    self.probes.pop(self.backends[uid], None)
+                    del self.backend_ids[self.backends.pop(uid)]
 
     def on_unlisted(self):
         self.unlisted()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -250,6 +250,10 @@
             world.discovery.tell(rows[1] | {"boot_ms": 5})
             await world.until(lambda: owner.backends["s0"].state is State.GONE)
             assert owner.backends["s1"].started == 5000 and len(owner.backend_peer.links) == 1
+            owner.gone["s0"] -= owner.settings["cold"]      # it went long ago: nothing of it is kept
+            world.discovery.tell(rows[1] | {"boot_ms": 5})
+            await world.until(lambda: "s0" not in owner.backends)
+            assert len(owner.backend_ids) == 1 and not owner.gone
             assert "since=2&" in world.discovery.asked[2]
             world.discovery.close()                     # the agent is gone, then back
             await world.until(lambda: counters["discovery_failed"])
@@ -325,6 +329,14 @@
                 came = await asyncio.wait_for(reader.read(), 1)
                 assert came.startswith(b"HTTP/1.1 408 ") if said else came == b""
             assert not world.owner.clients.server.busy and (await world.ask(on=kept))[0] == 200
+            await asyncio.sleep(0.3)                    # idle for longer than a request may take to come
+            reader, writer = kept
+            for part in (b"GET " + C1.encode() + b" HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\n",
+                         b"Api-Plan: plan\r\n\r\n"):
+                writer.write(part)
+                await asyncio.sleep(0.02)
+                world.owner.clients.server.end_silent()
+            assert b" 200 " in await asyncio.wait_for(reader.readuntil(b"fine"), 1)
             kept[1].write(b"GET ")
             assert b" 408 " in await asyncio.wait_for(kept[0].read(), 1)
     run(test())
