--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -1,106 +1,16 @@
-"""One real gateway: `python -m kestrelbend`, told by its environment where everything is."""
-from __future__ import annotations
-
-import asyncio
+"""`python -m kestrelbend`: one gateway, told by its environment where everything is."""
 import gc
-import logging
-import os
-import signal
 import sys
-import time
-
-import uvloop
-
-from .net import configuration, lines, tally
-from .net.backends import Backends
-from .net.clients import Clients
-from .net.counter import CounterService
-from .net.owner import Owner
-from .net.roster import Roster, entries
-from .net.tally import counters
-from .terms import Malformed
-
-LINGER_S = 0.5          # new connections go on coming so long after SIGTERM
-
-
-def make_clock():
-    """Unix time in whole microseconds, that never steps back: gateways name counts by it."""
-    base = time.time_ns() - time.monotonic_ns()
-    return lambda: (base + time.monotonic_ns()) // 1000
-
-
-def longest(told):
-    """Seconds that an invocation may take: the longest integration timeout."""
-    return max((op.timeout for op in told.settings["operations"]), default=0) / 1e6
-
-
-async def start(told):
-    """The owner with its peers, and the task in which it serves."""
-    clock, queue = make_clock(), asyncio.Queue()
-    owner = Owner(told.settings, told.seed, clock, queue)
-    sockets = tally.Sockets(told.sockets)
-    owner.backend_peer = Backends(queue, clock, told.settings, sockets)
-    owner.clients = Clients(queue, clock, told.settings, sockets, owner.backend_peer.renew, longest(told))
-    owner.counter = CounterService(queue, told.counter, told.settings, owner.gateway.counter_wait)
-    owner.roster = Roster(queue, told.discovery)
-    if told.known:
-        owner.on_listing(entries(told.known))
-    serving = asyncio.create_task(owner.serve())
-    await owner.clients.start(told.listen)
-    owner.roster.watch()
-    return owner, serving
-
-
-def reload(told, owner):
-    """SIGHUP: the configuration file was replaced.  Addresses and limits hold from now on; settings, by which
-    customers and backends are already known, from the next start.  A file that cannot be used changes
-    nothing."""
-    counters["reloads"] += 1
-    try:
-        new = configuration.read(os.environ, anew=True)
-    except Malformed as trouble:
-        logging.error("configuration not taken", extra={"why": str(trouble)})
-        return
-    owner.roster.move(new.discovery)
-    owner.counter.move(new.counter)
-    owner.clients.sockets.most = new.sockets
-    if repr(new.settings) != repr(told.settings):
-        logging.warning("settings changed: they hold from the next start")
-    logging.info("configuration taken", extra={"discovery": new.discovery, "counter": "%s:%d" % new.counter
-                                               if new.counter else "none"})
-
-
-async def gateway(told):
-    loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    replaced = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, replaced.set)
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGUSR1, tally.report)
-    owner, serving = await start(told)
-    loop.add_signal_handler(signal.SIGHUP, reload, told, owner)
-    if replaced.is_set():
-        reload(told, owner)
-    gc.freeze()
-    logging.info("serving", extra={"gateway": told.name, "listen": "%s:%d" % told.listen})
-    stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
-    if serving.done():
-        serving.result()
-    logging.info("draining")
-    await owner.clients.drain(LINGER_S)
-    tally.report()
 
 
 def main():
-    lines.start()
     if len(sys.argv) > 1:
         sys.exit("usage: python -m kestrelbend   (told by ROUTER_CONFIG and the other ROUTER_ variables)")
-    try:
-        told = configuration.read(os.environ)
-        uvloop.run(gateway(told))
-    except (Malformed, OSError) as trouble:
-        sys.exit(f"kestrelbend: {trouble}")
+    # A fleet that starts at once has little CPU for each: none of what is imported is garbage, and looking
+    # for some takes a seventh of the start.  Collecting begins when the gateway serves.
+    gc.disable()
+    from .net.gateway import serve
+    serve()
 
 
 if __name__ == "__main__":
--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -124,10 +124,12 @@
         return asks + [self.keep_subscribed()] * s["must_subscribe"]
 
     def ask_fresh(self):
-        """Backends that report only when probed are probed while they are cold."""
+        """Backends that report only when probed are probed while they are cold: by all gateways together
+        about as often as by one alone, drawn here by chance: else they grow with gateways times backends."""
         while True:
             for t in filter(self.cold, self.targets):
-                yield Spawn(self.ask(t))
+                if self.rng.random() * self.settings["gateways"] < 1:
+                    yield Spawn(self.ask(t))
             yield Pause(self.now + ASK_EVERY)
 
     def ask(self, t):
--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -162,17 +162,28 @@
     def __init__(self, queue, clock, settings, sockets):
         self.queue, self.clock, self.settings = queue, clock, settings
         self.sockets, self.connecting = sockets, 0
-        self.links, self.running, self.tasks = {}, {}, set()    # by backend; by delivery: its task; probes
+        # Where each backend is; the links to those that were ever sent to; by delivery: its task; probes.
+        self.endpoints, self.links, self.running, self.tasks = {}, {}, {}, set()
 
     # Addresses.
 
     def listed(self, backend, endpoint):
-        link = self.links.get(backend)
-        if link is None or link.endpoint != endpoint:
+        if self.endpoints.get(backend) != endpoint:
             self.unlisted(backend)
-            self.links[backend] = Link(endpoint, self.settings)
+            self.endpoints[backend] = endpoint
+
+    def link(self, backend):
+        """Made when it is first needed: one for each of hundreds costs time at the start, and memory."""
+        link = self.links.get(backend)
+        if link is None and backend in self.endpoints:
+            link = self.links[backend] = Link(self.endpoints[backend], self.settings)
+        return link
 
     def unlisted(self, backend):
+        self.endpoints.pop(backend, None)
+        self.retire(backend)
+
+    def retire(self, backend):
         """Its idle connections go now, those in use with their last user."""
         link = self.links.pop(backend, None)
         if link is not None:
@@ -186,9 +197,7 @@
     def renew(self, *backends):
         """Give up the connections kept to these backends, or to all."""
         for backend in backends or list(self.links):
-            endpoint = self.links[backend].endpoint
-            self.unlisted(backend)
-            self.listed(backend, endpoint)
+            self.retire(backend)
 
     def keep(self, task):
         self.tasks.add(task)
@@ -231,7 +240,7 @@
 
     async def exchange(self, sending, method, target, left, **more):
         """One request on one connection: (status, body, headers)."""
-        link = self.links.get(sending.backend)
+        link = self.link(sending.backend)
         if link is None or left <= 0:
             raise NotWanted
         link.users += 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,11 +9,11 @@
 import hiredis
 
 from kestrelbend import terms
-from kestrelbend.__main__ import start
 from kestrelbend.benchlink import codec
 from kestrelbend.benchlink.host import Instance
 from kestrelbend.interface import Result
 from kestrelbend.net.configuration import Told
+from kestrelbend.net.gateway import start
 
 MS = 1000
 BASE = {
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,11 +15,11 @@
 from multidict import CIMultiDict
 
 from kestrelbend import terms
-from kestrelbend.__main__ import reload, start
 from kestrelbend.hosting import Task
 from kestrelbend.interface import Delivery, Invocation, Result, State
 from kestrelbend.net import clients, configuration, lines
 from kestrelbend.net.clients import Request
+from kestrelbend.net.gateway import reload, start
 from kestrelbend.net.roster import entries
 from kestrelbend.net.tally import counters
 
@@ -156,10 +156,10 @@
         async with World(classes__0__objective=100) as world:
             target, backend = world.owner.backends["s0"], world.backends[0]
             backend.play = ["hang"]
-            before = world.owner.backend_peer.links[target]
+            before = world.owner.backend_peer.link(target)
             assert (await world.ask(wait="0.3"))[0] in (429, 502)
             await world.until(lambda: before.session.closed)
-            assert world.owner.backend_peer.links[target] is not before
+            assert world.owner.backend_peer.link(target) is not before
     run(test())
 
 
@@ -249,7 +249,7 @@
             await world.until(lambda: owner.backends["s0"].state is State.DRAINING)
             world.discovery.tell(rows[1] | {"boot_ms": 5})
             await world.until(lambda: owner.backends["s0"].state is State.GONE)
-            assert owner.backends["s1"].started == 5000 and len(owner.backend_peer.links) == 1
+            assert owner.backends["s1"].started == 5000 and len(owner.backend_peer.endpoints) == 1
             owner.gone["s0"] -= owner.settings["cold"]      # it went long ago: nothing of it is kept
             world.discovery.tell(rows[1] | {"boot_ms": 5})
             await world.until(lambda: "s0" not in owner.backends)
