--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import math
-from hashlib import blake2b
 from random import Random
 
 from .interface import (Backend, Cancel, Count, Customer, Deliver, Delivery, Effect, Fail, Log,
                         Pause, Probe, Result, Scope, Spawn, State, Subscribe, Throttle, Wake)
+from .keys import stable_key
+from .routing.pool import Pool
 
 SECOND = 1_000_000
 
@@ -77,7 +78,7 @@
 
     def __init__(self):
         super().__init__()
-        self.out = 0                            # credits spent
+        self.out, self.pooled = 0, False        # credits spent; whether it may be picked
         self.fresh()
 
     def fresh(self):
@@ -105,7 +106,8 @@
 class Gateway:
     def __init__(self, settings, seed, now):
         self.settings, self.now, self.rng = settings, now, Random(seed)
-        self.targets, self.waiting = [], []
+        self.pool = Pool(settings["gateways"], settings["gateway"], now)
+        self.waiting = []
         self.failed, self.units = 0.0, 1.0      # part of the outcomes of late; mean of an invocation
         self.blind = 0.0            # part of the sampled tries that no total was known for
         self.debt = 0.0             # what slow answers cost beyond the least room of their backends
@@ -127,8 +129,8 @@
         """Backends that report only when probed are probed while they are cold: by all gateways together
         about as often as by one alone, drawn here by chance: else they grow with gateways times backends."""
         while True:
-            for t in filter(self.cold, self.targets):
-                if self.rng.random() * self.settings["gateways"] < 1:
+            for t in filter(self.cold, list(self.pool.members)):
+                if self.rng.random() * self.pool.sharers() < 1:
                     yield Spawn(self.ask(t))
             yield Pause(self.now + ASK_EVERY)
 
@@ -148,12 +150,18 @@
 
     def roster(self, targets, failed):
         self.subscribed = self.subscribed and not failed
-        self.targets = [t for t in targets if t.state is State.READY]
-        for t in self.targets:
+        ready = [t for t in targets if t.state is State.READY]
+        for t in ready:
             if t.started != t.born:
                 t.fresh()
+        self.pool.listed(ready)
+        self.fill()
+
+    def fill(self):
+        self.pool.fill(self.now, self.part)
+        for t in self.pool.members:
             if not t.room:
-                t.room = (LEAST_ROOM if self.cold(t) else FIRST_ROOM) / self.settings["gateways"]
+                self.pool.resize(t, (LEAST_ROOM if self.cold(t) else FIRST_ROOM) / self.pool.sharers())
 
     # One invocation, from top to bottom.
 
@@ -344,8 +352,7 @@
         return min(LONGEST_LIFE, self.window_length(acc) * 11 // 10)
 
     def name(self, acc, what, window):
-        text = f"{acc.plan.name} {acc.name} {what} {window}"
-        return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") >> 1
+        return stable_key(f"{acc.plan.name} {acc.name} {what} {window}")
 
     def call(self, name, add, life):
         asked, reply = self.now, (yield Count(name, add, life))
@@ -461,32 +468,34 @@
 
     def room(self):
         """Credits in all; a part of one still lets one invocation through."""
-        return max(1, int(sum(t.room for t in self.targets if t.bench <= self.now) - self.debt))
+        if self.pool.returns <= self.now:       # one benched is back
+            self.fill()
+        return max(1, int(self.pool.rooms - self.debt))
 
     def free(self):
-        return max(0, self.room() - sum(t.out for t in self.targets if t.bench <= self.now))
+        return max(0, self.room() - self.pool.out)
 
     def earn(self, t, credit):
-        n = self.settings["gateways"]
+        n = self.pool.sharers()
         if credit > 0:
             paid = min(credit, self.debt)
             self.debt, credit = self.debt - paid, credit - paid
         wanted = t.room + credit
-        t.room = min(MOST_ROOM / n, max(LEAST_ROOM / n, wanted))
-        most = sum(t.room for t in self.targets) - LEAST_ROOM / n * len(self.targets)
+        self.pool.resize(t, min(MOST_ROOM / n, max(LEAST_ROOM / n, wanted)))
+        most = self.pool.rooms - LEAST_ROOM / n * len(self.pool.members)
         if self.times.median() > ALL_SLOW:      # else it is this backend's own matter
             self.debt += max(0.0, t.room - wanted)
         self.debt = min(max(0.0, most), self.debt)
 
     def pick(self, inv):
-        if not self.free():
+        if not self.free() or not self.may_go(inv):
             return None
         tried = {d.backend for d in inv.deliveries}
         lost = {d.backend.zone for d in inv.deliveries if d.result is Result.UNREACHABLE}
         usual = self.times.mean(0.2)
         best, least = None, math.inf
-        for t in self.targets:
-            if t.out >= max(1.0, t.room) or t.bench > self.now or not self.may_send(inv, t):
+        for t in self.pool.candidates(self.rng):
+            if t.out >= 1.0 and t.out >= t.room or not self.may_take(inv, t):
                 continue
             score = (t.out + 1) * t.times.mean(usual) / t.weight * (0.9 + 0.2 * self.rng.random())
             if t in tried:
@@ -495,14 +504,16 @@
                 score *= 10
             if score < least:
                 best, least = t, score
-        return best
+        return best or next((t for t in self.pool.order if t.bench <= self.now and self.may_take(inv, t)
+                             and (t.out < 1.0 or t.out < t.room)), None)
 
     def ended(self, delivery, load=None, actual=0):
         """A delivery ended: earn its credit back, judge its backend, wake who waits."""
         t, inv, result = delivery.backend, delivery.inv, delivery.result
         part = delivery.took / inv.op.objective
         self.heed(t, load)
-        t.out = max(0, t.out - (not delivery.overdue))
+        if not delivery.overdue:
+            self.pool.give_back(t)
         if result is Result.SUCCEEDED:
             t.times.add(part)
             self.times.add(part)
@@ -532,7 +543,8 @@
     def overdue(self, d):
         """Past its objective a delivery gives its credit back, as a slow answer would: a few pieces of long
         work, or a backend fallen silent, must not hold all credits until the client gives up."""
-        d.overdue, d.backend.out = True, max(0, d.backend.out - 1)
+        d.overdue = True
+        self.pool.give_back(d.backend)
         self.earn(d.backend, -SLOW_LOSES)
         yield from self.judge(d.backend, Result.TIMED_OUT)
         yield from self.wake()
@@ -549,11 +561,13 @@
             t.sick = max(0.0, t.sick + math.log((1 - sick) / (1 - expected)))
             t.benched = t.benched if t.sick else 0
         if t.sick >= SICK_AT and t.bench <= self.now:
-            sick = sum(o.bench > self.now for o in self.targets)
-            if result is Result.UNREACHABLE or sick + 1 <= max(1, MOST_BENCHED * len(self.targets)):
+            sick = self.pool.benched() + 1
+            if result is Result.UNREACHABLE or sick <= max(1, MOST_BENCHED * self.pool.reach):
                 t.bench = self.now + min(LONGEST_BENCH, BENCH << t.benched)
                 t.benched += 1
-                t.room, t.sick = LEAST_ROOM / self.settings["gateways"], SICK_AT - 1
+                self.pool.resize(t, LEAST_ROOM / self.pool.sharers())
+                t.sick = SICK_AT - 1
+                self.fill()
                 yield Log("backend benched by its outcomes", t)
 
     def value(self, inv):
@@ -576,19 +590,27 @@
             return self.now < min(d.sent for d in ran) + inv.op.memory - self.settings["tick"]
         return not ran or inv.op.effect is Effect.IDEMPOTENT
 
-    def may_send(self, inv, t):
-        if inv.done or self.now >= inv.until or t.state is not State.READY or not self.may_repeat(inv):
+    def may_go(self, inv):
+        """Rules 1, 2 and 5, without a backend in view."""
+        if inv.done or self.now >= inv.until or not self.may_repeat(inv):
+            return False
+        acc = inv.customer
+        return bool(inv.deliveries) or not acc.plan.ceiling_rate or self.ceiling_share(acc) >= inv.units
+
+    def may_take(self, inv, t):
+        """Rules 2, 3 and 4 for one backend."""
+        if t.state is not State.READY:
             return False
-        if inv.op.effect is Effect.TOKENED and inv.op.scope is not Scope.ALL:
+        if inv.deliveries and inv.op.effect is Effect.TOKENED and inv.op.scope is not Scope.ALL:
             for d in inv.deliveries:
                 if d.may_have_run and (d.backend.zone != t.zone if inv.op.scope is Scope.ZONE
                                        else d.backend.group != t.group):
                     return False
-        acc = inv.customer
-        if not inv.deliveries and acc.plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
-            return False
         return not self.cold(t) or self.cold_room(t)
 
+    def may_send(self, inv, t):
+        return self.may_go(inv) and self.may_take(inv, t)
+
     def deliver(self, inv, t, until):
         """The one way to a backend: all five rules are kept here."""
         if not self.may_send(inv, t):
@@ -597,7 +619,11 @@
             inv.customer.share -= inv.units
         if inv in self.waiting:
             self.waiting.remove(inv)
-        t.out, t.sent = t.out + 1, t.sent + self.cold(t)
+        self.pool.spend(t)
+        t.sent += self.cold(t)
+        if (width := self.pool.wants_width(self.now)) is not None:
+            self.pool.width = width
+            self.fill()
         d = Delivery(inv, t, self.now, until, len(inv.deliveries))
         inv.deliveries.append(d)
         yield Deliver(d)
@@ -606,18 +632,25 @@
     def cold(self, t):
         return t.started is not None and self.now - t.started < self.settings["cold"]
 
+    def part(self, t):
+        """The part of its capacity that a backend must have reached."""
+        s = self.settings
+        grown = max(0, self.now - t.started) / s["cold"] if self.cold(t) else 1.0
+        return s["cold_from"] + (1 - s["cold_from"]) * grown
+
     def cold_room(self, t):
         """Whether a cold backend may get one more.  What this gateway gets answered by a warm backend is its
         share of what that can do; a cold one gets that share of the part of it that it must by now reach.
         A share of less than one is drawn for each quarter span, so that the sum over any number of gateways
         holds: any span meets five quarters at most, and COLD_MARGIN leaves room for them and for chance."""
         s = self.settings
+        if not t.pooled:        # others' parts would come on top of those of the gateways that keep to it
+            return False
         quarter = max(1, s["fall"] // 4)
         if (slot := (self.now - t.started) // quarter) != t.slot:
-            warm = sum(not self.cold(o) for o in self.targets)
-            part = s["cold_from"] + (1 - s["cold_from"]) * max(0, self.now - t.started) / s["cold"]
+            warm = sum(not self.cold(o) for o in self.pool.reached())
             pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, warm)
-            most = s["fall_multiple"] * part * pace * quarter
+            most = s["fall_multiple"] * self.part(t) * pace * quarter
             most *= COLD_MARGIN if most >= 1 else COLD_CHANCE
             # With nothing answered yet, one from all gateways together.
             t.slot, t.sent, t.most = slot, 0, int(max(most, 1 / s["gateways"]) + self.rng.random())
--- a/kestrelbend/hosting.py
+++ b/kestrelbend/hosting.py
@@ -9,6 +9,7 @@
 
 from . import interface as i
 from .choice import Account, Gateway, Target
+from .keys import stable_key
 
 SWEEP = 1024        # customers held before those that the module is done with are first looked for
 
@@ -123,6 +124,7 @@
             target = self.backends.get(number)
             if target is None:
                 target = self.backends[number] = Target()
+                target.key = stable_key(str(number))
                 self.backend_ids[target] = number
             target.zone, target.kind, target.group, target.state = zone, machine, group, state
             target.weight, target.started = weight if weight > 0 else 1.0, started or None
--- a/kestrelbend/interface.py
+++ b/kestrelbend/interface.py
@@ -85,6 +85,7 @@
     state: State = State.READY
     weight: float = 1.0
     started: int | None = None     # latest start; None: long past
+    key: int = 0                   # a stable hash of its id: the same at every gateway
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -145,7 +145,7 @@
         f.accept(n)
         while f.take("pass_on"):
             f.returned(n, len(f.inst.invs[n].deliveries) - 1, Result.UNREACHABLE, took=0)
-    assert sum(t.bench > f.now for t in f.gateway.targets) == 4     # not a third at most, as by errors
+    assert sum(t.bench > f.now for t in f.gateway.pool.order) == 4     # not a third at most, as by errors
 
 
 @pytest.mark.parametrize("changes", [
@@ -275,9 +275,9 @@
     assert len(f.take("pass_on")) == room and not f.gateway.free()
     while f.now < f.inst.invs[0].arrived + 1000 * MS:
         f.pass_time(1000)
-    assert f.gateway.free() and sum(t.out for t in f.gateway.targets) == 0
+    assert f.gateway.free() and sum(t.out for t in f.gateway.pool.order) == 0
     f.returned(0, 0, Result.SUCCEEDED, took=1500)
-    assert sum(t.out for t in f.gateway.targets) == 0
+    assert sum(t.out for t in f.gateway.pool.order) == 0
 
 
 def test_customers_done_with_are_forgotten_but_no_spent_ceiling():
@@ -332,5 +332,5 @@
         bad = every and n % every in (0, 1) or sick and target is f.inst.backends[1] and n > 800
         f.returned(n, 0, Result.BROKEN if bad else Result.SUCCEEDED, took=20, ended=not bad)
         if n > 400:
-            benched += sum(t.bench > f.now for t in ([f.inst.backends[1]] if sick else f.gateway.targets))
+            benched += sum(t.bench > f.now for t in ([f.inst.backends[1]] if sick else f.gateway.pool.order))
     assert bool(benched) == sick
