--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -1,5 +1,6 @@
 """`python -m kestrelbend`: one gateway, told by its environment where everything is."""
 import gc
+import os
 import sys
 
 
@@ -9,8 +10,11 @@
     # A fleet that starts at once has little CPU for each: none of what is imported is garbage, and looking
     # for some takes a seventh of the start.  Collecting begins when the gateway serves.
     gc.disable()
+    from .net.porch import Porch
+    from .net.signals import Early
+    early, porch = Early(), Porch.open(os.environ)
     from .net.gateway import serve
-    serve()
+    serve(early, porch)
 
 
 if __name__ == "__main__":
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -8,6 +8,7 @@
 import re
 import socket
 import sys
+import time
 
 from aiohttp import web
 
@@ -78,11 +79,12 @@
 class Connection(web.RequestHandler):
     """aiohttp's handler of one connection, with since when no request is open on it, whether one has begun to
     come, and whether it ends with its present answer."""
-    __slots__ = ("since", "begun", "ending")
+    __slots__ = ("since", "begun", "ending", "came")
 
     def __init__(self, server, **more):
         super().__init__(server, **more)
         self.since, self.begun, self.ending = self._loop.time(), False, False
+        self.came = None        # monotonic nanoseconds: when bytes came that were read before it was loaded
 
     def alone(self):
         """A client asks one thing at a time: what came or comes behind an open request is left alone."""
@@ -201,10 +203,15 @@
         self.longest, self.leaving = longest, False         # seconds that an invocation may take
         self.server = self.listener = self.accepting = self.looking = None
 
-    async def start(self, listen):
+    async def start(self, listen, porch=None):
         """Its former life may still hold the address for as long as it drains."""
         self.server = Door(self.handle, self.sockets)
         end = asyncio.get_running_loop().time() + self.longest
+        if porch is not None:
+            self.listener, held = porch.hand_over()
+            counters["refused_while_loading"] += porch.refused
+            for each in held:
+                await self.adopt(each)
         while self.listener is None:
             try:
                 self.listener = socket.create_server(listen, backlog=1024)
@@ -216,6 +223,17 @@
         self.accepting = asyncio.create_task(self.accept())
         self.looking = asyncio.create_task(self.look())
 
+    async def adopt(self, held):
+        """One that the porch took in, with what it has said so far and since when."""
+        counters["connections_taken_while_loading"] += 1
+        try:
+            _, handler = await asyncio.get_running_loop().connect_accepted_socket(self.server, held.socket)
+        except OSError:
+            return
+        if held.data:
+            handler.came = held.came
+            handler.data_received(held.data)
+
     async def look(self):
         while True:
             await asyncio.sleep(LOOK_S)
@@ -263,7 +281,7 @@
                 message.writer.output_size = 0          # the answer itself has not begun
             body = await message.read() if message.body_exists else b""
             request = Request(message.method, message.raw_path, message.headers, body,
-                              self.clock() - age(message.transport), self.settings)
+                              self.clock() - self.waited(message), self.settings)
             if request.operation not in self.operations or request.plan not in self.plans:
                 raise ValueError("no such operation or plan")
             if request.id in self.ids:
@@ -288,6 +306,12 @@
             self.ids.discard(request.id)
             self.server.answered(message.protocol)
 
+    @staticmethod
+    def waited(message):
+        """Microseconds since the request came."""
+        came, message.protocol.came = message.protocol.came, None
+        return age(message.transport) if came is None else (time.monotonic_ns() - came) // 1000
+
     @staticmethod
     def settle(request, what, *answer, **more):
         """The one place where a request gets its answer; a client that left gets none."""
--- a/kestrelbend/net/gateway.py
+++ b/kestrelbend/net/gateway.py
@@ -34,7 +34,7 @@
     return max((op.timeout for op in told.settings["operations"]), default=0) / 1e6
 
 
-async def start(told):
+async def start(told, porch=None):
     """The owner with its peers, and the task in which it serves."""
     clock, queue = make_clock(), asyncio.Queue()
     owner = Owner(told.settings, told.seed, clock, queue)
@@ -46,7 +46,7 @@
     if told.known:
         owner.on_listing(entries(told.known))
     serving = asyncio.create_task(owner.serve())
-    await owner.clients.start(told.listen)
+    await owner.clients.start(told.listen, porch)
     owner.roster.watch()
     return owner, serving
 
@@ -70,14 +70,17 @@
                                                if new.counter else "none"})
 
 
-async def gateway(told):
+async def gateway(told, early, porch):
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     replaced = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, replaced.set)
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, tally.report)
-    owner, serving = await start(told)
+    for happened, event in ((early.stopped, stop), (early.replaced, replaced)):
+        if happened:
+            event.set()
+    owner, serving = await start(told, porch)
     loop.add_signal_handler(signal.SIGHUP, reload, told, owner)
     if replaced.is_set():
         reload(told, owner)
@@ -93,11 +96,11 @@
     tally.report()
 
 
-def serve():
+def serve(early, porch):
     """Serves until SIGTERM; a wrong configuration ends it with one plain line."""
     lines.start()
     try:
         told = configuration.read(os.environ)
-        uvloop.run(gateway(told))
+        uvloop.run(gateway(told, early, porch))
     except (Malformed, OSError) as trouble:
         sys.exit(f"kestrelbend: {trouble}")
--- /dev/null
+++ b/kestrelbend/net/porch.py
@@ -0,0 +1,145 @@
+"""The porch: takes connections in while the rest of the program is still being loaded.
+
+A gateway that comes back on part of a core is loaded for the better part of a second.  Its machine takes
+connections from the first moment, and clients that have little time left, or whose time began while they
+waited, would be answered too late (seen: four lost at the return of 144 gateways at once).  So a thread
+listens before anything heavy is imported, notes when each request came, refuses at once what cannot wait, and
+hands the rest over with the bytes read so far.  It imports nothing that takes time, and decides nothing else.
+"""
+from __future__ import annotations
+
+import json
+import os
+import re
+import select
+import socket
+import threading
+import time
+
+MOST = 64               # connections held; others wait in the kernel's line
+SHORTEST_S = 0.5        # a client that waits no longer is refused at once
+PART = 0.4              # and any other once so much of its time has passed
+TURN_MS = 20
+LONGEST_HEAD = 1 << 14
+REFUSAL = (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
+           b"Connection: close\r\n\r\n")
+TIMEOUT = re.compile(rb"\r\nX-Timeout:[ \t]*([0-9.]{1,16})[ \t]*\r\n", re.IGNORECASE)
+
+
+def place(env):
+    """Where to listen, or None: what is wrong with a configuration is said by those who read all of it."""
+    try:
+        text = env.get("ROUTER_LISTEN")
+        if not text:
+            with open(env["ROUTER_CONFIG"], encoding="utf-8") as file:
+                text = json.load(file)["listen"]
+        host, _, port = str(text).rpartition(":")
+        return host, int(port)
+    except (KeyError, TypeError, ValueError, OSError):
+        return None
+
+
+class Held:
+    """A connection whose request, as far as it has come, waits for the gateway."""
+    __slots__ = ("socket", "data", "came", "wait")
+
+    def __init__(self, connection):
+        self.socket, self.data, self.came, self.wait = connection, b"", time.monotonic_ns(), None
+
+    def read(self):
+        """False once its client has left."""
+        try:
+            more = self.socket.recv(LONGEST_HEAD)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        self.data, self.came = self.data + more, time.monotonic_ns()
+        if self.wait is None and b"\r\n\r\n" in self.data:
+            told = TIMEOUT.search(self.data)
+            try:
+                self.wait = float(told[1]) if told else 0.0     # 0: none told, it can wait
+            except ValueError:
+                self.wait = 0.0
+        return bool(more)
+
+    def over(self):
+        if not self.wait:
+            return False
+        return self.wait < SHORTEST_S or time.monotonic_ns() - self.came > PART * self.wait * 1e9
+
+    def refuse(self):
+        try:
+            self.socket.send(REFUSAL)
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+
+class Porch:
+    def __init__(self, listener):
+        self.listener, self.held, self.refused = listener, {}, 0
+        self.bell, self.ring = os.pipe()
+        self.poll = select.poll()
+        listener.setblocking(False)
+        for fd in (self.bell, listener.fileno()):
+            self.poll.register(fd, select.POLLIN)
+        self.thread = threading.Thread(target=self.serve, name="porch", daemon=True)
+        self.thread.start()
+
+    @classmethod
+    def open(cls, env):
+        """None where it cannot listen: the gateway, once loaded, waits for its address or says why."""
+        at = place(env)
+        if at is None:
+            return None
+        try:
+            return cls(socket.create_server(at, backlog=1024))
+        except (OSError, OverflowError):
+            return None
+
+    def serve(self):
+        while True:
+            for fd, _ in self.poll.poll(TURN_MS):
+                if fd == self.bell:
+                    return
+                if fd == self.listener.fileno():
+                    self.accept()
+                elif not self.held[fd].read():
+                    self.drop(fd)
+                elif len(self.held[fd].data) >= LONGEST_HEAD:
+                    self.poll.unregister(fd)            # the rest is for the gateway to read
+            for fd in [fd for fd, held in self.held.items() if held.over()]:
+                self.held[fd].refuse()
+                self.refused += 1
+                self.drop(fd)
+
+    def accept(self):
+        try:
+            connection, _ = self.listener.accept()
+        except OSError:
+            return
+        connection.setblocking(False)
+        held = self.held[connection.fileno()] = Held(connection)
+        self.poll.register(connection.fileno(), select.POLLIN)
+        if not held.read():
+            self.drop(connection.fileno())
+        if len(self.held) >= MOST:
+            self.poll.unregister(self.listener.fileno())
+
+    def drop(self, fd):
+        if len(self.held) == MOST:
+            self.poll.register(self.listener.fileno(), select.POLLIN)
+        try:
+            self.poll.unregister(fd)
+        except KeyError:
+            pass
+        self.held.pop(fd).socket.close()
+
+    def hand_over(self):
+        """(the listening socket, what is held); the thread has ended."""
+        os.write(self.ring, b"x")
+        self.thread.join()
+        os.close(self.bell)
+        os.close(self.ring)
+        return self.listener, list(self.held.values())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -20,6 +21,7 @@
 from kestrelbend.net import clients, configuration, lines
 from kestrelbend.net.clients import Request
 from kestrelbend.net.gateway import reload, start
+from kestrelbend.net.porch import Porch
 from kestrelbend.net.roster import entries
 from kestrelbend.net.tally import counters
 
@@ -468,25 +470,8 @@
 def test_sigterm_serves_what_came_and_what_still_comes(tmp_path):
     """In a process of its own, as the operators start it."""
     async def test():
-        async with World() as world:
-            await world.__aexit__()
-            for stand in (world.counter, world.discovery, world.backends[0]):
-                await stand.open(stand.port)
-            given = {"name": "n0", "listen": "%s:%d" % world.listen, "discovery": world.discovery.address,
-                     "counter": world.counter.address, "seed": "8c1f30d27a5be964",
-                     "limits": {"sockets": 1024}, "settings": nested(world.pairs),
-                     "known": {"rev": 1, "all": True, "targets": world.rows}}
-            (tmp_path / "config.json").write_text(json.dumps(given))
-            env = {**os.environ, "ROUTER_CONFIG": str(tmp_path / "config.json"),
-                   "ROUTER_DISCOVERY": world.discovery.address}
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-O", "-m", "kestrelbend", env=env, stderr=subprocess.PIPE)
-            for _ in range(200):
-                try:
-                    idle = await asyncio.open_connection(*world.listen)
-                    break
-                except OSError:
-                    await asyncio.sleep(0.05)
+        async with Started(tmp_path) as (world, process, given):
+            idle = await connected(world)
             world.backends[0].play = ["hang"]
             out = asyncio.create_task(world.ask(wait="1.2"))
             await world.until(lambda: world.backends[0].seen)
@@ -506,6 +491,86 @@
     run(test())
 
 
+class Started:
+    """A gateway in a process of its own between the stand-ins of a world."""
+
+    def __init__(self, folder):
+        self.folder = folder
+
+    async def __aenter__(self):
+        self.world = world = await World().__aenter__()
+        await world.__aexit__()
+        for stand in (world.counter, world.discovery, world.backends[0]):
+            await stand.open(stand.port)
+        world.discovery.asked.clear()
+        given = {"name": "n0", "listen": "%s:%d" % world.listen, "discovery": world.discovery.address,
+                 "counter": world.counter.address, "seed": "8c1f30d27a5be964",
+                 "limits": {"sockets": 1024}, "settings": nested(world.pairs),
+                 "known": {"rev": 1, "all": True, "targets": world.rows}}
+        (self.folder / "config.json").write_text(json.dumps(given))
+        env = {**os.environ, "ROUTER_CONFIG": str(self.folder / "config.json"),
+               "ROUTER_DISCOVERY": world.discovery.address}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-m", "kestrelbend", env=env, stderr=subprocess.PIPE)
+        return world, self.process, given
+
+    async def __aexit__(self, *_):
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.communicate()
+
+
+async def connected(world):
+    for _ in range(400):
+        try:
+            return await asyncio.open_connection(*world.listen)
+        except OSError:
+            await asyncio.sleep(0.01)
+    raise TimeoutError
+
+
+def test_what_comes_while_the_gateway_is_loaded_is_answered_in_its_time(tmp_path):
+    """Seen: four lost at the return of 144 gateways at once; their time began while it was loaded."""
+    async def test():
+        async with Started(tmp_path) as (world, process, _):
+            on = [await connected(world)]
+            on += [await connected(world) for _ in range(3)]
+            assert not world.discovery.asked                # it is being loaded
+            hasty, at = asyncio.create_task(world.ask(wait="0.05", on=on[0])), time.monotonic()
+            patient = asyncio.create_task(world.ask(wait="3", on=on[1]))
+            on[2][1].close()
+            process.send_signal(signal.SIGTERM)             # not before it has answered
+            status, headers, _ = await hasty
+            assert status == 503 and headers["retry-after"] and time.monotonic() - at < 0.1
+            assert (await patient)[0] == 200 and (await world.ask(on=on[3]))[0] == 200
+            log = (await process.communicate())[1].decode()
+            assert process.returncode == 0 and "refused_while_loading=1" in log and "taken=2" in log
+    run(test())
+
+
+def test_the_porch_hands_over_what_came_and_when():
+    async def test():
+        porch = Porch(socket.create_server(("127.0.0.1", 0)))
+        at, on = porch.listener.getsockname(), []
+        for said in (b"GET / HTTP/1.1\r\n", b"GET / HTTP/1.1\r\nX-Timeout: 9\r\n\r\n",
+                     b"GET / HTTP/1.1\r\nX-Timeout: no.\r\n\r\n", b"a" * (1 << 15)):
+            on.append(await asyncio.open_connection(*at))
+            on[-1][1].write(said)
+        refused = await asyncio.open_connection(*at)
+        refused[1].write(b"GET / HTTP/1.1\r\nX-Timeout: 1.0\r\n\r\n")
+        assert b" 503 " in await asyncio.wait_for(refused[0].readline(), 1)     # well before its time is over
+        more = [await asyncio.open_connection(*at) for _ in range(100)]
+        before = time.monotonic_ns()
+        await asyncio.sleep(0.1)
+        listener, held = porch.hand_over()
+        assert len(held) == 64 and porch.refused == 1 and listener.accept()
+        assert [bytes(h.data[:5]) for h in held[:4]] == [b"GET /"] * 3 + [b"aaaaa"]
+        assert all(h.came < before for h in held[:4]) and len(held[3].data) <= 2 << 14
+        for each in (*on, *more, refused):
+            each[1].close()
+    run(test())
+
+
 def test_sighup_moves_discovery_and_counter_under_load(tmp_path, monkeypatch):
     async def test():
         async with World() as world:
