--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -86,6 +86,8 @@
         self.full = False                       # by its own load report
         self.times = Histogram()
         self.slot, self.sent, self.most = None, 0, 0    # while cold: sent in this quarter span, of how many
+        # Or, where that is less than one: drawn for this pick, whether it may be sent to, by which chance.
+        self.drawn, self.luck, self.chance = None, False, 0.0
         self.born = self.started
 
 
@@ -111,7 +113,8 @@
         self.failed, self.units = 0.0, 1.0      # part of the outcomes of late; mean of an invocation
         self.blind = 0.0            # part of the sampled tries that no total was known for
         self.debt = 0.0             # what slow answers cost beyond the least room of their backends
-        self.answers, self.answers_from = 0.0, now      # answers of warm backends, halved now and then
+        # Answers of warm backends and picks, halved now and then.
+        self.answers, self.picks, self.answers_from = 0.0, 0.0, now
         # Who has less of the burst left than the part `called` is called for.
         self.silent, self.silent_until, self.called = 0, 0, 1.0
         self.subscribed, self.born, self.times = False, now, Histogram()
@@ -490,6 +493,7 @@
     def pick(self, inv):
         if not self.free() or not self.may_go(inv):
             return None
+        self.picks += 1
         tried = {d.backend for d in inv.deliveries}
         lost = {d.backend.zone for d in inv.deliveries if d.result is Result.UNREACHABLE}
         usual = self.times.mean(0.2)
@@ -498,6 +502,8 @@
             if t.out >= 1.0 and t.out >= t.room or not self.may_take(inv, t):
                 continue
             score = (t.out + 1) * t.times.mean(usual) / t.weight * (0.9 + 0.2 * self.rng.random())
+            if t.luck and self.cold(t):     # its draw already holds it to its share
+                score /= 10
             if t in tried:
                 score *= 100
             elif t.zone in lost:    # a hall may be lost as a whole
@@ -520,7 +526,8 @@
             if not self.cold(t):
                 self.answers += 1
                 if self.now - self.answers_from > 10 * SECOND:
-                    self.answers, self.answers_from = self.answers / 2, (self.answers_from + self.now) // 2
+                    self.answers, self.picks = self.answers / 2, self.picks / 2
+                    self.answers_from = (self.answers_from + self.now) // 2
             if part <= SLOW and t.out + 2 > t.room and self.free() < IDLE * self.room() + 1:
                 self.earn(t, QUICK_EARNS)
             elif part > SLOW and not delivery.overdue:
@@ -620,7 +627,7 @@
         if inv in self.waiting:
             self.waiting.remove(inv)
         self.pool.spend(t)
-        t.sent += self.cold(t)
+        t.sent, t.luck = t.sent + self.cold(t), False
         if (width := self.pool.wants_width(self.now)) is not None:
             self.pool.width = width
             self.fill()
@@ -640,21 +647,29 @@
 
     def cold_room(self, t):
         """Whether a cold backend may get one more.  What this gateway gets answered by a warm backend is its
-        share of what that can do; a cold one gets that share of the part of it that it must by now reach.
-        A share of less than one is drawn for each quarter span, so that the sum over any number of gateways
-        holds: any span meets five quarters at most, and COLD_MARGIN leaves room for them and for chance."""
+        share of what that can do; a cold one gets that share of the part of it that it must by now reach:
+        counted in each quarter span, of which any span meets five at most, or, where that is less than one,
+        drawn for each pick, so that the sum over any number of gateways holds.  COLD_MARGIN and COLD_CHANCE
+        leave room for that and for chance."""
         s = self.settings
         if not t.pooled:        # others' parts would come on top of those of the gateways that keep to it
             return False
         quarter = max(1, s["fall"] // 4)
         if (slot := (self.now - t.started) // quarter) != t.slot:
             warm = sum(not self.cold(o) for o in self.pool.reached())
-            pace = self.answers / max(SECOND, self.now - self.answers_from) / max(1, warm)
-            most = s["fall_multiple"] * self.part(t) * pace * quarter
-            most *= COLD_MARGIN if most >= 1 else COLD_CHANCE
+            spans = max(SECOND, self.now - self.answers_from) / quarter
+            most = s["fall_multiple"] * self.part(t) * self.answers / spans / max(1, warm)
+            t.slot, t.sent, t.most = slot, 0, int(COLD_MARGIN * most + self.rng.random())
             # With nothing answered yet, one from all gateways together.
-            t.slot, t.sent, t.most = slot, 0, int(max(most, 1 / s["gateways"]) + self.rng.random())
-        return t.sent < t.most and not (t.full and t.out)   # full by its own report: one at a time
+            few = max(COLD_CHANCE * most, 1 / s["gateways"])
+            t.chance = few / max(1.0, self.picks / spans) if COLD_MARGIN * most < 1 else None
+        if t.full and t.out:    # full by its own report: one at a time
+            return False
+        if t.chance is None:
+            return t.sent < t.most
+        if t.drawn != self.now:
+            t.drawn, t.luck = self.now, self.rng.random() < t.chance
+        return t.luck
 
     def close(self, inv):
         """Give up: throttled where that promise holds, else errored."""
--- a/kestrelbend/net/roster.py
+++ b/kestrelbend/net/roster.py
@@ -14,36 +14,56 @@
 
 log = logging.getLogger(__name__)
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+WANTS = (State.GONE, State.DRAINING, State.READY)       # least first
 WAIT_MS, SPARE_S, AGAIN_S = 2000, 1.0, 0.1
 
 
 def entries(told):
     """(version, whole, entries, endpoints) of one answer in discovery's form.  An entry that cannot be read
-    is left out: the rest of the list must not wait for its mending."""
+    is left out: the rest of the list must not wait for its mending.  Of two entries for one backend the one
+    that asks for less is taken (rule 3)."""
     try:
         version, whole, given = int(told["rev"]), bool(told["all"]), list(told["targets"])
     except (KeyError, TypeError, ValueError) as trouble:
         raise Malformed(f"discovery: {type(trouble).__name__}: {trouble}") from None
-    rows, endpoints = [], {}
+    rows, endpoints = {}, {}
     for row in given:
         try:
             uid, state = str(row["uid"]), STATES[row["state"]]
             weight = float(row.get("capacity_hint") or 1.0)
             started = round(1000 * float(row.get("boot_ms") or 0))
+            endpoint = None
             if state is not State.GONE or row.get("endpoint"):
-                endpoints[uid] = "%s:%d" % address(row["endpoint"], "endpoint")
+                endpoint = "%s:%d" % address(row["endpoint"], "endpoint")
         except (KeyError, TypeError, ValueError, OverflowError, AttributeError, Malformed):
             counters["unreadable_rows"] += 1
             continue
-        rows.append((uid, str(row.get("az", "")), str(row.get("model", "")), row.get("pod_group", 0), state,
-                     weight, started))
-    return version, whole, rows, endpoints
+        if uid in rows:
+            counters["doubled_rows"] += 1
+            if WANTS.index(rows[uid][4]) <= WANTS.index(state):
+                continue
+        rows[uid] = (uid, str(row.get("az", "")), str(row.get("model", "")), row.get("pod_group", 0), state,
+                     weight, started)
+        endpoints.update({uid: endpoint} if endpoint else {})
+    return version, whole, list(rows.values()), endpoints
 
 
 class Roster:
     def __init__(self, queue, address):
         self.queue, self.base, self.version = queue, address, None
         self.session = self.watching = None
+        self.faults = {"unreadable_rows": 0, "doubled_rows": 0}     # as last logged
+        self.empty = False
+
+    def look(self, told):
+        """Say once what is odd about a list; it is served on with the rest, and with what was known."""
+        for what, logged in self.faults.items():
+            if counters[what] and not logged:
+                log.warning("discovery lists what cannot be used", extra={what: counters[what]})
+            self.faults[what] = counters[what]
+        if told[1] and self.empty != (not told[2]):
+            self.empty = not told[2]
+            log.warning("discovery lists no backend" if self.empty else "discovery lists backends again")
 
     def move(self, address):
         """Discovery is at another address now: what it knows is asked for as a whole, at once."""
@@ -87,5 +107,6 @@
             failing = False
             self.version = told[0]
             counters["discovery_answers"] += 1
+            self.look(told)
             if told[1] or told[2]:
                 self.queue.put_nowait(("listing", told))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -204,6 +204,13 @@
             "capacity_hint": 1.0, "boot_ms": started}
 
 
+def free_address(number=0):
+    """An address of this process alone: the port is let go for a moment before a gateway takes it."""
+    with socket.socket() as free:
+        free.bind((f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.{9 + number}", 0))
+        return free.getsockname()
+
+
 class World:
     """A gateway on loopback sockets between stand-ins."""
 
@@ -219,10 +226,7 @@
             await backend.open()
         self.rows = [row(f"s{n}", backend) for n, backend in enumerate(self.backends)]
         self.discovery = await StandDiscovery(*self.rows).open()
-        with socket.socket() as free:
-            # An address of this process alone: the port is let go for a moment before a gateway takes it.
-            free.bind((f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.9", 0))
-            self.listen = free.getsockname()
+        self.listen = free_address()
         self.told = Told("n0", self.listen, self.discovery.address, ("127.0.0.1", self.counter.port), 7, 256,
                          None, terms.settings({k: str(v) for k, v in self.pairs.items()}))
         self.owner, self.serving = await start(self.told)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -186,8 +186,8 @@
         fresh.out, inv.deliveries = 1, []
         fresh.slot, fresh.sent = None, 0        # the least guard starts anew: only the report is in question
         assert f.gateway.may_send(inv, fresh) is allowed
-    fresh.out, fresh.sent = 0, 200          # a full report does not open the way past the least guard
-    assert not f.gateway.may_send(inv, fresh)
+    fresh.out, fresh.sent, fresh.drawn, fresh.luck = 0, 200, f.gateway.now, False
+    assert not f.gateway.may_send(inv, fresh)       # a full report opens no way past the least guard
 
 
 @pytest.mark.parametrize("gateways", [2, 20, 220])
@@ -199,6 +199,7 @@
         f = Front(seed=n, instances=gateways, familyInfo__mayCount="false", contracts__0__storeSize=10**6)
         f.roster((1, State.READY), (2, State.READY, f.now))
         f.gateway.answers, f.gateway.answers_from = 10.0 * pace / gateways, f.now - 10_000 * MS
+        f.gateway.picks = 10 * 20.0
         f.accept(1, left=60_000, spread=1)
         fronts.append(f)
     start = fronts[0].now
@@ -209,7 +210,7 @@
             inv, fresh = f.inst.invs[1], f.inst.backends[2]
             inv.deliveries, inv.done = [], False
             while f.gateway.may_send(inv, fresh):
-                fresh.sent += 1
+                fresh.sent, fresh.luck = fresh.sent + 1, False
                 sent.append(at)
     for end in range(fall * 1000, cold * 1000, 50):
         within = sum(end - fall * 1000 < at <= end for at in sent)
