--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 
 .PHONY: build test lint check run score
 
-build: .venv/installed.txt
+build: .venv/developing.txt
 
-.venv/installed.txt: requirements.txt
+# The command, the laboratory, tests and lint; the operators' build (deploy/balancer.toml) takes requirements.txt alone.
+.venv/developing.txt: requirements.txt requirements-dev.txt constraints.txt pyproject.toml
 	test -x .venv/bin/python || $(PYTHON) -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt
-	.venv/bin/python -O -m compileall -q .venv/lib kestrelbend
-	cp requirements.txt $@
+	.venv/bin/pip -q install -c constraints.txt -r requirements-dev.txt
+	.venv/bin/pip -q install --no-deps -e .
+	cat requirements.txt requirements-dev.txt constraints.txt > $@
 
 test: build
 	.venv/bin/python -m pytest -q
--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -232,10 +232,8 @@
         acc, plan = inv.customer, inv.customer.plan
         if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
             return self.after(inv, (inv.units - acc.share) * acc.spread / plan.ceiling_rate)
-        # A set so wide that what this gateway saw of the customer's use is old whenever it is asked again.
-        store = plan.burst if plan.rate else CAP_SETS * plan.most_out or math.inf
         self.units += 0.01 * (inv.units - self.units)
-        if self.called < 1 and acc.spread * self.units > store:
+        if self.called < 1 and self.wide(acc):
             return (yield from self.admit_sampled(inv))
         # Near the limit a first try, with all its objective before it, goes before a marked retry.
         short = self.shortage(acc, inv.units + (RETRY_RESERVE * plan.burst if inv.retry else 0.0))
@@ -273,6 +271,12 @@
                 return self.after(inv)
         return None
 
+    def wide(self, acc):
+        """A set so wide that what this gateway saw of the customer's use is old whenever it is asked
+        again."""
+        store = acc.plan.burst if acc.plan.rate else CAP_SETS * acc.plan.most_out or math.inf
+        return acc.spread * self.units > store
+
     def no_place(self, inv):
         """Under a cap an invocation waits for a place as it would for a credit, in turn.  While the last
         total seen was at the cap and none has ended here since, there is none."""
@@ -447,6 +451,10 @@
             if acc.left is not None:
                 acc.left += units
             yield from self.release(inv)
+            # In a wide set the next call for this customer is far off: what was refused stood as used with
+            # all others until then, and half of what they refused had its quota unused.
+            if units and acc.owed < 0 and self.called >= 1 and self.wide(acc) and self.settings["may_count"]:
+                yield Spawn(self.tally(acc, 0, 0))
 
     def past(self, acc):
         """Whether a new account would know as much, so that the front end may forget this one."""
--- /dev/null
+++ b/kestrelbend/config/units.py
@@ -0,0 +1,82 @@
+"""Quantities as people write them: times, sizes, shares and addresses.
+
+Each is a type of its own, so that a model says which unit a number has; a value is parsed once, on the way
+in.
+"""
+from __future__ import annotations
+
+import math
+import re
+
+TIMES = {"us": 1, "ms": 1000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
+SIZES = {"B": 1, "kB": 1000, "KB": 1000, "MB": 10**6, "GB": 10**9, "KiB": 1 << 10, "MiB": 1 << 20,
+         "GiB": 1 << 30}
+QUANTITY = re.compile(r"\s*([0-9]+(?:\.[0-9]+)?)\s*([A-Za-z]*)\s*\Z")
+
+
+class Micros(int):
+    """A time span in whole microseconds, stated as "250ms", "1.2s", "3m"."""
+
+
+class Octets(int):
+    """A size in bytes, stated as "64MiB" or as a plain number."""
+
+
+class Share(float):
+    """A part of a whole, 0 to 1, stated as 0.2 or as "20%"."""
+
+
+class Address(str):
+    """host:port."""
+
+    @property
+    def pair(self):
+        host, _, port = self.rpartition(":")
+        return host, int(port)
+
+
+def quantity(text, units, example):
+    match = QUANTITY.match(text)
+    if match is None or match[2] not in units:
+        raise ValueError(f"expected text as in {example}, in one of {', '.join(units)}; got {text!r}")
+    return round(float(match[1]) * units[match[2]])
+
+
+def micros(value):
+    """A span as text with its unit; 0 needs none."""
+    if isinstance(value, str):
+        return Micros(quantity(value, TIMES, '"250ms"'))
+    if value == 0 and not isinstance(value, bool):
+        return Micros(0)
+    raise ValueError(f'a time needs its unit, as in "250ms"; got {value!r}')
+
+
+def octets(value):
+    if isinstance(value, str):
+        return Octets(quantity(value, SIZES, '"64MiB"'))
+    if isinstance(value, int) and not isinstance(value, bool) and value >= 0:
+        return Octets(value)
+    raise ValueError(f'a size is a number of bytes or text as in "64MiB"; got {value!r}')
+
+
+def share(value):
+    if isinstance(value, str) and value.rstrip().endswith("%"):
+        try:
+            value = float(value.rstrip()[:-1]) / 100
+        except ValueError:
+            raise ValueError(f'a share is 0 to 1 or text as in "20%"; got {value!r}') from None
+    if isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value):
+        if 0 <= value <= 1:
+            return Share(value)
+        raise ValueError(f"a share lies between 0 and 1 (or 0% and 100%); got {value:g}")
+    raise ValueError(f'a share is 0 to 1 or text as in "20%"; got {value!r}')
+
+
+def address(value):
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f'an address is host:port, as in "10.0.0.4:8081"; got {value!r}')
+    return Address(value)
+
+
+READERS = {Micros: micros, Octets: octets, Share: share, Address: address}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -104,7 +104,8 @@
             if number in front.inst.invs:
                 invs[number] = front.inst.invs[number]
             else:               # refused on the spot
-                assert [line[0] for line in front.take() if line[0] != "trace"] == ["deny"]
+                told = [line[0] for line in front.answer_counts(store) if line[0] != "trace"]
+                assert told == ["deny"]
         elif step == "end" and out:
             number, d = draw(st.sampled_from(out))
             front.returned(number, d.number, draw(st.sampled_from(RESULTS)))
