Membership between gateways (SWIM, Lifeguard) and duties: probes dealt out, leases with fencing

Need: gateways knew nothing of one another but by the counter; every gateway probed every backend. kestrelbend/membership: a core without I/O and its 256-byte authenticated datagrams; kestrelbend/duties: rendezvous deal, quorum leases, probes shared by gossip; net/peers.py the UDP carrier; lab/gossip.py fleets of cores in simulated time; `kestrelbend members`; off unless [members] is set (on the platform KESTRELBEND_MEMBERS, and only where settings allow).

--- a/kestrelbend/cli.py
+++ b/kestrelbend/cli.py
@@ -110,6 +110,34 @@
     return Kind.installation if "\nlisten" in f"\n{text}" else Kind.scenario
 
 
+@app.command()
+def members(
+    where: Annotated[str, typer.Argument(help="host:port where a gateway on this machine serves clients, "
+                                              "or its TOML file.")],
+):
+    """Which gateways one gateway sees: state, incarnation, since when, how many duties."""
+    from json import loads
+    from urllib.error import URLError
+    from urllib.request import ProxyHandler, build_opener
+
+    if where.endswith(".toml"):
+        from .config.model import Installation
+
+        where = str(read(Path(where), Installation).listen)
+    try:
+        with build_opener(ProxyHandler({})).open(f"http://{where}/_members", timeout=3) as answer:
+            rows = loads(answer.read())
+    except (URLError, OSError, ValueError) as trouble:
+        typer.echo(f"{where}: {trouble}; is it a gateway on this machine, with [members] set?", err=True)
+        raise typer.Exit(1) from None
+    typer.echo(f"{'name':28} {'state':8} {'incarnation':>11} {'since':>8} {'duties':>6}  address")
+    for row in rows:
+        since = "" if row["since_s"] is None else f"{row['since_s']:.1f}s"
+        mark = " (asked)" if row.get("self") else ""
+        typer.echo(f"{row['name']:28} {row['state']:8} {row['incarnation']:11} {since:>8} "
+                   f"{len(row['duties']):6}  {row['address']}{mark}")
+
+
 @lab.command()
 def emulate(
     path: File,
--- a/kestrelbend/config/model.py
+++ b/kestrelbend/config/model.py
@@ -141,6 +141,62 @@
     memory: Octets = Octets(0)          # 0: not told
 
 
+class Members(Struct):
+    """Where this gateway meets the others, by UDP."""
+    listen: Address
+    seen_at: Address | None = None      # where others reach it, if that is another address
+    peers: list[Address] = field(default_factory=list)      # some of the others, or all with this one
+    keys: dict[str, str] = field(default_factory=dict)      # by number, 1 to 255: 16 bytes, hexadecimal
+    period: Micros = Micros(300 * MS)   # between pings
+    most_per_s: Positive = 40.0         # datagrams sent; never more
+    share_probes: bool = True           # cold backends are probed by one gateway for all
+
+    def faults(self):
+        if not self.keys:
+            yield "keys", "at least one is needed: gateways that share none do not know each other"
+        for number, text in self.keys.items():
+            try:
+                usable = number.isdecimal() and 0 < int(number) < 256 and len(bytes.fromhex(text)) >= 16
+            except ValueError:
+                usable = False
+            if not usable:
+                yield ("keys", number), "expected a number, 1 to 255, and 32 hexadecimal digits or more"
+        for at, address in enumerate(self.peers):
+            if not ipv4(address):
+                yield ("peers", at), f"expected an IPv4 address and port, got {str(address)!r}"
+        for key in ("listen", "seen_at"):
+            if getattr(self, key) is not None and not ipv4(getattr(self, key)):
+                yield key, f"expected an IPv4 address and port, got {str(getattr(self, key))!r}"
+        if not 50 * MS <= self.period <= 60 * S:
+            yield "period", "lies between 50ms and 1m"
+        if self.most_per_s < 4:
+            yield "most_per_s", "less than 4 leaves no room for pings and their answers"
+
+    def told(self, name):
+        """What `net.peers` is made of."""
+        listen = self.listen.pair
+        return MembersTold(name, listen, self.seen_at.pair if self.seen_at else listen,
+                           [address.pair for address in self.peers],
+                           {int(number): bytes.fromhex(text) for number, text in self.keys.items()},
+                           int(self.period), float(self.most_per_s), self.share_probes)
+
+
+class MembersTold(Struct):
+    name: str
+    listen: tuple[str, int]
+    seen_at: tuple[str, int]
+    peers: list[tuple[str, int]]
+    keys: dict[int, bytes]
+    period: int
+    most_per_s: float
+    share_probes: bool
+
+
+def ipv4(address):
+    parts = address.rpartition(":")[0].split(".")
+    return len(parts) == 4 and all(part.isdecimal() and int(part) < 256 for part in parts)
+
+
 class Installation(Terms, kw_only=True):
     """One gateway: its terms, and where everything is."""
     name: str
@@ -150,6 +206,7 @@
     seed: str = "0"                     # hexadecimal; chance is drawn from it
     limits: Limits = field(default_factory=Limits)
     logs: Logs = field(default_factory=Logs)
+    members: Members | None = None
 
     def faults(self):
         try:
--- /dev/null
+++ b/kestrelbend/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Work that one gateway does for all, dealt out over those that live."""
--- /dev/null
+++ b/kestrelbend/duties/probing.py
@@ -0,0 +1,68 @@
+"""Probes of cold backends as a duty: one gateway asks, all hear what was said.
+
+Two owners cost one probe, so a duty is taken over as soon as its owner is suspected.  A report is as good as
+it is fresh: what is older than `FRESH` tells nobody anything and is not told on.
+"""
+from __future__ import annotations
+
+import msgspec
+
+from .deal import Deal
+
+MS = 1000
+EVERY = 500 * MS        # between probes of one backend, by all gateways together
+FRESH = 2 * EVERY
+KIND = "probe"
+
+
+class Probing:
+    """`me` by name; backends are known by their ids and objects, told in `follow`."""
+
+    def __init__(self, me, random):
+        self.me, self.random, self.deal = me, random, Deal()
+        self.deal.set_members({me: 1.0})
+        self.backends, self.at, self.heard, self.moved = {}, {}, {}, 0
+
+    def members(self, names):
+        """Those that live and are not suspected; this one always counts itself."""
+        self.moved += self.deal.set_members({**dict.fromkeys(names, 1.0), self.me: 1.0})
+
+    def follow(self, cold):
+        """The backends that have to be probed now, by their ids."""
+        for uid in self.backends.keys() - cold.keys():
+            self.deal.drop(uid)
+            self.at.pop(uid, None)
+            self.heard.pop(uid, None)
+        for uid in cold.keys() - self.backends.keys():
+            self.deal.add(uid)
+        self.backends = dict(cold)
+
+    def due(self, now):
+        """Ids to be probed by this one now.  A new owner leaves what was just heard of its time."""
+        made = []
+        for uid in self.backends:
+            if self.deal.owner(uid) != self.me:
+                continue
+            last = max(self.at.get(uid, 0), self.heard.get(uid, 0))
+            if now - last >= EVERY:
+                self.at[uid] = now
+                made.append(uid)
+        return made
+
+    @staticmethod
+    def said(load):
+        """A report as it is told to others, or None."""
+        return msgspec.msgpack.encode({k: round(v, 3) for k, v in load.items()}) if load else None
+
+    def read(self, note, since, now):
+        """(backend, load) of another's report, or None where it is too old or about nobody known here."""
+        backend = self.backends.get(note.about)
+        if note.kind != KIND or backend is None or now - since > FRESH \
+                or since <= self.heard.get(note.about, 0):
+            return None
+        try:
+            load = msgspec.msgpack.decode(note.body, type=dict[str, float])
+        except msgspec.DecodeError:
+            return None
+        self.heard[note.about] = since
+        return backend, load
--- /dev/null
+++ b/kestrelbend/lab/gossip.py
@@ -0,0 +1,156 @@
+"""Fleets of membership cores in simulated time: lost, doubled and late datagrams, stops, cuts and restarts.
+
+For measurements and for tests; `choice.py` has no part here.  A member's clock may be off, and steps, since
+its core is handed whatever its machine says.
+"""
+from __future__ import annotations
+
+import math
+from collections import Counter
+from random import Random
+
+from ..membership.messages import Codec, State, Unreadable, packed
+from ..membership.swim import Swim, Terms
+from .clock import SimClock
+
+S = 1_000_000
+KEYS = {1: b"a key for tests only"}
+
+
+class Node:
+    """A machine and, while it is up, its member."""
+
+    def __init__(self, fleet, number):
+        self.fleet, self.number, self.name = fleet, number, f"n{number}"
+        self.address = packed((f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}", 7946))
+        self.core, self.up, self.still, self.inbox, self.offset = None, False, False, [], 0
+        self.alarm = None
+        self.lives, self.group, self.slow = 0, 0, 0
+
+    def time(self):
+        return self.fleet.clock.now + self.offset
+
+    def start(self, peers):
+        self.lives += 1
+        self.up, self.still, self.inbox = True, False, []
+        life = self.time() // 1000
+        self.core = Swim(self.name, self.address, life, self.fleet.terms, Random(self.fleet.random()),
+                         self.time(), peers)
+        self.fleet.started(self)
+        self.wake()
+
+    def kill(self):
+        self.up, self.core = False, None
+
+    def stop(self, still):
+        self.still = still
+        if not still and self.up:
+            waiting, self.inbox = self.inbox, []
+            for source, data in waiting:
+                self.got(source, data)
+            self.wake()
+
+    def got(self, source, data):
+        if not self.up:
+            return
+        if self.still:
+            if len(self.inbox) < 200:               # what a socket holds
+                self.inbox.append((source, data))
+            return
+        try:
+            message = self.fleet.codec.decode(data)
+        except Unreadable as trouble:
+            self.fleet.counts[f"unreadable {trouble.why}"] += 1
+            return
+        self.core.receive(self.time(), source, message)
+        self.fleet.after(self)
+        self.wake()
+
+    def wake(self):
+        if self.up and not self.still:
+            self.flush()
+            if self.alarm is not None:
+                self.fleet.clock.cancel(self.alarm)
+            left = max(1000, self.core.due() - self.time())
+            self.alarm = self.fleet.clock.after(left, self.tick, self.core)
+
+    def tick(self, core):
+        self.alarm = None
+        if core is self.core and self.up and not self.still:
+            core.tick(self.time())
+            self.fleet.after(self)
+            self.wake()
+
+    def flush(self):
+        while self.core.out:
+            address, message = self.core.out.popleft()
+            self.fleet.carry(self, address, self.fleet.codec.encode(message))
+
+
+class Fleet:
+    """`loss`, `doubled` and `late` are chances for each datagram."""
+
+    def __init__(self, count, seed=1, loss=0.0, doubled=0.0, late=0.0, terms=None, seeds=3):
+        self.clock, self.chance, self.random = SimClock(), Random(seed), None
+        self.random = self.chance.random
+        self.loss, self.doubled, self.late = loss, doubled, late
+        self.terms, self.codec, self.counts = terms or Terms(), Codec(KEYS), Counter()
+        self.nodes = [Node(self, n) for n in range(count)]
+        self.by_address = {node.address: node for node in self.nodes}
+        self.seeds = [node.address for node in self.nodes[:seeds]]
+        self.cuts, self.changes, self.watchers = [], [], []
+
+    def started(self, node):
+        for watcher in self.watchers:
+            watcher.started(node)
+
+    def start(self, spread=S):
+        for node in self.nodes:
+            self.clock.after(int(self.random() * spread) + 1, node.start, self.seeds)
+
+    def run(self, seconds):
+        self.clock.run(self.clock.now + int(seconds * S))
+
+    def carry(self, node, address, data):
+        self.counts["datagrams"] += 1
+        self.counts["bytes"] += len(data)
+        other = self.by_address.get(address)
+        if other is None or any(cut(node, other) for cut in self.cuts):
+            return
+        for _ in range(1 + (self.random() < self.doubled)):
+            if self.random() < self.loss:
+                self.counts["lost"] += 1
+                continue
+            delay = int(500 + 2000 * self.random())
+            if self.random() < self.late:
+                delay += int(S * self.random())
+            self.clock.after(delay + other.slow, other.got, node.address, data)
+
+    def after(self, node):
+        while node.core.changes:
+            change = node.core.changes.popleft()
+            self.changes.append((self.clock.now, node, change))
+        for watcher in self.watchers:
+            watcher.look(node)
+
+    def live(self):
+        return [node for node in self.nodes if node.up]
+
+    def agree(self):
+        """Whether all that are up see just those that are up."""
+        names = sorted(node.name for node in self.live())
+        return bool(names) and all(sorted(node.core.alive()) == names for node in self.live())
+
+    def until(self, held, seconds, step=0.1):
+        """Seconds until it held, or infinity."""
+        began = self.clock.now
+        while self.clock.now - began < seconds * S:
+            if held():
+                return (self.clock.now - began) / S
+            self.run(step)
+        return math.inf
+
+    def deaths(self, since=0):
+        """(when, who saw it, of whom) of deaths seen from then on."""
+        return [(at, node, change.member.name) for at, node, change in self.changes
+                if at >= since and change.state == State.DEAD]
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -15,7 +15,7 @@
 from .tally import counters, must
 
 log = logging.getLogger(__name__)
-READY = "/_health"
+READY, MEMBERS = "/_health", "/_members"
 LONGEST_BODY = 1 << 16  # bytes, by the protocol
 QUIET_S = 2.0           # a connection with no open request may end after that, by the protocol
 LOOK_S = 0.2            # between looks for such connections
@@ -201,7 +201,7 @@
         self.operations = {op.name for op in settings["operations"]}
         self.plans = {plan.name for plan in settings["plans"]}
         self.longest, self.leaving = longest, False         # seconds that an invocation may take
-        self.server = self.listener = self.accepting = self.looking = None
+        self.server = self.listener = self.accepting = self.looking = self.view = None
 
     async def start(self, listen, porch=None):
         """Its former life may still hold the address for as long as it drains."""
@@ -264,6 +264,10 @@
         if message.method == "GET" and message.path == READY:
             response = web.Response(status=503 if self.leaving else 200)
             self.server.answered(message.protocol)
+        elif self.view is not None and message.path == MEMBERS and message.method == "GET" \
+                and str(message.remote).startswith("127."):
+            response = web.json_response(self.view())       # staff on this machine: `kestrelbend members`
+            self.server.answered(message.protocol)
         else:
             response = await self.invocation(message)
         if self.leaving or message.protocol.ending or response.status in (400, 408, 409, 413):
--- a/kestrelbend/net/configuration.py
+++ b/kestrelbend/net/configuration.py
@@ -21,6 +21,7 @@
     settings: dict[str, Any]
     again: Callable[[], Told] | None = None     # reads anew what may have been replaced since
     logs: tuple[str, str] = ("key-value", "info")
+    members: Any = None                 # config.model.MembersTold, where gateways may speak to one another
 
 
 def address(text, what):
@@ -60,7 +61,31 @@
         name=need("ROUTER_NAME", "name"), listen=address(need("ROUTER_LISTEN", "listen"), "listen"),
         discovery=discovery, seed=seed, sockets=sockets, known=given.get("known"),
         counter=address(given["counter"], "counter") if given.get("counter") else None,
-        settings=settings(dict(flatten(given["settings"]))), again=lambda: read(os.environ, anew=True))
+        settings=settings(dict(flatten(given["settings"]))), again=lambda: read(os.environ, anew=True),
+        members=platform_members(env, given))
+
+
+def platform_members(env, given):
+    """Membership on the platform: where KESTRELBEND_MEMBERS names a file with the keys, and the settings
+    allow messages.  The peers are the platform's; the one with this gateway's number is its own."""
+    path, limits = env.get("KESTRELBEND_MEMBERS"), given["settings"].get("policyLimits", {})
+    if not path or not limits.get("peers") or not given.get("peer_listen") or not given.get("peers"):
+        return None
+    from ..config.model import Members
+    from ..config.reading import Wrong, convert
+    import tomllib
+    try:
+        with open(path, "rb") as file:
+            stated = tomllib.load(file)
+        number = int(given["settings"].get("index", 0))
+        stated |= {"listen": given["peer_listen"], "peers": list(given["peers"]),
+                   "seen_at": given["peers"][number]}
+        made, faults = convert(Members, stated)
+        if faults:
+            raise Wrong(path, faults)
+    except (OSError, ValueError, IndexError, Wrong) as trouble:
+        raise Malformed(f"KESTRELBEND_MEMBERS: {trouble}") from None
+    return made.told(env.get("ROUTER_NAME") or given["name"])
 
 
 def read_file(path):
@@ -74,4 +99,5 @@
     return Told(name=stated.name, listen=stated.listen.pair, discovery=str(stated.discovery),
                 counter=stated.counter_at.pair if stated.counter_at else None, seed=int(stated.seed, 16),
                 sockets=stated.limits.sockets, known=None, settings=stated.settings(),
-                again=lambda: read_file(path), logs=(stated.logs.form, stated.logs.level))
+                again=lambda: read_file(path), logs=(stated.logs.form, stated.logs.level),
+                members=stated.members.told(stated.name) if stated.members else None)
--- a/kestrelbend/net/gateway.py
+++ b/kestrelbend/net/gateway.py
@@ -37,7 +37,11 @@
 async def start(told, porch=None):
     """The owner with its peers, and the task in which it serves."""
     clock, queue = make_clock(), asyncio.Queue()
-    owner = Owner(told.settings, told.seed, clock, queue)
+    shares = told.members is not None and told.members.share_probes and told.settings["may_probe"] \
+        and told.settings["load_reports"] == "probe"
+    # Probes that are a duty of one gateway are asked by `Owner`; the module then asks none of its own.
+    owner = Owner({**told.settings, "may_probe": told.settings["may_probe"] and not shares}, told.seed, clock,
+                  queue)
     sockets = tally.Sockets(told.sockets)
     owner.backend_peer = Backends(queue, clock, told.settings, sockets)
     owner.clients = Clients(queue, clock, told.settings, sockets, owner.backend_peer.renew, longest(told))
@@ -48,6 +52,15 @@
     serving = asyncio.create_task(owner.serve())
     await owner.clients.start(told.listen, porch)
     owner.roster.watch()
+    if told.members is not None:
+        from .peers import Peers                # optional: nothing of it is loaded where it is off
+        if not shares:
+            told.members.share_probes = False
+        owner.peers = Peers(told.members, queue, owner, told.seed)
+        await owner.peers.start()
+        owner.clients.view = owner.peers.view
+        if shares:
+            queue.put_nowait(("probes_due",))
     return owner, serving
 
 
@@ -70,6 +83,13 @@
                                                if new.counter else "none"})
 
 
+def tell(owner):
+    """SIGUSR1."""
+    tally.report()
+    if owner.peers is not None:
+        owner.peers.report()
+
+
 async def gateway(told, early, porch):
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     replaced = asyncio.Event()
@@ -84,6 +104,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload, told, owner)
     if replaced.is_set():
         reload(told, owner)
+    loop.add_signal_handler(signal.SIGUSR1, tell, owner)
     gc.freeze()
     gc.enable()
     logging.info("serving", extra={"gateway": told.name, "listen": "%s:%d" % told.listen})
@@ -92,6 +113,8 @@
     if serving.done():
         serving.result()
     logging.info("draining")
+    if owner.peers is not None:
+        owner.peers.leave()
     await owner.clients.drain(LINGER_S)
     tally.report()
 
--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -10,6 +10,7 @@
 
 log = logging.getLogger(__name__)
 FAULTS_LOGGED = 20
+PROBES_S = 0.1          # between looks at which backends this gateway has to probe
 
 
 class Owner(Host):
@@ -18,7 +19,7 @@
         self.clock, self.queue, self.requests = clock, queue, {}
         self.gone = {}                  # backends off the list, and since when
         self.late = 0                   # how late alarms came of late: the gateway is short of CPU
-        self.clients = self.backend_peer = self.roster = self.counter = None
+        self.clients = self.backend_peer = self.roster = self.counter = self.peers = None
 
     async def serve(self):
         self.gateway.now = self.clock()
@@ -85,6 +86,21 @@
 
     def on_probed(self, backend, result, took, load):
         self.probed(backend, result, took, load)
+        if self.peers is not None and self.peers.probing is not None:
+            self.gateway.heed(backend, load)        # asked as a duty: no generator of the module waits for it
+            self.peers.probed(backend, load)
+
+    def on_datagram(self, source, data):
+        self.peers.got(source, data)
+
+    def on_members_due(self):
+        self.peers.due()
+
+    def on_probes_due(self):
+        """Duties of this gateway: backends that it probes for all."""
+        for backend in self.peers.probes_due():
+            self.backend_peer.probe(backend)
+        asyncio.get_running_loop().call_later(PROBES_S, self.queue.put_nowait, ("probes_due",))
 
     def on_listing(self, told):
         _, whole, rows, endpoints = told
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -272,7 +272,8 @@
     assert first == load.plan(plan)[0] and first != load.plan(plan, 9)[0]
     assert 150 < len(first) < 250 and [r.at for r in first] == sorted(r.at for r in first)
     longer = reading.parsed(LOAD + '[[phases]]\nkind = "steps"\nfirst = 10\nlast = 30\nsteps = 3\n'
-                            'lasts = "3s"\n[[phases]]\nkind = "bursts"\nsize = 7\nevery = "500ms"\nlasts = "1s"\n',
+                            'lasts = "3s"\n[[phases]]\nkind = "bursts"\nsize = 7\nevery = "500ms"\n'
+                            'lasts = "1s"\n',
                             load.Load, "load.toml")
     more, _ = load.plan(longer)
     assert more[:len(first)] == first and len(more) == len(first) + 10 + 20 + 30 + 14
