External authorisation over gRPC: answering checks and asking authorisers, on the same module

Need: partners run authorisers of their own, and their proxies ask such services before they pass a call on. kestrelbend/fronts: attributes by rules, an authoriser's breaker, repeats and remembered verdicts without I/O; fronts/grpc: the shared server (limits, health, reflection, drain by GOAWAY), Authorization/Check, settlement by the access log service or by time, the chain before a first delivery. Owner sends each effect to the front that an invocation came by. An extra; nothing of it is loaded where it is off (a test looks).

--- a/kestrelbend/cli.py
+++ b/kestrelbend/cli.py
@@ -67,7 +67,7 @@
 @app.command()
 def check(path: File, kind: Annotated[Kind | None, typer.Option(help="What the file states.")] = None):
     """Say everything that is wrong with a file, each fault with its place."""
-    from .config.model import Installation
+    from .config.installation import Installation
 
     kind = kind or guess(path)
     if kind is Kind.platform:
@@ -121,7 +121,7 @@
     from urllib.request import ProxyHandler, build_opener
 
     if where.endswith(".toml"):
-        from .config.model import Installation
+        from .config.installation import Installation
 
         where = str(read(Path(where), Installation).listen)
     try:
--- a/kestrelbend/config/model.py
+++ b/kestrelbend/config/model.py
@@ -11,7 +11,7 @@
 from msgspec import Meta, Struct, field
 
 from .. import interface as i
-from .units import Address, Micros, Octets, Share
+from .units import Micros, Share
 
 Some = Annotated[int, Meta(ge=1)]
 Count = Annotated[int, Meta(ge=0)]
@@ -131,113 +131,6 @@
             "drain_grace": int(b.drain_grace), "fall": int(b.fall), "fall_multiple": b.fall_multiple}
 
 
-class Logs(Struct):
-    form: Literal["key-value", "json"] = "key-value"
-    level: Literal["debug", "info", "warning", "error"] = "info"
-
-
-class Limits(Struct):
-    sockets: Some = 1024                # descriptors that the process may hold
-    memory: Octets = Octets(0)          # 0: not told
-
-
-class Members(Struct):
-    """Where this gateway meets the others, by UDP."""
-    listen: Address
-    seen_at: Address | None = None      # where others reach it, if that is another address
-    peers: list[Address] = field(default_factory=list)      # some of the others, or all with this one
-    keys: dict[str, str] = field(default_factory=dict)      # by number, 1 to 255: 16 bytes, hexadecimal
-    period: Micros = Micros(300 * MS)   # between pings
-    most_per_s: Positive = 40.0         # datagrams sent; never more
-    share_probes: bool = True           # cold backends are probed by one gateway for all
-
-    def faults(self):
-        if not self.keys:
-            yield "keys", "at least one is needed: gateways that share none do not know each other"
-        for number, text in self.keys.items():
-            try:
-                usable = number.isdecimal() and 0 < int(number) < 256 and len(bytes.fromhex(text)) >= 16
-            except ValueError:
-                usable = False
-            if not usable:
-                yield ("keys", number), "expected a number, 1 to 255, and 32 hexadecimal digits or more"
-        for at, address in enumerate(self.peers):
-            if not ipv4(address):
-                yield ("peers", at), f"expected an IPv4 address and port, got {str(address)!r}"
-        for key in ("listen", "seen_at"):
-            if getattr(self, key) is not None and not ipv4(getattr(self, key)):
-                yield key, f"expected an IPv4 address and port, got {str(getattr(self, key))!r}"
-        if not 50 * MS <= self.period <= 60 * S:
-            yield "period", "lies between 50ms and 1m"
-        if self.most_per_s < 4:
-            yield "most_per_s", "less than 4 leaves no room for pings and their answers"
-
-    def told(self, name):
-        """What `net.peers` is made of."""
-        listen = self.listen.pair
-        return MembersTold(name, listen, self.seen_at.pair if self.seen_at else listen,
-                           [address.pair for address in self.peers],
-                           {int(number): bytes.fromhex(text) for number, text in self.keys.items()},
-                           int(self.period), float(self.most_per_s), self.share_probes)
-
-
-class MembersTold(Struct):
-    name: str
-    listen: tuple[str, int]
-    seen_at: tuple[str, int]
-    peers: list[tuple[str, int]]
-    keys: dict[int, bytes]
-    period: int
-    most_per_s: float
-    share_probes: bool
-
-
-def ipv4(address):
-    parts = address.rpartition(":")[0].split(".")
-    return len(parts) == 4 and all(part.isdecimal() and int(part) < 256 for part in parts)
-
-
-class Installation(Terms, kw_only=True):
-    """One gateway: its terms, and where everything is."""
-    name: str
-    listen: Address
-    discovery: Address
-    counter_at: Address | None = None
-    seed: str = "0"                     # hexadecimal; chance is drawn from it
-    limits: Limits = field(default_factory=Limits)
-    logs: Logs = field(default_factory=Logs)
-    members: Members | None = None
-
-    def faults(self):
-        try:
-            int(self.seed, 16)
-        except ValueError:
-            yield "seed", f"not a hexadecimal number: {self.seed!r}"
-        for what in ("operations", "plans"):
-            names = [each.name for each in getattr(self, what)]
-            if not names:
-                yield what, "at least one is needed"
-            for at, name in enumerate(names):
-                if name in names[:at]:
-                    yield (what, at, "name"), f"{name!r} is named twice"
-        for at, op in enumerate(self.operations):
-            if op.timeout < op.objective:
-                yield ("operations", at, "timeout"), "is shorter than the objective"
-        for at, plan in enumerate(self.plans):
-            if not plan.rate and not plan.most_out:
-                yield ("plans", at), "needs a rate, or most_out, or both"
-            if plan.rate and plan.burst <= 0:
-                yield ("plans", at, "burst"), "with a rate, some units have to be usable at once"
-            if plan.ceiling_rate and plan.ceiling_burst <= 0:
-                yield ("plans", at, "ceiling_burst"), "with a ceiling, some units have to be usable at once"
-        if self.fleet.number >= self.fleet.gateways:
-            yield ("fleet", "number"), f"there are {self.fleet.gateways} gateways, numbered from 0"
-        if self.counter.allowed and self.counter_at is None:
-            yield "counter_at", "the counter may be used, but nothing says where it is"
-        if not self.backends.idle_close:
-            yield ("backends", "idle_close"), "has to be told: connections are closed before it"
-
-
 def fields_of(model):
     """(name, struct field) of a model, in order."""
     return [(each.encode_name, each) for each in msgspec.structs.fields(model)]
--- /dev/null
+++ b/kestrelbend/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Further fronts: other proxies' protocols on the same decisions."""
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -11,6 +11,7 @@
 import time
 
 from aiohttp import web
+from multidict import CIMultiDict
 
 from .tally import counters, must
 
@@ -28,6 +29,7 @@
     the protocol's form is not guessed at: under a customer's name it would spoil what is known of it."""
     __slots__ = ("method", "target", "headers", "body", "id", "operation", "plan", "customer", "wait",
                  "units", "spread", "retry", "came", "answer", "inv")
+    front = None            # by another way than this listener
 
     def __init__(self, method, target, headers, body, came, settings):
         self.method, self.target, self.headers, self.body = method, target, headers, body
@@ -332,6 +334,13 @@
         headers = {"Retry-After": f"{retry_after / 1_000_000:.3f}"} if retry_after > 0 else None
         self.settle(request, "throttled", status=429, headers=headers)
 
+    def denied(self, request, verdict):
+        """An authoriser's denial, or its silence where that means one."""
+        headers = CIMultiDict(verdict.headers)
+        if verdict.why and verdict.status == 503:
+            headers["Retry-After"] = "1"
+        self.settle(request, "denied", status=verdict.status, headers=headers, body=verdict.body)
+
     def errored(self, request, status=502):
         self.settle(request, "errored", status=status)
 
--- a/kestrelbend/net/configuration.py
+++ b/kestrelbend/net/configuration.py
@@ -21,7 +21,9 @@
     settings: dict[str, Any]
     again: Callable[[], Told] | None = None     # reads anew what may have been replaced since
     logs: tuple[str, str] = ("key-value", "info")
-    members: Any = None                 # config.model.MembersTold, where gateways may speak to one another
+    members: Any = None                 # config.installation.MembersTold, where gateways may speak
+    checks: Any = None                  # fronts.attributes.Checks
+    authorisers: Any = ()               # fronts.asking.Authoriser
 
 
 def address(text, what):
@@ -71,7 +73,7 @@
     path, limits = env.get("KESTRELBEND_MEMBERS"), given["settings"].get("policyLimits", {})
     if not path or not limits.get("peers") or not given.get("peer_listen") or not given.get("peers"):
         return None
-    from ..config.model import Members
+    from ..config.installation import Members
     from ..config.reading import Wrong, convert
     import tomllib
     try:
@@ -90,7 +92,7 @@
 
 def read_file(path):
     """An installation's own file (TOML); raises Malformed with all that is wrong with it."""
-    from ..config.model import Installation
+    from ..config.installation import Installation
     from ..config.reading import Wrong, toml
     try:
         stated = toml(path, Installation)
@@ -100,4 +102,5 @@
                 counter=stated.counter_at.pair if stated.counter_at else None, seed=int(stated.seed, 16),
                 sockets=stated.limits.sockets, known=None, settings=stated.settings(),
                 again=lambda: read_file(path), logs=(stated.logs.form, stated.logs.level),
-                members=stated.members.told(stated.name) if stated.members else None)
+                members=stated.members.told(stated.name) if stated.members else None,
+                checks=stated.checks, authorisers=stated.authorisers)
--- a/kestrelbend/net/gateway.py
+++ b/kestrelbend/net/gateway.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from ..config.platform import Malformed
+from ..interface import State
 from . import configuration, lines, tally
 from .backends import Backends
 from .clients import Clients
@@ -51,7 +52,12 @@
         owner.on_listing(entries(told.known))
     serving = asyncio.create_task(owner.serve())
     await owner.clients.start(told.listen, porch)
-    owner.roster.watch()
+    if told.checks is not None and told.checks.upstream:
+        owner.listing([("upstream", "", "", 0, State.READY, 1.0, None)], True)
+    else:
+        owner.roster.watch()
+    if told.checks is not None or told.authorisers:
+        await grpc_fronts(told, owner, queue, clock)
     if told.members is not None:
         from .peers import Peers                # optional: nothing of it is loaded where it is off
         if not shares:
@@ -64,6 +70,21 @@
     return owner, serving
 
 
+async def grpc_fronts(told, owner, queue, clock):
+    """Optional: gRPC takes some 20 MB, and nothing of it is loaded where it is off."""
+    try:
+        if told.authorisers:
+            from ..fronts.grpc.authorisers import Authorisers
+            owner.authorisers = Authorisers(told.authorisers, queue, clock, owner)
+        if told.checks is not None:
+            from ..fronts.grpc.check import Checks
+            owner.checks = Checks(told.checks, owner.settings, queue, clock)
+            owner.checks.backend_name = lambda backend: str(owner.backend_ids.get(backend, ""))
+            await owner.checks.start()
+    except ImportError as missing:
+        raise Malformed(f"gRPC is not installed: pip install 'kestrelbend[grpc]' ({missing})") from None
+
+
 def reload(told, owner):
     """SIGHUP: the configuration file was replaced.  Addresses and limits hold from now on; settings, by which
     customers and backends are already known, from the next start.  A file that cannot be used changes
@@ -115,7 +136,12 @@
     logging.info("draining")
     if owner.peers is not None:
         owner.peers.leave()
-    await owner.clients.drain(LINGER_S)
+    leaving = [owner.clients.drain(LINGER_S)]
+    if owner.checks is not None:
+        leaving.append(owner.checks.drain(longest(told)))
+    await asyncio.gather(*leaving)
+    if owner.authorisers is not None:
+        await owner.authorisers.end()
     tally.report()
 
 
--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -20,6 +20,7 @@
         self.gone = {}                  # backends off the list, and since when
         self.late = 0                   # how late alarms came of late: the gateway is short of CPU
         self.clients = self.backend_peer = self.roster = self.counter = self.peers = None
+        self.checks = self.authorisers = None
 
     async def serve(self):
         self.gateway.now = self.clock()
@@ -48,10 +49,14 @@
         if inv is not None:
             if not inv.done:
                 inv.done = True
-                self.clients.errored(self.requests[inv])
+                self.home(inv).errored(self.requests[inv])
             self.tasks.pop(inv, None)
             self.forget(inv)
 
+    def home(self, inv):
+        """The front that an invocation came by."""
+        return self.requests[inv].front or self.clients
+
     # Events.
 
     def on_taken(self, request):
@@ -71,11 +76,29 @@
             self.left(request.inv)
 
     def on_ended(self, d, result, took, answer, load, actual):
+        request = self.requests.get(d.inv)
+        if request is not None and request.front is not None:
+            d.inv.done = True           # its answer was that it was let in
         final = result is Result.SUCCEEDED and not d.inv.done
         if final:
             self.clients.succeeded(self.requests[d.inv], *answer)
         self.ended(d, result, took, final, load, actual)
 
+    def on_authorised(self, d):
+        """Its authorisers let it go on; whatever happened meanwhile goes before."""
+        if d.inv.done or d.inv not in self.requests:
+            self.ended(d, Result.VOID, 0, False, None, 0)
+        else:
+            d.sent = self.gateway.now           # their time is not the backend's
+            self.backend_peer.deliver(d, self.requests[d.inv])
+
+    def on_refused(self, d, result, denial):
+        """It is not sent: denied, or given up while it waited."""
+        if denial is not None and not d.inv.done:
+            d.inv.done = True
+            self.clients.denied(self.requests[d.inv], denial)
+        self.ended(d, result, 0, False, None, 0)
+
     def on_alarm(self, task, until):
         self.late = max(self.gateway.now - until, self.late - self.late // 32)
         if task.alarm is not None and task.alarm[1] == until:
@@ -126,16 +149,24 @@
 
     def deliver(self, d):
         must(not d.inv.done, "nothing_sent_after_the_answer")
-        self.backend_peer.deliver(d, self.requests[d.inv])
+        request = self.requests[d.inv]
+        if request.front is not None:
+            request.front.deliver(d, request)
+        elif self.authorisers is None or not self.authorisers.deliver(d, request):
+            self.backend_peer.deliver(d, request)
 
     def cancel(self, d):
-        self.backend_peer.cancel(d)
+        request = self.requests.get(d.inv)
+        if request is not None and request.front is not None:
+            request.front.cancel(d)
+        elif self.authorisers is None or not self.authorisers.cancel(d):
+            self.backend_peer.cancel(d)
 
     def throttle(self, inv, retry_after):
-        self.clients.throttled(self.requests[inv], retry_after)
+        self.home(inv).throttled(self.requests[inv], retry_after)
 
     def fail(self, inv):
-        self.clients.errored(self.requests[inv])
+        self.home(inv).errored(self.requests[inv])
 
     def alarm(self, task, until):
         left, event = max(0, until - self.gateway.now) / 1e6, ("alarm", task, until)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from kestrelbend.config import platform, reading, units
-from kestrelbend.config.model import Installation
+from kestrelbend.config.installation import Installation
 from kestrelbend.net import configuration
 from kestrelbend.net.porch import place
 from tests.helpers import World
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -16,7 +16,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from kestrelbend.config import reading
-from kestrelbend.config.model import Installation
+from kestrelbend.config.installation import Installation
 from kestrelbend.duties import leases, probing
 from kestrelbend.duties.deal import Deal
 from kestrelbend.lab.gossip import KEYS, Fleet
