--- a/kestrelbend/duties/probing.py
+++ b/kestrelbend/duties/probing.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..membership.messages import State
 from .deal import Deal
 
 MS = 1000
@@ -21,7 +22,7 @@
     def __init__(self, me, random):
         self.me, self.random, self.deal = me, random, Deal()
         self.deal.set_members({me: 1.0})
-        self.backends, self.at, self.heard, self.moved = {}, {}, {}, 0
+        self.backends, self.at, self.heard, self.moved, self.live = {}, {}, {}, 0, set()
 
     def members(self, names):
         """Those that live and are not suspected; this one always counts itself."""
@@ -49,6 +50,29 @@
                 made.append(uid)
         return made
 
+    def hear(self, core, heed):
+        """What the membership core has learned: who lives, and reports, for `heed(backend, load)`; how many
+        of these."""
+        live = {member.name for member in core.members.values() if member.state == State.ALIVE}
+        if live != self.live:
+            self.live = live
+            self.members(live)
+        used = 0
+        while core.heard_notes:
+            note, since = core.heard_notes.popleft()
+            if (read := self.read(note, since, core.now)) is not None:
+                heed(*read)
+                used += 1
+        return used
+
+    def tell(self, core, now, uid, load):
+        """Others hear of a probe's report."""
+        body = self.said(load)
+        if uid is not None and body is not None:
+            core.now = now
+            core.tell(KIND, uid, body)
+            core.forget_notes(now - FRESH)
+
     @staticmethod
     def said(load):
         """A report as it is told to others, or None."""
--- a/kestrelbend/lab/members.py
+++ b/kestrelbend/lab/members.py
@@ -32,7 +32,7 @@
         self.core = Swim(f"n{life.index}", address(life.index), started, terms, Random(seed), self.now(),
                          [address(n) for n in range(count)])
         self.probing = probing.Probing(self.core.name, self.core.random) if life.shares else None
-        self.timer, self.live = None, set()
+        self.timer = None
         self.after()
         if self.probing is not None:
             life.post(self.look)
@@ -58,15 +58,7 @@
                 alive = other is not None and other.member.core.life == change.member.life
                 tally.counts["members falsely dead" if alive else "members seen dead"] += 1
         if self.probing is not None:
-            live = {m.name for m in core.members.values() if m.state == State.ALIVE}
-            if live != self.live:
-                self.live = live
-                self.probing.members(live)
-            while core.heard_notes:
-                note, since = core.heard_notes.popleft()
-                if (read := self.probing.read(note, since, core.now)) is not None:
-                    tally.counts["reports shared"] += 1
-                    self.life.gateway.heed(*read)
+            tally.counts["reports shared"] += self.probing.hear(core, self.life.gateway.heed)
         while core.out:
             to, message = core.out.popleft()
             tally.counts["datagrams"] += 1
@@ -99,9 +91,5 @@
         self.clock.after(LOOK, life.post, self.look)
 
     def probed(self, backend, load):
-        uid, body = self.life.backend_ids.get(backend), self.probing.said(load)
-        if uid is not None and body is not None:
-            self.core.now = self.now()
-            self.core.tell(probing.KIND, uid, body)
-            self.core.forget_notes(self.core.now - probing.FRESH)
-            self.after()
+        self.probing.tell(self.core, self.now(), self.life.backend_ids.get(backend), load)
+        self.after()
--- a/kestrelbend/membership/swim.py
+++ b/kestrelbend/membership/swim.py
@@ -43,6 +43,7 @@
         self.confirmations = 3
         self.spread = 2.0                                   # a rumour is sent so often, times log2 of members
         self.sync_every = 2 * SECOND                        # digests to one whose view differs, at most
+        self.young = 10 * SECOND                            # one that began so lately compares more often
         self.reach_every = 4 * SECOND                       # a ping to one dead or never heard of
         self.forget = 120 * SECOND                          # the dead are known so long, unless listed
 
@@ -103,7 +104,7 @@
     def __init__(self, name, address, life, terms, rng, now, peers=()):
         self.name, self.address, self.life, self.terms = name, address, life, terms
         self.random, self.shuffle, self.sample = rng.random, rng.shuffle, rng.sample
-        self.now, self.incarnation, self.doubt = now, 0, 0
+        self.now, self.born, self.incarnation, self.doubt = now, now, 0, 0
         self.members, self.order, self.asked, self.turn, self.by_turn = {}, [], {}, 0, False
         self.rumours, self.notes, self.told = {}, {}, {}    # told: times that each was sent
         self.peers = {at for at in peers if at != address}
@@ -497,13 +498,16 @@
     # Anti-entropy.
 
     def sync(self, address, name):
-        """Views differ: compare them bucket by bucket, with any one not too often."""
-        if self.now - self.synced.get(name, -self.terms.sync_every) < self.terms.sync_every:
+        """Views differ: compare them bucket by bucket, with any one not too often.  One that has just begun
+        knows little, and duties wait for it to know more: it compares with everybody who speaks to it."""
+        young = self.now - self.born < self.terms.young
+        every = self.terms.sync_every // (8 if young else 1)
+        if self.now - self.synced.get(name, -every) < every:
             return
         if len(self.synced) > 4 * len(self.members) + 64:
             self.synced = {n: at for n, at in self.synced.items() if self.now - at < self.terms.sync_every}
         # News on its way makes views differ for a moment in any case.
-        if self.rumours and self.random() > 0.25:
+        if not young and self.rumours and self.random() > 0.25:
             return
         self.synced[name] = self.now
         self.counts["syncs"] += 1
--- a/kestrelbend/net/peers.py
+++ b/kestrelbend/net/peers.py
@@ -46,7 +46,6 @@
         self.static = [f"{host}:{port}" for host, port in told.peers]
         self.voter, self.holders = leases.Voter(self.now()), {}
         self.probing = probing.Probing(told.name, rng.random) if told.share_probes else None
-        self.live, self.asking_until = set(), 0
 
     @staticmethod
     def now():
@@ -89,15 +88,7 @@
         if core.conflict is not None:
             self.give_way(core.conflict)
         if self.probing is not None:
-            live = {m.name for m in core.members.values() if m.state == State.ALIVE}
-            if live != self.live:
-                self.live = live
-                self.probing.members(live)
-            while core.heard_notes:
-                note, since = core.heard_notes.popleft()
-                if (read := self.probing.read(note, since, core.now)) is not None:
-                    counters["reports_shared"] += 1
-                    self.owner.gateway.heed(*read)
+            counters["reports_shared"] += self.probing.hear(core, self.owner.gateway.heed)
         while core.leases:
             self.leased(*core.leases.popleft())
         self.flush()
@@ -126,7 +117,7 @@
         self.core.hear(rumour, tell=False)
         if self.probing is not None:
             self.probing.me = own
-            self.probing.members(self.live)
+            self.probing.members(self.probing.live)
 
     # Probes as duties.
 
@@ -138,11 +129,7 @@
         return [cold[uid] for uid in self.probing.due(self.now())]
 
     def probed(self, backend, load):
-        uid, body = self.owner.backend_ids.get(backend), self.probing.said(load)
-        if uid is not None and body is not None:
-            self.core.now = self.now()
-            self.core.tell(probing.KIND, uid, body)
-            self.core.forget_notes(self.core.now - probing.FRESH)
+        self.probing.tell(self.core, self.now(), self.owner.backend_ids.get(backend), load)
 
     # Exclusive duties.
 
