Authorisers: the module's own test and retry budget; addresses read by the one reader

Seen on reading the whole change: the figures of the sequential test and of the retry budget stood a second time beside choice.py's, and host:port was checked by hand in two places beside config.units. Both are taken from where they are; port 0 is refused now as for every other address.

--- a/benchmarks/checks.py
+++ b/benchmarks/checks.py
@@ -219,7 +219,7 @@
         owner, serving = await start(told)
         owner.authorisers = Authorisers([asking.Authoriser("a", f"127.0.0.1:{stand.port}", budget=0.25,
                                                            when_silent="allow", repeats=0)],
-                                        owner.queue, owner.clock, owner)
+                                        owner.queue, owner.clock)
         await asyncio.sleep(0.5)
         good, late, other, began = [0] * 3, [0] * 3, [0] * 3, time.monotonic()
         took = [HdrHistogram(1, 60_000_000, 3) for _ in range(3)]
--- a/kestrelbend/fronts/asking.py
+++ b/kestrelbend/fronts/asking.py
@@ -10,17 +10,22 @@
 
 from msgspec import Meta, Struct, field
 
-SECOND = 1_000_000
-EXPECTED, SICK, SICK_AT = 0.02, 0.35, 4.6       # as the module's test on backends
-BENCH, LONGEST_BENCH = SECOND, 8 * SECOND
-SHARE, FLOOR, HALVE_AT = 0.2, 3, 256            # repeats beside calls of late
+# The test on backends and the budget of retries are the module's.
+from ..choice import BENCH, LONGEST_BENCH, SECOND, SICK_AT
+from ..choice import ERROR_EXPECTED as EXPECTED
+from ..choice import ERROR_SICK as SICK
+from ..choice import RETRY_FLOOR as FLOOR
+from ..choice import RETRY_SHARE as SHARE
+from ..config.units import Address
+
+HALVE_AT = 256                                  # calls of late
 REMEMBERED = 10_000                             # verdicts kept
 
 
 class Authoriser(Struct):
     """One that is asked before the first delivery."""
     name: str
-    target: str                                 # host:port
+    target: Address
     operations: list[str] = field(default_factory=list)     # for these; empty: all
     plans: list[str] = field(default_factory=list)
     budget: Annotated[float, Meta(gt=0)] = 0.2  # seconds of the client's time, at most
@@ -32,11 +37,6 @@
     pass_on: list[str] = field(default_factory=list)        # headers of a denial that clients may see
     longest: Annotated[int, Meta(ge=1024)] = 16_384         # bytes of an answer
 
-    def faults(self):
-        host, _, port = self.target.rpartition(":")
-        if not host or not port.isdecimal():
-            yield "target", f"expected host:port, got {self.target!r}"
-
     def concerns(self, operation, plan):
         return ((not self.operations or operation in self.operations)
                 and (not self.plans or plan in self.plans))
@@ -90,7 +90,7 @@
         """Microseconds for a call, of those that its client has left."""
         return int(min(self.stated.budget * SECOND, self.stated.part * left))
 
-    def begins(self, now):
+    def begins(self):
         self.open += 1
         self.trial = bool(self.benched)         # after a bench one call at a time, until one is answered
         self.calls += 1
--- a/kestrelbend/fronts/attributes.py
+++ b/kestrelbend/fronts/attributes.py
@@ -11,6 +11,8 @@
 
 from msgspec import Meta, Struct, field
 
+from ..config.units import Address
+
 LONGEST = 256           # characters of a value
 FIELDS = ("customer", "plan", "operation", "units", "spread", "retry", "wait")
 
@@ -140,7 +142,7 @@
 
 class Checks(Struct):
     """Answering `envoy.service.auth.v3.Authorization/Check`."""
-    listen: str
+    listen: Address
     rules: Rules
     on_bad: Literal["deny", "allow"] = "deny"
     settle: Annotated[float, Meta(gt=0)] = 0.3      # seconds after which an admitted one counts as served
@@ -152,8 +154,3 @@
     remove: list[str] = field(default_factory=list)
     most_open: Annotated[int, Meta(ge=1)] = 10_000
     longest: Annotated[int, Meta(ge=1024)] = 65_536         # bytes of one message
-
-    def faults(self):
-        host, _, port = self.listen.rpartition(":")
-        if not host or not port.isdecimal():
-            yield "listen", f"expected host:port, got {self.listen!r}"
--- a/kestrelbend/fronts/grpc/authorisers.py
+++ b/kestrelbend/fronts/grpc/authorisers.py
@@ -24,7 +24,7 @@
 
     def __init__(self, stated):
         self.asking, self.stated, self.failed = Asking(stated), stated, 0
-        self.channel = None
+        self.channel = self.made = None
 
     def stub(self):
         if self.channel is None:
@@ -49,8 +49,8 @@
 class Authorisers:
     """The chain; `deliver` stands before the backends' for first deliveries."""
 
-    def __init__(self, stated, queue, clock, owner):
-        self.links, self.queue, self.clock, self.owner = [Link(s) for s in stated], queue, clock, owner
+    def __init__(self, stated, queue, clock):
+        self.links, self.queue, self.clock = [Link(s) for s in stated], queue, clock
         self.running, self.closing = {}, set()
 
     def concerns(self, request):
@@ -106,7 +106,7 @@
                 counters["authoriser_" + why] += 1
                 return asking.silent(why)
             tries += 1
-            asking.begins(self.clock())
+            asking.begins()
             answered = False
             try:
                 # Each try leaves some time for the next.
--- a/kestrelbend/net/gateway.py
+++ b/kestrelbend/net/gateway.py
@@ -73,7 +73,7 @@
     try:
         if told.authorisers:
             from ..fronts.grpc.authorisers import Authorisers
-            owner.authorisers = Authorisers(told.authorisers, queue, clock, owner)
+            owner.authorisers = Authorisers(told.authorisers, queue, clock)
         if told.checks is not None:
             from ..fronts.grpc.check import Checks
             owner.checks = Checks(told.checks, owner.settings, queue, clock)
--- a/tests/test_authorisation.py
+++ b/tests/test_authorisation.py
@@ -47,7 +47,7 @@
             await stand.start()
         rows = [Authoriser(**({"name": f"a{n}", "target": f"127.0.0.1:{stand.port}"} | self.stated))
                 for n, stand in enumerate(self.stands)]
-        world.owner.authorisers = Authorisers(rows, world.owner.queue, world.owner.clock, world.owner)
+        world.owner.authorisers = Authorisers(rows, world.owner.queue, world.owner.clock)
         return world, *self.stands
 
     async def __aexit__(self, *_):
@@ -192,7 +192,7 @@
     for answered in outcomes:
         now += S // 100
         if not one.may_ask(now):
-            one.begins(now)
+            one.begins()
             one.ends(now, answered)
     assert one.open == 0 and (not one.benched or not all(outcomes))
     dead = Asking(Authoriser("a", "h:1"))
@@ -200,7 +200,7 @@
     for now in range(0, 20 * S, S // 50):
         if not dead.may_ask(now):
             calls += 1
-            dead.begins(now)
+            dead.begins()
             dead.ends(now, False)
     assert calls < 12
 
@@ -209,7 +209,7 @@
     one = Asking(Authoriser("a", "h:1", repeats=1))
     repeated = 0
     for now in range(500):
-        one.begins(now)
+        one.begins()
         one.ends(now, True)
         repeated += one.may_repeat(1)
     assert asking.FLOOR <= repeated <= 0.21 * 500
