Laboratory: one place each for a run's end and figures, a wait, a giving up, an address

Seen on reading the whole change: both clocks worked out end and figures, expired and cancel were the same but for the result, the counter's wait repeated the module's formula, two maps of words were the platform's turned round, tests had the same free address.

--- a/kestrelbend/cli.py
+++ b/kestrelbend/cli.py
@@ -151,15 +151,15 @@
 ):
     """Run one scenario and say what it came to."""
     from .lab import results
-    from .lab.clock import Stuck
+    from .lab.clock import NotOnSockets, Stuck
     from .lab.scenario import Scenario
 
     scenario = read(path, Scenario)
     with progress(scenario.name) as advance:
         if sockets:
-            from .lab.loopback import NotOnSockets, run
+            from .lab.loopback import run
         else:
-            from .lab.emulate import NotOnSockets, run
+            from .lab.emulate import run
         try:
             world, figures = run(scenario, seed, progress=advance)
         except NotOnSockets as trouble:
--- a/kestrelbend/config/model.py
+++ b/kestrelbend/config/model.py
@@ -7,7 +7,6 @@
 
 from typing import Annotated, Literal
 
-import msgspec
 from msgspec import Meta, Struct, field
 
 from .. import interface as i
@@ -129,8 +128,3 @@
             "most_open": b.most_open, "tick": int(f.tick), "ask_within": int(f.ask_within),
             "answer_slack": int(f.answer_slack), "cold": int(b.cold), "cold_from": float(b.cold_from),
             "drain_grace": int(b.drain_grace), "fall": int(b.fall), "fall_multiple": b.fall_multiple}
-
-
-def fields_of(model):
-    """(name, struct field) of a model, in order."""
-    return [(each.encode_name, each) for each in msgspec.structs.fields(model)]
--- a/kestrelbend/lab/emulate.py
+++ b/kestrelbend/lab/emulate.py
@@ -9,11 +9,10 @@
 from resource import RUSAGE_SELF, getrusage
 
 from . import failures
-from .clock import NotOnSockets, SimClock, Stuck  # noqa: F401  (the command asks both clocks for it)
+from .clock import SimClock, Stuck
 from .plant import SimPlant
 from .world import World
 
-AFTER = 1_000_000       # microseconds that a run goes on after the last client's time
 FROZEN_S = 20           # real seconds without one call of the clock: something neither pauses nor ends
 
 
@@ -55,8 +54,7 @@
             world.plant.begin()
             failures.schedule(world)
             world.clients.start(world.began + scenario.lasts)
-            longest = max(op.timeout for op in scenario.operations)
-            end = world.began + scenario.lasts + longest + AFTER
+            end = world.ends()
             step = max(1_000_000, scenario.lasts // 20)
             while clock.now < end:
                 clock.run(min(end, clock.now + step))
@@ -67,9 +65,7 @@
     finally:
         if collects:
             gc.enable()
-    figures = world.tally.figures()
-    figures["broken"] = [str(each) for each in world.oracle.broken[:3]]
-    figures["rules_broken"] = len(world.oracle.broken)
+    figures = world.figures()
     took = time.process_time() - spent
     figures["run"] = {"wall_s": round(time.monotonic() - began, 2), "cpu_s": round(took, 2),
                       "calls": clock.calls, "tries_per_core_s": round(world.tally.counts["tries"] / took, 1),
--- a/kestrelbend/lab/experiment.py
+++ b/kestrelbend/lab/experiment.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import copy
-import importlib.machinery
 import importlib.util
 import multiprocessing
 import os
@@ -124,7 +122,7 @@
     import tomllib
 
     with open(path, "rb") as file:
-        given = copy.deepcopy(tomllib.load(file))
+        given = tomllib.load(file)
     changes = dict(variant.set)
     if size:
         changes |= {"fleet.gateways": size[0], "backends.count": size[1]}
@@ -176,8 +174,6 @@
         sys.meta_path.insert(0, Elsewhere(job.variant.checkout))
         for name in [n for n in sys.modules if n.startswith("kestrelbend.") and n.split(".")[1] in MODULE]:
             del sys.modules[name]
-    from .scenario import Scenario as _  # noqa: F401  (of this checkout, before any other)
-
     scenario = stated(job.scenario, job.variant, job.size)
     if job.clock == "sockets":
         from .loopback import run
@@ -190,8 +186,7 @@
         if job.variant.baseline:
             from .baselines import BASELINES
 
-            module = BASELINES[job.variant.baseline]
-            SimPlant.module = module
+            SimPlant.module = BASELINES[job.variant.baseline]
         world, figures = run(scenario, job.seed)
     return results.row(scenario, world, figures, job.clock, job.seed, job.variant.name, revision(job))
 
--- a/kestrelbend/lab/loopback.py
+++ b/kestrelbend/lab/loopback.py
@@ -14,6 +14,7 @@
 import os
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -23,6 +24,7 @@
 import aiohttp
 import uvloop
 
+from ..choice import Gateway
 from ..config.platform import flatten, settings
 from . import failures
 from .clock import LATE, LoopClock, NotOnSockets
@@ -30,7 +32,7 @@
 from .plant import LINGER, SWEEP
 from .scenario import Clocks
 from .settings import stated
-from .stands import OPEN, AgentStand, BackendDoor, CounterStand, counter_wait
+from .stands import OPEN, AgentStand, BackendDoor, CounterStand
 from .world import World
 
 LOOK_S = 0.015  # between looks of the stand-ins at their models; the rules' slack is 50 ms
@@ -68,8 +70,8 @@
         self.lives, self.numbers, self.steps = [None] * count, [0] * count, [0] * count
         self.places, self.askings, self.tasks = [None] * count, {}, set()
         self.doors, self.agents, self.counters = {}, [], []
-        self.folder, self.ended, self.text, self.env = None, False, None, {}
-        self.counter_wait = counter_wait(settings(dict(flatten(stated(world.scenario, 0)))))
+        self.folder, self.ended, self.text = None, False, None
+        self.counter_wait = Gateway(settings(dict(flatten(stated(world.scenario, 0)))), 0, 0).counter_wait
         self.lost_before, self.failed = False, []
         self.datagrams = [free_address(n) for n in range(count)]
 
@@ -106,7 +108,7 @@
                 if self.failed:
                     raise RuntimeError(self.failed[0])
                 await asyncio.sleep(0.02)
-        self.looking = self.keep(self.follow())
+        self.keep(self.follow())
 
     async def follow(self):
         while True:
@@ -201,7 +203,7 @@
                 "-O",
                 "-m",
                 "kestrelbend",
-                env={**env, **self.env, "ROUTER_CONFIG": str(path)},
+                env={**env, "ROUTER_CONFIG": str(path)},
                 cwd=self.text,
                 stdout=log,
                 stderr=log,
@@ -399,10 +401,8 @@
         return found
 
 
-def free_address(number):
-    """An address of this run alone: the gateway listens there in all its lives."""
-    import socket
-
+def free_address(number=0):
+    """An address of this process alone: the port is let go for a moment before a gateway takes it."""
     with socket.socket() as free:
         free.bind((f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.{1 + number % 250}", 0))
         return free.getsockname()
@@ -421,7 +421,7 @@
         plant.begin()
         failures.schedule(world)
         world.clients.start(world.began + scenario.lasts)
-        end = world.began + scenario.lasts + max(op.timeout for op in scenario.operations) + 1_000_000
+        end = world.ends()
         while clock.now < end:
             await asyncio.sleep(min(0.5, max(0.0, (end - clock.now) / 1e6)))
             if progress is not None:
@@ -430,11 +430,9 @@
     finally:
         await plant.close()
         gc.unfreeze()
-    figures = world.tally.figures()
-    for text in plant.broken:
-        world.oracle.breaks(1, text)
-    figures["broken"] = [str(each) for each in world.oracle.broken[:3]]
-    figures["rules_broken"] = len(world.oracle.broken)
+    for said in plant.broken:
+        world.oracle.breaks(1, said)
+    figures = world.figures()
     if clock.behind > LATE_PART * clock.calls:
         figures["void"] = (
             f"{clock.behind} of {clock.calls} calls of the emulator came more than "
--- a/kestrelbend/lab/plant.py
+++ b/kestrelbend/lab/plant.py
@@ -148,22 +148,22 @@
                                 RESULTS[outcome], self.clock.now - sending.at, load)
 
     def expired(self, d):
-        """Its time is up: its connection is given up with it."""
+        """Its time is up."""
         sending = self.sending.get(d)
         if sending is not None:
-            sending.ruined = True
-            if sending.job is not None:
-                sending.backend.cancel(sending.job)
-            result = Result.TIMED_OUT if sending.reached else Result.UNREACHABLE
-            self.post(self.delivered, d, result, self.clock.now - sending.at)
+            self.give_up(sending, Result.TIMED_OUT if sending.reached else Result.UNREACHABLE)
 
     def cancel(self, d):
         sending = self.sending.get(d)
         if sending is not None:
-            sending.ruined = True
-            if sending.job is not None:
-                sending.backend.cancel(sending.job)
-            self.post(self.delivered, d, Result.CANCELLED, self.clock.now - sending.at)
+            self.give_up(sending, Result.CANCELLED)
+
+    def give_up(self, sending, result):
+        """Its connection is given up with it."""
+        sending.ruined = True
+        if sending.job is not None:
+            sending.backend.cancel(sending.job)
+        self.post(self.delivered, sending.d, result, self.clock.now - sending.at)
 
     def release(self, sending):
         """The delivery is over for this gateway; its connection is kept, or was given up."""
@@ -517,6 +517,3 @@
         if life is not None and self.lives[asking.gateway] is life:
             self.world.network.send(self.world.clients.party, self.parties[asking.gateway], self.post, life,
                                     life.client_left, asking)
-
-    def finish(self):
-        """Simulated gateways need no ending."""
--- a/kestrelbend/lab/settings.py
+++ b/kestrelbend/lab/settings.py
@@ -1,8 +1,10 @@
 """A scenario's terms as the gateways are told them: the platform's configuration, in its own words."""
 from __future__ import annotations
 
-EFFECTS = {"idempotent": "idempotent", "tokened": "deduplicated", "non-idempotent": "at_most_once"}
-SCOPES = {"all": "all", "zone": "zone", "group": "cell"}
+from ..config import platform
+
+EFFECTS = {ours: theirs for theirs, ours in platform.EFFECTS.items()}
+SCOPES = {ours: theirs for theirs, ours in platform.SCOPES.items()}
 
 
 def ms(span):
--- a/kestrelbend/lab/stands.py
+++ b/kestrelbend/lab/stands.py
@@ -15,7 +15,6 @@
 import hiredis
 from aiohttp import web
 
-from ..choice import PATIENCE
 from .backends import Job
 from .counter import TURNED_AWAY
 
@@ -303,9 +302,3 @@
 
     def close(self):
         self.listening.close()
-
-
-def counter_wait(settings):
-    """Microseconds that a gateway waits for a total, as the module works it out."""
-    objective = min(op.objective for op in settings["operations"])
-    return max(settings["counter_timeout"], int(PATIENCE * objective))
--- a/kestrelbend/lab/world.py
+++ b/kestrelbend/lab/world.py
@@ -13,6 +13,9 @@
 from .tally import Tally
 
 
+AFTER = 1_000_000       # microseconds that a run goes on after the last client's time
+
+
 class World:
     """`plant` makes the gateways: simulated ones or processes on loopback."""
 
@@ -36,6 +39,15 @@
         """On sockets the servers and gateways are there before the scenario begins."""
         self.began = self.tally.start = self.oracle.start = self.clock.now
 
+    def ends(self):
+        """When the last client's time is over, and a little more."""
+        return self.began + self.scenario.lasts + max(op.timeout for op in self.scenario.operations) + AFTER
+
+    def figures(self):
+        """Those of the run, with what the oracle saw."""
+        return self.tally.figures() | {"broken": [str(each) for each in self.oracle.broken[:3]],
+                                       "rules_broken": len(self.oracle.broken)}
+
     def chance(self, name):
         """Single draws by the name of what draws."""
         if name not in self.chances:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,7 +3,6 @@
 import itertools
 import json
 import os
-import socket
 import time
 
 import hiredis
@@ -12,6 +11,7 @@
 from kestrelbend.benchlink import codec
 from kestrelbend.benchlink.host import Instance
 from kestrelbend.interface import Result
+from kestrelbend.lab.loopback import free_address
 from kestrelbend.net import configuration
 from kestrelbend.net.configuration import Told
 from kestrelbend.net.gateway import start
@@ -205,13 +205,6 @@
             "capacity_hint": 1.0, "boot_ms": started}
 
 
-def free_address(number=0):
-    """An address of this process alone: the port is let go for a moment before a gateway takes it."""
-    with socket.socket() as free:
-        free.bind((f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.{9 + number}", 0))
-        return free.getsockname()
-
-
 class World:
     """A gateway on loopback sockets between stand-ins."""
 
