--- a/kestrelbend/hosting.py
+++ b/kestrelbend/hosting.py
@@ -24,10 +24,11 @@
 
 class Host:
     """One gateway: its module, its objects by the ids of the other side, its running tasks."""
+    module = Gateway        # the laboratory puts baselines in its place
 
     def __init__(self, settings, seed, now):
         self.settings = settings
-        self.gateway = Gateway(settings, seed, now)
+        self.gateway = self.module(settings, seed, now)
         self.operations = {op.name: op for op in settings["operations"]}
         self.plans = {plan.name: plan for plan in settings["plans"]}
         self.backends, self.backend_ids, self.listed = {}, {}, {}
--- a/kestrelbend/lab/clock.py
+++ b/kestrelbend/lab/clock.py
@@ -10,6 +10,7 @@
 import heapq
 import time
 
+LATE = 25_000            # microseconds: a call in real time that comes later speaks of too little CPU
 STUCK = 200_000         # calls at one simulated instant before it is taken for a loop without end
 
 
@@ -17,6 +18,10 @@
     """Something keeps calling without letting time go on."""
 
 
+class NotOnSockets(Exception):
+    """What a scenario asks for that only simulated time can do."""
+
+
 class SimClock:
     """Simulated time.  What is due at one instant is called in the order in which it was asked for."""
 
@@ -59,7 +64,8 @@
     def __init__(self):
         self.loop = asyncio.get_running_loop()
         self.base = time.time_ns() // 1000 - time.monotonic_ns() // 1000
-        self.late = 0           # microseconds by which calls came late, at most
+        # Microseconds by which calls came late, at most; calls, and those that came late by more than LATE.
+        self.late, self.calls, self.behind = 0, 0, 0
 
     @property
     def now(self):
@@ -72,7 +78,8 @@
         return self.at(self.now + span, call, *args)
 
     def call(self, when, call, args):
-        self.late = max(self.late, self.now - when)
+        late = self.now - when
+        self.late, self.calls, self.behind = max(self.late, late), self.calls + 1, self.behind + (late > LATE)
         call(*args)
 
     @staticmethod
--- a/kestrelbend/lab/failures.py
+++ b/kestrelbend/lab/failures.py
@@ -100,6 +100,18 @@
     return undo
 
 
+@act.register
+def _(f: s.Lost, world):
+    lost = [b for b in some(world, world.backends, f.share, f"lost backends {f.at}") if b.up]
+    for backend in lost:
+        world.take_down(backend, silent=True, tell=False)
+
+    def undo():
+        for backend in lost:
+            world.bring_up(backend)
+    return undo
+
+
 @act.register
 def _(f: s.Cut, world):
     cut = (f.one, f.other, f.both_ways)
--- a/kestrelbend/lab/plant.py
+++ b/kestrelbend/lab/plant.py
@@ -7,9 +7,9 @@
 
 from collections import deque
 
+from ..config.platform import flatten, settings
 from ..hosting import Host
 from ..interface import Invocation, Result, State
-from ..config.platform import flatten, settings
 from .backends import Job
 from .clock import Stuck
 from .counter import TURNED_AWAY
@@ -38,6 +38,8 @@
 
     def __init__(self, plant, index, number, known):
         world = plant.world
+        if plant.module is not None:
+            self.module = plant.module
         super().__init__(plant.settings(index), plant.seed(index, number), plant.time(index))
         self.plant, self.world, self.index, self.number = plant, world, index, number
         self.party, self.clock = plant.parties[index], world.clock
@@ -67,7 +69,8 @@
     def client_left(self, asking):
         inv = self.invs.get(asking.number)
         if inv is not None:
-            self.world.oracle.left(asking.number)
+            if self.clock.now < asking.until:           # else an answer was due by then
+                self.world.oracle.left(asking.number)
             self.left(inv)
 
     def delivered(self, d, result, took, load=None):
@@ -330,6 +333,7 @@
 
 class SimPlant:
     """All gateways in simulated time."""
+    module = None           # a policy in place of the module
 
     def __init__(self, world):
         self.world, self.clock, self.fleet = world, world.clock, world.scenario.fleet
@@ -430,6 +434,7 @@
         after()
 
     def pause(self, index, still):
+        self.world.oracle.paused(index, still)
         self.still[index] = still
         if not still and self.lives[index] is not None:
             waiting, self.inboxes[index] = self.inboxes[index], deque()
--- a/kestrelbend/lab/results.py
+++ b/kestrelbend/lab/results.py
@@ -11,7 +11,12 @@
 
 def digest(scenario):
     """Of what the scenario states, so that results of one name can be told apart."""
-    return hashlib.blake2b(msgspec.json.encode(scenario), digest_size=6).hexdigest()
+    return hashlib.blake2b(msgspec.json.encode(scenario, enc_hook=plain), digest_size=6).hexdigest()
+
+
+def plain(quantity):
+    """Times and shares are numbers of types of their own."""
+    return int(quantity) if isinstance(quantity, int) else float(quantity)
 
 
 def row(scenario, world, figures, clock, seed=None, variant="as it is", text=None):
@@ -24,7 +29,11 @@
 
 def write(path, rows):
     """Add lines at the end; a line is written whole or, when the run is killed, left to be passed over."""
-    with open(path, "ab") as file:
+    with open(path, "ab+") as file:
+        if file.tell():
+            file.seek(-1, 2)
+            if file.read(1) != b"\n":           # a killed run left half a line: the next must not join it
+                file.write(b"\n")
         for each in rows:
             file.write(msgspec.json.encode(each) + b"\n")
             file.flush()
@@ -54,6 +63,7 @@
     lines = [f"{row['scenario']} ({row['clock']}, {size})",
              f"  served {f['served']:.3f} of the worth inside the quotas, net of costs {f['net']:.3f}; "
              f"worst plan {f['worst_plan']:.3f}",
+             "  by plan: " + ", ".join(f"{name} {share:.3f}" for name, share in f["plans"].items()),
              "  costs: " + ", ".join(f"{name} {cost:.4f}" for name, cost in f["costs"].items()),
              f"  {f['counts'].get('requests', 0)} requests, {f['counts'].get('tries', 0)} tries, "
              f"{f['counts'].get('deliveries', 0)} deliveries, {f['refused_share']:.0%} of the tries refused, "
--- a/kestrelbend/lab/scenario.py
+++ b/kestrelbend/lab/scenario.py
@@ -201,6 +201,11 @@
     gateways: bool = False
 
 
+class Lost(Lasting, tag="lost-backends", forbid_unknown_fields=True, kw_only=True):
+    """Some backends vanish without a word; they return cold."""
+    share: Share = Share(0.125)
+
+
 class Cut(Lasting, tag="cut", forbid_unknown_fields=True, kw_only=True):
     """What one side sends does not reach the other, and back if so said.  A side is "gateways", "backends",
     "counter", "discovery", "clients" or "zone:NAME"."""
@@ -288,7 +293,7 @@
     share: Share = Share(0.5)
 
 
-AnyFailure = (Kill | Roll | Pause | ZoneLoss | Cut | LostAnswers | Resets | Spoilt | Slow | Failing |
+AnyFailure = (Kill | Roll | Pause | ZoneLoss | Lost | Cut | LostAnswers | Resets | Spoilt | Slow | Failing |
               Release | LateLists | CounterTrouble | Clocks | Storm | Flood | Burst | Shift)
 SIDES = ("gateways", "backends", "counter", "discovery", "clients")
 
--- a/kestrelbend/lab/world.py
+++ b/kestrelbend/lab/world.py
@@ -32,6 +32,10 @@
         self.plant = plant(self)
         self.clients = Clients(self)
 
+    def starts_now(self):
+        """On sockets the servers and gateways are there before the scenario begins."""
+        self.began = self.tally.start = self.oracle.start = self.clock.now
+
     def chance(self, name):
         """Single draws by the name of what draws."""
         if name not in self.chances:
