--- a/kestrelbend/cli.py
+++ b/kestrelbend/cli.py
@@ -187,6 +187,20 @@
         raise typer.Exit(1)
 
 
+@lab.command()
+def gossip(
+    gateways: Annotated[int, typer.Argument(min=2, max=500)],
+    loss: Annotated[float, typer.Option(min=0.0, max=0.9, help="Part of the datagrams lost.")] = 0.0,
+    seed: Annotated[int, typer.Option()] = 1,
+):
+    """Measure membership alone, in simulated time: detection, false deaths, datagrams."""
+    from json import dumps
+
+    from .lab.gossip import measured
+
+    typer.echo(dumps(measured(gateways, seed, loss)))
+
+
 @lab.command()
 def load(
     target: Annotated[str, typer.Argument(help="http://host:port, of a gateway or any HTTP server.")],
--- a/kestrelbend/lab/gossip.py
+++ b/kestrelbend/lab/gossip.py
@@ -150,7 +150,55 @@
             self.run(step)
         return math.inf
 
+    def count(self, what):
+        return sum(node.core.counts[what] for node in self.live())
+
     def deaths(self, since=0):
         """(when, who saw it, of whom) of deaths seen from then on."""
         return [(at, node, change.member.name) for at, node, change in self.changes
                 if at >= since and change.state == State.DEAD]
+
+
+def measured(count, seed, loss, quiet=60, deaths=10):
+    """Figures of one fleet: how long it takes to agree, what it sends at rest, who is called dead wrongly,
+    and how soon deaths are seen."""
+    fleet = Fleet(count, seed=seed, loss=loss, seeds=count)
+    fleet.start()
+    fleet.run(1)
+    agreed = 1 + fleet.until(fleet.agree, 120)
+    fleet.run(5)
+    began, sent, size = fleet.clock.now, fleet.counts["datagrams"], fleet.counts["bytes"]
+    fleet.run(quiet)
+    wrong = len({(node.name, name) for _, node, name in fleet.deaths(began)})
+    rate = [(fleet.counts[what] - before) / quiet / count
+            for what, before in (("datagrams", sent), ("bytes", size))]
+    suspected, dead, moved = [], [], []
+    for number in range(min(deaths, count // 3)):
+        victim = fleet.nodes[-1 - number]
+        at = fleet.clock.now
+        moved.append(share_moved(fleet, victim))
+        victim.kill()
+        rest = fleet.live()
+
+        def all_of(least, rest=rest, name=victim.name):
+            return all(node.core.members[name].state >= least for node in rest
+                       if name in node.core.members)
+        suspected.append(fleet.until(lambda: all_of(State.SUSPECT), 60, 0.05))
+        fleet.until(lambda: all_of(State.DEAD), 90, 0.25)
+        dead.append((fleet.clock.now - at) / S)
+    return {"gateways": count, "loss": loss, "seed": seed, "agree_s": round(agreed, 1),
+            "datagrams_s": round(rate[0], 2), "bytes_s": round(rate[1]), "falsely_dead": wrong,
+            "member_hours": round(count * quiet / 3600, 2),
+            "suspected_s": sorted(round(x, 2) for x in suspected),
+            "dead_s": sorted(round(x, 1) for x in dead), "duties_moved": round(max(moved, default=0.0), 3)}
+
+
+def share_moved(fleet, victim):
+    """The part of 500 duties that its death moves, beside what it had."""
+    from ..duties.deal import Deal
+    deal, names = Deal(), [node.name for node in fleet.live()]
+    deal.set_members(dict.fromkeys(names, 1.0))
+    for duty in range(500):
+        deal.add(f"s{duty}")
+    had = len(deal.of(victim.name))
+    return (deal.set_members({n: 1.0 for n in names if n != victim.name}) - had) / 500
--- a/kestrelbend/lab/loopback.py
+++ b/kestrelbend/lab/loopback.py
@@ -71,6 +71,7 @@
         self.folder, self.ended, self.text, self.env = None, False, None, {}
         self.counter_wait = counter_wait(settings(dict(flatten(stated(world.scenario, 0)))))
         self.lost_before, self.failed = False, []
+        self.datagrams = [free_address(n) for n in range(count)]
 
     def keep(self, work):
         task = asyncio.get_running_loop().create_task(work)
@@ -189,9 +190,11 @@
         }
         if self.counters:
             given["counter"] = self.counters[index].listening.address
+        env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
+        if self.world.scenario.members is not None:
+            env |= self.met(index, given)
         path = self.folder / f"{index}.json"
         path.write_text(json.dumps(given))
-        env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
         with open(self.folder / f"{index}.log", "ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -223,6 +226,17 @@
         if self.lives[index] is life and not self.ended and not life.draining:
             self.failed.append(f"gateway {index} did not start: {self.last_lines(index)}")
 
+    def met(self, index, given):
+        """Where the gateways meet; what is cut off between them by a scenario is not cut here."""
+        terms, keys = self.world.scenario.members, self.folder / "members.toml"
+        keys.write_text(f'period = "{int(terms.period)}us"\nmost_per_s = {terms.most_per_s}\n'
+                        f"share_probes = {str(terms.share_probes).lower()}\n"
+                        f'keys = {{1 = "{self.world.streams.seed & (1 << 64) - 1:032x}"}}\n')
+        given["peer_listen"] = "%s:%d" % self.datagrams[index]
+        given["peers"] = ["%s:%d" % at for at in self.datagrams]
+        given["settings"]["policyLimits"]["peers"] = True
+        return {"KESTRELBEND_MEMBERS": str(keys)}
+
     def kill(self, index):
         life = self.lives[index]
         if life is None:
--- /dev/null
+++ b/kestrelbend/lab/members.py
@@ -0,0 +1,107 @@
+"""Membership within emulated gateways: the core and the duties of `net.peers`, on the emulator's wire."""
+from __future__ import annotations
+
+from random import Random
+
+from ..duties import probing
+from ..membership.messages import State, packed
+from ..membership.swim import Swim, Terms
+
+LOOK = 100_000          # microseconds between looks at which backends have to be probed
+
+
+def address(index):
+    return packed((f"10.0.{index >> 8}.{index & 255}", 7946))
+
+
+def index_of(at):
+    return at[2] << 8 | at[3]
+
+
+class Attached:
+    """The member of one life of a gateway."""
+
+    def __init__(self, life):
+        self.life, self.world, stated = life, life.world, life.world.scenario.members
+        self.clock, self.chance = life.clock, life.world.chance("datagrams")
+        count = self.world.scenario.fleet.gateways
+        terms = Terms(period=int(stated.period), patience=int(stated.period) * 3 // 10,
+                      most_per_s=stated.most_per_s)
+        seed = life.plant.seed(life.index, -life.number)
+        started = life.plant.time(life.index) // 1000
+        self.core = Swim(f"n{life.index}", address(life.index), started, terms, Random(seed), self.now(),
+                         [address(n) for n in range(count)])
+        self.probing = probing.Probing(self.core.name, self.core.random) if life.shares else None
+        self.timer, self.live = None, set()
+        self.after()
+        if self.probing is not None:
+            life.post(self.look)
+
+    def now(self):
+        """A monotonic clock: this machine's steps are not seen."""
+        return self.clock.now
+
+    def got(self, source, message):
+        self.core.receive(self.now(), source, message)
+        self.after()
+
+    def due(self):
+        self.core.tick(self.now())
+        self.after()
+
+    def after(self):
+        core, tally = self.core, self.world.tally
+        while core.changes:
+            change = core.changes.popleft()
+            if change.state == State.DEAD:
+                other = self.life.plant.lives[index_of(change.member.address)]
+                alive = other is not None and other.member.core.life == change.member.life
+                tally.counts["members falsely dead" if alive else "members seen dead"] += 1
+        if self.probing is not None:
+            live = {m.name for m in core.members.values() if m.state == State.ALIVE}
+            if live != self.live:
+                self.live = live
+                self.probing.members(live)
+            while core.heard_notes:
+                note, since = core.heard_notes.popleft()
+                if (read := self.probing.read(note, since, core.now)) is not None:
+                    tally.counts["reports shared"] += 1
+                    self.life.gateway.heed(*read)
+        while core.out:
+            to, message = core.out.popleft()
+            tally.counts["datagrams"] += 1
+            self.carry(index_of(to), message)
+        if self.timer is not None:
+            self.clock.cancel(self.timer)
+        left = max(1000, core.due() - self.now())
+        self.timer = self.clock.after(left, self.life.post, self.due)
+
+    def carry(self, index, message):
+        """One datagram; a life that has ended meanwhile, or that stands still for long, never reads it."""
+        plant = self.life.plant
+        if self.world.scenario.members.loss and self.chance.random() < self.world.scenario.members.loss:
+            return
+        self.world.network.send(self.life.party, plant.parties[index], self.arrives, index, message)
+
+    def arrives(self, index, message):
+        other = self.life.plant.lives[index]
+        if other is not None:
+            other.post(other.member.got, address(self.life.index), message)
+
+    # Probes as duties.
+
+    def look(self):
+        life = self.life
+        cold = {uid: t for uid, t in life.listed.items() if life.gateway.cold(t)}
+        self.probing.follow(cold)
+        for uid in self.probing.due(self.now()):
+            life.probe(cold[uid])
+        self.clock.after(LOOK, life.post, self.look)
+
+    def probed(self, backend, load):
+        uid, body = self.life.backend_ids.get(backend), self.probing.said(load)
+        if uid is not None and body is not None:
+            self.core.now = self.now()
+            self.core.tell(probing.KIND, uid, body)
+            self.core.forget_notes(self.core.now - probing.FRESH)
+            self.after()
--- a/kestrelbend/lab/scenario.py
+++ b/kestrelbend/lab/scenario.py
@@ -146,6 +146,14 @@
             yield "patience", "from a least part above 0 of the timeout to a greatest"
 
 
+class Members(Struct, forbid_unknown_fields=True):
+    """Gateways meet one another by datagrams."""
+    period: Micros = Micros(300 * MS)
+    most_per_s: Positive = 40.0
+    share_probes: bool = True
+    loss: Share = Share(0)                      # of datagrams
+
+
 class Prices(Struct, forbid_unknown_fields=True):
     """Taken off the share served, each times its rate for one first try."""
     probe: Amount = 0.01
@@ -312,6 +320,7 @@
     network: Network = msgspec.field(default_factory=Network)
     clients: Clients = msgspec.field(default_factory=Clients)
     prices: Prices = msgspec.field(default_factory=Prices)
+    members: Members | None = None
     operations: list[Operation] = msgspec.field(default_factory=lambda: [Operation("lookup")])
     plans: list[Plan] = msgspec.field(default_factory=lambda: [Plan("basic")])
     failures: list[AnyFailure] = []
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -149,6 +149,23 @@
     assert run(scenario(more))[1]["broken"] == []
 
 
+def test_gateways_that_share_probes_ask_less_and_keep_the_rules():
+    """Backends return cold while gateways die: with and without membership, and with lost datagrams."""
+    more = (failure(kind="release", at="1s", lasts="2s", share=1.0, steps=2, down="300ms", drain="300ms")
+            + failure(kind="kill", at="2s", share=0.3, down="500ms")
+            + failure(kind="pause", at="3s", lasts="1s", share=0.2)
+            + failure(kind="cut", at="3s", lasts="1s", one="zone:a", other="zone:b"))
+    text = SMALL.replace("gateways = 4", "gateways = 12")
+    alone = run(scenario(more, text))[1]
+    for loss in (0.0, 0.2):
+        world, figures = run(scenario(more + f"[members]\nloss = {loss}\n", text))
+        assert figures["broken"] == [] and alone["broken"] == []
+        assert figures["counts"]["datagrams"] > 100 and figures["counts"]["reports shared"] > 0
+        assert figures["served"] > alone["served"] - 0.1
+        live = sorted(f"n{n}" for n in range(12))
+        assert all(sorted(life.member.core.alive()) == live for life in world.plant.lives)
+
+
 # The oracle, against gateways that break each rule.
 
 def broken(figures, rule, what):
