Hard ceilings: whole units dealt to the gateways in turn, from the process's start on

Ruled out: the counter (those tries never reach it), credits (a third in use then).

Cause: choice.ceiling_share gave each gateway an even part of each unit: 16 units a second over 30 gateways take 2 s to make the first whole one after a start, and a burst of 49 over 200 gateways never does.

Change: whole units are dealt in turn by the clock, by steps of the golden section, and kept as long as the burst takes to fill. The sum holds as before (tests/test_rules.py: killed and flooded fleets of 4, 30 and 200). What was dealt while the process was being loaded counts too: a former life cannot have spent it.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -13,7 +13,7 @@
 from .interface import (Backend, Cancel, Count, Customer, Deliver, Delivery, Effect, Fail, Log,
                         Pause, Probe, Result, Scope, Spawn, State, Subscribe, Throttle, Wake)
 from .keys import stable_key
-from .routing.pool import Pool
+from .routing.pool import GOLDEN, Pool
 
 SECOND = 1_000_000
 
@@ -23,6 +23,7 @@
 RETRY_SHARE, RETRY_FLOOR = 0.20, 3     # marked retries over the quota total; rate-seconds it must exceed
 RETRY_RESERVE = 0.5         # part of the burst that a retry must leave to first tries
 RETRY_AFTER = 0.2           # part of the objective; the design starts at 1 s
+UNEVEN = 4                  # units that turns may be uneven by, of a ceiling's burst or within its slack
 OUT_WINDOW, PACK = 10 * SECOND, 1000     # window under a cap; a unit over a delivery out, in one total
 SILENT_AFTER, SILENT_PAUSE = 3, SECOND // 4     # failed calls in a row: counter silent; between calls to it
 CROWDED, QUIET, LEAST_CALLED = 0.8, 1.01, 0.1    # calls that fail cut the part called for
@@ -100,7 +101,7 @@
         self.window, self.total = None, 0.0     # quota window and the last total seen there
         self.owed, self.guessed = 0.0, 0.0      # units to tell the service of; taken off `left` for others
         self.spared_until, self.share_in = 0, None  # call turned away: none before; share of use with room
-        self.share, self.share_as_of = 0.0, None  # this gateway's part of the hard ceiling
+        self.share, self.share_dealt = 0, None  # this gateway's part of the hard ceiling
         self.out, self.all_out, self.asking = 0, 0, 0   # out here, at all as last seen; being counted
         self.owed_out, self.full_until, self.line = 0, 0, []    # to tell of; cap taken as reached; who waits
 
@@ -230,8 +231,8 @@
     def admit(self, inv):
         """None lets the invocation in; else how long its client should wait."""
         acc, plan = inv.customer, inv.customer.plan
-        if plan.ceiling_rate and self.ceiling_share(acc) < inv.units:
-            return self.after(inv, (inv.units - acc.share) * acc.spread / plan.ceiling_rate)
+        if plan.ceiling_rate and (missing := inv.units - self.ceiling_share(acc)) > 0:
+            return self.after(inv, missing * acc.spread / plan.ceiling_rate)
         self.units += 0.01 * (inv.units - self.units)
         if self.called < 1 and self.wide(acc):
             return (yield from self.admit_sampled(inv))
@@ -460,21 +461,34 @@
         """Whether a new account would know as much, so that the front end may forget this one."""
         over = ((acc.window or 0) + 1) * self.window_length(acc) + LONGEST_LIFE
         return not acc.out and self.now > over and (
-            not acc.plan.ceiling_rate or self.ceiling_share(acc) >= acc.plan.ceiling_burst / acc.spread)
+            not acc.plan.ceiling_rate
+            or self.ceiling_share(acc) >= self.ceiling_share(Account(acc.name, acc.plan, acc.spread)))
 
     def after(self, inv, seconds=0.0):
         """A retry-after: when there will be units, else soon enough to be in time yet."""
         return max(int(RETRY_AFTER * inv.op.objective), int(seconds * SECOND))
 
     def ceiling_share(self, acc):
-        """This gateway's part of a hard ceiling; it starts empty, since a former life may have spent it."""
+        """This gateway's part of a hard ceiling: whole units, dealt to the gateways in turn and lost when not
+        used for as long as it takes to fill the burst.  (An even part of each unit, in its place, left none
+        for seconds after a start, and none ever where a burst is less than a unit a gateway.)  What was
+        dealt before this process began a former life may have spent."""
+        dealt = self.dealt(acc, self.now)
+        if acc.share_dealt is None:
+            acc.share_dealt = self.dealt(acc, self.born)
         plan = acc.plan
-        since = self.born if acc.share_as_of is None else acc.share_as_of
-        acc.share = min(plan.ceiling_burst / acc.spread,
-                        acc.share + plan.ceiling_rate / acc.spread * (self.now - since) / SECOND)
-        acc.share_as_of = self.now
+        uneven = min(UNEVEN, acc.spread - 1) - plan.ceiling_slack
+        burst = max(min(1.0, plan.ceiling_burst), plan.ceiling_burst - max(0.0, uneven))
+        most = dealt - self.dealt(acc, self.now - int(burst / plan.ceiling_rate * SECOND))
+        acc.share, acc.share_dealt = min(most, acc.share + dealt - acc.share_dealt), dealt
         return acc.share
 
+    def dealt(self, acc, at):
+        """How many units this gateway was dealt by then; turns step by the golden section, so that any row of
+        gateways is dealt about evenly at any time."""
+        turn = self.settings["gateway"] * GOLDEN + stable_key(acc.name) / 2 ** 63
+        return math.floor(at * acc.plan.ceiling_rate / (acc.spread * SECOND) + turn % 1.0)
+
     # The choice of backend.
 
     def room(self):
--- a/kestrelbend/net/gateway.py
+++ b/kestrelbend/net/gateway.py
@@ -36,13 +36,15 @@
     return max((op.timeout for op in told.settings["operations"]), default=0) / 1e6
 
 
-async def start(told, porch=None):
-    """The owner with its peers, and the task in which it serves."""
+async def start(told, porch=None, loading=0):
+    """The owner with its peers, and the task in which it serves; `loading`: microseconds that the process has
+    taken so far."""
     clock, queue = make_clock(), asyncio.Queue()
     shares = told.members is not None and probes_shared(told.settings, told.members.share_probes)
     # Probes that are a duty of one gateway are asked by `Owner`; the module then asks none of its own.
     owner = Owner({**told.settings, "may_probe": told.settings["may_probe"] and not shares}, told.seed, clock,
                   queue)
+    owner.gateway.born -= loading
     sockets = tally.Sockets(told.sockets)
     owner.backend_peer = Backends(queue, clock, told.settings, sockets)
     owner.clients = Clients(queue, clock, told.settings, sockets, owner.backend_peer.renew, longest(told))
@@ -119,7 +121,7 @@
     for happened, event in ((early.stopped, stop), (early.replaced, replaced)):
         if happened:
             event.set()
-    owner, serving = await start(told, porch)
+    owner, serving = await start(told, porch, (time.monotonic_ns() - early.began) // 1000)
     loop.add_signal_handler(signal.SIGHUP, reload, told, owner)
     if replaced.is_set():
         reload(told, owner)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,8 +1,13 @@
 """A slow, plain model of the five rules beside the module on generated inputs."""
+from random import Random
+
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from kestrelbend.choice import Account
 from kestrelbend.interface import Effect, Invocation, Result, Scope, State
+from kestrelbend.keys import stable_key
 
 from .helpers import MS, Front
 
@@ -18,12 +23,20 @@
         self.firsts = []        # (when, units) of first deliveries
 
     def ceiling(self):
-        """What is left of this gateway's part, replayed from its first moment."""
-        part = self.plan.ceiling_rate / self.spread / 1e6
-        left, at = 0.0, self.born
+        """What is left of this gateway's part, replayed unit by unit from its first moment."""
+        plan, n = self.plan, self.spread
+        pace = 1e6 * n / plan.ceiling_rate
+        turn = self.front.inst.settings["gateway"] * (5 ** 0.5 - 1) / 2 + stable_key("c") / 2 ** 63
+        burst = max(1, plan.ceiling_burst - max(0, min(4, n - 1) - plan.ceiling_slack))
+        keeps = int(burst / plan.ceiling_rate * 1e6)
+
+        def dealt(start, end):
+            """After start, until end."""
+            return int(end / pace + turn % 1 + 10 ** 6) - int(start / pace + turn % 1 + 10 ** 6)
+
+        left, at = 0, self.born
         for when, units in [*self.firsts, (self.front.now, 0.0)]:
-            left = min(self.plan.ceiling_burst / self.spread, left + part * (when - at)) - units
-            at = when
+            left, at = min(left + dealt(at, when), dealt(when - keeps, when)) - units, when
         return left
 
     def allowed(self, inv, target):
@@ -60,6 +73,7 @@
                   policyLimits__mayDuplicate=draw(st.sampled_from(["true", "false"])),
                   policyLimits__tryLimit=draw(st.integers(1, 4)),
                   contracts__0__ceilingRate=ceiling, contracts__0__capDepth=12 * bool(ceiling),
+                  contracts__0__hardSlack=draw(st.sampled_from([0, 2, 30])) * bool(ceiling),
                   contracts__0__refill=draw(st.sampled_from([0, 2])),
                   contracts__0__concurrency=draw(st.sampled_from([0, 2])),
                   instances=draw(st.sampled_from([1, 2, 1000])),
@@ -129,3 +143,34 @@
         front.pass_time(4000)
         check(front.answer_counts(store))
     assert all(inv.done for inv in invs.values())
+
+
+@pytest.mark.parametrize("killed", [0.0, 0.5, 1.0])
+@pytest.mark.parametrize("gateways", [4, 30, 200])
+@pytest.mark.parametrize("slack", [0.0, 6.0])
+@pytest.mark.parametrize("seed", range(4))
+def test_no_ceiling_is_passed_by_all_gateways_together_nor_after_restarts(gateways, killed, slack, seed):
+    """Seen on the larger fleet: with an even part of each unit a plan was refused for seconds after a start.
+    All spend what they have as soon as they have it, and a part of them is killed after the first burst."""
+    rng, rate, burst = Random(seed), 16.0, 49.0
+    name = str(seed)
+    fleet = [Front(index=g, instances=gateways, contracts__0__ceilingRate=rate, contracts__0__capDepth=burst,
+                   contracts__0__hardSlack=slack) for g in range(gateways)]
+    plan = fleet[0].inst.settings["plans"][0]
+    parts = [(f.gateway, Account(name, plan, gateways)) for f in fleet]
+    for gateway, _ in parts:
+        gateway.now = gateway.born = rng.randrange(-10_000_000, 0)
+    spent, level, restart = 0, burst, rng.randrange(0, 1_500_000, 50_000)
+    for now in range(0, 6_000_000, 50_000):
+        level = min(burst, level + rate * 0.05)
+        for at, (gateway, acc) in enumerate(parts):
+            if now == restart and rng.random() < killed:
+                acc = Account(name, plan, gateways)
+                parts[at], gateway.born = (gateway, acc), now
+            gateway.now = now
+            while gateway.ceiling_share(acc) >= 1:
+                acc.share, spent, level = acc.share - 1, spent + 1, level - 1
+        assert level >= -slack - 1e-6
+    # And what was bought can be had; without the steps up to 100 units went missing.
+    if not killed:
+        assert spent > 0.8 * (burst + 6 * rate)
