--- a/kestrelbend/shares/news.py
+++ b/kestrelbend/shares/news.py
@@ -2,8 +2,9 @@
 whether it should be the meter itself.  Events in, datagrams out; no I/O, no clock and no chance of its own.
 
 Any gateway can be the meter.  Whoever is heard stays it; after a silence the lowest number that hears nobody
-begins, each waiting a little longer than the one before; of two that hear each other the lower stays.  While
-nobody is heard, no share is known, and the gateway decides as it would without news.
+begins, each waiting a little longer than the one before; of two that hear each other the lower stays.  Who never
+heard one reports to the first, which is asked to be the meter by that: a fleet that starts has news a period
+sooner.  While nobody is heard, no share is known, and the gateway decides as it would without news.
 """
 from __future__ import annotations
 
@@ -15,6 +16,7 @@
 SHORTEST = 4 * SECOND // 5  # a period, at least
 FILLED = 0.75               # the part of a gateway's datagrams a second that reports take
 STALE = 2.5                 # periods without news: the meter is gone, and its news with it
+LISTENS = 1.2               # periods after a start in which a meter that there is would be heard
 STEP = 0.1                  # periods that each next gateway waits longer before it takes over
 MOST_PARTS = 2              # datagrams of news in a period
 MOST_HELD = 512             # customers with use to tell
@@ -27,7 +29,7 @@
         self.number, self.plans = number, plans
         self.period = max(SHORTEST, int(gateways / (FILLED * most_in) * SECOND))
         self.wait = int((STALE + STEP * number) * self.period)
-        self.meter, self.who, self.heard = None, None, now - self.period
+        self.meter, self.who, self.heard, self.born = None, None, now - self.period, now
         self.uses, self.shares, self.coming, self.count = {}, {}, (None, {}, set()), 0
 
     # What the gateway asks and tells.
@@ -63,12 +65,13 @@
         self.count += 1
         silent = now - self.heard
         if self.meter is None and silent > self.wait:
-            self.meter, self.who = Meter(self.plans, now - self.period), self.number
+            self.begin(now)
         if self.meter is None:
-            if self.who is None or silent > STALE * self.period:
+            to = FIRST if self.who is None else self.who
+            if to == self.number or self.who is not None and silent > STALE * self.period:
                 self.trim()
                 return []
-            return [(self.who, messages.report(self.count, self.taken()))]
+            return [(to, messages.report(self.count, self.taken()))]
         self.meter.add(self.taken(messages.USES * 4))
         self.shares, self.heard = self.meter.shares(now), now
         most = list(self.shares.items())[:MOST_PARTS * messages.SHARES]
@@ -80,6 +83,8 @@
         if number == self.number:
             return
         if message.kind == messages.REPORT:
+            if self.meter is None and self.who is None and now - self.born > LISTENS * self.period:
+                self.begin(now)
             if self.meter is not None:
                 self.meter.add(message.rows)
             return
@@ -98,6 +103,9 @@
         # A lost part is no word on who was in it: they keep what they had until all parts of a period came.
         self.shares = rows if len(parts) == message.parts else self.shares | rows
 
+    def begin(self, now):
+        self.meter, self.who = Meter(self.plans, now - self.period), self.number
+
     def taken(self, most=messages.USES):
         """The rows of a report, the largest use first; the rest and fractions of units wait for the next."""
         rows = sorted(self.uses.items(), key=lambda row: max(row[1].asked, row[1].let_in), reverse=True)
@@ -117,3 +125,4 @@
 
 
 EVERY = messages.Share(1.0, True)
+FIRST = 0
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -94,6 +94,20 @@
     assert len(fleet.meters()) == 1 and fleet.meters()[0] <= first
 
 
+def test_a_fleet_that_starts_has_its_meter_once_it_would_have_heard_one_and_a_return_leaves_the_meter():
+    fleet = Fleet(40)
+    fleet.until(int(2.2 * fleet.ends[0].period))
+    assert fleet.meters() == [0] and all(end.share(7, fleet.now) for end in fleet.ends)
+    fleet.cut = {0}
+    fleet.until(10 * SECOND)
+    meter, = fleet.meters()
+    fleet.cut = set()
+    for n in (0, 9):
+        fleet.ends[n] = News(40, n, PLANS, 60, fleet.now)       # restarted, and know of nothing
+    fleet.until(15 * SECOND)
+    assert fleet.meters() == [meter] and fleet.ends[0].who == meter
+
+
 def test_the_meter_pays_back_an_excess_and_tells_retries_beyond_their_budget():
     meter = Meter(PLANS, 0)
     meter.add({1: Use(0, 20, 20, 0), 2: Use(0, 1, 1, 0), 3: Use(0, 1, 1, 9), 4: Use(9, 50, 50, 0)})
