--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -7,12 +7,12 @@
 import math
 import re
 import socket
-import sys
 import time
 
 from aiohttp import web
 from multidict import CIMultiDict
 
+from .porch import age
 from .tally import counters, must
 
 log = logging.getLogger(__name__)
@@ -68,16 +68,6 @@
     return value
 
 
-def age(transport):
-    """Microseconds since the last byte came: the client's time runs from then, not from when a gateway short
-    of CPU got round to reading it (tcpi_last_data_recv of Linux's TCP_INFO)."""
-    try:
-        info = transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
-    except (AttributeError, OSError):
-        return 0
-    return 1000 * int.from_bytes(info[52:56], sys.byteorder)
-
-
 class Connection(web.RequestHandler):
     """aiohttp's handler of one connection, with since when no request is open on it, whether one has begun to
     come, and whether it ends with its present answer."""
@@ -316,7 +306,9 @@
     def waited(message):
         """Microseconds since the request came."""
         came, message.protocol.came = message.protocol.came, None
-        return age(message.transport) if came is None else (time.monotonic_ns() - came) // 1000
+        if came is None:
+            return age(message.transport and message.transport.get_extra_info("socket"))
+        return (time.monotonic_ns() - came) // 1000
 
     @staticmethod
     def settle(request, what, *answer, **more):
--- a/kestrelbend/net/porch.py
+++ b/kestrelbend/net/porch.py
@@ -13,6 +13,7 @@
 import re
 import select
 import socket
+import sys
 import threading
 import time
 
@@ -46,6 +47,16 @@
         return json.load(file)
 
 
+def age(connection):
+    """Microseconds since the last byte came: the client's time runs from then, not from when a gateway short
+    of CPU got round to reading it (tcpi_last_data_recv of Linux's TCP_INFO)."""
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
+    except (AttributeError, OSError):
+        return 0
+    return 1000 * int.from_bytes(info[52:56], sys.byteorder)
+
+
 class Held:
     """A connection whose request, as far as it has come, waits for the gateway."""
     __slots__ = ("socket", "data", "came", "wait")
@@ -61,7 +72,7 @@
             return True
         except OSError:
             return False
-        self.data, self.came = self.data + more, time.monotonic_ns()
+        self.data, self.came = self.data + more, time.monotonic_ns() - 1000 * age(self.socket)
         if self.wait is None and b"\r\n\r\n" in self.data:
             told = TIMEOUT.search(self.data)
             try:
--- a/kestrelbend/shares/news.py
+++ b/kestrelbend/shares/news.py
@@ -2,9 +2,9 @@
 whether it should be the meter itself.  Events in, datagrams out; no I/O, no clock and no chance of its own.
 
 Any gateway can be the meter.  Whoever is heard stays it; after a silence the lowest number that hears nobody
-begins, each waiting a little longer than the one before; of two that hear each other the lower stays.  Who never
-heard one reports to the first, which is asked to be the meter by that: a fleet that starts has news a period
-sooner.  While nobody is heard, no share is known, and the gateway decides as it would without news.
+begins, each waiting a little longer than the one before; of two that hear each other the lower stays.  Who
+never heard one reports to the first, which is asked to be the meter by that: a fleet that starts has news a
+period sooner.  While nobody is heard, no share is known, and the gateway decides as it would without news.
 """
 from __future__ import annotations
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,7 +22,7 @@
 from kestrelbend.net import clients, configuration, lines
 from kestrelbend.net.clients import Request
 from kestrelbend.net.gateway import reload, start
-from kestrelbend.net.porch import Porch
+from kestrelbend.net.porch import Held, Porch
 from kestrelbend.net.roster import entries
 from kestrelbend.net.tally import counters
 
@@ -551,6 +551,17 @@
     run(test())
 
 
+def test_the_porch_counts_a_clients_time_from_when_its_bytes_came():
+    """Its thread may get no CPU while the rest is being loaded."""
+    with (socket.create_server(("127.0.0.1", 0)) as server,
+          socket.create_connection(server.getsockname()) as client):
+        held = Held(server.accept()[0])
+        client.sendall(b"GET /")
+        time.sleep(0.2)
+        assert held.read() and 0.15e9 < time.monotonic_ns() - held.came < 2e9
+        held.socket.close()
+
+
 def test_the_porch_hands_over_what_came_and_when():
     async def test():
         porch = Porch(socket.create_server(("127.0.0.1", 0)))
