Twice the root of few credits; unknown and short customers called for more often

Changed: room adds twice the root while credits are few. Unknown customers are called for three times, short ones twice as often again.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -29,6 +29,7 @@
 CROWDED, QUIET, LEAST_CALLED = 0.6, 1.025, 0.1    # calls that fail cut the part called for
 CAP_SETS = 4                 # caps in a set so many times as wide are not counted
 PATIENCE, SPARED = 0.15, SECOND   # part of the objective for a late total; after a call turned away, at most
+UNKNOWN, SHORT = 3.0, 2.0   # customers not known or short are called for so much more often
 GRAIN = 0.1                 # part of the burst that a sampled call stands for, at half of the calls
 USUAL, REMEMBERED = 1.0, 0.6    # use over rate of a customer not met before; bursts-over-rate it weighs
 
@@ -318,7 +319,8 @@
             return self.beyond(inv, self.after(inv))
         if plan.rate and self.counter_answers(inv):
             grain = GRAIN * (1 / self.called - 1) * plan.burst
-            part = min(1.0, inv.units / max(grain, 1e-9))
+            often = UNKNOWN if acc.asked is None else SHORT if share < 1 else 1.0
+            part = min(1.0, often * inv.units / max(grain, 1e-9))
             if inv.retry or self.rng.random() < part:
                 known = yield from self.sample(inv, share if inv.retry else part * share, share)
                 if known is False or inv.retry and not known:
@@ -537,7 +539,7 @@
         if self.pool.returns <= self.now:       # one benched is back
             self.fill()
         left = max(0.0, self.pool.rooms - self.debt)
-        return max(1, int(left + min(math.sqrt(left), FEW / max(left, 0.1))))
+        return max(1, int(left + min(2 * math.sqrt(left), FEW / max(left, 0.1))))
 
     def free(self):
         return max(0, self.room() - self.pool.out)
