--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -145,3 +145,24 @@
         configuration.read_file(str(path))
     assert "discovery" in str(caught.value)
     assert msgspec.json.encode(str(caught.value))
+
+
+@pytest.mark.parametrize("path, value, plain", [
+    ("policyLimits.retryAfter", "maybe", "neither true nor false"),
+    ("classes.0.worth", "dear", "could not convert"),
+    ("classes.0.worth", "-1", ">= 0.0"), ("familyInfo.metering", "nan", "not a finite number")])
+def test_what_the_module_newly_reads_is_checked_under_its_own_name(path, value, plain):
+    pairs = {"classes.count": "1", "classes.0.name": "op", path: value}
+    with pytest.raises(platform.Malformed) as caught:
+        platform.settings(pairs)
+    assert path in str(caught.value) and plain in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_what_the_module_newly_reads_leaves_a_gateway_as_it_was_where_it_is_not_told():
+    told = platform.settings({"classes.count": "1", "classes.0.name": "op"})
+    assert told["may_advise"] is True and told["operations"][0].worth == 1.0 and told["meter_period"] == 0
+    text = EXAMPLE.read_text()
+    new = text.replace("[use]", "[use]\nretry_after = false\nmetering = \"2s\"", 1)
+    there = reading.parsed(new, Installation)
+    assert there.settings()["may_advise"] is False and there.settings()["meter_period"] == 2_000_000
+    assert any("retry_after" in fault for fault in faults(text.replace("[use]", "[use]\nretry_after = 3", 1)))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import replace
 
 import pytest
 import uvloop
@@ -27,7 +28,7 @@
 from kestrelbend.net.roster import entries
 from kestrelbend.net.tally import counters
 
-from .helpers import BASE, StandCounter, StandDiscovery, World, row
+from .helpers import BASE, StandCounter, StandDiscovery, World, free_address, row
 
 
 def run(test):
@@ -268,6 +269,68 @@
     run(test())
 
 
+def test_a_watch_that_fell_silent_is_asked_for_anew_before_its_news_count_as_told():
+    """Its wait is 2 s: what it missed counts 6 s after it fell silent, or 2 s after that wait."""
+    async def test():
+        async with World(2) as world:
+            owner, rows, loop = world.owner, world.rows, asyncio.get_running_loop()
+            await world.until(lambda: len(world.discovery.asked) == 2)
+            began, world.discovery.silent = loop.time(), True
+            world.discovery.rows, world.discovery.rev = [rows[0] | {"state": "draining"}, rows[1]], 2
+            await asyncio.sleep(2.5)
+            world.discovery.silent = False          # back before the watch is given up, on others' calls
+            await world.until(lambda: owner.backends["s0"].state is State.DRAINING, 4)
+            assert loop.time() - began < 4
+    run(test())
+
+
+def test_the_first_seconds_after_a_switch_go_by_the_known_list_and_start_afresh():
+    """New settings hold from a new process: it has the last list and nothing else, least of all units."""
+    async def test():
+        async with World(2, contracts__0__ceilingRate=2, contracts__0__capDepth=8) as world:
+            told, rows = world.told, world.rows
+            assert (await world.ask())[0] == 429            # its part of the ceiling starts empty
+            await asyncio.sleep(1.6)
+            assert (await world.ask())[0] == 200
+            world.discovery.silent = True                   # the new one hears nothing
+            known = {"rev": 1, "all": True, "targets": [rows[0] | {"state": "draining"}, rows[1]]}
+            settings = terms.settings({k: str(v) for k, v in {
+                **world.pairs, "policyLimits.retryAfter": "false", "familyInfo.metering": 1000}.items()})
+            listen = free_address()
+            owner, serving = await start(replace(told, listen=listen, known=known, settings=settings))
+            on = await asyncio.open_connection(*listen)
+            status, headers, _ = await world.ask(on=on)
+            assert status == 429 and "retry-after" not in headers        # no unit of the ceiling comes along
+            owner.gateway.born -= 10_000_000
+            for customer in owner.customers.values():
+                customer.share_dealt = None
+            before = [len(b.seen) for b in world.backends]
+            on = await asyncio.open_connection(*listen)
+            assert (await world.ask(on=on))[0] == 200
+            assert [len(b.seen) for b in world.backends] == [before[0], before[1] + 1]
+            assert not owner.backends["s0"].times.total
+            serving.cancel()
+            for task in (owner.clients.accepting, owner.clients.looking, owner.roster.watching):
+                task.cancel()
+            owner.clients.listener.close()
+            await owner.roster.session.close()
+            for backend in list(owner.backend_peer.links):
+                owner.backend_peer.unlisted(backend)
+    run(test())
+
+
+@pytest.mark.parametrize("used, asked", [("400", True), ("x", False), ("-1", False), ("inf", False)])
+@pytest.mark.parametrize("metering", [1000, 0])
+def test_use_told_in_an_answer_reaches_the_module_where_it_is_told(used, asked, metering):
+    async def test():
+        async with World(familyInfo__metering=metering) as world:
+            world.backends[0].play = [b"200 OK\r\nApi-Used: %s\r\n\r\n" % used.encode()]
+            assert (await world.ask())[0] == 200
+            customer, = world.owner.customers.values()
+            assert bool(customer.asked) == (asked and metering > 0)
+    run(test())
+
+
 C1 = "/op/00000000000000c1"
 
 
