--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -72,6 +72,7 @@
                   classes__0__keyScope=draw(st.sampled_from(["all", "zone", "cell"])),
                   policyLimits__mayDuplicate=draw(st.sampled_from(["true", "false"])),
                   policyLimits__tryLimit=draw(st.integers(1, 4)),
+                  policyLimits__retryAfter=draw(st.sampled_from(["true", "false"])),
                   contracts__0__ceilingRate=ceiling, contracts__0__capDepth=12 * bool(ceiling),
                   contracts__0__hardSlack=draw(st.sampled_from([0, 2, 30])) * bool(ceiling),
                   contracts__0__refill=draw(st.sampled_from([0, 2])),
@@ -96,6 +97,8 @@
                 ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
                 if line[0] == "deny" and ran:
                     assert effect == "idempotent" or effect == "deduplicated" and inv.op.scope is Scope.ALL
+                if line[0] == "deny":           # advice, and only where it may be told
+                    assert (line[3] != "-") == front.inst.settings["may_advise"]
             if line[0] == "pass_on":
                 inv = invs[int(line[2])]
                 d = next(d for d in inv.deliveries if d.sent == front.now and d not in seen)
