A connection that waited counts from then only with what it had said by then

Seen on reading the change through: a connection found waiting at the start carried the time of the last look to its first request, whenever that came, and fresh bytes have an age of 0 ms: a request seconds later counted as that much older and was refused. A test's connection that asks later showed it (fails before, both forms).

--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from .porch import age
+from .porch import Held, age
 from .tally import counters, must
 
 log = logging.getLogger(__name__)
@@ -76,7 +76,7 @@
     def __init__(self, server, **more):
         super().__init__(server, **more)
         self.since, self.begun, self.ending = self._loop.time(), False, False
-        self.came = None        # monotonic nanoseconds: since when its first request may have waited, if told
+        self.came = None        # monotonic nanoseconds: when bytes came that were read before it was made
 
     def alone(self):
         """A client asks one thing at a time: what came or comes behind an open request is left alone."""
@@ -240,7 +240,7 @@
         loop = asyncio.get_running_loop()
         while True:
             try:
-                connection = await self.next_connection(loop)
+                connection, held = await self.next_connection(loop)
                 if not self.sockets.room_for_client(coming=self.sockets.most // 16):
                     made = self.server.make_room()
                     while not self.sockets.room_for_client():
@@ -248,27 +248,29 @@
                             self.spare()
                         await asyncio.sleep(2 * SETTLE)
                         made = self.sockets.room_for_client() or self.server.make_room()
-                await loop.connect_accepted_socket(self.made, connection)
+                if held is None:
+                    await loop.connect_accepted_socket(self.server, connection)
+                else:
+                    await self.adopt(held)
             except OSError as trouble:
                 counters["accept_failed"] += 1
                 log.warning("accept failed", extra={"why": repr(trouble)})
                 await asyncio.sleep(10 * SETTLE)
 
     async def next_connection(self, loop):
-        """Those that wait at the start came while the gateway was loading.  (Seen: 0.4 s before it looked at
-        them; it thought it had as much longer than their clients, and one in some 100,000 got no answer.)"""
-        try:
-            connection, _ = self.listener.accept()
-            connection.setblocking(False)
-        except BlockingIOError:
-            self.behind = None
-            connection, _ = await loop.sock_accept(self.listener)
-        return connection
-
-    def made(self):
-        handler = self.server()
-        handler.came = self.behind
-        return handler
+        """A connection, and what it has said if it waited: that came while the gateway was loading.  (Seen:
+        0.4 s before it looked at it; it thought it had as much longer than its client, and one request in
+        some 100,000 got no answer.)"""
+        if self.behind is not None:
+            try:
+                connection, _ = self.listener.accept()
+                held = Held(connection)
+                held.read(self.behind)          # one whose client left is noticed as any other
+                return connection, held
+            except BlockingIOError:
+                self.behind = None
+        connection, _ = await loop.sock_accept(self.listener)
+        return connection, None
 
     async def handle(self, message):
         if message.method == "GET" and message.path == READY:
@@ -324,8 +326,9 @@
     def waited(message):
         """Microseconds since the request came."""
         came, message.protocol.came = message.protocol.came, None
-        waited = age(message.transport and message.transport.get_extra_info("socket"))
-        return waited if waited or came is None else (time.monotonic_ns() - came) // 1000
+        if came is None:
+            return age(message.transport and message.transport.get_extra_info("socket"))
+        return (time.monotonic_ns() - came) // 1000
 
     @staticmethod
     def settle(request, what, *answer, **more):
--- a/kestrelbend/net/porch.py
+++ b/kestrelbend/net/porch.py
@@ -62,6 +62,7 @@
     __slots__ = ("socket", "data", "came", "wait")
 
     def __init__(self, connection):
+        connection.setblocking(False)
         self.socket, self.data, self.came, self.wait = connection, b"", time.monotonic_ns(), None
 
     def read(self, looked):
@@ -148,7 +149,6 @@
                 return
             except OSError:
                 return
-            connection.setblocking(False)
             held = self.held[connection.fileno()] = Held(connection)
             self.poll.register(connection.fileno(), select.POLLIN)
             if len(self.held) == MOST:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -663,10 +663,15 @@
             waits = Porch(socket.create_server(("127.0.0.1", 0)))
             at, on = waits.listener.getsockname(), []
             before = world.owner.clock()
-            for n in range(3):
-                on.append(await asyncio.open_connection(*at))
+
+            async def ask(n, connection=None):
+                on.append(connection or await asyncio.open_connection(*at))
                 on[-1][1].write(b"GET /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
                                 b"X-Request-ID: %d\r\nX-Timeout: 9\r\n\r\n" % n)
+
+            for n in range(3):
+                await ask(n)
+            silent = await asyncio.open_connection(*at)     # waits as long, and asks later
             await asyncio.sleep(0.3)
             owner, queue = world.owner, asyncio.Queue()
             door = clients.Clients(queue, owner.clock, owner.settings, owner.clients.sockets,
@@ -674,12 +679,11 @@
             await door.start(None, waits)
             taken = [(await queue.get())[1] for _ in on]
             assert all(request.came <= before + 100_000 for request in taken)
-            later = await asyncio.open_connection(*at)
-            after = world.owner.clock()
-            later[1].write(b"GET /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
-                           b"X-Request-ID: 7\r\nX-Timeout: 9\r\n\r\n")
-            assert (await queue.get())[1].came >= after
-            for each in (*on, later):
+            for n, connection in ((7, None), (8, silent)):
+                after = world.owner.clock()
+                await ask(n, connection)
+                assert (await queue.get())[1].came >= after
+            for each in on:
                 each[1].close()
             door.accepting.cancel()
             door.looking.cancel()
