Median kept between answers; one teardown of a gateway in the tests

Changed: the histogram keeps its median until the next answer; a backend that failed nothing is not looked into at a pick; World.end ends any gateway.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -55,23 +55,25 @@
 
     def __init__(self):
         self.bins = [0] * BINS
-        self.total, self.sum = 0, 0.0           # of bins, and of their middles
+        self.total, self.sum, self.half = 0, 0.0, 0.0   # of bins, of middles; median, None: not known
 
     def add(self, part):
         i = min(BINS - 1, int(part * PER_OBJECTIVE))
         self.bins[i] += 1
-        self.total, self.sum = self.total + 1, self.sum + i + 0.5
+        self.total, self.sum, self.half = self.total + 1, self.sum + i + 0.5, None
         if self.total >= HALVE_AT:
             self.bins = [n // 2 for n in self.bins]
             self.total, self.sum = sum(self.bins), sum((i + 0.5) * n for i, n in enumerate(self.bins))
 
     def median(self):
-        below = 0
-        for i, n in enumerate(self.bins):
-            if n and below + n >= self.total / 2:
-                return (i + (self.total / 2 - below) / n) / PER_OBJECTIVE
-            below += n
-        return 0.0
+        if self.half is None:
+            below = 0
+            for i, n in enumerate(self.bins):
+                if n and below + n >= self.total / 2:
+                    self.half = (i + (self.total / 2 - below) / n) / PER_OBJECTIVE
+                    break
+                below += n
+        return self.half
 
     def mean(self, otherwise):
         """With one answer at `otherwise` thrown in, so that a few answers say little."""
@@ -529,9 +531,8 @@
         if self.pool.returns <= self.now:       # one benched is back
             self.fill()
         left = max(0.0, self.pool.rooms - self.debt)
-        if self.times.median() <= ALL_SLOW:
-            left += min(2 * math.sqrt(left), FEW / max(left, 0.1))
-        return max(1, int(left))
+        more = min(2 * math.sqrt(left), FEW / max(left, 0.1)) if self.times.median() <= ALL_SLOW else 0.0
+        return max(1, int(left + more))
 
     def free(self):
         return max(0, self.room() - self.pool.out) if self.now >= self.rest else 0
@@ -567,7 +568,7 @@
             if t.out >= 1.0 and t.out >= t.room or not self.may_take(inv, t):
                 continue
             score = (t.out + 1) * t.times.mean(usual) / t.weight * (0.9 + 0.2 * self.rng.random())
-            score /= 1 - self.apart(t, inv)
+            score /= 1 - (self.apart(t, inv) if t.fails else 0.0)
             if t.luck and self.cold(t):     # its draw already holds it to its share
                 score /= 10
             if t in tried:
@@ -582,11 +583,10 @@
     def ended(self, delivery, load=None, actual=0, used=None):
         """A delivery ended: earn its credit back, judge its backend, wake who waits.  `used` is what the
         answer tells of the customer's use by all gateways, as a part of its rate, in a late period."""
-        t, inv, result = delivery.backend, delivery.inv, delivery.result
+        t, inv, acc, result = delivery.backend, delivery.inv, delivery.inv.customer, delivery.result
         part = delivery.took / inv.op.objective
         self.heed(t, load)
-        if used is not None and inv.customer.plan.rate:
-            acc = inv.customer
+        if used is not None and acc.plan.rate:
             self.learn(acc, used * acc.plan.rate / acc.allowed(), self.settings["meter_period"] / SECOND)
         if not delivery.overdue:
             self.pool.give_back(t)
@@ -603,10 +603,10 @@
                 self.earn(t, QUICK_EARNS)
             elif part > SLOW and not delivery.overdue:
                 self.earn(t, -SLOW_LOSES)
-            if actual and inv.customer.plan.rate and inv.counted is not None:
-                inv.customer.owed += actual - inv.counted
-                if inv.customer.left is not None:       # a first total may be late, its window past
-                    inv.customer.left -= actual - inv.counted
+            if actual and acc.plan.rate and inv.counted is not None:
+                acc.owed += actual - inv.counted
+                if acc.left is not None:                # a first total may be late, its window past
+                    acc.left -= actual - inv.counted
             yield from self.judge(t, result, expected)
         elif not delivery.overdue and result not in (Result.CANCELLED, Result.VOID):
             self.earn(t, -ERROR_LOSES * (1 - expected))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -229,15 +229,18 @@
         return self
 
     async def __aexit__(self, *_):
-        self.serving.cancel()
-        self.owner.roster.watching.cancel()
-        self.owner.clients.accepting.cancel()
-        self.owner.clients.looking.cancel()
-        self.owner.clients.listener.close()
         for stand in (self.counter, self.discovery, *self.backends):
             stand.close()
-        await self.owner.roster.session.close()
-        peer = self.owner.backend_peer
+        await self.end(self.owner, self.serving)
+
+    @staticmethod
+    async def end(owner, serving):
+        """End a gateway that was started in this process."""
+        for task in (serving, owner.roster.watching, owner.clients.accepting, owner.clients.looking):
+            task.cancel()
+        owner.clients.listener.close()
+        await owner.roster.session.close()
+        peer = owner.backend_peer
         for delivery in peer.running.values():
             delivery.cancel()
         await asyncio.gather(*peer.running.values(), return_exceptions=True)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -309,13 +309,7 @@
             assert (await world.ask(on=on))[0] == 200
             assert [len(b.seen) for b in world.backends] == [before[0], before[1] + 1]
             assert not owner.backends["s0"].times.total
-            serving.cancel()
-            for task in (owner.clients.accepting, owner.clients.looking, owner.roster.watching):
-                task.cancel()
-            owner.clients.listener.close()
-            await owner.roster.session.close()
-            for backend in list(owner.backend_peer.links):
-                owner.backend_peer.unlisted(backend)
+            await world.end(owner, serving)
     run(test())
 
 
