One place each closes clients, orders lists and lets a first byte go

Faults, by file: - clients.py hang_up, close_idle, make_room, end_silent, force_close: a close over unread bytes resets, and an answer still in the system's buffers is lost; timers of an older hang_up; a connection whose request lay unread could be the one that ends. Now net/closing.py half-closes, reads and drops, bound half a second. The test that wanted a reset for a crossing request is replaced by one that wants: no answer byte, the end, nothing sent on. - clients.py accept, drain: a cancelled sock_accept drops the connection it has taken; closing the listener resets its queue. A second answer some ms late was taken for the next request's: a connection rests 30 ms after its answer. - backends.py deliver: a task cancelled before its first turn ran not even its end, so the delivery never ended, its credit never came back and its invocation was kept. Found by the test of clients that leave. authorisers.py alike. - gateway.py: requests that waited at the start were sent by `known`, which may be old; discovery is asked first, 0.3 s. - porch.py: held 64 connections whatever the limit on descriptors; now a quarter of it. Half-closed clients have a sixteenth of their own, so that they push nobody out.

First try that did not hold: a settling connection with no descriptor for another failed its delivery; it waits now.

--- a/kestrelbend/choice.py
+++ b/kestrelbend/choice.py
@@ -571,10 +571,7 @@
             score /= 1 - (self.apart(t, inv) if t.fails else 0.0)
             if t.luck and self.cold(t):     # its draw already holds it to its share
                 score /= 10
-            if t in tried:
-                score *= 100
-            elif t.zone in lost:    # a hall may be lost as a whole
-                score *= 10
+            score *= 100 if t in tried else 10 if t.zone in lost else 1     # a hall may be lost as a whole
             if score < least:
                 best, least = t, score
         return best or next((t for t in self.pool.order if t.bench <= self.now and self.may_take(inv, t)
@@ -680,13 +677,15 @@
     def may_repeat(self, inv):
         """Rule 2, without a backend in view."""
         ran = [d for d in inv.deliveries if d.may_have_run]
-        if len(inv.deliveries) >= self.settings["most_deliveries"]:
+        out = any(d.result is None for d in ran) and not self.settings["second_copies"]
+        if out or len(inv.deliveries) >= self.settings["most_deliveries"]:
             return False
-        if ran and not self.settings["second_copies"] and any(d.result is None for d in ran):
-            return False
-        if ran and inv.op.effect is Effect.TOKENED:
-            return self.now < min(d.sent for d in ran) + inv.op.memory - self.settings["tick"]
-        return not ran or inv.op.effect is Effect.IDEMPOTENT
+        return not (ran and inv.op.effect is Effect.NON_IDEMPOTENT) and self.now < self.begin_by(inv)
+
+    def begin_by(self, inv):
+        """A further delivery has to begin while backends remember the first; it may wait for a connection."""
+        ran = [d.sent for d in inv.deliveries if d.may_have_run and inv.op.effect is Effect.TOKENED]
+        return min([inv.until, *(sent + inv.op.memory - self.settings["tick"] for sent in ran)])
 
     def may_go(self, inv):
         """Rules 1, 2 and 5, without a backend in view."""
@@ -724,7 +723,7 @@
         if (width := self.pool.wants_width(self.now)) is not None:
             self.pool.width = width
             self.fill()
-        d = Delivery(inv, t, self.now, until, len(inv.deliveries))
+        d = Delivery(inv, t, self.now, until, len(inv.deliveries), self.begin_by(inv))
         inv.deliveries.append(d)
         yield Deliver(d)
         return True
--- a/kestrelbend/fronts/grpc/authorisers.py
+++ b/kestrelbend/fronts/grpc/authorisers.py
@@ -60,9 +60,15 @@
         """True: this delivery waits for its authorisers."""
         chain = self.concerns(request) if d.number == 0 else []
         if chain:
-            self.running[d] = asyncio.create_task(self.delivery(d, request, chain))
+            self.running[d] = task = asyncio.create_task(self.delivery(d, request, chain))
+            task.add_done_callback(lambda _: self.never_began(d))
         return bool(chain)
 
+    def never_began(self, d):
+        """One cancelled before its task had its first turn runs nothing of it, not even its end."""
+        if self.running.pop(d, None) is not None:
+            self.queue.put_nowait(("refused", d, Result.VOID, None))
+
     def cancel(self, d):
         """True: it waited here, and ends."""
         task = self.running.get(d)
--- a/kestrelbend/interface.py
+++ b/kestrelbend/interface.py
@@ -104,6 +104,7 @@
     sent: int
     until: int
     number: int
+    begin_by: int                  # no first byte of it may go from then on
     result: Result | None = None
     took: int = 0
     overdue: bool = False          # out past the latency objective
--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import math
+from contextvars import ContextVar
 from functools import partial
 
 import aiohttp
@@ -13,6 +14,7 @@
 from ..interface import Result, State
 from ..config.platform import LOADS
 from .clients import LONGEST_BODY, bounded
+from .closing import readable
 from .counter import TURN
 from .tally import counters, must
 
@@ -23,30 +25,65 @@
 
 
 class NotWanted(Exception):
-    """Nothing is written: no time or socket is left, or the backend began to drain or went meanwhile."""
+    """Nothing is written: no time or socket is left, its client has gone, or the backend began to drain or
+    went meanwhile."""
 
 
-class Sending:
-    """What is known of one sending: to whom, whether it makes a connection, and whether a byte of it may have
-    been written."""
-    __slots__ = ("backend", "peer", "connects", "begun")
+class Stale(Exception):
+    """Nothing is written: the kept connection has ended or said something of its own."""
+
+
+class Settling(Exception):
+    """Nothing is written: no connection can be made, and one is out of use for a moment after its answer."""
 
-    def __init__(self, backend, peer):
-        self.backend, self.peer, self.connects, self.begun = backend, peer, False, False
 
+SENDING = ContextVar("sending")     # of the running task
+TURNS = 4               # of the loop, in which what lies unread at either end is read
+SETTLE_S = 0.03         # after an answer, in which a second one may come, no request goes on its connection
+
+
+class Sending:
+    """What is known of one sending: to whom, on which connection, whether it makes one, and whether a byte of
+    it may have been written; `d` and `request` are none for a probe."""
+    __slots__ = ("backend", "peer", "d", "request", "link", "answers", "connects", "begun")
+
+    def __init__(self, backend, peer, d=None, request=None):
+        self.backend, self.peer, self.d, self.request = backend, peer, d, request
+        self.link, self.answers, self.connects, self.begun = None, None, False, False
 
     def over(self):
         """It makes no connection any more."""
         self.peer.connecting -= self.connects
         self.connects = False
 
+    def unread(self):
+        """Whether its client, or what it would be written to, has said or ended something not yet read."""
+        return self.answers.unread() or self.request is not None and self.request.unread()
+
+    def wanted(self):
+        """Whether its first byte may be written now: rule 3 counts from then, a client may have gone or got
+        its answer, its time or the window for repeats be over since the delivery was decided."""
+        peer, d = self.peer, self.d
+        if (self.backend.state is not State.READY or self.backend in peer.barred
+                or self.link.endpoint != peer.endpoints.get(self.backend)):
+            return False
+        return d is None or not (d.inv.done or self.request.left() or peer.clock() >= d.begin_by)
+
 
 async def _begins(_session, context, _params):
-    """There is a connection, and nothing is written yet: the last moment to keep away from a backend that the
-    list has taken off since the delivery was decided (rule 3 counts from the first byte)."""
+    """There is a connection, and nothing is written yet: the one place that decides whether a first byte may
+    still be.  After a stall of this gateway the end of a client, or that of the connection, lies unread."""
     sending = context.trace_request_ctx
-    if sending.backend.state is not State.READY:
+    for _ in range(TURNS):
+        if not sending.unread():
+            break
+        await asyncio.sleep(0)
+    if not sending.wanted():
+        counters["first_bytes_not_wanted"] += 1
         raise NotWanted
+    if not sending.answers.ask():
+        counters["kept_connections_stale"] += 1
+        raise Stale
     sending.begun = True
 
 
@@ -55,6 +92,8 @@
     sending = context.trace_request_ctx
     peer = sending.peer
     if not peer.sockets.room_beside_clients(peer.connecting):
+        if sending.link.kept.settling:
+            raise Settling
         counters["no_descriptor_left"] += 1
         peer.renew()
         raise NotWanted
@@ -75,18 +114,29 @@
 
 class Answers(ResponseHandler):
     """aiohttp's reader of one connection's answers, kept to one answer for each request.  By itself it would
-    take what comes behind an answer for the next request's, throw a good answer away for noise behind it, and
-    wait until the delivery's time is up for one that began and never ends."""
+    take what comes behind an answer, or before the request, for the next request's, throw a good answer away
+    for noise behind it, and wait until the delivery's time is up for one that began and never ends."""
 
     def __init__(self, loop, patience):
         super().__init__(loop)
         self.patience, self.asked, self.final, self.left, self.timer = patience, False, None, None, None
 
     def set_response_params(self, **more):
-        """A request is about to be written."""
-        self.asked, self.final, self.left = True, None, None
+        """This connection is chosen for a request."""
+        SENDING.get().answers = self
         super().set_response_params(**more)
 
+    def unread(self):
+        return readable(self.transport)
+
+    def ask(self):
+        """A request is about to be written.  False: it must not be, this connection has ended or said
+        something of its own; by the time that this was read, it is closing."""
+        if self.transport is None or self.transport.is_closing() or self.unread():
+            return False
+        self.asked, self.final, self.left = True, None, None
+        return True
+
     def feed_data(self, data, size=0):
         """A head was read."""
         message, payload = data
@@ -139,13 +189,30 @@
         super().connection_lost(exc)
 
 
+class Kept(aiohttp.TCPConnector):
+    """Keeps a connection out of use for a moment after an answer."""
+    settling = 0
+
+    def _release(self, key, protocol, *, should_close=False):
+        if should_close or protocol.should_close:
+            super()._release(key, protocol, should_close=True)
+        else:
+            self.settling += 1
+            self._loop.call_later(SETTLE_S, self.settled, key, protocol)
+
+    def settled(self, key, protocol):
+        self.settling -= 1
+        super()._release(key, protocol)
+
+
 class Link:
     """The connections to one backend at one address."""
 
     def __init__(self, endpoint, settings):
         idle = (settings["idle_close"] - 2 * settings["connect_timeout"]) / 1e6
         # Closed here before the far side's machine does: what is written after that would be lost.
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=max(0.0, idle), happy_eyeballs_delay=None)
+        must(hasattr(Kept, "_release_acquired"), "client_keeps_connections_back")
+        self.kept = connector = Kept(limit=0, keepalive_timeout=max(0.0, idle), happy_eyeballs_delay=None)
         must(hasattr(connector, "_factory"), "client_reads_one_answer_a_request")
         connector._factory = partial(Answers, asyncio.get_running_loop(), settings["connect_timeout"] / 1e6)
         self.session = aiohttp.ClientSession(
@@ -164,6 +231,7 @@
         self.sockets, self.connecting = sockets, 0
         # Where each backend is; the links to those that were ever sent to; by delivery: its task; probes.
         self.endpoints, self.links, self.running, self.tasks = {}, {}, {}, set()
+        self.barred = {}        # backends that a list not yet taken in takes off or moves, by that list
 
     # Addresses.
 
@@ -207,7 +275,21 @@
 
     def deliver(self, d, request):
         counters["deliveries"] += 1
-        self.running[d] = asyncio.create_task(self.delivery(d, request))
+        self.running[d] = task = asyncio.create_task(self.delivery(d, request))
+        task.add_done_callback(lambda _: self.never_began(d))
+
+    def never_began(self, d):
+        """One cancelled before its task had its first turn runs nothing of it, not even its end.  (Seen in a
+        test: its client left in the turn in which a further delivery was decided, and that delivery's credit
+        was never earned back.)"""
+        if d in self.running:
+            self.ended(d, Result.VOID)
+
+    def ended(self, d, result, answer=None, load=None, actual=0, used=None):
+        """The one event of a delivery."""
+        self.running.pop(d)
+        counters["deliveries_" + result.name.lower()] += 1
+        self.queue.put_nowait(("ended", d, result, self.clock() - d.sent, answer, load, actual, used))
 
     def cancel(self, d):
         if d in self.running:
@@ -215,7 +297,7 @@
 
     async def delivery(self, d, request):
         """Ends with exactly one event, whatever comes; an outcome is never said safer than it was seen."""
-        sending, answer, load, actual, used = Sending(d.backend, self), None, None, 0, None
+        sending, answer, load, actual, used = Sending(d.backend, self, d, request), None, None, 0, None
         result = Result.CANCELLED
         try:
             left = (d.until - self.clock()) / 1e6
@@ -237,9 +319,7 @@
             if answer is None and d.overdue and link is not None and link.heard < d.sent:
                 # Silent for all that time: other connections kept from before would each cost a delivery.
                 self.renew(d.backend)
-            self.running.pop(d, None)
-            counters["deliveries_" + result.name.lower()] += 1
-            self.queue.put_nowait(("ended", d, result, self.clock() - d.sent, answer, load, actual, used))
+            self.ended(d, result, answer, load, actual, used)
 
     async def exchange(self, sending, method, target, left, **more):
         """One request on one connection: (status, body, headers)."""
@@ -247,28 +327,42 @@
         if link is None or left <= 0:
             raise NotWanted
         link.users += 1
+        sending.link = link
+        SENDING.set(sending)
         try:
             async with asyncio.timeout(left):
-                async with link.session.request(
-                        method, URL(f"http://{link.endpoint}{target}", encoded=True), allow_redirects=False,
-                        trace_request_ctx=sending, **more) as response:
-                    length = response.content_length
-                    if length is None and response.headers.get("Transfer-Encoding") != "chunked":
-                        raise aiohttp.ClientPayloadError("nothing tells where it ends")
-                    if (length or 0) > LONGEST_BODY:
-                        raise aiohttp.ClientPayloadError("longer than the protocol allows")
-                    body = bytearray()
-                    async for part in response.content.iter_any():
-                        body += part
-                        if len(body) > LONGEST_BODY:    # one that never ends would fill the memory
-                            raise aiohttp.ClientPayloadError("longer than the protocol allows")
+                while True:
+                    try:
+                        answer = await self.ask(link, sending, method, target, **more)
+                        break
+                    except Stale:               # another connection, perhaps a new one
+                        sending.over()
+                    except Settling:
+                        await asyncio.sleep(SETTLE_S)
             link.heard = self.clock()
-            return response.status, bytes(body), response.headers
+            return answer
         finally:
             sending.over()
             link.users -= 1
             self.release(link)
 
+    @staticmethod
+    async def ask(link, sending, method, target, **more):
+        async with link.session.request(
+                method, URL(f"http://{link.endpoint}{target}", encoded=True), allow_redirects=False,
+                trace_request_ctx=sending, **more) as response:
+            length = response.content_length
+            if length is None and response.headers.get("Transfer-Encoding") != "chunked":
+                raise aiohttp.ClientPayloadError("nothing tells where it ends")
+            if (length or 0) > LONGEST_BODY:
+                raise aiohttp.ClientPayloadError("longer than the protocol allows")
+            body = bytearray()
+            async for part in response.content.iter_any():
+                body += part
+                if len(body) > LONGEST_BODY:        # one that never ends would fill the memory
+                    raise aiohttp.ClientPayloadError("longer than the protocol allows")
+        return response.status, bytes(body), response.headers
+
     @staticmethod
     def outcome(status, headers):
         if status == 200:
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -8,10 +8,12 @@
 import re
 import socket
 import time
+from functools import partial
 
 from aiohttp import web
 from multidict import CIMultiDict
 
+from .closing import HalfClosing, readable
 from .porch import Held, age
 from .tally import counters, must
 
@@ -20,6 +22,7 @@
 LONGEST_BODY = 1 << 16  # bytes, by the protocol
 QUIET_S = 2.0           # a connection with no open request may end after that, by the protocol
 LOOK_S = 0.2            # between looks for such connections
+LAST_IN_S = 0.3         # to take in what waits to be accepted when it shuts
 SETTLE = 0.005          # seconds: some turns of the loop
 CUSTOMERS = 1 << 33     # their numbers stay below, by the protocol
 
@@ -28,7 +31,7 @@
     """One request as it came, and the fields that decisions need; `answer` is settled once.  What is not in
     the protocol's form is not guessed at: under a customer's name it would spoil what is known of it."""
     __slots__ = ("method", "target", "headers", "body", "id", "operation", "plan", "customer", "wait",
-                 "units", "spread", "retry", "came", "answer", "inv")
+                 "units", "spread", "retry", "came", "answer", "inv", "connection")
     front = None            # by another way than this listener
 
     def __init__(self, method, target, headers, body, came, settings):
@@ -52,6 +55,15 @@
         self.retry = single(headers, "X-Retried") == "1"
         self.came = came
         self.answer, self.inv = asyncio.get_running_loop().create_future(), None
+        self.connection = None
+
+    def left(self):
+        """Whether its client has gone, as far as the loop has read."""
+        return self.answer.cancelled() or self.connection is not None and self.connection.gone()
+
+    def unread(self):
+        """Whether something of its client, perhaps its end, waits to be read."""
+        return self.connection is not None and readable(self.connection.transport)
 
 
 def single(headers, name, otherwise=None):
@@ -71,12 +83,35 @@
 class Connection(web.RequestHandler):
     """aiohttp's handler of one connection, with since when no request is open on it, whether one has begun to
     come, and whether it ends with its present answer."""
-    __slots__ = ("since", "begun", "ending", "came")
+    __slots__ = ("since", "begun", "ending", "came", "held", "closing")
 
-    def __init__(self, server, **more):
+    def __init__(self, server, held=None, **more):
         super().__init__(server, **more)
         self.since, self.begun, self.ending = self._loop.time(), False, False
         self.came = None        # monotonic nanoseconds: when bytes came that were read before it was made
+        self.held, self.closing = held, None
+
+    def connection_made(self, transport):
+        """What was read before goes first.  (Seen in the code: handed in only after the loop had begun to
+        read, so that the second half of a request could come before its first.)"""
+        self.closing = HalfClosing(transport, self._loop, self._manager.sockets)
+        super().connection_made(self.closing)
+        held, self.held = self.held, None
+        if held is not None and held.data:
+            self.came = held.came
+            self.data_received(held.data)
+
+    def connection_lost(self, exc):
+        self.closing.lost()
+        super().connection_lost(exc)
+
+    def asked(self):
+        """Whether a request of it is being taken or answered."""
+        return self in self._manager.busy or bool(self._messages) or self._current_request is not None
+
+    def gone(self):
+        """Whether its client has closed it, as far as the loop has read."""
+        return self._manager is None or self.closing.is_closing()
 
     def alone(self):
         """A client asks one thing at a time: what came or comes behind an open request is left alone."""
@@ -84,6 +119,9 @@
         self.close()
 
     def data_received(self, data):
+        if self.closing.ending:         # read after the shutdown: its client asks again elsewhere
+            counters["bytes_after_the_shutdown"] += len(data)
+            return
         if data and self in self._manager.busy:
             self.alone()
         elif not self.begun:
@@ -103,8 +141,8 @@
         # Those with an open request; those that asked before, longest idle first; those that never did.
         self.busy, self.idle, self.fresh = set(), {}, {}
 
-    def __call__(self):
-        return Connection(self, loop=self._loop, **self._kwargs)
+    def __call__(self, held=None):
+        return Connection(self, held, loop=self._loop, **self._kwargs)
 
     @staticmethod
     def message(message, payload, protocol, writer, task):
@@ -118,21 +156,13 @@
         self.sockets.clients = len(self.open)
         counters["connections"] += 1
 
-    def hang_up(self, handler):
-        """It ends with its present answer.  aiohttp leaves one that stands idle open: it is closed after a
-        moment, in which what was read of it by now is seen as a request.  What comes in that moment stays
-        unread, so that the client learns that it was not taken."""
-        handler.close()
-        if handler not in self.busy and handler.transport is not None:
-            handler.transport.pause_reading()
-        asyncio.get_running_loop().call_later(SETTLE, self.close_idle, handler)
-
-    def close_idle(self, handler):
-        if handler.transport is not None:
-            if handler in self.busy:
-                handler.transport.resume_reading()      # its client may leave
-            else:
-                handler.transport.close()
+    @staticmethod
+    def hang_up(handler):
+        """It ends with its present answer, or now if no request is open on it nor lies unread: that one is
+        read next, and the connection ends with its answer."""
+        handler.ending = True
+        if Door.rests(handler):
+            handler.force_close()
 
     def connection_lost(self, handler, exc=None):
         super().connection_lost(handler, exc)
@@ -157,42 +187,53 @@
 
     def make_room(self):
         """End one connection with no open request: one that never asked, had it but a moment to do so, else
-        the longest idle one.  False: there is none."""
+        the longest idle one; never one whose request lies unread in the machine.  False: there is none, nor
+        one that ends or is read within a moment."""
         now = asyncio.get_running_loop().time()
-        silent = next(iter(self.fresh), None)
-        if silent is not None and (now - silent.since > 4 * SETTLE or not self.idle):
+        silent, longest = (next(filter(self.rests, some), None) for some in (self.fresh, self.idle))
+        ends = next((h for h in self.open if h.closing.ending), None)
+        if ends is not None and self.sockets.too_many() < 0:
+            ends.closing.transport.close()      # there would be room but for it
+            return True
+        if silent is not None and (now - silent.since > 4 * SETTLE or longest is None):
             self.fresh.pop(silent)
-            silent.force_close()
-        elif self.idle:
-            longest = next(iter(self.idle))
+            silent.closing.transport.close()    # no answer is on the way there: its descriptor goes at once
+        elif longest is not None:
             self.idle.pop(longest)
             self.hang_up(longest)
         else:
-            return False
+            return ends is not None or any(not h.asked() for h in (*self.fresh, *self.idle))
         counters["connections_closed_for_room"] += 1
         return True
 
+    @staticmethod
+    def rests(handler):
+        """Whether it may be closed now."""
+        return not handler.asked() and not readable(handler.transport)
+
     def end_silent(self):
         """Those that never asked or stopped within a request hold a descriptor for nothing."""
         before = asyncio.get_running_loop().time() - QUIET_S
         late = [h for h in self.fresh if h.since < before]
         late += [h for h in self.idle if h.begun and h.since < before]
         for handler in late:
-            if handler.transport is not None and handler not in self.busy:
-                counters["requests_too_slow" if handler.begun else "connections_silent"] += 1
-                if handler.begun:
-                    handler.transport.write(b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
-                                            b"Connection: close\r\n\r\n")
-                handler.force_close()
+            if handler.transport is None or handler in self.busy or readable(handler.transport):
+                continue                # what lies unread, perhaps the rest of a request, is read first
+            counters["requests_too_slow" if handler.begun else "connections_silent"] += 1
+            if handler.begun:
+                handler.transport.write(b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
+                                        b"Connection: close\r\n\r\n")
+            handler.force_close()
 
 
 class Clients:
     def __init__(self, queue, clock, settings, sockets, spare, longest):
         self.queue, self.clock, self.sockets, self.spare = queue, clock, sockets, spare
-        self.settings, self.ids = settings, set()           # ids: of open requests
+        self.settings, self.ids = settings, {}              # open requests by their ids
         self.operations = {op.name for op in settings["operations"]}
         self.plans = {plan.name for plan in settings["plans"]}
         self.longest, self.leaving = longest, False         # seconds that an invocation may take
+        self.shut, self.waiting = False, None   # takes no new connection but those that wait; woken by one
         self.behind = None      # monotonic nanoseconds: what waits to be accepted came after; None: nothing
         self.server = self.listener = self.accepting = self.looking = self.view = None
 
@@ -205,7 +246,7 @@
             self.behind = porch.empty
             counters["refused_while_loading"] += porch.refused
             for each in held:
-                await self.adopt(each)
+                await self.adopt(each.socket, each)
         while self.listener is None:
             try:
                 self.listener = socket.create_server(listen, backlog=1024)
@@ -217,60 +258,89 @@
         self.accepting = asyncio.create_task(self.accept())
         self.looking = asyncio.create_task(self.look())
 
-    async def adopt(self, held):
-        """One that the porch took in, with what it has said so far and since when."""
-        counters["connections_taken_while_loading"] += 1
+    async def adopt(self, connection, held=None):
+        """`held`: what the accept queue at the start has read of it so far, and since when."""
+        if held is not None:
+            counters["connections_taken_while_loading"] += 1
         try:
-            _, handler = await asyncio.get_running_loop().connect_accepted_socket(self.server, held.socket)
+            await asyncio.get_running_loop().connect_accepted_socket(partial(self.server, held), connection)
         except OSError:
-            return
-        if held.data:
-            handler.came = held.came
-            handler.data_received(held.data)
+            connection.close()
 
     async def look(self):
         while True:
             await asyncio.sleep(LOOK_S)
-            self.server.end_silent()
+            try:
+                self.server.end_silent()
+                for _ in range(self.sockets.too_many()):        # the limit was lowered meanwhile
+                    self.server.make_room()
+            except Exception:
+                self.fault("look")
 
     async def accept(self):
         """One at a time, so that no burst passes the limit on sockets.  Room is made before it is needed: a
         connection that waits here may be that of a usual client behind hundreds that say nothing.  Where none
         can be made, what is kept to backends goes (`spare`); others wait in the kernel's line."""
-        loop = asyncio.get_running_loop()
         while True:
             try:
-                connection, held = await self.next_connection(loop)
+                connection, held = self.next_connection()
                 if not self.sockets.room_for_client(coming=self.sockets.most // 16):
-                    made = self.server.make_room()
-                    while not self.sockets.room_for_client():
-                        if not made:
-                            self.spare()
-                        await asyncio.sleep(2 * SETTLE)
-                        made = self.sockets.room_for_client() or self.server.make_room()
-                if held is None:
-                    await loop.connect_accepted_socket(self.server, connection)
-                else:
-                    await self.adopt(held)
+                    await self.make_room()
+                await self.adopt(connection, held)
+            except BlockingIOError:
+                self.behind = None
+                if self.shut:
+                    return
+                await self.connection_waits()
             except OSError as trouble:
                 counters["accept_failed"] += 1
                 log.warning("accept failed", extra={"why": repr(trouble)})
+                if trouble.errno in (errno.EMFILE, errno.ENFILE):
+                    self.server.make_room()
+                await asyncio.sleep(10 * SETTLE)
+            except Exception:           # of the program: it must not be the last connection taken
+                self.fault("accept")
                 await asyncio.sleep(10 * SETTLE)
 
-    async def next_connection(self, loop):
+    @staticmethod
+    def fault(where):
+        counters["faults"] += 1
+        log.exception("fault", extra={"on": where})
+
+    async def make_room(self):
+        made = self.server.make_room()
+        while not self.sockets.room_for_client():
+            if not made:
+                self.spare()
+            await asyncio.sleep(SETTLE / 5 if made else 2 * SETTLE)
+            made = self.sockets.room_for_client() or self.server.make_room()
+
+    async def connection_waits(self):
+        """Until a connection waits or no more are taken.  Accepting is left to the caller, who awaits nothing
+        before it: a call cancelled as it ends would drop the connection it had taken."""
+        loop = asyncio.get_running_loop()
+        self.waiting = loop.create_future()
+        loop.add_reader(self.listener, self.wake)
+        try:
+            await self.waiting
+        finally:
+            loop.remove_reader(self.listener)
+
+    def wake(self):
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(None)
+
+    def next_connection(self):
         """A connection, and what it has said if it waited: that came while the gateway was loading.  (Seen:
         0.4 s before it looked at it; it thought it had as much longer than its client, and one request in
-        some 100,000 got no answer.)"""
-        if self.behind is not None:
-            try:
-                connection, _ = self.listener.accept()
-                held = Held(connection)
-                held.read(self.behind)          # one whose client left is noticed as any other
-                return connection, held
-            except BlockingIOError:
-                self.behind = None
-        connection, _ = await loop.sock_accept(self.listener)
-        return connection, None
+        some 100,000 got no answer.)  Raises BlockingIOError where none waits."""
+        connection, _ = self.listener.accept()
+        connection.setblocking(False)
+        if self.behind is None:
+            return connection, None
+        held = Held(connection)
+        held.read(self.behind)          # one whose client left is noticed as any other
+        return connection, held
 
     async def handle(self, message):
         if message.method == "GET" and message.path == READY:
@@ -309,7 +379,8 @@
             counters["malformed"] += 1
             return web.Response(status=trouble.status)
         counters["taken"] += 1
-        self.ids.add(request.id)
+        request.connection = message.protocol
+        self.ids[request.id] = request
         self.server.asks(message.protocol)
         self.queue.put_nowait(("taken", request))
         try:
@@ -319,7 +390,7 @@
             self.queue.put_nowait(("left", request))
             raise
         finally:
-            self.ids.discard(request.id)
+            self.ids.pop(request.id, None)
             self.server.answered(message.protocol)
 
     @staticmethod
@@ -358,13 +429,23 @@
 
     async def drain(self, linger):
         """After SIGTERM each connection ends with its next answer, and new ones are served for `linger` s.
-        Then those that stand idle are closed, which clients must bear, and what came is answered."""
+        What stands in the listener's line by then is still taken: closing it would reset those.  Then those
+        that stand idle are closed, which clients must bear, and what came is answered."""
         self.leaving = True
         await asyncio.sleep(linger)
+        self.shut = True
+        self.wake()
+        await asyncio.wait({self.accepting}, timeout=LAST_IN_S)
         self.accepting.cancel()
+        await asyncio.wait({self.accepting})
         self.listener.close()
-        end = asyncio.get_running_loop().time() + self.longest
-        while self.server.open and asyncio.get_running_loop().time() < end:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.longest
+        while self.server.open and loop.time() < end:
             for handler in list(self.server.open):
                 self.server.hang_up(handler)
             await asyncio.sleep(4 * SETTLE)
+        for request in [r for r in self.ids.values() if not r.answer.done()]:
+            self.errored(request)       # nobody is left without an answer, whatever holds it up
+            self.queue.put_nowait(("left", request))
+        await asyncio.sleep(4 * SETTLE)
--- a/kestrelbend/net/gateway.py
+++ b/kestrelbend/net/gateway.py
@@ -49,15 +49,18 @@
     owner.backend_peer = Backends(queue, clock, told.settings, sockets)
     owner.clients = Clients(queue, clock, told.settings, sockets, owner.backend_peer.renew, longest(told))
     owner.counter = CounterService(queue, told.counter, told.settings, owner.gateway.counter_wait)
-    owner.roster = Roster(queue, told.discovery)
+    owner.roster = Roster(queue, told.discovery, owner.heard)
     if told.known:
         owner.on_listing(entries(told.known))
     serving = asyncio.create_task(owner.serve())
-    await owner.clients.start(told.listen, porch)
+    # The list as it was known before may be old, and what discovery has counts as told from the first moment:
+    # its list goes before whatever clients ask.
     if told.checks is not None and told.checks.upstream:
         owner.listing([("upstream", "", "", 0, State.READY, 1.0, None)], True)
     else:
         owner.roster.watch()
+        await owner.roster.first()
+    await owner.clients.start(told.listen, porch)
     if told.checks is not None or told.authorisers:
         await grpc_fronts(told, owner, queue, clock)
     if told.news is not None:
--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -5,7 +5,7 @@
 import logging
 
 from ..hosting import Host
-from ..interface import Invocation, Result
+from ..interface import Invocation, Result, State
 from .tally import counters, must
 
 log = logging.getLogger(__name__)
@@ -128,9 +128,20 @@
             self.backend_peer.probe(backend)
         asyncio.get_running_loop().call_later(PROBES_S, self.queue.put_nowait, ("probes_due",))
 
+    def heard(self, told):
+        """A list that stands in the queue: what it takes off or moves gets no first byte any more."""
+        _, whole, rows, endpoints = told
+        peer, wanted = self.backend_peer, {row[0] for row in rows if row[4] is State.READY}
+        for uid in (self.listed.keys() if whole else {row[0] for row in rows}) & self.backends.keys():
+            target = self.backends[uid]
+            if uid not in wanted or uid in endpoints and peer.endpoints.get(target) != endpoints[uid]:
+                peer.barred[target] = told
+
     def on_listing(self, told):
         _, whole, rows, endpoints = told
-        before = set(self.listed)
+        before, barred = set(self.listed), self.backend_peer.barred
+        for target in [target for target, by in barred.items() if by is told]:
+            del barred[target]
         self.listing(rows, whole)
         for uid in self.listed.keys() & endpoints.keys():
             self.backend_peer.listed(self.backends[uid], endpoints[uid])
--- a/kestrelbend/net/porch.py
+++ b/kestrelbend/net/porch.py
@@ -17,7 +17,8 @@
 import threading
 import time
 
-MOST = 64               # connections held; others wait in the kernel's line
+MOST = 64               # connections held at most, and no more than a quarter of the descriptors that the
+SHARE = 4               # process may hold; others wait in the kernel's line
 SHORTEST_S = 0.5        # a client that waits no longer is refused at once
 PART = 0.4              # and any other once so much of its time has passed
 TURN_MS = 20
@@ -39,6 +40,14 @@
         return None
 
 
+def most_held(env, path=None):
+    """How many connections to hold, by the descriptors that the configuration allows."""
+    try:
+        return max(1, min(MOST, int(stated(path or env["ROUTER_CONFIG"])["limits"]["sockets"]) // SHARE))
+    except (KeyError, TypeError, ValueError, OSError):
+        return MOST
+
+
 def stated(path):
     with open(path, "rb") as file:
         if path.endswith(".toml"):
@@ -98,8 +107,8 @@
 
 
 class Porch:
-    def __init__(self, listener):
-        self.listener, self.held, self.refused = listener, {}, 0
+    def __init__(self, listener, most=None):
+        self.listener, self.held, self.refused, self.most = listener, {}, 0, MOST if most is None else most
         self.empty = time.monotonic_ns()        # when no connection waited to be taken in, last
         self.bell, self.ring = os.pipe()
         self.poll = select.poll()
@@ -116,7 +125,7 @@
         if at is None:
             return None
         try:
-            return cls(socket.create_server(at, backlog=1024))
+            return cls(socket.create_server(at, backlog=1024), most_held(env, path))
         except (OSError, OverflowError):
             return None
 
@@ -141,7 +150,7 @@
 
     def accept(self):
         """All that wait, as far as there is room."""
-        while len(self.held) < MOST:
+        while len(self.held) < self.most:
             try:
                 connection, _ = self.listener.accept()
             except BlockingIOError:
@@ -151,13 +160,13 @@
                 return
             held = self.held[connection.fileno()] = Held(connection)
             self.poll.register(connection.fileno(), select.POLLIN)
-            if len(self.held) == MOST:
+            if len(self.held) == self.most:
                 self.poll.unregister(self.listener.fileno())
             if not held.read(self.empty):
                 self.drop(connection.fileno())
 
     def drop(self, fd):
-        if len(self.held) == MOST:
+        if len(self.held) == self.most:
             self.poll.register(self.listener.fileno(), select.POLLIN)
         try:
             self.poll.unregister(fd)
