--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,8 +2,10 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
+import tomllib
 from pathlib import Path
 
 import msgspec
@@ -166,3 +168,20 @@
     there = reading.parsed(new, Installation)
     assert there.settings()["may_advise"] is False and there.settings()["meter_period"] == 2_000_000
     assert any("retry_after" in fault for fault in faults(text.replace("[use]", "[use]\nretry_after = 3", 1)))
+
+
+def test_no_name_of_a_deployment_stands_in_the_program():
+    """Classes, plans, zones and kinds come from settings alone.  `state` is a field of discovery's, too."""
+    root = Path(__file__).parent.parent
+    sites, names = (root / "deploy" / "sites").glob("*.toml"), set()
+    told = [tomllib.loads(path.read_text()) for path in sites]
+    for site in told:
+        names |= {site["name"], *site["net"]["zones"]}
+        for tier in site["tier"]:
+            names |= {tier["name"], *(kind["name"] for kind in tier["kind"])}
+        names |= {row["name"] for kind in ("class", "tenant") for row in site[kind]}
+    assert len(told) == 2 and len(names) > 20
+    sources = [root / "deploy" / "balancer.toml", *(root / "kestrelbend").rglob("*.py")]
+    found = {name for name in names - {"state"} for path in sources
+             if re.search(rf"[\"'`]{re.escape(name)}[\"'`]", path.read_text())}
+    assert found == set()
