--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -106,8 +106,9 @@
         super().connection_lost(exc)
 
     def asked(self):
-        """Whether a request of it is being taken or answered."""
-        return self in self._manager.busy or bool(self._messages) or self._current_request is not None
+        """Whether a request of it is taken or answered: its task does not wait for one.  (Seen in a test:
+        between its being read and its handler's first turn it stood in no other place, and was closed.)"""
+        return self in self._manager.busy or self._waiter is None or self._waiter.done()
 
     def gone(self):
         """Whether its client has closed it, as far as the loop has read."""
@@ -217,8 +218,10 @@
         late = [h for h in self.fresh if h.since < before]
         late += [h for h in self.idle if h.begun and h.since < before]
         for handler in late:
-            if handler.transport is None or handler in self.busy or readable(handler.transport):
-                continue                # what lies unread, perhaps the rest of a request, is read first
+            # What lies unread, perhaps the rest of a request, is read first; a body may be half read.
+            if handler.transport is None or readable(handler.transport) or handler in self.busy \
+                    or handler.asked() and handler._current_request is None:
+                continue
             counters["requests_too_slow" if handler.begun else "connections_silent"] += 1
             if handler.begun:
                 handler.transport.write(b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -643,6 +643,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("how", ["make_room", "end_silent", "hang_up"])
+def test_a_connection_whose_request_was_read_and_has_no_handler_yet_is_not_the_one_that_ends(how):
+    async def test():
+        async with World() as world:
+            server, client = world.owner.clients.server, plain(world.listen)
+            made = server.request_factory
+
+            def make(message, payload, handler, *more):
+                handler.since -= 60
+                act = partial(server.hang_up, handler) if how == "hang_up" else getattr(server, how)
+                asyncio.get_running_loop().call_soon(act)       # before its handler's first turn
+                return made(message, payload, handler, *more)
+            server.request_factory = make
+            client.send(request(1))
+            said = await asyncio.get_running_loop().sock_recv(client, 999)
+            assert b" 200 " in said and len(world.backends[0].seen) == 1
+            client.close()
+    run(test())
+
+
 def test_a_connection_told_to_end_again_and_again_ends_with_its_answer():
     """While draining each is told every 20 ms, busy or idle."""
     async def test():
