A test that a connection at rest is waited for, not passed over for a new one

Cause: taking the wait out went unnoticed by the tests. The new one fails without it: a second connection is made.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -440,6 +440,19 @@
     run(test())
 
 
+def test_a_connection_at_rest_is_waited_for_and_not_passed_over_for_a_new_one():
+    """A handshake costs more than the rest."""
+    async def test():
+        async with World(1) as world:
+            backend, met = world.backends[0], []
+            on = await asyncio.open_connection(*world.listen)
+            for n in range(4):
+                assert (await world.ask(f"/op/{n:016x}", on=on))[0] == 200
+                met.append(next(iter(backend.writers)))
+            assert len(set(met)) == 1 and len(backend.writers) == 1
+    run(test())
+
+
 def test_a_window_for_repeats_that_ends_while_a_connection_is_made_ends_the_repeating(monkeypatch):
     gate = Gate(monkeypatch)
 
