A connection at rest is waited for only where no new one can be made

Seen: on a clean clone tests/test_authorisation.py::test_a_check_gets_the_decision_that_the_listener_gives failed each time on: requests one after the other to one backend took 30 ms more each, and a plan's burst refilled meanwhile.

--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -34,7 +34,7 @@
 
 
 class Settling(Exception):
-    """Nothing is written: one connection is out of use for a moment after its answer."""
+    """Nothing is written: no connection can be made, and one is out of use for a moment after its answer."""
 
 
 SENDING = ContextVar("sending")     # of the running task
@@ -45,13 +45,12 @@
 class Sending:
     """What is known of one sending: to whom, on which connection, whether it makes one, and whether a byte of
     it may have been written; `d` and `request` are none for a probe."""
-    __slots__ = ("backend", "peer", "d", "request", "link", "answers", "connects", "begun",
-                 "waited")
+    __slots__ = ("backend", "peer", "d", "request", "link", "answers", "connects", "begun")
 
     def __init__(self, backend, peer, d=None, request=None):
         self.backend, self.peer, self.d, self.request = backend, peer, d, request
         self.link, self.answers = None, None
-        self.connects = self.begun = self.waited = False
+        self.connects = self.begun = False
 
     def over(self):
         """It makes no connection any more."""
@@ -90,16 +89,13 @@
 
 
 async def _connects(_session, context, _params):
-    """The process may hold only so many descriptors, and none is left for this one.  One that is out of
-    use for a moment is waited for once: a handshake costs more (seen: a fifth more of them on split days, and
-    0.03 to 0.1 of G)."""
+    """The process may hold only so many descriptors, and none is left for this connection; one that is out of
+    use for a moment is waited for then."""
     sending = context.trace_request_ctx
     peer = sending.peer
-    room = peer.sockets.room_beside_clients(peer.connecting)
-    if sending.link.kept.settling and not (room and sending.waited):
-        sending.waited = True
-        raise Settling
-    if not room:
+    if not peer.sockets.room_beside_clients(peer.connecting):
+        if sending.link.kept.settling:
+            raise Settling
         counters["no_descriptor_left"] += 1
         peer.renew()
         raise NotWanted
