--- /dev/null
+++ b/kestrelbend/tier/budgets/commands.py
@@ -0,0 +1,75 @@
+"""Commands as a log entry's bytes: one entry holds all commands of one request."""
+
+from __future__ import annotations
+
+import struct
+
+from kestrelbend.tier.budgets.messages import Reserve, Settle
+
+_COUNT = struct.Struct("<HH")  # settlements, reservations
+_SETTLE = struct.Struct("<HHqB")  # lengths of the two names, tokens, end
+_RESERVE = struct.Struct("<HHHqqqB")  # lengths of the three names, fingerprint, most, budget, spare
+
+
+def encode_commands(settles: tuple[Settle, ...], reserves: tuple[Reserve, ...]) -> bytes:
+    """The bytes of an entry; settlements come first, as they are applied first."""
+    parts = [_COUNT.pack(len(settles), len(reserves))]
+    for settle in settles:
+        _put_settle(parts, settle)
+    for reserve in reserves:
+        _put_reserve(parts, reserve)
+    return b"".join(parts)
+
+
+def decode_commands(data: bytes) -> tuple[list[Settle], list[Reserve]]:
+    """The settlements and reservations of an entry."""
+    settle_count, reserve_count = _COUNT.unpack_from(data)
+    position = _COUNT.size
+    settles = []
+    for _ in range(settle_count):
+        settle, position = _get_settle(data, position)
+        settles.append(settle)
+    reserves = []
+    for _ in range(reserve_count):
+        reserve, position = _get_reserve(data, position)
+        reserves.append(reserve)
+    return settles, reserves
+
+
+def _put_settle(parts: list[bytes], settle: Settle) -> None:
+    program = settle.program.encode()
+    reservation = settle.reservation.encode()
+    parts.append(_SETTLE.pack(len(program), len(reservation), settle.used_tokens, settle.end))
+    parts.append(program)
+    parts.append(reservation)
+
+
+def _get_settle(data: bytes, position: int) -> tuple[Settle, int]:
+    program_length, reservation_length, used, end = _SETTLE.unpack_from(data, position)
+    position += _SETTLE.size
+    middle = position + program_length
+    stop = middle + reservation_length
+    settle = Settle(data[position:middle].decode(), data[middle:stop].decode(), used, end)
+    return settle, stop
+
+
+def _put_reserve(parts: list[bytes], reserve: Reserve) -> None:
+    program = reserve.program.encode()
+    session = reserve.session.encode()
+    reservation = reserve.reservation.encode()
+    lengths = len(program), len(session), len(reservation)
+    figures = reserve.fingerprint, reserve.most_tokens, reserve.budget, reserve.spare
+    parts.append(_RESERVE.pack(*lengths, *figures))
+    parts += program, session, reservation
+
+
+def _get_reserve(data: bytes, position: int) -> tuple[Reserve, int]:
+    figures = _RESERVE.unpack_from(data, position)
+    program_length, session_length, reservation_length, fingerprint, most, budget, spare = figures
+    session_start = position + _RESERVE.size + program_length
+    reservation_start = session_start + session_length
+    stop = reservation_start + reservation_length
+    program = data[position + _RESERVE.size : session_start].decode()
+    session = data[session_start:reservation_start].decode()
+    reservation = data[reservation_start:stop].decode()
+    return Reserve(program, session, reservation, fingerprint, most, budget, bool(spare)), stop
--- /dev/null
+++ b/kestrelbend/tier/budgets/messages.py
@@ -0,0 +1,82 @@
+"""Commands on programs' budgets, their outcomes, and how they are carried."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Verdict(enum.IntEnum):
+    """What the budget says of a turn."""
+
+    ADMITTED = 0
+    SPENT = 1  # answered 402
+    RETRY_LATER = 2  # the retry budget is used up: a refusal with a retry-after
+    SILENT = 3  # the counter did not answer: the turn is not sent (given by the client side alone)
+
+
+class TurnEnd(enum.IntEnum):
+    """How a turn ended, as its gateway saw it."""
+
+    COMPLETE = 0
+    BROKEN_OFF = 1  # a repeat of it is a retry
+    NOT_RUN = 2  # refused with a promise; its tokens are all taken back, a repeat is a retry
+
+
+@attrs.frozen
+class Reserve:
+    """Adds a turn's most tokens to its program's total, or refuses.
+
+    `reservation` is unique to one try of a client (a repeat of the same command changes nothing and gets the
+    same outcome).  `fingerprint` tells a turn's repeat from the session's next turn.  `spare` says that the
+    quota alone decides: a backend has room, so the retry budget does not act.
+    """
+
+    program: str
+    session: str
+    reservation: str
+    fingerprint: int
+    most_tokens: int
+    budget: int
+    spare: bool
+
+
+@attrs.frozen
+class Settle:
+    """Replaces a reservation's tokens by those handed to the client."""
+
+    program: str
+    reservation: str
+    used_tokens: int
+    end: int
+
+
+@attrs.frozen
+class ReserveOutcome:
+    """`total` counts settled and reserved tokens, `settled` only those handed out: it never falls."""
+
+    reservation: str
+    verdict: int
+    total: int
+    settled: int
+    retry_after_ms: int
+
+
+@attrs.frozen
+class BudgetRequest:
+    """Commands of a gateway for one shard, sent to the shard's owner."""
+
+    shard: str
+    reserves: tuple[Reserve, ...]
+    settles: tuple[Settle, ...]
+
+
+@attrs.frozen
+class BudgetReply:
+    """Outcomes in the order of `reserves`; not `owner`: nothing was recorded, `owner_hint` may be."""
+
+    shard: str
+    owner: bool
+    owner_hint: str
+    outcomes: tuple[ReserveOutcome, ...]
--- /dev/null
+++ b/kestrelbend/tier/budgets/program.py
@@ -0,0 +1,127 @@
+"""One program's tokens, turns and retries.
+
+Invariant: a turn is admitted only while the tokens handed out, those that open turns may yet hand out, and
+its own most are within the budget together.  So a program is handed its budget at most, however its turns
+end and whoever repeats a command.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle, TurnEnd, Verdict
+
+RETRY_SHARE = 0.20
+FLOOR_TURNS = 4
+RETRY_AFTER_MS = 1000
+CLOSED_KEPT = 64
+SESSIONS_KEPT = 64
+
+
+@attrs.define
+class SessionTurn:
+    """A session's last turn; without an end it is open."""
+
+    fingerprint: int
+    reservation: str
+    end: TurnEnd | None = None
+
+    def is_repeated_by(self, reserve: Reserve) -> bool:
+        """Whether the try is a retry: a turn that ended whole is not repeated, it is taken again."""
+        return self.fingerprint == reserve.fingerprint and self.end is not TurnEnd.COMPLETE
+
+
+@attrs.define
+class OpenTurn:
+    """A reservation that is not settled."""
+
+    most_tokens: int
+    session: str
+
+
+@attrs.define
+class ProgramBudget:
+    """A program's counter.
+
+    Retries are counted by their tokens, as the total is: a share needs one unit, and long turns that are
+    repeated take more of a backend than short ones.
+    """
+
+    settled: int = 0
+    reserved: int = 0
+    retries: int = 0
+    open_turns: dict[str, OpenTurn] = attrs.field(factory=dict)
+    sessions: dict[str, SessionTurn] = attrs.field(factory=dict)
+    closed: dict[str, Verdict] = attrs.field(factory=dict)
+
+    @property
+    def total(self) -> int:
+        """Tokens handed out and reserved."""
+        return self.settled + self.reserved
+
+    def reserve(self, reserve: Reserve) -> ReserveOutcome:
+        """Adds a turn's most tokens, or refuses and adds nothing."""
+        if reserve.reservation in self.open_turns:
+            return self._outcome(reserve, Verdict.ADMITTED)
+        verdict = self.closed.get(reserve.reservation)
+        if verdict is not None:
+            return self._outcome(reserve, verdict)
+        last = self.sessions.get(reserve.session)
+        retry = last is not None and last.is_repeated_by(reserve)
+        verdict = self._judge(reserve, retry)
+        if verdict is Verdict.ADMITTED:
+            self._admit(reserve, retry)
+        else:
+            self._close(reserve.reservation, verdict)
+        return self._outcome(reserve, verdict)
+
+    def settle(self, settle: Settle) -> None:
+        """Replaces a reservation by what was handed out; one that is closed stays as it is.
+
+        A settlement may come before its reservation, where that was sent twice.  The turn has ended, so a
+        reservation of this name is not admitted any more: nobody would settle it.
+        """
+        turn = self.open_turns.pop(settle.reservation, None)
+        if turn is not None:
+            self.reserved -= turn.most_tokens
+            self.settled += max(0, settle.used_tokens)
+            self._end_turn(turn.session, settle)
+        if settle.reservation not in self.closed:
+            self._close(settle.reservation, Verdict.RETRY_LATER)
+
+    def _judge(self, reserve: Reserve, retry: bool) -> Verdict:
+        """At the limit a retry is refused as spent, before it could count as a retry."""
+        total = self.total + reserve.most_tokens
+        if 0 < reserve.budget < total:
+            return Verdict.SPENT
+        if not retry or reserve.spare or total <= FLOOR_TURNS * reserve.most_tokens:
+            return Verdict.ADMITTED
+        retries = self.retries + reserve.most_tokens
+        return Verdict.RETRY_LATER if retries > RETRY_SHARE * total else Verdict.ADMITTED
+
+    def _admit(self, reserve: Reserve, retry: bool) -> None:
+        self.open_turns[reserve.reservation] = OpenTurn(reserve.most_tokens, reserve.session)
+        self.reserved += reserve.most_tokens
+        if retry:
+            self.retries += reserve.most_tokens
+        self.sessions.pop(reserve.session, None)
+        self.sessions[reserve.session] = SessionTurn(reserve.fingerprint, reserve.reservation)
+        _drop_first(self.sessions, SESSIONS_KEPT)
+
+    def _end_turn(self, session: str, settle: Settle) -> None:
+        last = self.sessions.get(session)
+        if last is not None and last.reservation == settle.reservation:
+            last.end = TurnEnd(settle.end)
+
+    def _close(self, reservation: str, verdict: Verdict) -> None:
+        self.closed[reservation] = verdict
+        _drop_first(self.closed, CLOSED_KEPT)
+
+    def _outcome(self, reserve: Reserve, verdict: Verdict) -> ReserveOutcome:
+        retry_after_ms = RETRY_AFTER_MS if verdict is Verdict.RETRY_LATER else 0
+        return ReserveOutcome(reserve.reservation, verdict, self.total, self.settled, retry_after_ms)
+
+
+def _drop_first(kept: dict, most: int) -> None:
+    if len(kept) > most:
+        del kept[next(iter(kept))]
--- /dev/null
+++ b/kestrelbend/tier/storage/disk.py
@@ -0,0 +1,41 @@
+"""The file operations that a journal needs, so that tests can put a disk that loses things in their place.
+
+What a disk promises: a file's content lasts once `sync` of that file has returned, and a file's making,
+renaming or removal lasts once `sync_folder` of its folder has returned.  Without these, a loss of power may
+keep or lose each of them, independently, and may leave any part of a file's content.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class Disk(Protocol):
+    """All paths are whole paths.  Every operation but `read` and `list_folder` may raise `OSError`."""
+
+    def make_folder(self, path: str) -> None:
+        """Makes the folder, and those above it, where they are missing."""
+
+    def list_folder(self, path: str) -> list[str]:
+        """The names in a folder, in no order."""
+
+    def read(self, path: str) -> bytes:
+        """The whole content; `FileNotFoundError` where there is none."""
+
+    def create(self, path: str) -> None:
+        """Makes an empty file; one that stands already is left as it is."""
+
+    def write(self, path: str, content: bytes) -> None:
+        """Replaces a file's whole content, making the file where it is missing."""
+
+    def sync(self, path: str) -> None:
+        """Returns once the file's content lasts."""
+
+    def rename(self, old: str, new: str) -> None:
+        """Gives a file another name, replacing the file that had it."""
+
+    def remove(self, path: str) -> None:
+        """Removes a file; none there is no error."""
+
+    def sync_folder(self, path: str) -> None:
+        """Returns once all that was made, renamed or removed in the folder lasts."""
--- /dev/null
+++ b/kestrelbend/tier/storage/files.py
@@ -0,0 +1,160 @@
+"""A journal's folder: one file for each version, and checkpoints that replace all versions before them.
+
+A version is one group commit.  It is written under its final name in a file of its own, whose empty file was
+made beforehand, many at once, with one sync of the folder for all of them.  So a version lasts with one sync,
+that of its content.  (Writing it aside and renaming it would cost two: a rename lasts only with its folder's
+sync.)  Checkpoints are written aside, synced, renamed, and their folder is synced.
+
+Invariant: what `write_version` or `write_checkpoint` has returned for is there after any loss of power, and
+`load` returns nothing that a later loss of power could take away.  It rests on these steps:
+
+- Version n + 1 is written only after version n was synced.  So a version that is not whole is the last one,
+  was never acknowledged, and may be written anew; content behind it is a broken invariant.
+- A checkpoint's number is that of the first version that it does not hold.  Older files go only after its
+  name lasts; those that a loss of power brings back lie below its number and are ignored.
+- A process that was killed leaves names and content that are in the machine's memory alone.  `load` syncs
+  the folder and the last version before it gives them out.
+"""
+
+from __future__ import annotations
+
+from kestrelbend.tier.storage.disk import Disk
+from kestrelbend.tier.storage.errors import StorageCode, StorageDamaged
+from kestrelbend.tier.storage.versions import pack_versions, unpack_versions
+
+VERSION_SUFFIX = ".versions"
+CHECKPOINT_SUFFIX = ".checkpoint"
+ASIDE_SUFFIX = ".new"
+FILES_MADE_AT_ONCE = 64
+BLOCK_BYTES = 4096
+
+
+class JournalFiles:
+    """Reads and writes the folder; one user at a time, which calls `load` first."""
+
+    def __init__(self, disk: Disk, folder: str) -> None:
+        self._disk = disk
+        self._folder = folder
+        self._next_number = 0
+        self._made_until = 0  # the files of numbers below are there, and their names last
+        self._first_number = 0  # the oldest version that is kept
+        self._checkpoint_bytes = 0
+        self._version_bytes = 0
+
+    @property
+    def checkpoint_bytes(self) -> int:
+        """What the checkpoint takes of the disk."""
+        return self._checkpoint_bytes
+
+    @property
+    def version_bytes(self) -> int:
+        """What the versions after the checkpoint take of the disk."""
+        return self._version_bytes
+
+    @property
+    def version_count(self) -> int:
+        """The versions after the checkpoint."""
+        return self._next_number - self._first_number
+
+    def load(self) -> list[bytes]:
+        """The checkpoint's records and those after it, in order; raises `StorageDamaged`."""
+        self._disk.sync_folder(self._folder)
+        names = self._disk.list_folder(self._folder)
+        checkpoints = sorted(_numbers(names, CHECKPOINT_SUFFIX))
+        first = checkpoints[-1] if checkpoints else 0
+        records = self._load_checkpoint(first) if checkpoints else []
+        records += self._load_versions(first, _numbers(names, VERSION_SUFFIX))
+        self._remove_leftovers(names, first)
+        return records
+
+    def write_version(self, records: list[bytes]) -> None:
+        """Returns once the records last; after an `OSError` it is called again, with at least these."""
+        if self._next_number >= self._made_until:
+            self._make_files()
+        path = self._path(self._next_number, VERSION_SUFFIX)
+        content = pack_versions(self._next_number, records)
+        self._disk.write(path, content)
+        self._disk.sync(path)
+        self._next_number += 1
+        self._version_bytes += space(len(content))
+
+    def write_checkpoint(self, records: list[bytes]) -> None:
+        """Puts `records` in place of all versions so far; returns once this lasts."""
+        number = self._next_number
+        path = self._path(number, CHECKPOINT_SUFFIX)
+        content = pack_versions(number, records)
+        self._disk.write(path + ASIDE_SUFFIX, content)
+        self._disk.sync(path + ASIDE_SUFFIX)
+        self._disk.rename(path + ASIDE_SUFFIX, path)
+        self._disk.sync_folder(self._folder)
+        self._first_number = number
+        self._checkpoint_bytes = space(len(content))
+        self._version_bytes = 0
+
+    def remove_replaced(self) -> None:
+        """Removes what the last checkpoint replaced."""
+        self._remove_leftovers(self._disk.list_folder(self._folder), self._first_number)
+
+    def _load_checkpoint(self, number: int) -> list[bytes]:
+        path = self._path(number, CHECKPOINT_SUFFIX)
+        content = self._disk.read(path)
+        records = unpack_versions(number, content)
+        if records is None:
+            raise StorageDamaged(StorageCode.CHECKPOINT_DAMAGED, path)
+        self._checkpoint_bytes = space(len(content))
+        return records
+
+    def _load_versions(self, first: int, numbers: set[int]) -> list[bytes]:
+        records: list[bytes] = []
+        number = first
+        while number in numbers:
+            content = self._disk.read(self._path(number, VERSION_SUFFIX))
+            version = unpack_versions(number, content)
+            if version is None:
+                break
+            records += version
+            self._version_bytes += space(len(content))
+            number += 1
+        self._check_nothing_follows(number, numbers)
+        if number > first:
+            self._disk.sync(self._path(number - 1, VERSION_SUFFIX))
+        self._first_number = first
+        self._next_number = number
+        self._made_until = number
+        return records
+
+    def _check_nothing_follows(self, end: int, numbers: set[int]) -> None:
+        for number in numbers:
+            path = self._path(number, VERSION_SUFFIX)
+            if number > end and self._disk.read(path):
+                raise StorageDamaged(StorageCode.HOLE, self._path(end, VERSION_SUFFIX))
+
+    def _make_files(self) -> None:
+        until = self._next_number + FILES_MADE_AT_ONCE
+        for number in range(self._next_number, until):
+            self._disk.create(self._path(number, VERSION_SUFFIX))
+        self._disk.sync_folder(self._folder)
+        self._made_until = until
+
+    def _remove_leftovers(self, names: list[str], first: int) -> None:
+        for name in names:
+            if name.endswith(ASIDE_SUFFIX) or _number(name, first) < first:
+                self._disk.remove(f"{self._folder}/{name}")
+
+    def _path(self, number: int, suffix: str) -> str:
+        return f"{self._folder}/{number:012d}{suffix}"
+
+
+def space(length: int) -> int:
+    """The bytes that a file of this length takes of a disk, whole blocks."""
+    return -(-length // BLOCK_BYTES) * BLOCK_BYTES
+
+
+def _numbers(names: list[str], suffix: str) -> set[int]:
+    stems = (name.removesuffix(suffix) for name in names if name.endswith(suffix))
+    return {int(stem) for stem in stems if stem.isdigit()}
+
+
+def _number(name: str, other: int) -> int:
+    stem = name.partition(".")[0]
+    return int(stem) if stem.isdigit() else other
--- /dev/null
+++ b/kestrelbend/tier/storage/identity.py
@@ -0,0 +1,77 @@
+"""A process's data folder: the disk's identity, and where its journal stands.
+
+Invariant: an identity is used only once it lasts, and an emptied disk gets another one.  So no replica that
+has forgotten its votes and entries can pass for the replica that gave them.
+"""
+
+from __future__ import annotations
+
+import secrets
+
+import attrs
+
+from kestrelbend.tier.storage.disk import Disk
+from kestrelbend.tier.storage.errors import StorageCode, StorageDamaged
+from kestrelbend.tier.storage.os_disk import OsDisk
+
+FIRST_IDENTITY = "first"
+_IDENTITY_NAME = "identity"
+_ASIDE_NAME = "identity.new"
+_JOURNAL_NAME = "journal"
+_IDENTITY_BYTES = 4
+
+
+@attrs.frozen
+class DataFolder:
+    """What a process finds in its `DataDir`, or puts there at its first start."""
+
+    identity: str
+    journal_folder: str
+    created: bool
+
+    @classmethod
+    def open(cls, data_dir: str, bootstrap: bool, disk: Disk | None = None) -> DataFolder:
+        """`bootstrap`: the whole system starts on empty disks, so the disks' identities are known ahead.
+
+        Raises `StorageDamaged`, and `OSError` where the disk does not take the identity.
+        """
+        disk = disk or OsDisk()
+        disk.make_folder(data_dir)
+        disk.sync_folder(data_dir)
+        names = disk.list_folder(data_dir)
+        created = _IDENTITY_NAME not in names
+        if created:
+            _check_no_versions(disk, data_dir, names)
+            identity = FIRST_IDENTITY if bootstrap else secrets.token_hex(_IDENTITY_BYTES)
+            _write_identity(disk, data_dir, identity)
+        identity = _read_identity(disk, data_dir)
+        journal_folder = f"{data_dir}/{_JOURNAL_NAME}"
+        disk.make_folder(journal_folder)
+        disk.sync_folder(data_dir)
+        return cls(identity, journal_folder, created)
+
+
+def _write_identity(disk: Disk, data_dir: str, identity: str) -> None:
+    aside = f"{data_dir}/{_ASIDE_NAME}"
+    disk.write(aside, identity.encode())
+    disk.sync(aside)
+    disk.rename(aside, f"{data_dir}/{_IDENTITY_NAME}")
+    disk.sync_folder(data_dir)
+
+
+def _read_identity(disk: Disk, data_dir: str) -> str:
+    path = f"{data_dir}/{_IDENTITY_NAME}"
+    identity = disk.read(path).decode("ascii", "replace")
+    if identity != FIRST_IDENTITY and not _is_random_identity(identity):
+        raise StorageDamaged(StorageCode.IDENTITY_DAMAGED, path)
+    return identity
+
+
+def _is_random_identity(identity: str) -> bool:
+    return len(identity) == 2 * _IDENTITY_BYTES and all(digit in "0123456789abcdef" for digit in identity)
+
+
+def _check_no_versions(disk: Disk, data_dir: str, names: list[str]) -> None:
+    journal_folder = f"{data_dir}/{_JOURNAL_NAME}"
+    if _JOURNAL_NAME in names and disk.list_folder(journal_folder):
+        raise StorageDamaged(StorageCode.IDENTITY_MISSING, journal_folder)
--- /dev/null
+++ b/kestrelbend/tier/storage/journal.py
@@ -0,0 +1,230 @@
+"""The journal of a process: all its replicas' records, written by one thread in group commits.
+
+Invariant: `on_written` names a ticket only once its record lasts, and names tickets in the order in which
+they were appended.  A caller never waits for the disk.  While the disk refuses (full, failing), nothing is
+acknowledged; the thread tries again, and `state` and `oldest_wait` tell the replicas to hand over.
+"""
+
+from __future__ import annotations
+
+import enum
+import errno
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+
+from kestrelbend.tier.storage.disk import Disk
+from kestrelbend.tier.storage.files import JournalFiles, space
+from kestrelbend.tier.storage.os_disk import OsDisk
+
+SLOW_S = 0.25
+STALLED_S = 1.0
+RETRY_FIRST_S = 0.05
+RETRY_MOST_S = 1.0
+CHECKPOINT_VERSIONS = 4000
+CHECKPOINT_SHARE_OF_CAPACITY = 8
+CHECKPOINT_ROOM = 4  # a quarter of the capacity, or twice the last checkpoint, is kept for the next one
+GROUP_BYTES = 4 * 1024 * 1024
+_FULL = (errno.ENOSPC, errno.EDQUOT)
+
+
+class JournalState(enum.Enum):
+    """How the disk takes what it is given."""
+
+    OK = "ok"
+    SLOW = "slow"
+    STALLED = "stalled"
+    FULL = "full"
+
+
+@attrs.frozen
+class _Append:
+    ticket: int
+    record: bytes
+    since: float
+
+
+@attrs.frozen
+class _Checkpoint:
+    records: list[bytes]
+
+
+class DiskJournal:
+    """One folder and one writer thread.
+
+    `loop_call(function, *arguments)` brings a call to the caller's thread, as `call_soon_threadsafe` does.
+    """
+
+    def __init__(
+        self,
+        folder: str,
+        capacity_bytes: int,
+        on_written: Callable[[list[int]], None],
+        loop_call: Callable[..., object],
+        disk: Disk | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._files = JournalFiles(disk or OsDisk(), folder)
+        self._capacity_bytes = capacity_bytes
+        self._on_written = on_written
+        self._loop_call = loop_call
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._queue: list[_Append | _Checkpoint] = []
+        self._in_flight: list[_Append | _Checkpoint] = []
+        self._full = False
+        self._failures = 0
+        self._closing = False
+        self._thread: threading.Thread | None = None
+
+    def load(self) -> list[bytes]:
+        """All records in order, as one replays them; called once, before the first append."""
+        return self._files.load()
+
+    def start(self) -> None:
+        """Starts the writer thread."""
+        self._thread = threading.Thread(target=self._run, name="journal", daemon=True)
+        self._thread.start()
+
+    def append(self, ticket: int, record: bytes) -> None:
+        """Takes a record; `on_written` names its ticket once it lasts."""
+        self._put(_Append(ticket, record, self._clock()))
+
+    def checkpoint(self, records: list[bytes]) -> None:
+        """Replaces all that was appended so far by `records`, which must hold the effect of all of it."""
+        self._put(_Checkpoint(records))
+
+    @property
+    def wants_checkpoint(self) -> bool:
+        """Whether the versions since the last checkpoint have grown beyond what a start should replay."""
+        files = self._files
+        if self._checkpoint_waits():
+            return False
+        if files.version_count >= CHECKPOINT_VERSIONS:
+            return True
+        return files.version_bytes > self._capacity_bytes // CHECKPOINT_SHARE_OF_CAPACITY or self._full
+
+    def oldest_wait(self, now: float) -> float:
+        """For how long the oldest record that is not acknowledged has waited, in seconds."""
+        with self._changed:
+            for work in (*self._in_flight, *self._queue):
+                if isinstance(work, _Append):
+                    return now - work.since
+        return 0.0
+
+    def state(self, now: float) -> JournalState:
+        """How the disk does; anything but OK is a reason to let other replicas own the shards."""
+        if self._full:
+            return JournalState.FULL
+        wait = self.oldest_wait(now)
+        if wait >= STALLED_S:
+            return JournalState.STALLED
+        return JournalState.SLOW if wait >= SLOW_S else JournalState.OK
+
+    def close(self, within: float) -> bool:
+        """Writes what waits, within a time in seconds; whether all of it was written."""
+        with self._changed:
+            self._closing = True
+            self._changed.notify()
+        if self._thread is not None:
+            self._thread.join(within)
+        with self._changed:
+            return not (self._queue or self._in_flight)
+
+    def write_once(self) -> bool:
+        """Writes one group of what waits, on the calling thread; whether there was any and it went well."""
+        with self._changed:
+            group = self._take_group()
+            self._in_flight = group
+        if not group:
+            return False
+        try:
+            self._write(group)
+        except OSError as error:
+            self._put_back(group, error)
+            return False
+        self._finish(group)
+        return True
+
+    def _put(self, work: _Append | _Checkpoint) -> None:
+        with self._changed:
+            self._queue.append(work)
+            self._changed.notify()
+
+    def _checkpoint_waits(self) -> bool:
+        with self._changed:
+            return any(isinstance(work, _Checkpoint) for work in (*self._in_flight, *self._queue))
+
+    def _take_group(self) -> list[_Append | _Checkpoint]:
+        """All that waits up to the last checkpoint, or else as many records as make one file."""
+        queue = self._queue
+        end = _after_last_checkpoint(queue) or _group_end(queue)
+        self._queue = queue[end:]
+        return queue[:end]
+
+    def _write(self, group: list[_Append | _Checkpoint]) -> None:
+        last = group[-1]
+        if isinstance(last, _Checkpoint):
+            # It holds the effect of the records before it, so these need no file of their own.
+            self._check_room(sum(len(record) + 4 for record in last.records))
+            self._files.write_checkpoint(last.records)
+            return
+        records = [work.record for work in group]
+        kept_free = max(2 * self._files.checkpoint_bytes, self._capacity_bytes // CHECKPOINT_ROOM)
+        self._check_room(kept_free + sum(len(record) + 4 for record in records))
+        self._files.write_version(records)
+
+    def _check_room(self, length: int) -> None:
+        used = self._files.checkpoint_bytes + self._files.version_bytes
+        if used + space(length) > self._capacity_bytes:
+            raise OSError(errno.ENOSPC, "the journal's share of the disk is used up")
+
+    def _finish(self, group: list[_Append | _Checkpoint]) -> None:
+        self._full = False
+        self._failures = 0
+        with self._changed:
+            self._in_flight = []
+        tickets = [work.ticket for work in group if isinstance(work, _Append)]
+        if tickets:
+            self._loop_call(self._on_written, tickets)
+        if isinstance(group[-1], _Checkpoint):
+            self._files.remove_replaced()
+
+    def _put_back(self, group: list[_Append | _Checkpoint], error: OSError) -> None:
+        self._full = error.errno in _FULL
+        self._failures += 1
+        with self._changed:
+            self._queue = group + self._queue
+            self._in_flight = []
+
+    def _run(self) -> None:
+        while self._wait_for_work():
+            if not self.write_once():
+                self._wait_before_retry()
+
+    def _wait_for_work(self) -> bool:
+        with self._changed:
+            while not self._queue and not self._closing:
+                self._changed.wait()
+            return bool(self._queue)
+
+    def _wait_before_retry(self) -> None:
+        time.sleep(min(RETRY_MOST_S, RETRY_FIRST_S * 2 ** min(self._failures, 8)))
+
+
+def _after_last_checkpoint(queue: list[_Append | _Checkpoint]) -> int:
+    for position in range(len(queue), 0, -1):
+        if isinstance(queue[position - 1], _Checkpoint):
+            return position
+    return 0
+
+
+def _group_end(queue: list[_Append | _Checkpoint]) -> int:
+    length = 0
+    for position, work in enumerate(queue):
+        length += len(work.record)
+        if length > GROUP_BYTES:
+            return max(1, position)
+    return len(queue)
--- /dev/null
+++ b/kestrelbend/tier/storage/versions.py
@@ -0,0 +1,53 @@
+"""The content of a file of versions: a header with a checksum, then records.
+
+A file counts as a whole or not at all, so a torn file can be written anew without losing a record that
+somebody has read.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections.abc import Iterable
+
+_MAGIC = b"kbv1"
+_HEADER = struct.Struct("<4sQII")  # magic, number, bytes of the body, checksum
+_LENGTH = struct.Struct("<I")
+
+
+def pack_versions(number: int, records: Iterable[bytes]) -> bytes:
+    """A file's content; `number` is the file's own, so that no file passes for another."""
+    parts: list[bytes] = []
+    for record in records:
+        parts.append(_LENGTH.pack(len(record)))
+        parts.append(record)
+    body = b"".join(parts)
+    return _HEADER.pack(_MAGIC, number, len(body), _checksum(number, body)) + body
+
+
+def unpack_versions(number: int, content: bytes) -> list[bytes] | None:
+    """The records of a whole file, None for one that is torn."""
+    if len(content) < _HEADER.size:
+        return None
+    magic, found_number, length, checksum = _HEADER.unpack_from(content)
+    body = memoryview(content)[_HEADER.size :]
+    if magic != _MAGIC or found_number != number or length != len(body):
+        return None
+    if checksum != _checksum(number, body):
+        return None
+    return _split(body)
+
+
+def _checksum(number: int, body: bytes | memoryview) -> int:
+    return zlib.crc32(body, zlib.crc32(number.to_bytes(8, "little")))
+
+
+def _split(body: memoryview) -> list[bytes]:
+    records = []
+    position = 0
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        records.append(bytes(body[position : position + length]))
+        position += length
+    return records
