Replicated shards: a Raft core with ordered ownership

The serving tier needs one owner per shard, fenced by an epoch that is on disk. A first working version: elections with pre-vote in the group's order, log replication gated on the disk, single-server group changes, confirmed reads, handover, compaction.

--- /dev/null
+++ b/kestrelbend/tier/replication/effects.py
@@ -0,0 +1,20 @@
+"""What a replica wants done outside: messages, writes, commands to apply, reads that may be answered."""
+
+from __future__ import annotations
+
+import attrs
+
+from .messages import DurableRecord, Entry, ReplicaId, ReplicaMessage, Snapshot
+
+
+@attrs.define
+class Effects:
+    """Drained by `Replica.take`; `restore` goes before `applied`, and `applied` before `confirmed`."""
+
+    sends: list[tuple[ReplicaId, ReplicaMessage]] = attrs.field(factory=list)
+    writes: list[tuple[int, DurableRecord]] = attrs.field(factory=list)
+    restore: Snapshot | None = None
+    applied: list[Entry] = attrs.field(factory=list)
+    confirmed: list[int] = attrs.field(factory=list)
+    lost: list[int] = attrs.field(factory=list)
+    ownership_changed: bool = False
--- /dev/null
+++ b/kestrelbend/tier/replication/log.py
@@ -0,0 +1,170 @@
+"""A replica's log: the entries that it holds, those on its disk, and the voters that they name.
+
+Invariant: `durable_index` never counts an entry that the disk doesn't hold as the log does; an entry
+that is replaced is taken out of every write still under way.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from .group import Voters, decode_group
+from .messages import DurableState, Entry, EntryKind, Snapshot
+
+
+@attrs.define
+class PendingWrite:
+    """A write under way: once done, the disk holds the log up to `last_index`."""
+
+    ticket: int
+    last_index: int
+
+
+class ReplicaLog:
+    """Entries `base_index + 1` to `last_index`; all before are in `snapshot`, which may reach further."""
+
+    def __init__(self, durable: DurableState) -> None:
+        self.snapshot = durable.snapshot
+        self.base_index = durable.snapshot.index
+        self.base_epoch = durable.snapshot.epoch
+        self.entries = list(durable.entries)
+        self.durable_index = self.last_index
+        self._unwritten_from = self.last_index + 1
+        self._snapshot_unwritten = False
+        self._pending: list[PendingWrite] = []
+        self._groups: list[tuple[int, Voters]] = []
+        self._note_groups(self.entries)
+
+    @property
+    def last_index(self) -> int:
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_epoch(self) -> int:
+        return self.entries[-1].epoch if self.entries else self.base_epoch
+
+    @property
+    def voters(self) -> Voters:
+        """The voters that the newest GROUP entry names, committed or not (Ongaro 2014, section 4.1)."""
+        return self._groups[-1][1] if self._groups else self.snapshot.voters
+
+    @property
+    def group_index(self) -> int:
+        """The index of the entry that named `voters`."""
+        return self._groups[-1][0] if self._groups else self.snapshot.index
+
+    def voters_at(self, index: int) -> Voters:
+        """The voters as of the version `index`."""
+        voters = self.snapshot.voters
+        for group_index, group in self._groups:
+            if group_index <= index:
+                voters = group
+        return voters
+
+    def epoch_at(self, index: int) -> int | None:
+        """The epoch of the entry at `index`, or None where the log holds none."""
+        if index == self.base_index:
+            return self.base_epoch
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].epoch
+        return None
+
+    def first_index_of_epoch_at(self, index: int) -> int:
+        """The first held entry of the run of entries that share the epoch of the one at `index`."""
+        epoch = self.epoch_at(index)
+        while index > self.base_index + 1 and self.epoch_at(index - 1) == epoch:
+            index -= 1
+        return index
+
+    def between(self, first: int, last: int) -> list[Entry]:
+        """The entries `first` to `last`, all of them held."""
+        return self.entries[first - self.base_index - 1 : last - self.base_index]
+
+    def batch(self, first: int, most_bytes: int) -> tuple[Entry, ...]:
+        """Entries from `first` on, one at least, up to `most_bytes` of data."""
+        chosen: list[Entry] = []
+        size = 0
+        for position in range(first - self.base_index - 1, len(self.entries)):
+            entry = self.entries[position]
+            size += len(entry.data)
+            if chosen and size > most_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def append(self, entry: Entry) -> None:
+        """Adds the entry that follows the last one."""
+        assert entry.index == self.last_index + 1, "an entry out of order"
+        self.entries.append(entry)
+        self._note_groups([entry])
+
+    def replace_from(self, entries: list[Entry]) -> None:
+        """Puts `entries` in place of everything from the first of them on."""
+        first = entries[0].index
+        del self.entries[first - self.base_index - 1 :]
+        self._groups = [group for group in self._groups if group[0] < first]
+        self._unwritten_from = min(self._unwritten_from, first)
+        self._cap_durable(first - 1)
+        self.entries.extend(entries)
+        self._note_groups(entries)
+
+    def found(self, voters: Voters) -> None:
+        """Begins the shard's first log, with the voters that it is founded by."""
+        self.snapshot = Snapshot(voters=voters)
+        self._snapshot_unwritten = True
+
+    def compact(self, index: int, state: bytes, tail: int) -> None:
+        """Takes a snapshot at the applied `index`; keeps `tail` entries before it for slow followers."""
+        epoch = self.epoch_at(index)
+        assert epoch is not None, "a snapshot of an entry that the log doesn't hold"
+        self.snapshot = Snapshot(index=index, epoch=epoch, voters=self.voters_at(index), state=state)
+        self._groups = [group for group in self._groups if group[0] > index]
+        self._snapshot_unwritten = True
+        self._unwritten_from = max(self._unwritten_from, index + 1)
+        new_base = max(self.base_index, index - tail)
+        new_epoch = self.epoch_at(new_base)
+        del self.entries[: new_base - self.base_index]
+        self.base_index, self.base_epoch = new_base, new_epoch
+
+    def install(self, snapshot: Snapshot, commit_index: int) -> None:
+        """Takes over the owner's snapshot, which reaches beyond `commit_index`."""
+        if self.epoch_at(snapshot.index) == snapshot.epoch:
+            self.entries = self.entries[snapshot.index - self.base_index :]
+            self._groups = [group for group in self._groups if group[0] > snapshot.index]
+        else:
+            self.entries = []
+            self._groups = []
+            self._cap_durable(commit_index)
+            self._unwritten_from = snapshot.index + 1
+        self.snapshot = snapshot
+        self.base_index, self.base_epoch = snapshot.index, snapshot.epoch
+        self._snapshot_unwritten = True
+        self._unwritten_from = max(self._unwritten_from, snapshot.index + 1)
+
+    def has_unwritten(self) -> bool:
+        """Whether anything is held that no write carries yet."""
+        return self._snapshot_unwritten or self._unwritten_from <= self.last_index
+
+    def begin_write(self, ticket: int) -> tuple[tuple[Entry, ...], Snapshot | None]:
+        """What the write `ticket` carries: all that no earlier one does."""
+        entries = tuple(self.between(self._unwritten_from, self.last_index))
+        snapshot = self.snapshot if self._snapshot_unwritten else None
+        self._unwritten_from = self.last_index + 1
+        self._snapshot_unwritten = False
+        self._pending.append(PendingWrite(ticket, self.last_index))
+        return entries, snapshot
+
+    def end_write(self, ticket: int) -> None:
+        """Counts the write `ticket`, and all before it, as on the disk."""
+        while self._pending and self._pending[0].ticket <= ticket:
+            self.durable_index = max(self.durable_index, self._pending.pop(0).last_index)
+
+    def _cap_durable(self, index: int) -> None:
+        self.durable_index = min(self.durable_index, index)
+        for write in self._pending:
+            write.last_index = min(write.last_index, index)
+
+    def _note_groups(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            if entry.kind == EntryKind.GROUP:
+                self._groups.append((entry.index, decode_group(entry.data)))
--- /dev/null
+++ b/kestrelbend/tier/replication/messages.py
@@ -0,0 +1,136 @@
+"""What replicas of a shard say to each other, what they write, and what they hold."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+ShardId = str
+ReplicaId = str  # "<node address>#<disk identity>": an emptied disk is another replica
+
+
+class EntryKind(enum.IntEnum):
+    """What an entry of a shard's log holds."""
+
+    COMMAND = 0  # for the shard's state machine
+    GROUP = 1  # the voters from here on, as `Group` encodes them
+    EMPTY = 2  # the first entry of an epoch
+
+
+@attrs.frozen
+class Entry:
+    """One version of a shard: `index` counts versions from 1."""
+
+    index: int
+    epoch: int
+    kind: int
+    data: bytes = b""
+
+
+@attrs.frozen
+class Snapshot:
+    """The state machine's state after the version `index`, and the voters then."""
+
+    index: int = 0
+    epoch: int = 0
+    voters: tuple[ReplicaId, ...] = ()
+    state: bytes = b""
+
+
+@attrs.frozen
+class RequestVote:
+    """A candidate asks to own the shard for an epoch; `trial` asks without any effect (pre-vote)."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    last_index: int
+    last_epoch: int
+    trial: bool
+
+
+@attrs.frozen
+class VoteReply:
+    """The answer to `RequestVote`; `epoch` is the voter's own, or the one asked about where granted."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    granted: bool
+    trial: bool
+
+
+@attrs.frozen
+class AppendEntries:
+    """The owner's entries after `previous_index`, its commit index, and a heartbeat when empty."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    previous_index: int
+    previous_epoch: int
+    entries: tuple[Entry, ...]
+    commit_index: int
+    round: int  # rises with each heartbeat; echoed by replies to confirm the ownership
+
+
+@attrs.frozen
+class AppendReply:
+    """`match_index` is what is on the replica's disk where accepted, else where the owner should try next."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    accepted: bool
+    match_index: int
+    round: int
+
+
+@attrs.frozen
+class InstallSnapshot:
+    """A snapshot in place of entries that the owner no longer keeps; answered by `AppendReply`."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    snapshot: Snapshot
+    round: int
+
+
+@attrs.frozen
+class TransferOwnership:
+    """The owner, about to leave, asks the receiver to become a candidate at once."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+
+
+ReplicaMessage = RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | TransferOwnership
+
+
+@attrs.frozen
+class DurableRecord:
+    """One write of a replica; a disk's records, replayed in order, give `DurableState`.
+
+    `entries` replace everything from `entries[0].index` on.  A `snapshot` replaces everything up to its
+    index.  `epoch` and `voted_for` hold always.
+    """
+
+    shard: ShardId
+    replica: ReplicaId
+    epoch: int
+    voted_for: ReplicaId
+    entries: tuple[Entry, ...] = ()
+    snapshot: Snapshot | None = None
+
+
+@attrs.define
+class DurableState:
+    """What a replica begins with: all of it is on its disk."""
+
+    epoch: int = 0
+    voted_for: ReplicaId = ""
+    snapshot: Snapshot = attrs.field(factory=Snapshot)
+    entries: list[Entry] = attrs.field(factory=list)
