Tier: configuration state, routing, settings, operator API, discovery

The operator's documents are read and checked as a whole; the shard's state machine keeps versions, the digests of accepted orders, placements and nodes to be emptied. Backends' heartbeats go into registries that control nodes merge, and into gateways' views.

--- /dev/null
+++ b/kestrelbend/tier/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's configuration: checking, versions, routing."""
--- /dev/null
+++ b/kestrelbend/tier/configuration/messages.py
@@ -0,0 +1,50 @@
+"""The operator's orders on the configuration, and the tier's own records kept in the same shard."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class OrderKind(enum.IntEnum):
+    """Which call of the operator's API an order came by."""
+
+    PUT = 0
+    PATCH = 1
+    PLACEMENT = 2  # the tier's own: body is a `ShardPlacement`
+    RETIRE = 3  # body is the node's name
+
+
+@attrs.frozen
+class ConfigOrder:
+    """A command of the configuration's shard, and a control node's call to the shard's owner."""
+
+    kind: int
+    base_version: int
+    body: bytes
+
+
+@attrs.frozen
+class ConfigOutcome:
+    """`status` as the operator's API answers it; 0: not the owner, nothing was done."""
+
+    status: int
+    version: int
+    reason: str
+
+
+@attrs.frozen
+class ReadRequest:
+    """A control node asks the shard's owner for the newest configuration."""
+
+    shard: str
+
+
+@attrs.frozen
+class ReadReply:
+    """Empty `body` and not `owner`: ask another."""
+
+    owner: bool
+    version: int
+    body: bytes
--- /dev/null
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -0,0 +1,250 @@
+"""The HTTP interface for the operator and for backends' heartbeats, as an ASGI application.
+
+Invariant: a call is answered 2xx only if the port said so; what can't be said now is a 503, which promises
+nothing, and every body is read to its end (or to a bound) before the answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from kestrelbend.tier.configuration.document import MOST_NUMBER, MOST_VERSION
+from kestrelbend.tier.configuration.messages import ConfigOrder, OrderKind
+from kestrelbend.tier.configuration.ports import ControlPort, Unavailable
+
+MOST_ORDER_BYTES = 8 * 1024 * 1024
+MOST_REPORT_BYTES = 64 * 1024
+MOST_DISCARDED_BYTES = 64 * 1024 * 1024
+BODY_TIMEOUT_S = 20.0
+RETRY_AFTER_S = "0.2"
+MOST_NAME = 256
+BASE_VERSION = b"x-kestrelbend-base-version"
+CALL = re.compile(r"/api/(?P<call>[A-Za-z]+\.[A-Za-z]+)(?:/(?P<name>[^/]+))?")
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+@attrs.frozen
+class Answer:
+    """A status, a JSON body and whether the caller is told when to ask again."""
+
+    status: int
+    body: bytes
+    allow: str = ""
+
+
+@attrs.frozen(eq=False)
+class Call:
+    """One call as its handler needs it."""
+
+    name: str
+    base: bytes | None
+    body: bytes
+
+
+@attrs.frozen
+class _Handler:
+    method: str
+    takes_name: bool
+    most_bytes: int
+    run: Callable[[Call], Awaitable[Answer]]
+
+
+class _Disconnected(Exception):
+    """The caller went away before its body had come."""
+
+
+class OperatorApi:
+    """Translates HTTP calls into calls of a `ControlPort`."""
+
+    def __init__(self, port: ControlPort) -> None:
+        self._port = port
+        self._handlers = {
+            "Config.Put": _Handler("POST", False, MOST_ORDER_BYTES, self._put),
+            "Config.Patch": _Handler("POST", False, MOST_ORDER_BYTES, self._patch),
+            "Config.Get": _Handler("GET", False, 0, self._get),
+            "Instances.Heartbeat": _Handler("POST", True, MOST_REPORT_BYTES, self._beat),
+            "Instances.Leave": _Handler("POST", True, MOST_REPORT_BYTES, self._leave),
+            "Retire.Start": _Handler("POST", True, MOST_REPORT_BYTES, self._retire_start),
+            "Retire.Get": _Handler("GET", True, 0, self._retire_get),
+        }
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """The entry point of ASGI."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve_http(scope, receive, send)
+
+    async def _serve_http(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        found = self._find(scope)
+        most_bytes = 0 if isinstance(found, Answer) else found[0].most_bytes
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                body = await _read_body(receive, most_bytes)
+        except TimeoutError:
+            await _send(send, _refusal(408, "the body did not come in time"))
+            return
+        except _Disconnected:
+            return
+        if isinstance(found, Answer):
+            await _send(send, found)
+            return
+        handler, name = found
+        await _send(send, await self._answer(handler, name, scope, body))
+
+    def _find(self, scope: dict[str, Any]) -> tuple[_Handler, str] | Answer:
+        match = CALL.fullmatch(scope["path"])
+        handler = self._handlers.get(match["call"]) if match else None
+        name = (match["name"] or "") if match else ""
+        if handler is None or handler.takes_name != bool(name) or len(name) > MOST_NAME:
+            return _refusal(404, "no such call")
+        if scope["method"] != handler.method:
+            return attrs.evolve(_refusal(405, f"the call takes {handler.method}"), allow=handler.method)
+        return handler, name
+
+    async def _answer(
+        self, handler: _Handler, name: str, scope: dict[str, Any], body: bytes | None
+    ) -> Answer:
+        if body is None:
+            return _refusal(413, "the body is too large")
+        base = [value for key, value in scope["headers"] if key.lower() == BASE_VERSION]
+        try:
+            return await handler.run(Call(name, base[0] if len(base) == 1 else None, body))
+        except Unavailable:
+            return _unavailable()
+
+    async def _put(self, call: Call) -> Answer:
+        return await self._order(OrderKind.PUT, call)
+
+    async def _patch(self, call: Call) -> Answer:
+        return await self._order(OrderKind.PATCH, call)
+
+    async def _order(self, kind: OrderKind, call: Call) -> Answer:
+        base = _base_version(call.base)
+        if base is None:
+            return _refusal(400, "X-Kestrelbend-Base-Version is missing or no whole number")
+        outcome = await self._port.order(ConfigOrder(int(kind), base, call.body))
+        if outcome.status == 200:
+            return _json(200, {"Ver": outcome.version})
+        if outcome.status == 0:
+            return _unavailable()
+        return _json(outcome.status, {"Error": outcome.reason, "Ver": outcome.version})
+
+    async def _get(self, call: Call) -> Answer:
+        reply = await self._port.read()
+        if not reply.owner:
+            return _unavailable()
+        if not reply.body:
+            return _refusal(404, "there is no configuration yet")
+        return Answer(200, bytes(reply.body))
+
+    async def _beat(self, call: Call) -> Answer:
+        report = _object(call.body)
+        if report is None:
+            return _refusal(400, "the report is no JSON object")
+        status = await self._port.beat(call.name, report)
+        if status != 200:
+            return _plain(status)
+        url = self._port.beat_url()
+        return _json(200, {"BeatUrl": url} if url else {})
+
+    async def _leave(self, call: Call) -> Answer:
+        return _plain(await self._port.leave(call.name))
+
+    async def _retire_start(self, call: Call) -> Answer:
+        order = _object(call.body)
+        deadline = order.get("DeadlineS") if order is not None else None
+        if type(deadline) not in (int, float) or not 0 < deadline <= MOST_NUMBER:
+            return _refusal(400, "DeadlineS is no positive number of seconds")
+        return _plain(await self._port.retire_start(call.name, float(deadline)))
+
+    async def _retire_get(self, call: Call) -> Answer:
+        state = await self._port.retire_state(call.name)
+        if state is None:
+            return _refusal(404, "nobody asked for the node to be emptied")
+        return _json(200, {"State": state})
+
+
+def _base_version(value: bytes | None) -> int | None:
+    if value is None or not value.isdigit() or len(value) > len(str(MOST_VERSION)):
+        return None
+    return int(value)
+
+
+def _object(body: bytes) -> dict[str, Any] | None:
+    try:
+        values = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    return values if isinstance(values, dict) else None
+
+
+def _json(status: int, values: dict[str, Any]) -> Answer:
+    return Answer(status, json.dumps(values, separators=(",", ":")).encode())
+
+
+def _refusal(status: int, reason: str) -> Answer:
+    return _json(status, {"Error": reason})
+
+
+def _unavailable() -> Answer:
+    return _refusal(503, "can't be answered here now")
+
+
+def _plain(status: int) -> Answer:
+    if status == 0:
+        return _unavailable()
+    return _json(status, {} if status < 300 else {"Error": "refused"})
+
+
+async def _read_body(receive: Receive, most_bytes: int) -> bytes | None:
+    """The whole body, or None if it was longer; what is too long is read and dropped, so that the caller,
+    which may still be writing, gets its answer."""
+    pieces: list[bytes] = []
+    size = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            raise _Disconnected
+        piece = event.get("body", b"")
+        size += len(piece)
+        if size <= most_bytes:
+            pieces.append(piece)
+        else:
+            pieces.clear()
+        if size > MOST_DISCARDED_BYTES:
+            return None
+        if not event.get("more_body", False):
+            break
+    if most_bytes and size > most_bytes:
+        return None
+    return b"".join(pieces)
+
+
+async def _send(send: Send, answer: Answer) -> None:
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(answer.body)).encode()),
+    ]
+    if answer.status == 503:
+        headers.append((b"retry-after", RETRY_AFTER_S.encode()))
+    if answer.allow:
+        headers.append((b"allow", answer.allow.encode()))
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    await send({"type": "http.response.body", "body": answer.body, "more_body": False})
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        event = await receive()
+        await send({"type": f"{event['type']}.complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/kestrelbend/tier/configuration/placements.py
@@ -0,0 +1,46 @@
+"""How the placement of one shard is written inside an order of kind `PLACEMENT`."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from kestrelbend.tier.membership.messages import ShardPlacement
+
+MOST_REPLICAS = 64
+MOST_NAME = 256
+
+
+def encode_placement(placement: ShardPlacement) -> bytes:
+    """The body of an order that places a shard; equal placements give equal bytes."""
+    values = {
+        "shard": placement.shard,
+        "founders": list(placement.founders),
+        "voters": list(placement.voters),
+    }
+    return json.dumps(values, separators=(",", ":")).encode()
+
+
+def decode_placement(body: bytes) -> ShardPlacement | None:
+    """The placement that a body holds, or None if it holds none."""
+    try:
+        values = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(values, dict):
+        return None
+    shard, founders, voters = values.get("shard"), values.get("founders"), values.get("voters")
+    if not (_is_name(shard) and _are_replicas(founders) and _are_replicas(voters)):
+        return None
+    return ShardPlacement(shard, tuple(founders), tuple(voters))
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MOST_NAME
+
+
+def _are_replicas(value: Any) -> bool:
+    """A list of one or more replicas, none of them twice."""
+    if not isinstance(value, list) or not 0 < len(value) <= MOST_REPLICAS:
+        return False
+    return all(_is_name(replica) for replica in value) and len(set(value)) == len(value)
--- /dev/null
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -0,0 +1,151 @@
+"""Orders on the configuration, at whichever control node they arrive.
+
+The shard's owner decides.  A refusal is given only after the owner has confirmed that it still is the owner,
+since a former one would refuse by an old version; an acceptance is a committed entry.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from ..protocol.codec import decode, encode
+from ..membership.placement import CONFIGURATION_SHARD, address_of
+from .messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
+from .state import ConfigurationState
+from .stream import NOT_OWNER
+
+ANSWER_S = 0.9  # callers go on to another node after a second
+FORWARD_S = 0.85
+PAUSE_S = 0.03
+OK = 200
+OPERATORS_KINDS = (OrderKind.PUT, OrderKind.PATCH)
+
+
+class ConfigurationMachine:
+    """The configuration's state as a shard's state machine."""
+
+    def __init__(self):
+        self.state = ConfigurationState()
+
+    def apply(self, command: bytes) -> ConfigOutcome:
+        """Applies one order."""
+        return self.state.apply(decode(command))
+
+    def snapshot(self) -> bytes:
+        """The whole state."""
+        return self.state.snapshot()
+
+    def restore(self, state: bytes) -> None:
+        """Replaces the state."""
+        self.state.restore(state)
+
+
+class ConfigurationService:
+    """Carries orders to the owner and decides them where this process is the owner."""
+
+    def __init__(self, host, links, now: Callable[[], float], accepted: Callable[[int], Awaitable[None]]):
+        self._host = host
+        self._links = links
+        self._now = now
+        self._accepted = accepted
+
+    @property
+    def state(self) -> ConfigurationState:
+        """The state as far as this replica has applied it."""
+        return self._host.machine(CONFIGURATION_SHARD).state
+
+    @property
+    def replica(self):
+        """The replica here."""
+        return self._host.replica(CONFIGURATION_SHARD)
+
+    async def order(self, order: ConfigOrder) -> ConfigOutcome:
+        """The outcome; status 0 where no owner was found in time."""
+        ends = self._now() + ANSWER_S
+        while True:
+            outcome = await self._try(order, ends)
+            if outcome.status or self._now() + PAUSE_S >= ends:
+                return outcome
+            await asyncio.sleep(PAUSE_S)
+
+    async def _try(self, order: ConfigOrder, ends: float) -> ConfigOutcome:
+        if self.replica.is_owner:
+            return await self.decide(order)
+        link = self._owner_link()
+        if link is None:
+            return NOT_OWNER
+        reply = await link.request(order, max(0.01, min(FORWARD_S, ends - self._now())))
+        return reply if isinstance(reply, ConfigOutcome) else NOT_OWNER
+
+    async def decide(self, order: ConfigOrder) -> ConfigOutcome:
+        """As the owner: accept by a committed entry, refuse after a confirmation."""
+        refusal = self.state.check(order)
+        if refusal is not None:
+            if not await self._confirmed():
+                return NOT_OWNER
+            refusal = self.state.check(order)
+        if refusal is not None:
+            return refusal
+        outcome = await self._propose(order)
+        if outcome is None:
+            return NOT_OWNER
+        if outcome.status == OK and order.kind in OPERATORS_KINDS:
+            await self._accepted(outcome.version)
+        return outcome
+
+    async def _propose(self, order: ConfigOrder) -> ConfigOutcome | None:
+        future = asyncio.get_running_loop().create_future()
+
+        def done(outcome):
+            if not future.done():
+                future.set_result(outcome)
+
+        if not self._host.propose(CONFIGURATION_SHARD, encode(order), done, self._now()):
+            return None
+        self._host.flush(CONFIGURATION_SHARD)
+        return await future
+
+    async def _confirmed(self) -> bool:
+        future = asyncio.get_running_loop().create_future()
+
+        def done(sure):
+            if not future.done():
+                future.set_result(sure)
+
+        if not self._host.confirm(CONFIGURATION_SHARD, done, self._now()):
+            return False
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                return await future
+        except TimeoutError:
+            return False
+
+    async def read(self) -> ReadReply:
+        """The newest configuration, by the owner's word."""
+        ends = self._now() + ANSWER_S
+        while True:
+            reply = await self._try_read(ends)
+            if reply.owner or self._now() + PAUSE_S >= ends:
+                return reply
+            await asyncio.sleep(PAUSE_S)
+
+    async def _try_read(self, ends: float) -> ReadReply:
+        if self.replica.is_owner:
+            return await self.read_here()
+        link = self._owner_link()
+        if link is None:
+            return ReadReply(False, 0, b"")
+        timeout = max(0.01, min(FORWARD_S, ends - self._now()))
+        reply = await link.request(ReadRequest(CONFIGURATION_SHARD), timeout)
+        return reply if isinstance(reply, ReadReply) else ReadReply(False, 0, b"")
+
+    async def read_here(self) -> ReadReply:
+        """As the owner: the state, once confirmed to be the newest."""
+        if not await self._confirmed():
+            return ReadReply(False, 0, b"")
+        return ReadReply(True, self.state.version, self.state.body)
+
+    def _owner_link(self):
+        owner = self.replica.owner
+        return self._links.to(address_of(owner)) if owner else None
--- /dev/null
+++ b/kestrelbend/tier/configuration/stream.py
@@ -0,0 +1,85 @@
+"""Streams the configuration's committed versions to gateways and tracks their acknowledgements.
+
+Invariant: on one connection versions only rise.  A gateway that was never told that its version is current is
+told so as soon as this node's replica is in touch with the shard's owner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from ..protocol.codec import encode
+from .messages import ConfigOutcome
+from ..membership.messages import ConfigUpdate
+
+ACK_WAIT_S = 0.4
+
+
+@attrs.define(eq=False)
+class _Subscriber:
+    link: object
+    sent: int
+    acknowledged: int
+    told_current: bool = False
+
+
+class ConfigStream:
+    """The gateways subscribed at a control node."""
+
+    def __init__(self):
+        self._subscribers: dict[object, _Subscriber] = {}
+        self._waiting: list[tuple[int, asyncio.Future]] = []
+
+    def subscribe(self, link, version: int) -> None:
+        """A gateway that serves by `version` (0: none) wants what is newer."""
+        self._subscribers[link] = _Subscriber(link, version, version)
+
+    def lost(self, link) -> None:
+        """A connection ended."""
+        if self._subscribers.pop(link, None) is not None:
+            self._release()
+
+    def take_ack(self, link, version: int) -> None:
+        """A gateway serves by this version."""
+        subscriber = self._subscribers.get(link)
+        if subscriber is not None:
+            subscriber.acknowledged = max(subscriber.acknowledged, version)
+            self._release()
+
+    def stream(self, version: int, body: bytes, current: bool) -> None:
+        """Brings every gateway to this version; one encoding serves all."""
+        whole = None
+        for subscriber in self._subscribers.values():
+            newer = version > subscriber.sent
+            confirms = current and not subscriber.told_current and version >= subscriber.sent > 0
+            if not newer and not confirms:
+                continue
+            if newer:
+                whole = whole or encode(ConfigUpdate(version, current, body))
+                subscriber.link.send_encoded(whole)
+                subscriber.sent = version
+            else:
+                subscriber.link.send(ConfigUpdate(version, True, b""))
+            subscriber.told_current = subscriber.told_current or current
+
+    async def until_acknowledged(self, version: int) -> None:
+        """Returns once all gateways here serve by `version`, or after `ACK_WAIT_S`."""
+        if self._all_have(version):
+            return
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append((version, future))
+        await asyncio.wait([future], timeout=ACK_WAIT_S)
+
+    def _all_have(self, version: int) -> bool:
+        return all(subscriber.acknowledged >= version for subscriber in self._subscribers.values())
+
+    def _release(self) -> None:
+        for version, future in self._waiting:
+            if not future.done() and self._all_have(version):
+                future.set_result(None)
+        self._waiting = [row for row in self._waiting if not row[1].done()]
+
+
+NOT_OWNER = ConfigOutcome(0, 0, "not the owner")
--- /dev/null
+++ b/kestrelbend/tier/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The backends that exist, by their own heartbeats."""
--- /dev/null
+++ b/kestrelbend/tier/discovery/registry.py
@@ -0,0 +1,195 @@
+"""A control node's list of backends, from their own heartbeats and from the other control nodes.
+
+Invariant: the entry of an incarnation only ever moves forward in the order of `order.supersedes`; a report
+that comes late or twice changes nothing; at most one incarnation at an address is not gone.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from kestrelbend.tier.discovery.freshness import GONE_INTERVALS, SUSPECT_INTERVALS, Freshness
+from kestrelbend.tier.discovery.messages import Backend, BackendState
+from kestrelbend.tier.discovery.order import differs, has_left, presumed_gone, supersedes
+from kestrelbend.tier.discovery.report import BeatRejected, is_text, read_report
+
+TOMBSTONE_S = 600.0
+MOST_TOMBSTONES = 10_000
+MOST_LIVE = 20_000
+QUIET_STREAM_S = 2.0  # a change of nothing but counters is streamed at most this often
+
+
+@attrs.define(eq=False)
+class _Entry:
+    backend: Backend
+    changed: int  # the registry's number when it was last to be streamed
+    streamed_at: float
+    drained: bool
+    gone_at: float = 0.0
+
+
+@attrs.frozen
+class Silent:
+    """Backends that fell silent: `suspects` are chosen last, `gone` were just presumed gone."""
+
+    suspects: tuple[str, ...]
+    gone: tuple[Backend, ...]
+
+
+@attrs.frozen
+class Changes:
+    """What is to be streamed to one who holds everything up to the number that it asked from."""
+
+    number: int
+    backends: tuple[Backend, ...]
+
+
+class BackendRegistry:
+    """All backends that are known, and tombstones of those that are gone."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}  # in the order of `changed`
+        self._at_address: dict[str, str] = {}
+        self._tombstones: dict[str, None] = {}
+        self._freshness = Freshness()
+        self._number = 0
+
+    @property
+    def number(self) -> int:
+        """Rises with each change that is to be streamed."""
+        return self._number
+
+    def beat(self, identity: str, report: object, now: float) -> Backend | BeatRejected:
+        """Takes a backend's own report; returns the backend as it is now known."""
+        backend = read_report(identity, report)
+        if isinstance(backend, BeatRejected):
+            return backend
+        if identity not in self._entries and len(self._at_address) >= MOST_LIVE:
+            return BeatRejected("full", "too many backends are known")
+        self._offer(backend, now)
+        return self._entries[identity].backend
+
+    def leave(self, identity: str, now: float) -> Backend | BeatRejected:
+        """Takes a backend's word that it ends; an unknown one is remembered as gone."""
+        if not is_text(identity):
+            return BeatRejected("identity", "the id is no short text")
+        entry = self._entries.get(identity)
+        known = entry.backend if entry else Backend(identity, "", "", "", "", 0, 0, 0, 0)
+        self._offer(has_left(known), now)
+        return self._entries[identity].backend
+
+    def merge(self, backend: Backend, now: float) -> bool:
+        """Takes what another control node told; True if it was news."""
+        if backend.identity not in self._entries and len(self._at_address) >= MOST_LIVE:
+            return False
+        return self._offer(backend, now)
+
+    def get(self, identity: str) -> Backend | None:
+        entry = self._entries.get(identity)
+        return entry.backend if entry else None
+
+    def ready(self, service: str) -> tuple[Backend, ...]:
+        """The backends of a service that take requests."""
+        return tuple(
+            entry.backend
+            for entry in self._entries.values()
+            if entry.backend.state == BackendState.READY and entry.backend.service == service
+        )
+
+    def all(self) -> tuple[Backend, ...]:
+        """Everything that is known, tombstones included."""
+        return tuple(entry.backend for entry in self._entries.values())
+
+    def changes_since(self, number: int) -> Changes:
+        """The backends that changed after `number`, in the order of their changes."""
+        changed = []
+        for entry in reversed(self._entries.values()):
+            if entry.changed <= number:
+                break
+            changed.append(entry.backend)
+        changed.reverse()
+        return Changes(self._number, tuple(changed))
+
+    def expired(self, now: float, beat_interval: float, in_touch_since: float) -> Silent:
+        """Presumes long silent backends gone, if the node was in touch meanwhile; drops old tombstones."""
+        self._drop_tombstones(now)
+        live = tuple(self._at_address.values())
+        suspects = self._freshness.silent(live, now, SUSPECT_INTERVALS * beat_interval)
+        longest = GONE_INTERVALS * beat_interval
+        if not suspects or now - in_touch_since <= longest:
+            return Silent(suspects, ())
+        gone = []
+        for identity in self._freshness.silent(live, now, longest):
+            self._offer(presumed_gone(self._entries[identity].backend), now)
+            gone.append(self._entries[identity].backend)
+        departed = {backend.identity for backend in gone}
+        return Silent(tuple(name for name in suspects if name not in departed), tuple(gone))
+
+    def _offer(self, backend: Backend, now: float) -> bool:
+        entry = self._entries.get(backend.identity)
+        if entry is None:
+            entry = _Entry(backend, 0, now, backend.state == BackendState.DRAINING)
+            self._entries[backend.identity] = entry
+            self._freshness.heard(backend.identity, now)
+            self._publish(entry, now)
+            self._place(entry, None, now)
+            return True
+        if not supersedes(backend, entry.backend):
+            return False
+        self._advance(entry, backend, now)
+        return True
+
+    def _advance(self, entry: _Entry, backend: Backend, now: float) -> None:
+        if backend.state == BackendState.READY and entry.drained:
+            backend = attrs.evolve(backend, state=int(BackendState.DRAINING))
+        before, entry.backend = entry.backend, backend
+        entry.drained = entry.drained or backend.state == BackendState.DRAINING
+        if backend.sequence > before.sequence:
+            self._freshness.heard(backend.identity, now)
+        if differs(backend, before) or now - entry.streamed_at >= QUIET_STREAM_S:
+            self._publish(entry, now)
+        self._place(entry, before, now)
+
+    def _publish(self, entry: _Entry, now: float) -> None:
+        """Gives the entry the newest number and the last place."""
+        self._number += 1
+        entry.changed = self._number
+        entry.streamed_at = now
+        self._entries[entry.backend.identity] = self._entries.pop(entry.backend.identity)
+
+    def _place(self, entry: _Entry, before: Backend | None, now: float) -> None:
+        """Keeps the holders of addresses and the tombstones in step with an entry that moved."""
+        backend = entry.backend
+        if before is not None and self._at_address.get(before.address) == backend.identity:
+            if backend.state == BackendState.GONE or before.address != backend.address:
+                del self._at_address[before.address]
+        if backend.state == BackendState.GONE:
+            self._bury(entry, now)
+            return
+        self._tombstones.pop(backend.identity, None)
+        holder = self._at_address.get(backend.address)
+        self._at_address[backend.address] = backend.identity
+        if holder is not None and holder != backend.identity:
+            displaced = self._entries[holder]
+            self._advance(displaced, presumed_gone(displaced.backend), now)
+
+    def _bury(self, entry: _Entry, now: float) -> None:
+        identity = entry.backend.identity
+        if identity not in self._tombstones:
+            entry.gone_at = now
+            self._tombstones[identity] = None
+            self._freshness.forget(identity)
+        while len(self._tombstones) > MOST_TOMBSTONES:
+            self._forget(next(iter(self._tombstones)))
+
+    def _drop_tombstones(self, now: float) -> None:
+        while self._tombstones:
+            oldest = next(iter(self._tombstones))
+            if now - self._entries[oldest].gone_at < TOMBSTONE_S:
+                return
+            self._forget(oldest)
+
+    def _forget(self, identity: str) -> None:
+        del self._tombstones[identity]
+        del self._entries[identity]
+        self._freshness.forget(identity)
