Tier: forms of documents in their own modules; only own reports displace a backend

Checks of outside JSON share fields.py; nesting is bounded by a figure of ours, as the interpreter's depends on the caller. What other control nodes tell no longer displaces a backend at its address, since it may be older. A routing table is built from decoded JSON.

--- a/kestrelbend/tier/configuration/document.py
+++ b/kestrelbend/tier/configuration/document.py
@@ -1,7 +1,8 @@
 """Reading and checking the operator's documents.
 
 Invariant: a `Document` that leaves this module is valid as a whole, and its `body` is either the very bytes
-that the operator sent or, after a patch, the merged document under the patch's version.
+that the operator sent or, after a patch, the merged document under the patch's version.  The result depends
+on the arguments alone, as replicas read the same document in different places.
 """
 
 from __future__ import annotations
@@ -13,10 +14,10 @@
 import attrs
 import schema
 
-MOST_VERSION = 2**62
-MOST_TEXT = 1024
-MOST_NUMBER = 1e15
-ITEM_LISTS = ("Routes", "Services")
+from kestrelbend.tier.configuration import forms
+from kestrelbend.tier.configuration.fields import shown
+
+MOST_DEPTH = 32  # of objects and lists in one another
 
 
 @attrs.frozen
@@ -37,14 +38,17 @@
 
     @property
     def routes(self) -> list[dict[str, Any]]:
+        """The routes, as the operator wrote them."""
         return self.values["Routes"]
 
     @property
     def services(self) -> list[dict[str, Any]]:
+        """The services, as the operator wrote them."""
         return self.values["Services"]
 
     @property
     def limits(self) -> dict[str, Any]:
+        """The limits, as the operator wrote them; empty if there are none."""
         return self.values.get("Limits") or {}
 
 
@@ -78,10 +82,10 @@
     """Reads a patch and checks its own form, whatever the document that it is meant for."""
     try:
         values = _decode(body)
-        _validate(_PATCH, values, "patch")
-        for name, items in (values.get("Upsert") or {}).items():
+        _validate(forms.PATCH, values, "patch")
+        for kind, items in (values.get("Upsert") or {}).items():
             if isinstance(items, list):
-                _check_names(name, items)
+                _check_names(kind, items)
     except _Invalid as invalid:
         return invalid.rejected
     return Patch(version=values["Ver"], values=values)
@@ -107,182 +111,27 @@
     return Document(version=values["Ver"], body=bytes(body), values=values)
 
 
-def is_text(value: object) -> bool:
-    """A short non-empty string of printable characters (so that it can be encoded everywhere)."""
-    return isinstance(value, str) and 0 < len(value) <= MOST_TEXT and value.isprintable()
-
-
-def is_number(value: object) -> bool:
-    """A finite number of reasonable size, not a truth value."""
-    kind = type(value)
-    return (kind is int or kind is float) and -MOST_NUMBER <= value <= MOST_NUMBER
-
-
-def is_whole(value: object) -> bool:
-    """A whole number of reasonable size, not a truth value."""
-    return type(value) is int and -MOST_NUMBER <= value <= MOST_NUMBER
-
-
-def is_positive(value: object) -> bool:
-    return is_number(value) and value > 0
-
-
-def is_not_negative(value: object) -> bool:
-    return is_number(value) and value >= 0
-
-
-def _is_count(value: object) -> bool:
-    return is_whole(value) and value >= 0
-
-
-def _is_positive_count(value: object) -> bool:
-    return is_whole(value) and value > 0
-
-
-def _is_version(value: object) -> bool:
-    return type(value) is int and 0 < value < MOST_VERSION
-
-
-def _is_flag(value: object) -> bool:
-    return isinstance(value, bool)
-
-
-def _is_prefix(value: object) -> bool:
-    return is_text(value) and value[0] == "/" and value[-1] == "/"
-
-
-def _is_path(value: object) -> bool:
-    return is_text(value) and value[0] == "/"
-
-
-class Fields:
-    """Checks an object's known fields; unknown ones pass.  A stand-in for a `schema` dictionary, which takes
-    many times as long on documents of hundreds of items."""
-
-    def __init__(self, required: dict[str, Any], optional: dict[str, Any]) -> None:
-        self._required = tuple(required.items())
-        self._optional = tuple(optional.items())
-
-    def validate(self, data: Any, **_: Any) -> Any:
-        """Returns `data`, or raises `schema.SchemaError`; the method that `schema` asks of its parts."""
-        if not isinstance(data, dict):
-            raise schema.SchemaError("is not an object")
-        for name, check in self._required:
-            if name not in data:
-                raise schema.SchemaError(f"{name} is missing")
-            _check_field(name, check, data[name])
-        for name, check in self._optional:
-            value = data.get(name)
-            if value is not None:
-                _check_field(name, check, value)
-        return data
-
-
-class ListOf:
-    """Checks that the data is a list and each of its items."""
-
-    def __init__(self, item: Any) -> None:
-        self._item = item
-
-    def validate(self, data: Any, **_: Any) -> Any:
-        """Returns `data`, or raises `schema.SchemaError` that names the first wrong item."""
-        if not isinstance(data, list):
-            raise schema.SchemaError("is not a list")
-        for index, item in enumerate(data):
-            _check_field(str(index), self._item, item)
-        return data
-
-
-def _check_field(name: str, check: Any, value: Any) -> None:
-    if hasattr(check, "validate"):
-        try:
-            check.validate(value)
-        except schema.SchemaError as error:
-            raise schema.SchemaError(f"{name}: {error.code}") from None
-    elif not check(value):
-        raise schema.SchemaError(f"{name}: {_shown(value)} is not allowed")
-
-
-_TARGET = Fields(required={"Upstream": is_text, "Weight": is_not_negative}, optional={})
-_ROUTE = Fields(
-    required={
-        "Name": is_text,
-        "Hostname": is_text,
-        "PathPrefix": _is_prefix,
-        "RouteType": is_text,
-        "TimeoutMs": is_positive,
-    },
-    optional={
-        "Upstream": is_text,
-        "Split": ListOf(_TARGET),
-        "SloMs": is_not_negative,
-        "Prio": is_whole,
-        "Retries": _is_count,
-        "Stored": _is_flag,
-        "RetainS": is_not_negative,
-        "Sticky": _is_flag,
-        "Resumable": _is_flag,
-        "gap_aim_ms": is_not_negative,
-    },
-)
-_ENGINE = Fields(
-    required={},
-    optional={"Slots": _is_positive_count, "KvTokens": _is_count, "Stride": _is_positive_count},
-)
-_SERVICE = Fields(
-    required={"Name": is_text},
-    optional={"HealthPath": _is_path, "MaxConns": _is_positive_count, "Engine": _ENGINE},
-)
-_LIMITS = Fields(
-    required={},
-    optional={
-        "MaxHeaderBytes": _is_positive_count,
-        "MaxBodyBytes": _is_count,
-        "HeaderTimeoutMs": is_positive,
-        "IdleTimeoutMs": is_positive,
-    },
-)
-_DOCUMENT = schema.Schema(
-    Fields(
-        required={"Ver": _is_version, "Routes": ListOf(_ROUTE), "Services": ListOf(_SERVICE)},
-        optional={"Limits": _LIMITS},
-    )
-)
-_NAMED = Fields(required={"Name": is_text}, optional={})
-_PATCH = schema.Schema(
-    Fields(
-        required={"Ver": _is_version},
-        optional={
-            "Upsert": schema.Schema({schema.Optional(str): schema.Or(ListOf(_NAMED), dict)}),
-            "Remove": schema.Schema({schema.Optional(str): ListOf(is_text)}),
-            "Limits": dict,
-        },
-    )
-)
-
-
-def _validate(form: schema.Schema, values: Any, what: str) -> None:
-    try:
-        form.validate(values)
-    except schema.SchemaError as error:
-        raise _Invalid("wrong_form", f"{what}: {error.code}") from None
-
-
-def _shown(value: object) -> str:
-    text = ascii(value) if not isinstance(value, int) else "the number"
-    return text if len(text) <= 60 else text[:57] + "..."
+def host_key(host: str) -> str:
+    """A host as it is compared: without its port and in lower case."""
+    if host.startswith("["):
+        return host.partition("]")[0].lower() + "]"
+    return host.partition(":")[0].lower()
 
 
 def _decode(body: bytes) -> dict[str, Any]:
-    """The body as an object; a body that is cut short, names a key twice or holds no number for NaN fails."""
+    """The body as an object; fails if it is cut short, names a key twice or holds what is no JSON number."""
     try:
         values = json.loads(
-            bytes(body).decode("utf-8"), object_pairs_hook=_unique, parse_constant=_no_constant
+            bytes(body).decode("utf-8"),
+            object_pairs_hook=_unique,
+            parse_constant=_finite,
+            parse_float=_finite,
         )
     except (ValueError, RecursionError) as error:
         raise _Invalid("unreadable", f"cannot be read whole: {ascii(str(error))[:120]}") from None
     if not isinstance(values, dict):
         raise _Invalid("unreadable", "is not an object")
+    _check_depth(values)
     return values
 
 
@@ -293,15 +142,40 @@
     return values
 
 
-def _no_constant(name: str) -> float:
-    raise ValueError(f"{name} is not a number")
+def _finite(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"{text[:20]} is not a finite number")
+    return value
+
+
+def _check_depth(values: dict[str, Any]) -> None:
+    """A bound of its own, as the interpreter's depends on the depth of the caller."""
+    level: list[Any] = [values]
+    for _ in range(MOST_DEPTH):
+        level = [inner for outer in level for inner in _containers(outer)]
+        if not level:
+            return
+    raise _Invalid("too_deep", f"objects lie more than {MOST_DEPTH} deep in one another")
+
+
+def _containers(outer: dict[str, Any] | list[Any]) -> list[Any]:
+    parts = outer.values() if isinstance(outer, dict) else outer
+    return [part for part in parts if isinstance(part, (dict, list))]
+
+
+def _validate(form: schema.Schema, values: Any, what: str) -> None:
+    try:
+        form.validate(values)
+    except schema.SchemaError as error:
+        raise _Invalid("wrong_form", f"{what}: {error.code}") from None
 
 
 def _check_document(values: dict[str, Any]) -> None:
-    _validate(_DOCUMENT, values, "configuration")
-    for name, items in values.items():
+    _validate(forms.DOCUMENT, values, "configuration")
+    for kind, items in values.items():
         if isinstance(items, list):
-            _check_names(name, items)
+            _check_names(kind, items)
     _check_routes(values["Routes"], {service["Name"] for service in values["Services"]})
 
 
@@ -309,48 +183,40 @@
     """Two items of a list never share a name."""
     seen: set[str] = set()
     for item in items:
-        name = item.get("Name") if isinstance(item, dict) else None
-        if not isinstance(name, str):
+        name = _name_of(item)
+        if name is None:
             continue
         if name in seen:
-            raise _Invalid("same_name", f"{ascii(kind)[:60]}: two items share the name {_shown(name)}")
+            raise _Invalid("same_name", f"{shown(kind)}: two items share the name {shown(name)}")
         seen.add(name)
 
 
 def _check_routes(routes: list[dict[str, Any]], services: set[str]) -> None:
     places: set[tuple[str, str]] = set()
     for route in routes:
-        name = _shown(route["Name"])
         place = (host_key(route["Hostname"]), route["PathPrefix"])
         if place in places:
+            name = shown(route["Name"])
             raise _Invalid("same_place", f"route {name}: another route has its host and prefix")
         places.add(place)
-        _check_targets(name, route, services)
+        _check_targets(route, services)
 
 
-def _check_targets(name: str, route: dict[str, Any], services: set[str]) -> None:
+def _check_targets(route: dict[str, Any], services: set[str]) -> None:
+    """A route names services that exist, one at least, and its weights add up to more than 0."""
     split = route.get("Split")
     upstream = route.get("Upstream")
-    if split is None and upstream is None:
-        raise _Invalid("no_service", f"route {name}: names no service")
     named = [target["Upstream"] for target in split or ()]
     if upstream is not None:
         named.append(upstream)
     for service in named:
         if service not in services:
-            raise _Invalid("unknown_service", f"route {name}: service {_shown(service)} is unknown")
-    if split is None:
-        return
-    total = math.fsum(target["Weight"] for target in split)
-    if total <= 0:
-        raise _Invalid("no_weight", f"route {name}: its weights add up to {total:g}")
-
-
-def host_key(host: str) -> str:
-    """A host as it is compared: without its port and in lower case."""
-    if host.startswith("["):
-        return host.partition("]")[0].lower() + "]"
-    return host.partition(":")[0].lower()
+            reason = f"route {shown(route['Name'])}: service {shown(service)} is unknown"
+            raise _Invalid("unknown_service", reason)
+    if split is not None and math.fsum(target["Weight"] for target in split) <= 0:
+        raise _Invalid("no_weight", f"route {shown(route['Name'])}: its weights add up to 0")
+    if not named:
+        raise _Invalid("no_service", f"route {shown(route['Name'])}: names no service")
 
 
 def _merge(current: dict[str, Any], patch: dict[str, Any]) -> dict[str, Any]:
@@ -359,13 +225,13 @@
     merged["Ver"] = patch["Ver"]
     for kind, names in (patch.get("Remove") or {}).items():
         merged[kind] = _without(_items(merged, kind), set(names))
-    for kind, items in (patch.get("Upsert") or {}).items():
-        if isinstance(items, dict):
-            merged[kind] = _overlaid(merged.get(kind), items)
+    for kind, changes in (patch.get("Upsert") or {}).items():
+        if isinstance(changes, dict):
+            merged[kind] = _overlaid(merged, kind, changes)
         else:
-            merged[kind] = _with(_items(merged, kind), items)
+            merged[kind] = _with(_items(merged, kind), changes)
     if patch.get("Limits") is not None:
-        merged["Limits"] = _overlaid(merged.get("Limits"), patch["Limits"])
+        merged["Limits"] = _overlaid(merged, "Limits", patch["Limits"])
     return merged
 
 
@@ -374,29 +240,27 @@
     if items is None:
         return []
     if not isinstance(items, list):
-        raise _Invalid("wrong_form", f"patch: {ascii(kind)[:60]} is no list of items")
+        raise _Invalid("wrong_form", f"patch: {shown(kind)} is no list of items")
     return items
 
 
-def _overlaid(present: Any, changes: dict[str, Any]) -> dict[str, Any]:
-    if present is not None and not isinstance(present, dict):
-        raise _Invalid("wrong_form", "patch: an object cannot replace a list of items")
-    return {**(present or {}), **changes}
+def _overlaid(values: dict[str, Any], kind: str, changes: dict[str, Any]) -> dict[str, Any]:
+    present = values.get(kind) or {}
+    if not isinstance(present, dict):
+        raise _Invalid("wrong_form", f"patch: {shown(kind)} is no object")
+    return {**present, **changes}
 
 
-def _name_of(item: Any) -> Any:
-    return item.get("Name") if isinstance(item, dict) else None
+def _name_of(item: Any) -> str | None:
+    name = item.get("Name") if isinstance(item, dict) else None
+    return name if isinstance(name, str) else None
 
 
 def _without(items: list[Any], names: set[str]) -> list[Any]:
-    return [item for item in items if not (isinstance(item, dict) and item.get("Name") in names)]
+    return [item for item in items if _name_of(item) not in names]
 
 
 def _with(items: list[Any], changes: list[dict[str, Any]]) -> list[Any]:
     waiting = {item["Name"]: item for item in changes}
-    merged = []
-    for item in items:
-        name = _name_of(item)
-        replaces = isinstance(name, str) and name in waiting
-        merged.append(waiting.pop(name) if replaces else item)
+    merged = [waiting.pop(_name_of(item), item) for item in items]
     return merged + list(waiting.values())
--- /dev/null
+++ b/kestrelbend/tier/configuration/fields.py
@@ -0,0 +1,154 @@
+"""Checks of the fields of JSON objects that come from outside.
+
+`Fields`, `ListOf` and `MapOf` are parts of a `schema.Schema` (they have its `validate` method) that take a
+small part of the time of plain schemas on documents of hundreds of items, and whose errors never quote more
+than a few characters of the data.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable
+from typing import Any
+
+import schema
+
+MOST_TEXT = 1024  # characters
+MOST_SHOWN = 60  # characters of a wrong value in an error
+MOST_NUMBER = 1e15
+MOST_PORT = 65535
+
+Check = Callable[[Any], bool]
+
+
+class Fields:
+    """Checks an object's known fields; unknown ones pass, and an optional one may be null."""
+
+    def __init__(self, required: dict[str, Any], optional: dict[str, Any]) -> None:
+        self._required = tuple(required.items())
+        self._optional = tuple(optional.items())
+
+    def validate(self, data: Any, **_: Any) -> Any:
+        """Returns `data`, or raises `schema.SchemaError` that names the first wrong field."""
+        if not isinstance(data, dict):
+            raise schema.SchemaError("is not an object")
+        for name, check in self._required:
+            if name not in data:
+                raise schema.SchemaError(f"{name} is missing")
+            _check_field(name, check, data[name])
+        for name, check in self._optional:
+            value = data.get(name)
+            if value is not None:
+                _check_field(name, check, value)
+        return data
+
+
+class ListOf:
+    """Checks that the data is a list, and each of its items."""
+
+    def __init__(self, item: Any) -> None:
+        self._item = item
+
+    def validate(self, data: Any, **_: Any) -> Any:
+        """Returns `data`, or raises `schema.SchemaError` that names the first wrong item."""
+        if not isinstance(data, list):
+            raise schema.SchemaError("is not a list")
+        for index, item in enumerate(data):
+            _check_field(str(index), self._item, item)
+        return data
+
+
+class MapOf:
+    """Checks that the data is an object, and each of its values."""
+
+    def __init__(self, value: Any) -> None:
+        self._value = value
+
+    def validate(self, data: Any, **_: Any) -> Any:
+        """Returns `data`, or raises `schema.SchemaError` that names the first wrong value."""
+        if not isinstance(data, dict):
+            raise schema.SchemaError("is not an object")
+        for name, value in data.items():
+            _check_field(shown(name), self._value, value)
+        return data
+
+
+def _check_field(name: str, check: Any, value: Any) -> None:
+    if not hasattr(check, "validate"):
+        if not check(value):
+            raise schema.SchemaError(f"{name}: {shown(value)} is not allowed")
+        return
+    try:
+        check.validate(value)
+    except schema.SchemaError as error:
+        raise schema.SchemaError(f"{name}: {error.code}") from None
+
+
+def shown(value: Any) -> str:
+    """A few ASCII characters that tell a value; containers are named only."""
+    if isinstance(value, (dict, list)):
+        return "an object" if isinstance(value, dict) else "a list"
+    if is_whole(value) or not isinstance(value, int):
+        text = ascii(value)
+        return text if len(text) <= MOST_SHOWN else text[: MOST_SHOWN - 3] + "..."
+    return str(value).lower() if isinstance(value, bool) else "a number out of range"
+
+
+def is_text(value: Any) -> bool:
+    """A short non-empty string of printable characters (so that it can be encoded everywhere)."""
+    return isinstance(value, str) and 0 < len(value) <= MOST_TEXT and value.isprintable()
+
+
+def is_number(value: Any) -> bool:
+    """A finite number of reasonable size, not a truth value."""
+    kind = type(value)
+    return (kind is int or kind is float) and -MOST_NUMBER <= value <= MOST_NUMBER
+
+
+def is_whole(value: Any) -> bool:
+    """A whole number of reasonable size, not a truth value."""
+    return type(value) is int and -MOST_NUMBER <= value <= MOST_NUMBER
+
+
+def is_positive(value: Any) -> bool:
+    """A number above 0."""
+    return is_number(value) and value > 0
+
+
+def is_not_negative(value: Any) -> bool:
+    """A number, 0 or above."""
+    return is_number(value) and value >= 0
+
+
+def is_count(value: Any) -> bool:
+    """A whole number, 0 or above."""
+    return is_whole(value) and value >= 0
+
+
+def is_positive_count(value: Any) -> bool:
+    """A whole number above 0."""
+    return is_whole(value) and value > 0
+
+
+def is_flag(value: Any) -> bool:
+    """True or false."""
+    return isinstance(value, bool)
+
+
+def is_ip(value: Any) -> bool:
+    """An IPv4 address."""
+    try:
+        ipaddress.IPv4Address(value if isinstance(value, str) else "")
+    except ValueError:
+        return False
+    return True
+
+
+def is_address(value: Any) -> bool:
+    """An IPv4 address and a port, "ip:port"."""
+    if not isinstance(value, str):
+        return False
+    ip, _, port = value.rpartition(":")
+    if not port.isascii() or not port.isdigit() or len(port) > len(str(MOST_PORT)):
+        return False
+    return 0 < int(port) <= MOST_PORT and is_ip(ip)
--- /dev/null
+++ b/kestrelbend/tier/configuration/forms.py
@@ -0,0 +1,105 @@
+"""The forms of the operator's documents: which fields there are and what each may hold.
+
+Fields that are not named here are kept and not looked at.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import schema
+
+from kestrelbend.tier.configuration.fields import (
+    Fields,
+    ListOf,
+    MapOf,
+    is_count,
+    is_flag,
+    is_not_negative,
+    is_positive,
+    is_positive_count,
+    is_text,
+    is_whole,
+)
+
+MOST_VERSION = 2**62
+
+
+def is_version(value: Any) -> bool:
+    """The version of a document: a whole number above 0."""
+    return type(value) is int and 0 < value < MOST_VERSION
+
+
+def is_prefix(value: Any) -> bool:
+    """A prefix of paths: begins and ends with a slash."""
+    return is_text(value) and value[0] == "/" and value[-1] == "/"
+
+
+def is_path(value: Any) -> bool:
+    """A path: begins with a slash."""
+    return is_text(value) and value[0] == "/"
+
+
+TARGET = Fields(required={"Upstream": is_text, "Weight": is_not_negative}, optional={})
+ROUTE = Fields(
+    required={
+        "Name": is_text,
+        "Hostname": is_text,
+        "PathPrefix": is_prefix,
+        "RouteType": is_text,
+        "TimeoutMs": is_positive,
+    },
+    optional={
+        "Upstream": is_text,
+        "Split": ListOf(TARGET),
+        "SloMs": is_not_negative,
+        "Prio": is_whole,
+        "Retries": is_count,
+        "Stored": is_flag,
+        "RetainS": is_not_negative,
+        "Sticky": is_flag,
+        "Resumable": is_flag,
+        "gap_aim_ms": is_not_negative,
+    },
+)
+ENGINE = Fields(
+    required={},
+    optional={"Slots": is_positive_count, "KvTokens": is_count, "Stride": is_positive_count},
+)
+SERVICE = Fields(
+    required={"Name": is_text},
+    optional={"HealthPath": is_path, "MaxConns": is_positive_count, "Engine": ENGINE},
+)
+LIMITS = Fields(
+    required={},
+    optional={
+        "MaxHeaderBytes": is_positive_count,
+        "MaxBodyBytes": is_count,
+        "HeaderTimeoutMs": is_positive,
+        "IdleTimeoutMs": is_positive,
+    },
+)
+DOCUMENT = schema.Schema(
+    Fields(
+        required={"Ver": is_version, "Routes": ListOf(ROUTE), "Services": ListOf(SERVICE)},
+        optional={"Limits": LIMITS},
+    )
+)
+
+_NAMED_ITEMS = ListOf(Fields(required={"Name": is_text}, optional={}))
+
+
+class _Changes:
+    """What a patch may bring under one key: named items of a list, or the fields of an object."""
+
+    def validate(self, data: Any, **_: Any) -> Any:
+        """Returns `data`, or raises `schema.SchemaError`."""
+        return data if isinstance(data, dict) else _NAMED_ITEMS.validate(data)
+
+
+PATCH = schema.Schema(
+    Fields(
+        required={"Ver": is_version},
+        optional={"Upsert": MapOf(_Changes()), "Remove": MapOf(ListOf(is_text)), "Limits": Fields({}, {})},
+    )
+)
--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -14,7 +14,8 @@
 
 import attrs
 
-from kestrelbend.tier.configuration.document import MOST_NUMBER, MOST_VERSION
+from kestrelbend.tier.configuration.fields import is_positive
+from kestrelbend.tier.configuration.forms import MOST_VERSION
 from kestrelbend.tier.configuration.messages import ConfigOrder, OrderKind
 from kestrelbend.tier.configuration.ports import ControlPort, Unavailable
 
@@ -162,7 +163,7 @@
     async def _retire_start(self, call: Call) -> Answer:
         order = _object(call.body)
         deadline = order.get("DeadlineS") if order is not None else None
-        if type(deadline) not in (int, float) or not 0 < deadline <= MOST_NUMBER:
+        if not is_positive(deadline):
             return _refusal(400, "DeadlineS is no positive number of seconds")
         return _plain(await self._port.retire_start(call.name, float(deadline)))
 
@@ -176,7 +177,8 @@
 def _base_version(value: bytes | None) -> int | None:
     if value is None or not value.isdigit() or len(value) > len(str(MOST_VERSION)):
         return None
-    return int(value)
+    version = int(value)
+    return version if version < MOST_VERSION else None
 
 
 def _object(body: bytes) -> dict[str, Any] | None:
--- a/kestrelbend/tier/configuration/routing.py
+++ b/kestrelbend/tier/configuration/routing.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
-from kestrelbend.tier.configuration.document import Document, host_key
+from kestrelbend.tier.configuration.document import host_key
 
 DEFAULT_MAX_HEADER_BYTES = 16384
 DEFAULT_MAX_BODY_BYTES = 4194304
@@ -63,7 +64,7 @@
 
 
 class _HostRoutes:
-    """The routes of one host by prefix, with the prefixes' numbers of slashes from the longest down."""
+    """The routes of one host by prefix, with the numbers of slashes that its prefixes have, rising."""
 
     __slots__ = ("by_prefix", "depths")
 
@@ -73,17 +74,21 @@
 
     def close(self) -> None:
         """Sorts the depths once all routes are in."""
-        self.depths = tuple(sorted({prefix.count("/") for prefix in self.by_prefix}, reverse=True))
+        self.depths = tuple(sorted({prefix.count("/") for prefix in self.by_prefix}))
 
     def find(self, path: str) -> Route | None:
         """Every prefix ends in a slash, so the n-th slash of a path bounds its only candidate of depth n."""
-        ends = [index + 1 for index, letter in enumerate(path) if letter == "/"]
-        for depth in self.depths:
-            if depth <= len(ends):
-                route = self.by_prefix.get(path[: ends[depth - 1]])
-                if route is not None:
-                    return route
-        return None
+        found = None
+        end = -1
+        depth = 0
+        for wanted in self.depths:
+            while depth < wanted:
+                end = path.find("/", end + 1)
+                if end < 0:
+                    return found
+                depth += 1
+            found = self.by_prefix.get(path[: end + 1], found)
+        return found
 
 
 class RoutingTable:
@@ -109,13 +114,13 @@
         return cls(0, (), {}, Limits())
 
     @classmethod
-    def from_document(cls, version: int, document: Document) -> RoutingTable:
-        """The table of a valid document."""
+    def from_document(cls, version: int, document: Mapping[str, Any]) -> RoutingTable:
+        """The table of a valid document, given as its decoded JSON (`Document.values`)."""
         return cls(
             version=version,
-            routes=tuple(_route(item) for item in document.routes),
-            services={item["Name"]: _service(item) for item in document.services},
-            limits=_limits(document.limits),
+            routes=tuple(_route(item) for item in document["Routes"]),
+            services={item["Name"]: _service(item) for item in document["Services"]},
+            limits=_limits(document.get("Limits") or {}),
         )
 
     def route(self, host: str, path: str) -> Route | None:
--- a/kestrelbend/tier/configuration/state.py
+++ b/kestrelbend/tier/configuration/state.py
@@ -24,7 +24,8 @@
 from kestrelbend.tier.membership.messages import ShardPlacement
 
 MOST_HISTORY = 4096
-MOST_CHECKED = 8
+MOST_CHECKED = 16
+MOST_CHECKED_BYTES = 4 * 1024 * 1024  # of bodies whose documents are kept decoded
 MOST_RETIRING = 4096
 MOST_NODE_NAME = 256
 SNAPSHOT_FORM = 1
@@ -45,6 +46,11 @@
     version: int
     result: Document | ConfigOutcome
 
+    @property
+    def size(self) -> int:
+        """Bytes of the body that is kept."""
+        return len(self.result.body) if isinstance(self.result, Document) else 0
+
 
 class ConfigurationState:
     """The current document, the orders taken, the placements of shards and the nodes to be emptied."""
@@ -123,11 +129,18 @@
         checked = self._checked.get(digest)
         if checked is None or checked.version != self.version:
             checked = _Checked(self.version, self._examine(order))
-            self._checked[digest] = checked
-            while len(self._checked) > MOST_CHECKED:
-                del self._checked[next(iter(self._checked))]
+            self._keep(digest, checked)
         return checked.result
 
+    def _keep(self, digest: bytes, checked: _Checked) -> None:
+        """Keeps a result, and drops the oldest ones beyond the bounds."""
+        self._checked.pop(digest, None)
+        self._checked[digest] = checked
+        size = sum(kept.size for kept in self._checked.values())
+        while len(self._checked) > MOST_CHECKED or (size > MOST_CHECKED_BYTES and len(self._checked) > 1):
+            oldest = next(iter(self._checked))
+            size -= self._checked.pop(oldest).size
+
     def _examine(self, order: ConfigOrder) -> Document | ConfigOutcome:
         if order.kind == OrderKind.PUT:
             change = parse_put(order.body)
--- a/kestrelbend/tier/discovery/registry.py
+++ b/kestrelbend/tier/discovery/registry.py
@@ -1,7 +1,8 @@
 """A control node's list of backends, from their own heartbeats and from the other control nodes.
 
 Invariant: the entry of an incarnation only ever moves forward in the order of `order.supersedes`; a report
-that comes late or twice changes nothing; at most one incarnation at an address is not gone.
+that comes late or twice changes nothing.  Once an incarnation has reported here by itself, the others at its
+address are gone; what other nodes tell displaces nobody, as it may be older than what is known here.
 """
 
 from __future__ import annotations
@@ -44,12 +45,47 @@
     backends: tuple[Backend, ...]
 
 
+class LiveAddresses:
+    """Which incarnations that are not gone are known at each address."""
+
+    def __init__(self) -> None:
+        self._at: dict[str, set[str]] = {}
+        self.count = 0
+
+    def add(self, address: str, identity: str) -> None:
+        """Notes an incarnation; it may be noted already."""
+        held = self._at.setdefault(address, set())
+        self.count += identity not in held
+        held.add(identity)
+
+    def remove(self, address: str, identity: str) -> None:
+        """Forgets an incarnation, if it is known at the address."""
+        held = self._at.get(address)
+        if held is None or identity not in held:
+            return
+        held.remove(identity)
+        self.count -= 1
+        if not held:
+            del self._at[address]
+
+    def others(self, address: str, identity: str) -> tuple[str, ...]:
+        """The incarnations at an address beside one."""
+        held = self._at.get(address)
+        if held is None or held == {identity}:
+            return ()
+        return tuple(sorted(held - {identity}))
+
+    def identities(self) -> tuple[str, ...]:
+        """All incarnations."""
+        return tuple(identity for held in self._at.values() for identity in held)
+
+
 class BackendRegistry:
     """All backends that are known, and tombstones of those that are gone."""
 
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}  # in the order of `changed`
-        self._at_address: dict[str, str] = {}
+        self._live = LiveAddresses()
         self._tombstones: dict[str, None] = {}
         self._freshness = Freshness()
         self._number = 0
@@ -64,9 +100,10 @@
         backend = read_report(identity, report)
         if isinstance(backend, BeatRejected):
             return backend
-        if identity not in self._entries and len(self._at_address) >= MOST_LIVE:
+        if identity not in self._entries and self._live.count >= MOST_LIVE:
             return BeatRejected("full", "too many backends are known")
-        self._offer(backend, now)
+        if self._offer(backend, now):
+            self._displace_others(backend, now)
         return self._entries[identity].backend
 
     def leave(self, identity: str, now: float) -> Backend | BeatRejected:
@@ -80,7 +117,7 @@
 
     def merge(self, backend: Backend, now: float) -> bool:
         """Takes what another control node told; True if it was news."""
-        if backend.identity not in self._entries and len(self._at_address) >= MOST_LIVE:
+        if backend.identity not in self._entries and self._live.count >= MOST_LIVE:
             return False
         return self._offer(backend, now)
 
@@ -113,7 +150,7 @@
     def expired(self, now: float, beat_interval: float, in_touch_since: float) -> Silent:
         """Presumes long silent backends gone, if the node was in touch meanwhile; drops old tombstones."""
         self._drop_tombstones(now)
-        live = tuple(self._at_address.values())
+        live = self._live.identities()
         suspects = self._freshness.silent(live, now, SUSPECT_INTERVALS * beat_interval)
         longest = GONE_INTERVALS * beat_interval
         if not suspects or now - in_touch_since <= longest:
@@ -158,20 +195,21 @@
         self._entries[entry.backend.identity] = self._entries.pop(entry.backend.identity)
 
     def _place(self, entry: _Entry, before: Backend | None, now: float) -> None:
-        """Keeps the holders of addresses and the tombstones in step with an entry that moved."""
+        """Keeps the live addresses and the tombstones in step with an entry that moved."""
         backend = entry.backend
-        if before is not None and self._at_address.get(before.address) == backend.identity:
-            if backend.state == BackendState.GONE or before.address != backend.address:
-                del self._at_address[before.address]
+        if before is not None:
+            self._live.remove(before.address, before.identity)
         if backend.state == BackendState.GONE:
             self._bury(entry, now)
             return
         self._tombstones.pop(backend.identity, None)
-        holder = self._at_address.get(backend.address)
-        self._at_address[backend.address] = backend.identity
-        if holder is not None and holder != backend.identity:
-            displaced = self._entries[holder]
-            self._advance(displaced, presumed_gone(displaced.backend), now)
+        self._live.add(backend.address, backend.identity)
+
+    def _displace_others(self, backend: Backend, now: float) -> None:
+        """The backend has just reported, so earlier incarnations at its address have ended."""
+        if backend.state != BackendState.GONE:
+            for identity in self._live.others(backend.address, backend.identity):
+                self._offer(presumed_gone(self._entries[identity].backend), now)
 
     def _bury(self, entry: _Entry, now: float) -> None:
         identity = entry.backend.identity
--- a/kestrelbend/tier/discovery/report.py
+++ b/kestrelbend/tier/discovery/report.py
@@ -6,14 +6,22 @@
 from typing import Any
 
 import attrs
-
+import schema
+
+from kestrelbend.tier.configuration.fields import (
+    Fields,
+    is_address,
+    is_number,
+    is_positive_count,
+    is_text,
+)
 from kestrelbend.tier.discovery.messages import Backend, BackendState
 from kestrelbend.tier.discovery.order import LEFT_SEQUENCE
 
-MOST_TEXT = 256
-MOST_MODELS_TEXT = 16 * 1024
-MOST_COUNT = 2**31
-MOST_PORT = 65535
+MOST_NAME = 256  # characters
+MOST_MODELS_TEXT = 16 * 1024  # characters
+MOST_COLD_MS = 2**31
+MOST_SLOTS = 2**31 - 1
 STATES = {"ready": BackendState.READY, "draining": BackendState.DRAINING}
 
 
@@ -25,92 +33,73 @@
     reason: str
 
 
-def read_report(identity: str, report: object) -> Backend | BeatRejected:
-    """The backend that a heartbeat describes; unknown fields are ignored."""
-    if not is_text(identity):
-        return BeatRejected("identity", "the id is no short text")
-    if not isinstance(report, dict):
-        return BeatRejected("form", "the report is no object")
-    state = report.get("State")
-    if not isinstance(state, str) or state not in STATES:
-        return BeatRejected("state", "State is neither ready nor draining")
-    wrong = _wrong_field(report)
-    if wrong:
-        return BeatRejected("field", f"{wrong} is missing or has a wrong value")
-    models = _models(report.get("Models"))
-    if models is None:
-        return BeatRejected("field", "Models is no list of moderate size")
-    return Backend(
-        identity=identity,
-        service=report["Upstream"],
-        address=report["Address"],
-        zone=report["Zone"],
-        software=_or(report.get("Ver"), ""),
-        slots=report["Slots"],
-        state=int(STATES[state]),
-        cold_left_ms=int(_or(report.get("ColdLeftMs"), 0)),
-        sequence=report["Seq"],
-        models=models,
-    )
+def is_name(value: Any) -> bool:
+    """A non-empty text that is short enough to be a name."""
+    return is_text(value) and len(value) <= MOST_NAME
 
 
-def is_text(value: object) -> bool:
-    """A short non-empty string of printable characters."""
-    return isinstance(value, str) and 0 < len(value) <= MOST_TEXT and value.isprintable()
+def _is_state(value: Any) -> bool:
+    return isinstance(value, str) and value in STATES
 
 
-def _wrong_field(report: dict[Any, Any]) -> str:
-    if not is_text(report.get("Upstream")):
-        return "Upstream"
-    if not _is_address(report.get("Address")):
-        return "Address"
-    if not is_text(report.get("Zone")):
-        return "Zone"
-    if not is_text(_or(report.get("Ver"), "-")):
-        return "Ver"
-    if not _is_whole(report.get("Slots"), 1, MOST_COUNT):
-        return "Slots"
-    if not _is_whole(report.get("Seq"), 0, LEFT_SEQUENCE - 1):
-        return "Seq"
-    if not _is_amount(_or(report.get("ColdLeftMs"), 0)):
-        return "ColdLeftMs"
-    return ""
+def _is_slots(value: Any) -> bool:
+    return is_positive_count(value) and value <= MOST_SLOTS
 
 
-def _is_whole(value: object, least: int, most: int) -> bool:
-    return type(value) is int and least <= value <= most
+def _is_sequence(value: Any) -> bool:
+    return type(value) is int and 0 <= value < LEFT_SEQUENCE
 
 
-def _is_amount(value: object) -> bool:
-    return type(value) in (int, float) and 0 <= value <= MOST_COUNT
+def _is_cold(value: Any) -> bool:
+    return is_number(value) and 0 <= value <= MOST_COLD_MS
 
 
-def _is_address(value: object) -> bool:
-    if not is_text(value):
-        return False
-    host, _, port = value.rpartition(":")
-    if not port.isascii() or not port.isdigit() or len(port) > 5 or not 0 < int(port) <= MOST_PORT:
-        return False
-    parts = host.split(".")
-    return len(parts) == 4 and all(_is_octet(part) for part in parts)
+REPORT = schema.Schema(
+    Fields(
+        required={
+            "Upstream": is_name,
+            "Address": is_address,
+            "Zone": is_name,
+            "Slots": _is_slots,
+            "State": _is_state,
+            "Seq": _is_sequence,
+        },
+        optional={"Ver": is_name, "ColdLeftMs": _is_cold, "Models": lambda value: isinstance(value, list)},
+    )
+)
 
 
-def _is_octet(part: str) -> bool:
-    return part.isascii() and part.isdigit() and len(part) <= 3 and int(part) <= 255
+def read_report(identity: str, report: object) -> Backend | BeatRejected:
+    """The backend that a heartbeat describes; unknown fields are ignored."""
+    if not is_name(identity):
+        return BeatRejected("identity", "the id is no short text")
+    try:
+        fields = REPORT.validate(report)
+    except schema.SchemaError as error:
+        return BeatRejected("form", f"the report: {error.code}")
+    models = _models_text(fields.get("Models"))
+    if models is None:
+        return BeatRejected("models", "Models is too large")
+    return Backend(
+        identity=identity,
+        service=fields["Upstream"],
+        address=fields["Address"],
+        zone=fields["Zone"],
+        software=fields.get("Ver") or "",
+        slots=fields["Slots"],
+        state=int(STATES[fields["State"]]),
+        cold_left_ms=int(fields.get("ColdLeftMs") or 0),
+        sequence=fields["Seq"],
+        models=models,
+    )
 
 
-def _models(value: object) -> str | None:
-    """The list as JSON, "" if there is none, None if it is no list or too long."""
-    if value is None:
+def _models_text(models: list[Any] | None) -> str | None:
+    """The list as JSON, "" if there is none, None if it is too long or no JSON."""
+    if models is None:
         return ""
-    if not isinstance(value, list):
-        return None
     try:
-        text = json.dumps(value, separators=(",", ":"), sort_keys=True)
+        text = json.dumps(models, separators=(",", ":"))
     except (ValueError, TypeError, RecursionError):
         return None
     return text if len(text) <= MOST_MODELS_TEXT else None
-
-
-def _or(value: Any, default: Any) -> Any:
-    return default if value is None else value
--- a/kestrelbend/tier/discovery/view.py
+++ b/kestrelbend/tier/discovery/view.py
@@ -11,14 +11,38 @@
 
 from kestrelbend.tier.discovery.freshness import GONE_INTERVALS, SUSPECT_INTERVALS, Freshness
 from kestrelbend.tier.discovery.messages import Backend, BackendState, BackendUpdate
-from kestrelbend.tier.discovery.order import presumed_gone, supersedes
+from kestrelbend.tier.discovery.order import differs, presumed_gone, supersedes
 
 TOMBSTONE_S = 600.0
 MOST_TOMBSTONES = 10_000
 
 
+class Contact:
+    """How long updates have come in without a long pause, on the caller's steady clock (seconds)."""
+
+    def __init__(self) -> None:
+        self._heard_at = float("-inf")
+        self._asked_at = float("-inf")
+        self._broken_at = float("-inf")
+
+    def heard(self, now: float) -> None:
+        """An update came."""
+        self._heard_at = now
+
+    def unbroken(self, now: float, pause: float) -> float:
+        """Seconds since the last pause longer than `pause`, be it of the updates or of the caller's calls."""
+        if now - self._heard_at > pause or now - self._asked_at > pause:
+            self._broken_at = now
+        self._asked_at = now
+        return now - self._broken_at
+
+
 class BackendView:
-    """The backends by service, ready ones only, those that fell silent last."""
+    """The backends by service, ready ones only, those that fell silent last.
+
+    `of` is asked for each request; its tuples hold a backend's counters (`sequence`, `cold_left_ms`) as they
+    were at the last change that matters, `get` holds the newest ones.
+    """
 
     def __init__(self) -> None:
         self._backends: dict[str, Backend] = {}
@@ -28,7 +52,7 @@
         self._tombstones: dict[str, float] = {}
         self._suspects: frozenset[str] = frozenset()
         self._freshness = Freshness()
-        self._heard_at = float("-inf")
+        self._contact = Contact()
 
     def of(self, service: str) -> tuple[Backend, ...]:
         """The ready backends of a service; the same tuple until something about them changes."""
@@ -52,7 +76,7 @@
 
     def take(self, update: BackendUpdate, now: float) -> tuple[str, ...]:
         """Merges an update of one sender; returns the identities that are no longer ready by it."""
-        self._heard_at = now
+        self._contact.heard(now)
         return tuple(backend.identity for backend in update.backends if self._offer(backend, now))
 
     def mark_gone(self, identity: str, now: float) -> None:
@@ -66,7 +90,8 @@
         self._drop_tombstones(now)
         live = tuple(name for name, backend in self._backends.items() if backend.state != BackendState.GONE)
         longest = GONE_INTERVALS * beat_interval
-        gone = self._freshness.silent(live, now, longest) if now - self._heard_at <= longest else ()
+        unbroken = self._contact.unbroken(now, SUSPECT_INTERVALS * beat_interval)
+        gone = self._freshness.silent(live, now, longest) if unbroken > longest else ()
         for identity in gone:
             self._offer(presumed_gone(self._backends[identity]), now)
         suspects = self._freshness.silent(live, now, SUSPECT_INTERVALS * beat_interval)
@@ -95,7 +120,8 @@
         elif backend.state == BackendState.READY and backend.identity in self._drained:
             backend = attrs.evolve(backend, state=int(BackendState.DRAINING))
         self._backends[backend.identity] = backend
-        self._place(backend, known)
+        if known is None or differs(backend, known):
+            self._place(backend, known)
         self._bury_or_raise(backend, now)
         was_ready = known is not None and known.state == BackendState.READY
         return was_ready and backend.state != BackendState.READY
--- a/kestrelbend/tier/roles/settings.py
+++ b/kestrelbend/tier/roles/settings.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import pathlib
 from collections.abc import Callable
 from typing import Any
@@ -15,10 +14,19 @@
 import schema
 import yaml
 
+from kestrelbend.tier.configuration.fields import MOST_NUMBER, MOST_PORT, is_address, is_ip, is_text
+
 _Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
-MOST_PORT = 65535
+_YAML_ERRORS = (
+    yaml.YAMLError,
+    ValueError,
+    LookupError,
+    ArithmeticError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
 MOST_SHOWN = 60  # characters of a wrong value in an error
-MOST_NUMBER = 1e15
 
 
 class SettingsError(Exception):
@@ -110,7 +118,7 @@
 def _load(data: bytes, name: str) -> dict[Any, Any]:
     try:
         values = yaml.load(data, Loader=_Loader)  # noqa: S506  a safe loader either way
-    except (yaml.YAMLError, ValueError, RecursionError, TypeError, AttributeError) as error:
+    except _YAML_ERRORS as error:
         text = " ".join(str(error).split())
         raise SettingsError("not_yaml", (f"{name}: cannot be read as YAML: {text}",)) from None
     if not isinstance(values, dict):
@@ -160,14 +168,18 @@
 def _find(values: Any, path: str) -> Any:
     """The value at a dotted path; a key that is empty counts as missing, as does one in an empty section."""
     for part in path.split("."):
-        if values is None or values == "":
+        if _is_empty(values):
             return _MISSING
         if not isinstance(values, dict):
             return values
         values = values.get(part, _MISSING)
         if values is _MISSING:
             return _MISSING
-    return _MISSING if values is None or values == "" else values
+    return _MISSING if _is_empty(values) else values
+
+
+def _is_empty(value: Any) -> bool:
+    return value is None or (isinstance(value, (str, list, dict)) and not value)
 
 
 def _shown(value: Any) -> str:
@@ -188,25 +200,6 @@
     return _is_number(value) and value == int(value)
 
 
-def _is_text(value: Any) -> bool:
-    return isinstance(value, str) and value != "" and value.isprintable()
-
-
-def _is_ip(value: Any) -> bool:
-    try:
-        ipaddress.IPv4Address(value if isinstance(value, str) else "")
-    except ValueError:
-        return False
-    return True
-
-
-def _is_address(value: Any) -> bool:
-    if not isinstance(value, str):
-        return False
-    ip, _, port = value.rpartition(":")
-    return _is_ip(ip) and port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MOST_PORT
-
-
 def _is_port_range(value: Any) -> bool:
     if not isinstance(value, list) or len(value) != 2 or not all(_is_whole(port) for port in value):
         return False
@@ -222,12 +215,12 @@
     return _Form(schema.Schema(lambda value: _is_number(value) and value >= 0), words)
 
 
-_TEXT = _Form(schema.Schema(_is_text), "a text")
-_TEXTS = _Form(schema.Schema([_is_text]), "a list of texts", tuple)
-_IP = _Form(schema.Schema(_is_ip), "an IPv4 address")
-_ADDRESS = _Form(schema.Schema(_is_address), "an address (ip:port)")
-_ADDRESSES = _Form(schema.Schema([_is_address]), "a list of addresses (ip:port)", tuple)
-_ZONES = _Form(schema.Schema({schema.Optional(_is_text): _is_text}), "a map of zones to regions", dict)
+_TEXT = _Form(schema.Schema(is_text), "a text")
+_TEXTS = _Form(schema.Schema([is_text]), "a list of texts", tuple)
+_IP = _Form(schema.Schema(is_ip), "an IPv4 address")
+_ADDRESS = _Form(schema.Schema(is_address), "an address (ip:port)")
+_ADDRESSES = _Form(schema.Schema([is_address]), "a list of addresses (ip:port)", tuple)
+_ZONES = _Form(schema.Schema({schema.Optional(is_text): is_text}), "a map of zones to regions", dict)
 _PORTS = _Form(
     schema.Schema(_is_port_range),
     "the first and the last port of a range",
