Replication by roles; stories of owners, disks, groups and reads

The core is split by role (elections, following, owning, placement), each with its invariant. Votes on slow disks stay open beside a new trial. Stories run on virtual time with links and disks that fail.

--- a/kestrelbend/tier/replication/election.py
+++ b/kestrelbend/tier/replication/election.py
@@ -1,6 +1,9 @@
-"""When a replica campaigns, and how it counts its votes.
+"""Elections: when a replica campaigns, whom it votes for, and how it counts its votes.
 
-Invariant: a replica's own vote counts only once it is on its disk.
+Raft's elections with pre-vote, here called trials (Ongaro 2014, sections 3.4 and 9.6).  The voters'
+order takes the place of chance: the earlier a voter stands in the group, the sooner it campaigns.
+
+Invariant: a vote leaves, and a replica's own vote counts, only once it is on its disk.
 """
 
 from __future__ import annotations
@@ -10,7 +13,9 @@
 import attrs
 
 from .group import Voters, has_quorum
-from .messages import ReplicaId
+from .messages import ReplicaId, RequestVote, VoteReply
+from .progress import NEVER
+from .state import ReplicaState
 from .timing import Timing
 
 
@@ -21,20 +26,148 @@
     return timing.election_timeout + rank * timing.rank_step + share * timing.jitter
 
 
-def is_up_to_date(last_epoch: int, last_index: int, own_epoch: int, own_index: int) -> bool:
-    """Whether a candidate's log holds all that a voter's own may have helped to commit."""
-    return (last_epoch, last_index) >= (own_epoch, own_index)
-
-
 @attrs.define
 class Campaign:
-    """One candidacy: for the epoch asked about, a trial first (pre-vote) or in earnest."""
+    """The votes granted to this replica for one epoch."""
 
     epoch: int
-    trial: bool
     granted: set[ReplicaId] = attrs.field(factory=set)
-    own_ticket: int = 0
 
     def won(self, voters: Voters) -> bool:
-        """Whether a majority of the voters has granted."""
         return has_quorum(voters, self.granted.__contains__)
+
+
+class Elections:
+    """One replica's part in elections while it doesn't own.
+
+    `heard_at` is when an owner last spoke.  A candidacy stays open while a new trial runs, so that votes
+    which slow disks delay still count.
+    """
+
+    def __init__(self, state: ReplicaState, now: float) -> None:
+        self._state = state
+        self._timing = state.timing
+        self._trial: Campaign | None = None
+        self._candidacy: Campaign | None = None
+        self._quiet_since = now
+        self.heard_at = NEVER
+        self._trial_at = NEVER
+        self._held_back_until = NEVER
+        self._vote_waits = False
+
+    def heard_owner(self, now: float) -> None:
+        """An owner spoke: no candidacy of this replica goes on."""
+        self.heard_at = now
+        self._held_back_until = NEVER
+        self.rest(now)
+
+    def rest(self, now: float) -> None:
+        """Ends any campaign and counts the time without an owner from now."""
+        self._quiet_since = now
+        self.end_campaigns()
+
+    def end_campaigns(self) -> None:
+        """Ends any campaign of this replica; due once its epoch is over."""
+        self._trial = None
+        self._candidacy = None
+
+    def is_due(self, now: float) -> bool:
+        """Whether this replica should run a trial now."""
+        state = self._state
+        if not state.is_voter or self._vote_waits or state.disk_stalls(now):
+            return False
+        if now < self._held_back_until or now - self._trial_at < self._timing.trial_retry:
+            return False
+        return now - self._quiet_since >= campaign_delay(
+            state.identity, state.epoch, state.voters, self._timing
+        )
+
+    def begin_trial(self, now: float) -> None:
+        """Asks the voters whether they would vote for this replica."""
+        state = self._state
+        self._trial_at = now
+        self._trial = Campaign(state.epoch + 1, {state.identity})
+        request = self._request(self._trial.epoch, trial=True)
+        for voter in state.other_voters():
+            state.send(voter, request)
+        if self._trial.won(state.voters):
+            self.begin_candidacy()
+
+    def begin_candidacy(self) -> None:
+        """Enters the next epoch, votes for itself and asks the others for their votes."""
+        state = self._state
+        state.raise_epoch(state.epoch + 1)
+        state.vote_for(state.identity)
+        self._trial = None
+        self._candidacy = Campaign(state.epoch)
+        self._vote_waits = True
+        request = self._request(state.epoch, trial=False)
+        for voter in state.other_voters():
+            state.send_after_write(voter, request)
+
+    def answer(self, request: RequestVote, now: float, owns: bool) -> None:
+        """Answers a candidate; an earnest request's newer epoch has been entered before."""
+        state = self._state
+        if request.trial:
+            granted = not owns and self._grants_trial(request, now)
+        else:
+            granted = self._grants(request)
+        epoch = request.epoch if granted else state.epoch
+        reply = VoteReply(state.shard, state.identity, epoch, granted, request.trial)
+        if granted and not request.trial:
+            state.vote_for(request.sender)
+            self._vote_waits = True
+            state.send_after_write(request.sender, reply)
+        else:
+            state.send(request.sender, reply)
+
+    def count(self, reply: VoteReply) -> bool:
+        """Counts a granted vote; True where it makes this replica the owner."""
+        campaign = self._trial if reply.trial else self._candidacy
+        if campaign is None or reply.epoch != campaign.epoch:
+            return False
+        campaign.granted.add(reply.sender)
+        if not campaign.won(self._state.voters):
+            return False
+        if reply.trial:
+            self.begin_candidacy()
+            return False
+        return True
+
+    def written(self, now: float) -> bool:
+        """Writes were done; True where this replica's own vote is now on its disk and makes it the owner."""
+        if not self._vote_waits or not self._state.hard_state_durable:
+            return False
+        self._vote_waits = False
+        self._quiet_since = now
+        if self._candidacy is None:
+            return False
+        self._candidacy.granted.add(self._state.identity)
+        return self._candidacy.won(self._state.voters)
+
+    def _request(self, epoch: int, trial: bool) -> RequestVote:
+        log = self._state.log
+        return RequestVote(
+            self._state.shard, self._state.identity, epoch, log.last_index, log.last_epoch, trial
+        )
+
+    def _grants_trial(self, request: RequestVote, now: float) -> bool:
+        if now - self.heard_at < self._timing.sticky or self._vote_waits:
+            return False
+        if request.epoch <= self._state.epoch or not self._may_vote_for(request):
+            return False
+        if self._held_back_until == NEVER:
+            self._held_back_until = now + self._timing.trial_patience
+        return True
+
+    def _grants(self, request: RequestVote) -> bool:
+        state = self._state
+        if request.epoch != state.epoch or state.voted_for not in ("", request.sender):
+            return False
+        return self._may_vote_for(request)
+
+    def _may_vote_for(self, request: RequestVote) -> bool:
+        """Whether the candidate's log holds all that this replica may have helped to commit."""
+        log = self._state.log
+        candidate = (request.last_epoch, request.last_index)
+        return self._state.is_voter and candidate >= (log.last_epoch, log.last_index)
--- a/kestrelbend/tier/replication/follower.py
+++ b/kestrelbend/tier/replication/follower.py
@@ -5,83 +5,87 @@
 
 from __future__ import annotations
 
-from .log import ReplicaLog
-from .messages import AppendEntries, AppendReply, ReplicaId, ShardId
+from .messages import AppendEntries, AppendReply, InstallSnapshot, ReplicaId
+from .state import ReplicaState
 
 
 class Following:
-    """What a replica holds of the owner of one epoch; `verified_index` is where the two logs agree."""
+    """What a replica knows of the owner of one epoch: `_verified_index` is how far their logs agree."""
 
-    def __init__(self, shard: ShardId, identity: ReplicaId, epoch: int, owner: ReplicaId, log: ReplicaLog):
+    def __init__(self, state: ReplicaState, owner: ReplicaId) -> None:
         self.owner = owner
-        self.verified_index = 0
-        self._shard = shard
-        self._identity = identity
-        self._epoch = epoch
-        self._log = log
+        self._state = state
+        self._log = state.log
+        self._verified_index = 0
         self._round = 0
         self._answered: tuple[int, int] | None = None
         self._reply_waits = False
 
-    @property
-    def match_index(self) -> int:
-        return min(self._log.durable_index, self.verified_index)
-
-    def append(self, message: AppendEntries, commit_index: int) -> AppendReply | None:
-        """Takes the entries in; gives the reply that may leave at once, if any.
+    def append(self, message: AppendEntries) -> None:
+        """Takes the entries in and answers, once they are on the disk.
 
         A heartbeat is answered without waiting for the disk, by what the disk holds already.
         """
-        self._round = max(self._round, message.round)
-        if not self._follows(message, commit_index):
-            return self._refusal(message)
-        self._merge(message, commit_index)
-        self.verified_index = max(self.verified_index, message.previous_index + len(message.entries))
-        if message.entries and self.match_index < self.verified_index:
-            self._reply_waits = True
-            return None
-        return self._acceptance(repeat=bool(message.entries))
+        if not self._follows(message):
+            self._refuse(message)
+            return
+        self._merge(message)
+        self._verify(message.previous_index + len(message.entries), message.round)
+        self._state.commit_to(min(message.commit_index, self._verified_index))
+        if message.entries:
+            self._accept_when_durable()
+        elif (self._round, self._match_index) != self._answered:
+            self._accept()
+
+    def install(self, message: InstallSnapshot) -> None:
+        """Takes the snapshot in and answers, once it is on the disk."""
+        self._state.install(message.snapshot)
+        self._verify(message.snapshot.index, message.round)
+        self._accept_when_durable()
+
+    def written(self) -> None:
+        """Answers as far as the disk has come, where an answer waits for it."""
+        if self._reply_waits and (self._round, self._match_index) != self._answered:
+            self._reply_waits = self._match_index < self._verified_index
+            self._accept()
+
+    @property
+    def _match_index(self) -> int:
+        return min(self._log.durable_index, self._verified_index)
 
-    def install(self, index: int, round_number: int) -> AppendReply | None:
-        """Notes that the log holds the owner's snapshot at `index`."""
+    def _verify(self, index: int, round_number: int) -> None:
+        self._verified_index = max(self._verified_index, index)
         self._round = max(self._round, round_number)
-        self.verified_index = max(self.verified_index, index)
-        if self.match_index < index:
-            self._reply_waits = True
-            return None
-        return self._acceptance(repeat=True)
-
-    def written(self) -> AppendReply | None:
-        """The reply that waited for the disk, as far as the disk has come."""
-        if not self._reply_waits:
-            return None
-        self._reply_waits = self.match_index < self.verified_index
-        return self._acceptance(repeat=False)
-
-    def _follows(self, message: AppendEntries, commit_index: int) -> bool:
-        if message.previous_index <= commit_index:
+
+    def _follows(self, message: AppendEntries) -> bool:
+        if message.previous_index <= self._state.commit_index:
             return True
         return self._log.epoch_at(message.previous_index) == message.previous_epoch
 
-    def _merge(self, message: AppendEntries, commit_index: int) -> None:
+    def _merge(self, message: AppendEntries) -> None:
         for position, entry in enumerate(message.entries):
-            if entry.index <= commit_index or self._log.epoch_at(entry.index) == entry.epoch:
+            if entry.index <= self._state.commit_index or self._log.epoch_at(entry.index) == entry.epoch:
                 continue
             self._log.replace_from(list(message.entries[position:]))
             return
 
-    def _refusal(self, message: AppendEntries) -> AppendReply:
+    def _accept_when_durable(self) -> None:
+        if self._match_index < self._verified_index:
+            self._reply_waits = True
+        else:
+            self._accept()
+
+    def _accept(self) -> None:
+        self._answered = (self._round, self._match_index)
+        self._reply(True, self._match_index, self._round)
+
+    def _refuse(self, message: AppendEntries) -> None:
         hint = min(message.previous_index - 1, self._log.last_index)
         if self._log.epoch_at(message.previous_index) is not None:
             hint = self._log.first_index_of_epoch_at(message.previous_index) - 1
-        return self._reply(False, hint, message.round)
-
-    def _acceptance(self, repeat: bool) -> AppendReply | None:
-        answer = (self._round, self.match_index)
-        if answer == self._answered and not repeat:
-            return None
-        self._answered = answer
-        return self._reply(True, self.match_index, self._round)
+        self._reply(False, max(hint, self._state.commit_index), message.round)
 
-    def _reply(self, accepted: bool, index: int, round_number: int) -> AppendReply:
-        return AppendReply(self._shard, self._identity, self._epoch, accepted, index, round_number)
+    def _reply(self, accepted: bool, index: int, round_number: int) -> None:
+        state = self._state
+        reply = AppendReply(state.shard, state.identity, state.epoch, accepted, index, round_number)
+        state.send(self.owner, reply)
--- a/kestrelbend/tier/replication/handover.py
+++ b/kestrelbend/tier/replication/handover.py
@@ -6,31 +6,35 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import attrs
 
-from .messages import ReplicaId
+from .messages import ReplicaId, TransferOwnership
 from .owner import Ownership
 from .progress import NEVER
+from .state import ReplicaState
 
 
 @attrs.define
 class Handover:
-    """A handover under way, to one of `candidates`."""
+    """A handover under way, to one of `candidates`; it ends with the ownership, or by its time."""
 
     began_at: float
     candidates: tuple[ReplicaId, ...]
-    asked_at: float = NEVER
-
-    def receiver(self, owner: Ownership, now: float) -> ReplicaId | None:
-        """The most caught-up live candidate, the first of equals; None where none lives."""
+    _asked_at: float = NEVER
+
+    def has_failed(self, now: float, state: ReplicaState) -> bool:
+        """Whether the ownership should have gone over by now."""
+        return now - self.began_at > state.timing.transfer_timeout
+
+    def proceed(self, state: ReplicaState, owner: Ownership, now: float) -> None:
+        """Asks the most caught-up live candidate to campaign, as soon as it holds the whole log."""
+        receiver = self._receiver(owner, now)
+        if receiver is None or now - self._asked_at < state.timing.reply_timeout:
+            return
+        if owner.followers[receiver].match_index == state.log.last_index:
+            self._asked_at = now
+            state.send(receiver, TransferOwnership(state.shard, state.identity, state.epoch))
+
+    def _receiver(self, owner: Ownership, now: float) -> ReplicaId | None:
         live = [identity for identity in self.candidates if owner.is_live(identity, now)]
-        if not live:
-            return None
-        return max(live, key=lambda identity: owner.followers[identity].match_index)
-
-
-def others(voters: Iterable[ReplicaId], identity: ReplicaId) -> tuple[ReplicaId, ...]:
-    """The voters but for `identity`."""
-    return tuple(voter for voter in voters if voter != identity)
+        return max(live, key=lambda identity: owner.followers[identity].match_index, default=None)
--- a/kestrelbend/tier/replication/log.py
+++ b/kestrelbend/tier/replication/log.py
@@ -80,13 +80,13 @@
         """The entries `first` to `last`, all of them held."""
         return self.entries[first - self.base_index - 1 : last - self.base_index]
 
-    def batch(self, first: int, most_bytes: int) -> tuple[Entry, ...]:
-        """Entries from `first` on, one at least, up to `most_bytes` of data."""
+    def batch(self, first: int, most_bytes: int, entry_bytes: int) -> tuple[Entry, ...]:
+        """Entries from `first` on, one at least, up to `most_bytes` by data and `entry_bytes` each."""
         chosen: list[Entry] = []
         size = 0
         for position in range(first - self.base_index - 1, len(self.entries)):
             entry = self.entries[position]
-            size += len(entry.data)
+            size += len(entry.data) + entry_bytes
             if chosen and size > most_bytes:
                 break
             chosen.append(entry)
--- a/kestrelbend/tier/replication/owner.py
+++ b/kestrelbend/tier/replication/owner.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
-from .group import Voters, has_quorum, quorum_size
-from .log import ReplicaLog
-from .messages import AppendEntries, AppendReply, InstallSnapshot, ReplicaId, ReplicaMessage, ShardId
+from .group import has_quorum, quorum_size
+from .messages import AppendEntries, AppendReply, Entry, EntryKind, InstallSnapshot, ReplicaId
 from .progress import NEVER, Progress, Rounds
-from .timing import Timing
+from .state import ReplicaState
+
+ENTRY_BYTES = 64  # what an entry costs beside its data, about
 
 
 @attrs.frozen
@@ -29,25 +30,27 @@
     Invariant: nothing counts as held by a follower but what a reply of this epoch has acknowledged.
     """
 
-    def __init__(
-        self, shard: ShardId, identity: ReplicaId, epoch: int, log: ReplicaLog, timing: Timing, now: float
-    ) -> None:
-        self.epoch = epoch
-        self.first_index = log.last_index + 1
+    def __init__(self, state: ReplicaState, now: float) -> None:
+        self.first_index = state.log.last_index + 1
         self.began_at = now
-        self.rounds = Rounds()
         self.followers: dict[ReplicaId, Progress] = {}
-        self.confirmations: deque[Confirmation] = deque()
-        self._shard = shard
-        self._identity = identity
-        self._log = log
-        self._timing = timing
+        self._state = state
+        self._log = state.log
+        self._timing = state.timing
+        self._rounds = Rounds()
+        self._confirmations: deque[Confirmation] = deque()
         self._round_began_at = NEVER
         self._round_wanted = False
 
+    def append(self, kind: EntryKind, data: bytes) -> int:
+        """Adds an entry of this epoch; its index."""
+        index = self._log.last_index + 1
+        self._log.append(Entry(index, self._state.epoch, kind, data))
+        return index
+
     def follow(self, identities: Iterable[ReplicaId]) -> None:
         """Replicates to exactly these replicas from here on."""
-        wanted = dict.fromkeys(identity for identity in identities if identity != self._identity)
+        wanted = dict.fromkeys(identity for identity in identities if identity != self._state.identity)
         for identity in [known for known in self.followers if known not in wanted]:
             del self.followers[identity]
         for identity in wanted:
@@ -55,8 +58,8 @@
                 self.followers[identity] = Progress(next_index=self._log.last_index + 1)
 
     def begin_round(self, now: float) -> None:
-        """Begins a heartbeat round; its messages go out with the next `messages`."""
-        self.rounds.begin(now)
+        """Begins a heartbeat round; its messages go out with the next `send_due`."""
+        self._rounds.begin(now)
         self._round_began_at = now
         self._round_wanted = False
 
@@ -65,59 +68,70 @@
         if now - self._round_began_at >= self._timing.heartbeat:
             self.begin_round(now)
 
-    def begin_wanted_round(self, now: float) -> None:
-        """Begins the round that all reads since the last one share."""
-        if self._round_wanted:
-            self.begin_round(now)
-
-    def confirm(self, ticket: int, commit_index: int) -> None:
+    def confirm(self, ticket: int) -> None:
         """Adds a read of what is committed now, or of this epoch's first entry where that is later."""
-        index = max(commit_index, self.first_index)
-        self.confirmations.append(Confirmation(ticket, self.rounds.current + 1, index))
+        index = max(self._state.commit_index, self.first_index)
+        self._confirmations.append(Confirmation(ticket, self._rounds.current + 1, index))
         self._round_wanted = True
 
-    def confirmed(self, voters: Voters, commit_index: int) -> list[int]:
+    def waiting_reads(self) -> list[int]:
+        """The tickets of the reads that wait for their confirmation."""
+        return [confirmation.ticket for confirmation in self._confirmations]
+
+    def confirmed_reads(self) -> list[int]:
         """The tickets of the reads that may be answered now."""
-        if not self.confirmations:
+        if not self._confirmations:
             return []
-        acknowledged = self._quorum_value(voters, self._acknowledged_round)
+        acknowledged = self._quorum_value(self._acknowledged_round)
         ready = []
-        while self.confirmations:
-            first = self.confirmations[0]
-            if first.round > acknowledged or first.index > commit_index:
+        while self._confirmations:
+            first = self._confirmations[0]
+            if first.round > acknowledged or first.index > self._state.commit_index:
                 break
-            ready.append(self.confirmations.popleft().ticket)
+            ready.append(self._confirmations.popleft().ticket)
         return ready
 
     def replied(self, reply: AppendReply) -> None:
         """Takes in a follower's reply of this epoch."""
         progress = self.followers.get(reply.sender)
-        if progress is None or reply.round > self.rounds.current:
+        if progress is None or reply.round > self._rounds.current:
             return
-        progress.contact = max(progress.contact, self.rounds.began(reply.round))
+        progress.contact = max(progress.contact, self._rounds.began(reply.round))
         progress.acknowledged_round = max(progress.acknowledged_round, reply.round)
         if reply.accepted:
             progress.matched(min(reply.match_index, self._log.last_index))
         elif reply.round >= progress.fallback_round:
-            self.rounds.begin(self._round_began_at)
-            progress.fall_back(reply.match_index, self.rounds.current)
+            self._rounds.begin(self._round_began_at)
+            progress.fall_back(reply.match_index, self._rounds.current)
+
+    def advance_commit(self) -> bool:
+        """Commits what a majority's disks hold, once that reaches into this epoch; whether any was.
+
+        An older epoch's entries are committed only along with one of this epoch (Ongaro 2014, 3.6.2).
+        """
+        index = self._quorum_value(self._match_index)
+        if index <= self._state.commit_index or index < self.first_index:
+            return False
+        self._state.commit_to(index)
+        return True
 
-    def commit_index(self, voters: Voters) -> int:
-        """The last entry that a majority's disks hold."""
-        return self._quorum_value(voters, self._match_index)
+    @property
+    def has_committed(self) -> bool:
+        """Whether an entry of this epoch is committed."""
+        return self._state.commit_index >= self.first_index
 
     def is_live(self, identity: ReplicaId, now: float) -> bool:
         """Whether the replica acknowledged a round begun within the election timeout."""
-        if identity == self._identity:
+        if identity == self._state.identity:
             return True
         progress = self.followers.get(identity)
         return progress is not None and now - progress.contact <= self._timing.election_timeout
 
-    def in_touch(self, voters: Voters, now: float) -> bool:
+    def in_touch(self, now: float) -> bool:
         """Whether a majority of the voters is live, or this epoch is too young to tell."""
         if now - self.began_at <= self._timing.election_timeout:
             return True
-        return has_quorum(voters, lambda voter: self.is_live(voter, now))
+        return has_quorum(self._state.voters, lambda voter: self.is_live(voter, now))
 
     def is_caught_up(self, identity: ReplicaId) -> bool:
         """Whether the replica's disk lacks only the last few entries."""
@@ -126,73 +140,75 @@
             return False
         return progress.match_index >= self._log.last_index - self._timing.catchup_entries
 
-    def messages(self, commit_index: int, now: float) -> list[tuple[ReplicaId, ReplicaMessage]]:
-        """All that is due to the followers: heartbeats, entries, snapshots, a new commit index."""
-        sends: list[tuple[ReplicaId, ReplicaMessage]] = []
+    def send_due(self, now: float) -> None:
+        """Sends the followers all that is due: heartbeats, entries, snapshots, a new commit index.
+
+        A follower that has not replied for a while gets heartbeats alone, until it does.
+        """
+        if self._round_wanted:
+            self.begin_round(now)
         for identity, progress in self.followers.items():
-            for message in self._messages_to(progress, commit_index, now):
-                sends.append((identity, message))
-        return sends
-
-    def _messages_to(self, progress: Progress, commit_index: int, now: float) -> list[ReplicaMessage]:
-        messages: list[ReplicaMessage] = []
-        if progress.sent_round < self.rounds.current:
-            messages.append(self._append(progress, (), commit_index))
-        if now - max(progress.contact, self.began_at) <= self._timing.reply_timeout:
-            messages.extend(self._entries_to(progress, commit_index, now))
-            if progress.sent_commit < min(commit_index, progress.next_index - 1):
-                messages.append(self._append(progress, (), commit_index))
-        return messages
-
-    def _entries_to(self, progress: Progress, commit_index: int, now: float) -> list[ReplicaMessage]:
-        messages: list[ReplicaMessage] = []
+            if progress.sent_round < self._rounds.current:
+                self._send_append(identity, progress, ())
+            if now - max(progress.contact, self.began_at) > self._timing.reply_timeout:
+                continue
+            self._send_entries(identity, progress, now)
+            if progress.sent_commit < min(self._state.commit_index, progress.next_index - 1):
+                self._send_append(identity, progress, ())
+
+    def _send_entries(self, identity: ReplicaId, progress: Progress, now: float) -> None:
         while progress.next_index <= self._log.last_index:
             if progress.outstanding_bytes >= self._timing.window_bytes:
-                break
+                return
             if progress.next_index <= self._log.base_index:
-                messages.extend(self._snapshot_to(progress, now))
-                break
-            entries = self._log.batch(progress.next_index, self._timing.append_bytes)
-            messages.append(self._append(progress, entries, commit_index))
-            size = sum(len(entry.data) for entry in entries)
+                self._send_snapshot(identity, progress, now)
+                return
+            entries = self._log.batch(progress.next_index, self._timing.append_bytes, ENTRY_BYTES)
+            self._send_append(identity, progress, entries)
+            size = sum(len(entry.data) + ENTRY_BYTES for entry in entries)
             progress.sent(entries[-1].index, size)
-        return messages
 
-    def _snapshot_to(self, progress: Progress, now: float) -> list[ReplicaMessage]:
+    def _send_snapshot(self, identity: ReplicaId, progress: Progress, now: float) -> None:
         if now - progress.snapshot_sent_at < self._timing.snapshot_retry:
-            return []
-        progress.snapshot_sent_at = now
+            return
+        state = self._state
         snapshot = self._log.snapshot
+        message = InstallSnapshot(state.shard, state.identity, state.epoch, snapshot, self._rounds.current)
+        state.send(identity, message)
+        progress.snapshot_sent_at = now
         progress.sent(snapshot.index, len(snapshot.state))
-        return [InstallSnapshot(self._shard, self._identity, self.epoch, snapshot, self.rounds.current)]
 
-    def _append(self, progress: Progress, entries: tuple, commit_index: int) -> AppendEntries:
+    def _send_append(self, identity: ReplicaId, progress: Progress, entries: tuple[Entry, ...]) -> None:
+        state = self._state
         previous = max(progress.next_index - 1, self._log.base_index)
-        progress.sent_round = self.rounds.current
-        progress.sent_commit = min(commit_index, previous + len(entries))
-        return AppendEntries(
-            shard=self._shard,
-            sender=self._identity,
-            epoch=self.epoch,
+        progress.sent_round = self._rounds.current
+        progress.sent_commit = min(state.commit_index, previous + len(entries))
+        message = AppendEntries(
+            shard=state.shard,
+            sender=state.identity,
+            epoch=state.epoch,
             previous_index=previous,
             previous_epoch=self._log.epoch_at(previous),
             entries=entries,
-            commit_index=commit_index,
-            round=self.rounds.current,
+            commit_index=state.commit_index,
+            round=self._rounds.current,
         )
+        state.send(identity, message)
 
     def _match_index(self, identity: ReplicaId) -> int:
-        if identity == self._identity:
+        if identity == self._state.identity:
             return self._log.durable_index
         progress = self.followers.get(identity)
         return progress.match_index if progress else 0
 
     def _acknowledged_round(self, identity: ReplicaId) -> int:
-        if identity == self._identity:
-            return self.rounds.current
+        if identity == self._state.identity:
+            return self._rounds.current
         progress = self.followers.get(identity)
         return progress.acknowledged_round if progress else 0
 
-    def _quorum_value(self, voters: Voters, value_of) -> int:
+    def _quorum_value(self, value_of: Callable[[ReplicaId], int]) -> int:
+        """The highest value that a majority of the voters has reached."""
+        voters = self._state.voters
         values = sorted((value_of(voter) for voter in voters), reverse=True)
         return values[quorum_size(voters) - 1] if values else 0
--- /dev/null
+++ b/kestrelbend/tier/replication/state.py
@@ -0,0 +1,116 @@
+"""What every role of a replica shares: its epoch, its vote, its log, its disk and its effects.
+
+Invariant: the epoch never falls, and at most one vote is given in an epoch.
+"""
+
+from __future__ import annotations
+
+from .disk import DiskGate
+from .effects import Effects
+from .group import Voters
+from .log import ReplicaLog
+from .messages import DurableRecord, DurableState, Entry, ReplicaId, ReplicaMessage, ShardId, Snapshot
+from .timing import Timing
+
+
+class ReplicaState:
+    """Changed by the roles; `begin_write` gathers all changes since the last write into one record."""
+
+    def __init__(self, shard: ShardId, identity: ReplicaId, durable: DurableState, timing: Timing) -> None:
+        self.shard = shard
+        self.identity = identity
+        self.timing = timing
+        self.epoch = durable.epoch
+        self.voted_for = durable.voted_for
+        self.commit_index = durable.snapshot.index
+        self.log = ReplicaLog(durable)
+        self.disk = DiskGate()
+        self.effects = Effects()
+        self._after_write: list[tuple[ReplicaId, ReplicaMessage]] = []
+        self._hard_state_changed = False
+        self._hard_state_ticket = 0
+
+    @property
+    def hard_state_durable(self) -> bool:
+        """Whether the present epoch and vote are on the disk."""
+        return not self._hard_state_changed and self._hard_state_ticket <= self.disk.completed
+
+    @property
+    def voters(self) -> Voters:
+        return self.log.voters
+
+    @property
+    def is_voter(self) -> bool:
+        return self.identity in self.log.voters
+
+    def other_voters(self) -> Voters:
+        """The voters but for this replica."""
+        return tuple(voter for voter in self.log.voters if voter != self.identity)
+
+    def disk_stalls(self, now: float) -> bool:
+        """Whether a write takes so long that this replica should not own."""
+        return self.disk.stalled(now, self.timing.disk_stall)
+
+    def send(self, receiver: ReplicaId, message: ReplicaMessage) -> None:
+        """Sends what depends on no write."""
+        self.effects.sends.append((receiver, message))
+
+    def send_after_write(self, receiver: ReplicaId, message: ReplicaMessage) -> None:
+        """Sends once all changes up to now are on the disk."""
+        self._after_write.append((receiver, message))
+
+    def raise_epoch(self, epoch: int) -> None:
+        """Enters `epoch`, with no vote given in it, if it is newer."""
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self.voted_for = ""
+            self._hard_state_changed = True
+
+    def vote_for(self, candidate: ReplicaId) -> None:
+        """Gives the vote of the present epoch."""
+        assert self.voted_for in ("", candidate), "two votes in one epoch"
+        if self.voted_for != candidate:
+            self.voted_for = candidate
+            self._hard_state_changed = True
+
+    def commit_to(self, index: int) -> None:
+        """Hands out the entries up to `index` to be applied, where it is ahead."""
+        if index > self.commit_index:
+            self.effects.applied.extend(self.log.between(self.commit_index + 1, index))
+            self.commit_index = index
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Takes over an owner's snapshot, where it is ahead of what is committed here."""
+        if snapshot.index > self.commit_index:
+            self.log.install(snapshot, self.commit_index)
+            self.commit_index = snapshot.index
+            self.effects.restore = snapshot
+            self.effects.applied.clear()
+
+    def begin_write(self, now: float) -> None:
+        """Issues a write of all that has changed, if anything has, and lets go of what waits for none."""
+        if self._hard_state_changed or self.log.has_unwritten():
+            ticket = self.disk.issue(now)
+            entries, snapshot = self.log.begin_write(ticket)
+            if self._hard_state_changed:
+                self._hard_state_ticket = ticket
+                self._hard_state_changed = False
+            self.effects.writes.append((ticket, self.record(entries, snapshot)))
+        for send in self._after_write:
+            self.disk.hold(send)
+        self._after_write.clear()
+        self.effects.sends.extend(self.disk.release())
+
+    def written(self, ticket: int) -> None:
+        """The write `ticket`, and all before it, is on the disk."""
+        self.disk.complete(ticket)
+        self.log.end_write(ticket)
+
+    def record(self, entries: tuple[Entry, ...], snapshot: Snapshot | None) -> DurableRecord:
+        """A record of these entries and this snapshot with the present epoch and vote."""
+        return DurableRecord(self.shard, self.identity, self.epoch, self.voted_for, entries, snapshot)
+
+    def take_effects(self) -> Effects:
+        """Drains the effects."""
+        effects, self.effects = self.effects, Effects()
+        return effects
--- a/kestrelbend/tier/replication/timing.py
+++ b/kestrelbend/tier/replication/timing.py
@@ -7,22 +7,24 @@
 
 @attrs.frozen
 class Timing:
-    """Spans in seconds; all replicas of a shard hold the same.
+    """Spans in seconds and sizes in bytes; all replicas of a shard hold the same.
 
-    `sticky` is below `election_timeout`, so that voters no longer hold on to an owner when the first
-    of them campaigns.
+    `sticky` is below `election_timeout` by more than a heartbeat, so that voters no longer hold on to an
+    owner when the first of them campaigns.
     """
 
-    heartbeat: float = 0.1
-    election_timeout: float = 0.45
-    rank_step: float = 0.12
-    jitter: float = 0.03
-    sticky: float = 0.35
-    reply_timeout: float = 0.3
-    snapshot_retry: float = 1.0
-    disk_stall: float = 0.8
-    transfer_timeout: float = 1.0
-    append_bytes: int = 512 * 1024
-    window_bytes: int = 4 * 1024 * 1024
-    catchup_entries: int = 64
-    tail_entries: int = 500
+    heartbeat: float = 0.1  # between two rounds of the owner
+    election_timeout: float = 0.45  # without contact, until the first voter campaigns or an owner gives up
+    rank_step: float = 0.12  # later for each place in the group
+    jitter: float = 0.03  # at most, so that no two voters campaign at one moment for ever
+    sticky: float = 0.3  # a voter that heard an owner this recently refuses a trial
+    trial_retry: float = 0.15  # between two trials of one candidate
+    trial_patience: float = 0.25  # that a voter which granted a trial holds back its own, once
+    reply_timeout: float = 0.3  # without a reply, until the owner sends heartbeats alone
+    snapshot_retry: float = 1.0  # between two snapshots to one follower
+    disk_stall: float = 0.8  # that a write may take before the disk counts as stalled
+    transfer_timeout: float = 1.0  # that a handover may take
+    append_bytes: int = 512 * 1024  # in one AppendEntries, unless one entry is larger
+    window_bytes: int = 4 * 1024 * 1024  # under way to one follower
+    catchup_entries: int = 64  # that a learner may lack when it becomes a voter
+    tail_entries: int = 500  # kept before a snapshot for followers that lag
--- /dev/null
+++ b/tests/tier/replication_harness.py
@@ -0,0 +1,299 @@
+"""Replicas on virtual time, with links and disks that fail by order or by a seed, and the shard's promises.
+
+`Cluster` joins real replicas; `Promises` sees all that they hand out and raises where one is broken.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import attrs
+
+from kestrelbend.tier.replication import Replica, Timing, replay
+from kestrelbend.tier.replication.group import decode_group
+from kestrelbend.tier.replication.messages import EntryKind
+
+SHARD = "budget-0"
+TICK = 0.02
+
+
+class Promises:
+    """What must hold whatever fails: one owner in an epoch, one history, nothing acknowledged is lost."""
+
+    def __init__(self, founders):
+        self.history = []
+        self.group = founders
+        self._owners = {}
+
+    def owns(self, replica):
+        owner = self._owners.setdefault(replica.epoch, replica.identity)
+        assert owner == replica.identity, f"two owners of epoch {replica.epoch}"
+        held = replica.durable_record()
+        entries = {entry.index: entry for entry in held.entries}
+        for entry in self.history[held.snapshot.index :]:
+            assert entries.get(entry.index) == entry, f"the owner lacks committed {entry}"
+
+    def applied(self, entry):
+        if entry.index <= len(self.history):
+            assert self.history[entry.index - 1] == entry, f"two histories at {entry.index}"
+            return
+        assert entry.index == len(self.history) + 1, f"{entry} leaves a gap"
+        self.history.append(entry)
+        if entry.kind == EntryKind.GROUP:
+            group = decode_group(entry.data)
+            assert len(set(group) ^ set(self.group)) <= 1, f"{self.group} to {group} in one step"
+            self.group = group
+
+    def commands(self):
+        return [entry.data for entry in self.history if entry.kind == EntryKind.COMMAND]
+
+
+class Node:
+    """A machine: a replica or none, its disk's records, and a state machine that lists the commands."""
+
+    def __init__(self, name):
+        self.name = name
+        self.generation = 1
+        self.incarnation = 0
+        self.replica = None
+        self.records = []
+        self.unsynced = []
+        self.applied_index = 0
+        self.commands = []
+        self.reads = {}
+        self.confirmed = []
+        self.disk_delay = 0.002
+        self.stalled = False
+        self.frozen = False
+        self.kept_events = []
+
+    @property
+    def identity(self):
+        return f"{self.name}#{self.generation}"
+
+    @property
+    def up(self):
+        return self.replica is not None and not self.frozen
+
+
+@attrs.define
+class Links:
+    """How messages fare between any two machines; `cut` holds (sender, receiver) pairs."""
+
+    delay: float = 0.002
+    spread: float = 0.0
+    loss: float = 0.0
+    double: float = 0.0
+    cut: set = attrs.field(factory=set)
+
+
+class Cluster:
+    """Machines, links and one clock; `seed` decides all that is left to chance."""
+
+    def __init__(self, names="abc", others="", seed=0, timing=None):
+        self.random = random.Random(seed)
+        self.timing = timing or Timing()
+        self.now = 0.0
+        self.links = Links()
+        self.nodes = {name: Node(name) for name in (*names, *others)}
+        self.founders = tuple(self.nodes[name].identity for name in names)
+        self.promises = Promises(self.founders)
+        self.sent = []
+        self._events = []
+        self._sequence = 0
+        for node in self.nodes.values():
+            self.start(node.name)
+
+    # What is done to machines
+
+    def start(self, name):
+        node = self.nodes[name]
+        node.incarnation += 1
+        node.applied_index, node.commands, node.reads = 0, [], {}
+        node.frozen = node.stalled = False
+        node.replica = Replica(
+            shard=SHARD,
+            identity=node.identity,
+            founders=self.founders,
+            durable=replay(node.records),
+            timing=self.timing,
+            now=self.now,
+        )
+        self._work(node)
+
+    def lose_power(self, *names):
+        """The machines go down; of what was not synced, a first part is on the disk."""
+        for name in names:
+            node = self.nodes[name]
+            kept = self.random.randint(0, len(node.unsynced))
+            node.records += [record for _, record in node.unsynced[:kept]]
+            node.unsynced, node.kept_events, node.replica = [], [], None
+
+    def wipe(self, name):
+        self.lose_power(name)
+        node = self.nodes[name]
+        node.records = []
+        node.generation += 1
+
+    def freeze(self, name):
+        self.nodes[name].frozen = True
+
+    def thaw(self, name):
+        node = self.nodes[name]
+        node.frozen = False
+        kept, node.kept_events = node.kept_events, []
+        for event in kept:
+            self._schedule(0.0, *event)
+
+    def stall_disk(self, name):
+        self.nodes[name].stalled = True
+
+    def mend_disk(self, name):
+        node = self.nodes[name]
+        node.stalled = False
+        for ticket, _ in node.unsynced:
+            self._schedule(node.disk_delay, node, node.incarnation, "written", ticket)
+
+    def cut(self, sender, receiver):
+        self.links.cut.add((sender, receiver))
+
+    def isolate(self, name):
+        for other in self.nodes:
+            self.links.cut |= {(name, other), (other, name)}
+
+    def join(self):
+        self.links.cut.clear()
+
+    # What is asked of replicas
+
+    def owner(self):
+        """The owner that is in touch with a majority, if there is one."""
+        owners = [node for node in self.nodes.values() if node.up and node.replica.is_owner]
+        owners = [node for node in owners if node.replica.in_touch(self.now)]
+        return max(owners, key=lambda node: node.replica.epoch, default=None)
+
+    def propose(self, command, node=None):
+        node = node or self.owner()
+        index = node.replica.propose(command, self.now) if node else None
+        if node:
+            self._work(node)
+        return index
+
+    def confirm(self, node=None):
+        node = node or self.owner()
+        ticket = node.replica.confirm(self.now) if node else None
+        if ticket is not None:
+            node.reads[ticket] = len(self.promises.history)
+            self._work(node)
+        return ticket
+
+    def transfer(self):
+        node = self.owner()
+        node.replica.transfer(self.now)
+        self._work(node)
+
+    def aim(self, names):
+        """Tells every replica the voters wished for."""
+        target = tuple(self.nodes[name].identity for name in names)
+        for node in self.nodes.values():
+            if node.up:
+                node.replica.set_target(target)
+                self._work(node)
+
+    def compact(self, name):
+        node = self.nodes[name]
+        node.replica.compact(node.applied_index, b"\n".join(node.commands))
+        self._work(node)
+
+    # Time
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end - TICK / 2:
+            self._run_events(self.now + TICK)
+            self.now = round(self.now + TICK, 6)
+            for node in self.nodes.values():
+                if node.up:
+                    node.replica.tick(self.now)
+                    self._work(node)
+
+    def run_until(self, holds, within):
+        """Runs until the condition holds; whether it did in time."""
+        end = self.now + within
+        while self.now < end and not holds():
+            self.run(TICK)
+        return holds()
+
+    def committed(self, command):
+        return any(entry.data == command for entry in self.promises.history)
+
+    # Messages, disks and effects
+
+    def _schedule(self, delay, *event):
+        self._sequence += 1
+        heapq.heappush(self._events, (self.now + delay, self._sequence, event))
+
+    def _run_events(self, until):
+        while self._events and self._events[0][0] <= until:
+            self.now, _, event = heapq.heappop(self._events)
+            self._happen(*event)
+
+    def _happen(self, node, incarnation, kind, content):
+        if incarnation not in (0, node.incarnation) or node.replica is None:
+            return
+        if node.frozen:
+            node.kept_events.append((node, incarnation, kind, content))
+        elif kind == "message":
+            node.replica.receive(content, self.now)
+            self._work(node)
+        elif not node.stalled:
+            self._written(node, content)
+
+    def _written(self, node, ticket):
+        done = [record for number, record in node.unsynced if number <= ticket]
+        node.records += done
+        del node.unsynced[: len(done)]
+        node.replica.written(ticket, self.now)
+        self._work(node)
+
+    def _work(self, node):
+        effects = node.replica.take()
+        if effects.ownership_changed and node.replica.is_owner:
+            self.promises.owns(node.replica)
+        for ticket, record in effects.writes:
+            node.unsynced.append((ticket, record))
+            self._schedule(node.disk_delay, node, node.incarnation, "written", ticket)
+        for receiver, message in effects.sends:
+            self._send(node, receiver, message)
+        self._apply(node, effects)
+        for ticket in effects.confirmed:
+            assert node.applied_index >= node.reads.pop(ticket), "a confirmed read is older than its call"
+            node.confirmed.append(ticket)
+
+    def _apply(self, node, effects):
+        if effects.restore is not None:
+            node.applied_index = effects.restore.index
+            node.commands = effects.restore.state.split(b"\n") if effects.restore.state else []
+        for entry in effects.applied:
+            assert entry.index == node.applied_index + 1, f"{node.name} applies {entry} out of order"
+            node.applied_index = entry.index
+            self.promises.applied(entry)
+            if entry.kind == EntryKind.COMMAND:
+                node.commands.append(entry.data)
+        if effects.applied or effects.restore is not None:
+            before = self.promises.history[: node.applied_index]
+            assert node.commands == [entry.data for entry in before if entry.kind == EntryKind.COMMAND]
+
+    def _send(self, node, receiver, message):
+        name, _, generation = receiver.partition("#")
+        target = self.nodes[name]
+        self.sent.append((node.name, name, message))
+        if str(target.generation) != generation or (node.name, name) in self.links.cut:
+            return
+        if self.links.loss and self.random.random() < self.links.loss:
+            return
+        copies = 2 if self.links.double and self.random.random() < self.links.double else 1
+        for _ in range(copies):
+            delay = self.links.delay + self.random.random() * self.links.spread
+            self._schedule(delay, target, 0, "message", message)
