--- /dev/null
+++ b/kestrelbend/tier/budgets/bounds.py
@@ -0,0 +1,56 @@
+"""What may stand in a command: clients' headers reach the counters only within these bounds.
+
+Invariant: a command that passed here can be encoded, so that no client's header spoils the request that other
+programs' commands share with it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import attrs
+
+from kestrelbend.tier.budgets.messages import Reserve, Settle
+
+NAME_BYTES = 256
+TOKENS_MOST = 2**48
+_FINGERPRINT_RANGE = 2**63
+
+
+def bounded_reserve(reserve: Reserve) -> Reserve:
+    """The command with its names and figures within bounds; the same command always gives the same."""
+    return attrs.evolve(
+        reserve,
+        program=bounded_name(reserve.program),
+        session=bounded_name(reserve.session),
+        reservation=bounded_name(reserve.reservation),
+        fingerprint=reserve.fingerprint % _FINGERPRINT_RANGE,
+        most_tokens=_bounded_tokens(reserve.most_tokens),
+        budget=_bounded_tokens(reserve.budget),
+    )
+
+
+def bounded_settle(settle: Settle) -> Settle:
+    """The command with its names and figures within bounds."""
+    return attrs.evolve(
+        settle,
+        program=bounded_name(settle.program),
+        reservation=bounded_name(settle.reservation),
+        used_tokens=_bounded_tokens(settle.used_tokens),
+    )
+
+
+def bounded_name(name: str) -> str:
+    """The name itself, or a digest of one that is too long or is no Unicode text."""
+    encoded = name.encode("utf-8", "surrogatepass")
+    if len(encoded) <= NAME_BYTES and not _has_surrogate(name):
+        return name
+    return hashlib.sha256(encoded).hexdigest()
+
+
+def _has_surrogate(name: str) -> bool:
+    return not name.isascii() and any("\ud800" <= letter <= "\udfff" for letter in name)
+
+
+def _bounded_tokens(tokens: int) -> int:
+    return min(max(tokens, 0), TOKENS_MOST)
--- /dev/null
+++ b/kestrelbend/tier/budgets/line.py
@@ -0,0 +1,159 @@
+"""A gateway's calls to one budget shard: one request at a time, which takes along all that waits.
+
+Invariant: a command leaves this queue only when an owner's reply covers it, or, for a reservation, when its
+caller has gone; a reservation that was sent and whose caller has gone leaves a settlement behind.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from itertools import islice
+
+import attrs
+
+from kestrelbend.tier.budgets.messages import (
+    BudgetReply,
+    BudgetRequest,
+    Reserve,
+    ReserveOutcome,
+    Settle,
+    TurnEnd,
+    Verdict,
+)
+from kestrelbend.tier.budgets.route import ClientSettings, OwnerRoute
+
+COMMANDS_A_REQUEST = 256
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    """A reservation whose caller waits; once sent, it may have been recorded whatever comes back."""
+
+    reserve: Reserve
+    outcome: asyncio.Future[ReserveOutcome]
+    sent: bool = False
+
+
+class ShardLine:
+    """The queue of one shard and the task that works through it while there is anything in it."""
+
+    def __init__(
+        self,
+        shard: str,
+        send: Callable[[str, BudgetRequest], Awaitable[BudgetReply | None]],
+        replicas: Callable[[str], Sequence[str]],
+        settings: ClientSettings,
+    ) -> None:
+        self._shard = shard
+        self._send = send
+        self._replicas = replicas
+        self._settings = settings
+        self._reserves: dict[str, _Waiting] = {}
+        self._settles: dict[str, Settle] = {}
+        self._urgent = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._closing = False
+        self._route = OwnerRoute(settings)
+
+    @property
+    def settlements_waiting(self) -> int:
+        """Settlements that no owner has recorded yet."""
+        return len(self._settles)
+
+    async def reserve(self, reserve: Reserve, within: float) -> ReserveOutcome:
+        """The owner's outcome, or SILENT."""
+        waiting = _Waiting(reserve, asyncio.get_running_loop().create_future())
+        self._reserves[reserve.reservation] = waiting
+        self._work(urgent=True)
+        try:
+            async with asyncio.timeout(within):
+                return await waiting.outcome
+        except TimeoutError:
+            self._give_up(waiting)
+            return ReserveOutcome(reserve.reservation, Verdict.SILENT, 0, 0, 0)
+        except asyncio.CancelledError:
+            self._give_up(waiting)
+            raise
+
+    def settle(self, settle: Settle) -> None:
+        """Queues a settlement."""
+        self._settles[settle.reservation] = settle
+        if len(self._settles) > self._settings.settlements_most:
+            del self._settles[next(iter(self._settles))]
+        self._work(urgent=False)
+
+    async def close(self, within: float) -> bool:
+        """Sends what waits; whether all settlements were recorded within the time."""
+        self._closing = True
+        if self._task is None:
+            return True
+        self._urgent.set()
+        await asyncio.wait([self._task], timeout=within)
+        self._task.cancel()
+        return not self._settles
+
+    def _give_up(self, waiting: _Waiting) -> None:
+        """Takes back a reservation whose caller has not got the outcome, even if one is there just now."""
+        reserve = waiting.reserve
+        if self._reserves.get(reserve.reservation) is waiting:
+            del self._reserves[reserve.reservation]
+        if waiting.sent:
+            self.settle(Settle(reserve.program, reserve.reservation, 0, TurnEnd.NOT_RUN))
+
+    def _work(self, urgent: bool) -> None:
+        if urgent:
+            self._urgent.set()
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        while self._reserves or self._settles:
+            if not self._reserves and not self._closing:
+                await self._linger()
+            await self._send_one()
+
+    async def _linger(self) -> None:
+        """Lets settlements gather, until a reservation comes."""
+        self._urgent.clear()
+        try:
+            async with asyncio.timeout(self._settings.settle_linger_s):
+                await self._urgent.wait()
+        except TimeoutError:
+            pass
+
+    async def _send_one(self) -> None:
+        now = asyncio.get_running_loop().time()
+        target = self._route.target(self._replicas(self._shard), now)
+        if target is None:
+            await asyncio.sleep(self._route.pause())
+            return
+        settles = tuple(islice(self._settles.values(), COMMANDS_A_REQUEST))
+        waiting = list(islice(self._reserves.values(), COMMANDS_A_REQUEST))
+        for one in waiting:
+            one.sent = True
+        request = BudgetRequest(self._shard, tuple(one.reserve for one in waiting), settles)
+        reply = await self._ask(target, request)
+        if reply is None:
+            self._route.no_reply(target, asyncio.get_running_loop().time())
+        elif not reply.owner or len(reply.outcomes) != len(waiting):
+            self._route.not_owner(target, reply.owner_hint)
+        else:
+            self._route.owner(target)
+            self._take(reply, waiting, settles)
+
+    async def _ask(self, target: str, request: BudgetRequest) -> BudgetReply | None:
+        try:
+            async with asyncio.timeout(self._settings.attempt_s):
+                return await self._send(target, request)
+        except (TimeoutError, OSError):
+            return None
+
+    def _take(self, reply: BudgetReply, waiting: list[_Waiting], settles: tuple[Settle, ...]) -> None:
+        for settle in settles:
+            if self._settles.get(settle.reservation) is settle:
+                del self._settles[settle.reservation]
+        for one, outcome in zip(waiting, reply.outcomes, strict=True):
+            if not one.outcome.done():  # else its caller has gone, and gives it up in a moment
+                del self._reserves[one.reserve.reservation]
+                one.outcome.set_result(outcome)
--- a/kestrelbend/tier/budgets/program.py
+++ b/kestrelbend/tier/budgets/program.py
@@ -37,6 +37,7 @@
 
     most_tokens: int
     session: str
+    retry: bool
 
 
 @attrs.define
@@ -44,7 +45,9 @@
     """A program's counter.
 
     Retries are counted by their tokens, as the total is: a share needs one unit, and long turns that are
-    repeated take more of a backend than short ones.
+    repeated take more of a backend than short ones.  A retry that did not run is taken back from both; one
+    that ended otherwise stays at its most, as it kept a backend busy whatever it handed out.  A retry that is
+    refused counts for nothing, so that refusals alone don't cause refusals.
     """
 
     settled: int = 0
@@ -85,6 +88,8 @@
         if turn is not None:
             self.reserved -= turn.most_tokens
             self.settled += max(0, settle.used_tokens)
+            if turn.retry and settle.end == TurnEnd.NOT_RUN:
+                self.retries -= turn.most_tokens
             self._end_turn(turn.session, settle)
         if settle.reservation not in self.closed:
             self._close(settle.reservation, Verdict.RETRY_LATER)
@@ -100,7 +105,7 @@
         return Verdict.RETRY_LATER if retries > RETRY_SHARE * total else Verdict.ADMITTED
 
     def _admit(self, reserve: Reserve, retry: bool) -> None:
-        self.open_turns[reserve.reservation] = OpenTurn(reserve.most_tokens, reserve.session)
+        self.open_turns[reserve.reservation] = OpenTurn(reserve.most_tokens, reserve.session, retry)
         self.reserved += reserve.most_tokens
         if retry:
             self.retries += reserve.most_tokens
--- /dev/null
+++ b/kestrelbend/tier/budgets/route.py
@@ -0,0 +1,85 @@
+"""Which replica of a shard a gateway asks: it looks for the owner, and stays with it.
+
+Each replica is asked once in a round, the one after the last first; between rounds there is a pause that
+grows.  A replica that did not reply is left out for a while, also where another still names it as the owner:
+those that were beside it learn of its loss later than the gateway that waited for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+
+@attrs.frozen
+class ClientSettings:
+    """Times in seconds."""
+
+    reserve_s: float = 1.2  # until a reservation without an answer is given up
+    attempt_s: float = 0.3  # until a request without a reply goes to the next replica
+    silent_s: float = 0.5  # for which a replica that did not reply is left out
+    pause_first_s: float = 0.02  # before the replicas are asked anew; doubles up to the most
+    pause_most_s: float = 0.3
+    settle_linger_s: float = 0.02  # settlements wait this long for others, unless a reservation goes
+    settlements_most: int = 4_000  # for each shard; beyond it the oldest go: their tokens stay reserved
+
+
+class OwnerRoute:
+    """The search for one shard's owner."""
+
+    def __init__(self, settings: ClientSettings) -> None:
+        self._settings = settings
+        self._likely = ""  # the last that replied as owner, or that another named
+        self._last = ""
+        self._asked: set[str] = set()  # in this round
+        self._rounds = 0  # without an owner
+        self._silent_until: dict[str, float] = {}
+
+    def target(self, replicas: Sequence[str], now: float) -> str | None:
+        """Whom to ask next; None after a round without success, which begins another: pause before it."""
+        if self._likely and self._silent_until.get(self._likely, now) <= now:
+            return self._likely
+        fresh = [replica for replica in _from_next(replicas, self._last) if replica not in self._asked]
+        for replica in fresh:
+            if self._silent_until.get(replica, now) <= now:
+                return replica
+        self._asked.clear()
+        self._rounds += 1
+        return None
+
+    def pause(self) -> float:
+        """Seconds to wait between rounds."""
+        doubled = self._settings.pause_first_s * 2 ** min(self._rounds - 1, 6)
+        return min(self._settings.pause_most_s, doubled)
+
+    def owner(self, replica: str) -> None:
+        """The replica has replied as the owner."""
+        self._likely = self._last = replica
+        self._asked.clear()
+        self._silent_until.clear()
+        self._rounds = 0
+
+    def not_owner(self, replica: str, hint: str) -> None:
+        """The replica does not own the shard; a hint is followed once in a round."""
+        self._note_asked(replica)
+        self._likely = "" if hint in self._asked else hint
+
+    def no_reply(self, replica: str, now: float) -> None:
+        """The replica cannot be reached, or took too long."""
+        self._note_asked(replica)
+        self._likely = ""
+        self._silent_until[replica] = now + self._settings.silent_s
+
+    def _note_asked(self, replica: str) -> None:
+        self._last = replica
+        self._asked.add(replica)
+
+
+def _from_next(replicas: Sequence[str], last: str) -> list[str]:
+    """The replicas in their order, from the one after the last that was asked."""
+    names = list(replicas)
+    if last not in names:
+        return names
+    start = names.index(last) + 1
+    return names[start:] + names[:start]
--- /dev/null
+++ b/kestrelbend/tier/budgets/shard_service.py
@@ -0,0 +1,78 @@
+"""The budget shards that a process holds replicas of, joined to its replicas.
+
+Invariant: a reply with outcomes is given only for a committed entry, and its outcomes are those that every
+replica computes.  Where it is not known whether an entry counts, the reply says that nobody owns the shard
+here; repeating the same commands at the next owner is safe, since a reservation's name makes them one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..membership.placement import address_of
+from .commands import decode_commands, encode_commands
+from .messages import BudgetReply, BudgetRequest, ReserveOutcome
+from .table import BudgetTable
+
+Reply = Callable[[BudgetReply], None]
+
+
+class BudgetMachine:
+    """A budget table as a shard's state machine; an entry holds the commands of one request."""
+
+    def __init__(self):
+        self.table = BudgetTable()
+
+    def apply(self, command: bytes) -> tuple[ReserveOutcome, ...]:
+        """Applies one request's commands, settlements first."""
+        settles, reserves = decode_commands(command)
+        for settle in settles:
+            self.table.apply(settle)
+        return tuple(self.table.apply(reserve) for reserve in reserves)
+
+    def snapshot(self) -> bytes:
+        """The whole table."""
+        return self.table.snapshot()
+
+    def restore(self, state: bytes) -> None:
+        """Replaces the table."""
+        self.table.restore(state)
+
+
+class BudgetShards:
+    """Answers gateways' requests for the shards that are owned here."""
+
+    def __init__(self):
+        self._host = None
+        self._now = None
+
+    def attach(self, host, now: Callable[[], float]) -> None:
+        """The process's replicas; None for a process without a disk."""
+        self._host = host
+        self._now = now
+
+    @staticmethod
+    def machine_for(shard: str) -> BudgetMachine:
+        """An empty state machine."""
+        return BudgetMachine()
+
+    def request(self, request: BudgetRequest, reply: Reply) -> None:
+        """Proposes a request's commands and replies once they are committed, or at once where it can't."""
+        shard = request.shard
+
+        def done(outcomes: tuple[ReserveOutcome, ...] | None) -> None:
+            if outcomes is None:
+                reply(self._not_owner(shard))
+            else:
+                reply(BudgetReply(shard, True, "", outcomes))
+
+        data = encode_commands(request.settles, request.reserves)
+        if self._host is None or not self._host.propose(shard, data, done, self._now()):
+            reply(self._not_owner(shard))
+            return
+        self._host.flush(shard)
+
+    def _not_owner(self, shard: str) -> BudgetReply:
+        replica = self._host.replica(shard) if self._host is not None else None
+        hint = address_of(replica.owner) if replica is not None and not replica.is_owner else ""
+        return BudgetReply(shard, False, hint, ())
--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -81,7 +81,7 @@
     return [
         program.settled,
         program.retries,
-        [[name, turn.most_tokens, turn.session] for name, turn in program.open_turns.items()],
+        [[name, turn.most_tokens, turn.session, turn.retry] for name, turn in program.open_turns.items()],
         [[name, turn.fingerprint, turn.reservation, turn.end] for name, turn in program.sessions.items()],
         list(program.closed.items()),
     ]
@@ -89,8 +89,8 @@
 
 def _program(settled: int, retries: int, open_turns: list, sessions: list, closed: list) -> ProgramBudget:
     program = ProgramBudget(settled=settled, retries=retries)
-    for name, most_tokens, session in open_turns:
-        program.open_turns[name] = OpenTurn(most_tokens, session)
+    for name, most_tokens, session, retry in open_turns:
+        program.open_turns[name] = OpenTurn(most_tokens, session, retry)
         program.reserved += most_tokens
     for name, fingerprint, reservation, end in sessions:
         program.sessions[name] = SessionTurn(fingerprint, reservation, None if end is None else TurnEnd(end))
--- a/kestrelbend/tier/storage/files.py
+++ b/kestrelbend/tier/storage/files.py
@@ -9,7 +9,8 @@
 `load` returns nothing that a later loss of power could take away.  It rests on these steps:
 
 - Version n + 1 is written only after version n was synced.  So a version that is not whole is the last one,
-  was never acknowledged, and may be written anew; content behind it is a broken invariant.
+  was never acknowledged, and may be written anew; content behind it is a broken invariant.  A version whose
+  sync failed is written anew as well, whole, since the system may have dropped what it did not bring to disk.
 - A checkpoint's number is that of the first version that it does not hold.  Older files go only after its
   name lasts; those that a loss of power brings back lie below its number and are ignored.
 - A process that was killed leaves names and content that are in the machine's memory alone.  `load` syncs
@@ -26,20 +27,23 @@
 CHECKPOINT_SUFFIX = ".checkpoint"
 ASIDE_SUFFIX = ".new"
 FILES_MADE_AT_ONCE = 64
+FILES_REMOVED_AT_ONCE = 32
 BLOCK_BYTES = 4096
 
 
 class JournalFiles:
     """Reads and writes the folder; one user at a time, which calls `load` first."""
 
-    def __init__(self, disk: Disk, folder: str) -> None:
+    def __init__(self, disk: Disk, folder: str, files_at_once: int = FILES_MADE_AT_ONCE) -> None:
         self._disk = disk
         self._folder = folder
+        self._files_at_once = files_at_once
         self._next_number = 0
         self._made_until = 0  # the files of numbers below are there, and their names last
         self._first_number = 0  # the oldest version that is kept
         self._checkpoint_bytes = 0
         self._version_bytes = 0
+        self._replaced: list[str] = []  # paths that may go
 
     @property
     def checkpoint_bytes(self) -> int:
@@ -64,13 +68,13 @@
         first = checkpoints[-1] if checkpoints else 0
         records = self._load_checkpoint(first) if checkpoints else []
         records += self._load_versions(first, _numbers(names, VERSION_SUFFIX))
-        self._remove_leftovers(names, first)
+        self._replaced = self._leftovers(names, first)
         return records
 
     def write_version(self, records: list[bytes]) -> None:
         """Returns once the records last; after an `OSError` it is called again, with at least these."""
         if self._next_number >= self._made_until:
-            self._make_files()
+            self._make_files(self._next_number)
         path = self._path(self._next_number, VERSION_SUFFIX)
         content = pack_versions(self._next_number, records)
         self._disk.write(path, content)
@@ -87,13 +91,22 @@
         self._disk.sync(path + ASIDE_SUFFIX)
         self._disk.rename(path + ASIDE_SUFFIX, path)
         self._disk.sync_folder(self._folder)
+        self._replaced = self._leftovers(self._disk.list_folder(self._folder), number)
         self._first_number = number
         self._checkpoint_bytes = space(len(content))
         self._version_bytes = 0
 
-    def remove_replaced(self) -> None:
-        """Removes what the last checkpoint replaced."""
-        self._remove_leftovers(self._disk.list_folder(self._folder), self._first_number)
+    def upkeep(self) -> bool:
+        """A step of what can wait: makes files ahead, removes what is replaced; whether more is to do.
+
+        A step is short, so that versions don't wait behind it for long.  An `OSError` harms nothing.
+        """
+        if self._made_until - self._next_number <= self._files_at_once // 4:
+            self._make_files(self._made_until)
+        for path in self._replaced[:FILES_REMOVED_AT_ONCE]:
+            self._disk.remove(path)
+        del self._replaced[:FILES_REMOVED_AT_ONCE]
+        return bool(self._replaced)
 
     def _load_checkpoint(self, number: int) -> list[bytes]:
         path = self._path(number, CHECKPOINT_SUFFIX)
@@ -129,17 +142,18 @@
             if number > end and self._disk.read(path):
                 raise StorageDamaged(StorageCode.HOLE, self._path(end, VERSION_SUFFIX))
 
-    def _make_files(self) -> None:
-        until = self._next_number + FILES_MADE_AT_ONCE
-        for number in range(self._next_number, until):
+    def _make_files(self, start: int) -> None:
+        """Makes the files from `start` on; some may be there, of an earlier run or call."""
+        until = start + self._files_at_once
+        for number in range(start, until):
             self._disk.create(self._path(number, VERSION_SUFFIX))
         self._disk.sync_folder(self._folder)
         self._made_until = until
 
-    def _remove_leftovers(self, names: list[str], first: int) -> None:
-        for name in names:
-            if name.endswith(ASIDE_SUFFIX) or _number(name, first) < first:
-                self._disk.remove(f"{self._folder}/{name}")
+    def _leftovers(self, names: list[str], first: int) -> list[str]:
+        """What is older than the version `first`, or was left aside."""
+        old = (name for name in names if name.endswith(ASIDE_SUFFIX) or _number(name, first) < first)
+        return [f"{self._folder}/{name}" for name in old]
 
     def _path(self, number: int, suffix: str) -> str:
         return f"{self._folder}/{number:012d}{suffix}"
--- a/kestrelbend/tier/storage/journal.py
+++ b/kestrelbend/tier/storage/journal.py
@@ -74,6 +74,7 @@
         self._changed = threading.Condition()
         self._queue: list[_Append | _Checkpoint] = []
         self._in_flight: list[_Append | _Checkpoint] = []
+        self._checkpoints_waiting = 0
         self._full = False
         self._failures = 0
         self._closing = False
@@ -90,17 +91,23 @@
 
     def append(self, ticket: int, record: bytes) -> None:
         """Takes a record; `on_written` names its ticket once it lasts."""
-        self._put(_Append(ticket, record, self._clock()))
+        work = _Append(ticket, record, self._clock())
+        with self._changed:
+            self._queue.append(work)
+            self._changed.notify()
 
     def checkpoint(self, records: list[bytes]) -> None:
         """Replaces all that was appended so far by `records`, which must hold the effect of all of it."""
-        self._put(_Checkpoint(records))
+        with self._changed:
+            self._checkpoints_waiting += 1
+            self._queue.append(_Checkpoint(records))
+            self._changed.notify()
 
     @property
     def wants_checkpoint(self) -> bool:
         """Whether the versions since the last checkpoint have grown beyond what a start should replay."""
         files = self._files
-        if self._checkpoint_waits():
+        if self._checkpoints_waiting:
             return False
         if files.version_count >= CHECKPOINT_VERSIONS:
             return True
@@ -109,10 +116,8 @@
     def oldest_wait(self, now: float) -> float:
         """For how long the oldest record that is not acknowledged has waited, in seconds."""
         with self._changed:
-            for work in (*self._in_flight, *self._queue):
-                if isinstance(work, _Append):
-                    return now - work.since
-        return 0.0
+            since = _oldest_since(self._in_flight, _oldest_since(self._queue, now))
+        return now - since
 
     def state(self, now: float) -> JournalState:
         """How the disk does; anything but OK is a reason to let other replicas own the shards."""
@@ -148,15 +153,6 @@
         self._finish(group)
         return True
 
-    def _put(self, work: _Append | _Checkpoint) -> None:
-        with self._changed:
-            self._queue.append(work)
-            self._changed.notify()
-
-    def _checkpoint_waits(self) -> bool:
-        with self._changed:
-            return any(isinstance(work, _Checkpoint) for work in (*self._in_flight, *self._queue))
-
     def _take_group(self) -> list[_Append | _Checkpoint]:
         """All that waits up to the last checkpoint, or else as many records as make one file."""
         queue = self._queue
@@ -186,11 +182,10 @@
         self._failures = 0
         with self._changed:
             self._in_flight = []
+            self._checkpoints_waiting -= sum(isinstance(work, _Checkpoint) for work in group)
         tickets = [work.ticket for work in group if isinstance(work, _Append)]
         if tickets:
             self._loop_call(self._on_written, tickets)
-        if isinstance(group[-1], _Checkpoint):
-            self._files.remove_replaced()
 
     def _put_back(self, group: list[_Append | _Checkpoint], error: OSError) -> None:
         self._full = error.errno in _FULL
@@ -200,18 +195,28 @@
             self._in_flight = []
 
     def _run(self) -> None:
-        while self._wait_for_work():
-            if not self.write_once():
-                self._wait_before_retry()
-
-    def _wait_for_work(self) -> bool:
+        more_upkeep = True
+        while self._wait_for_work(more_upkeep):
+            if self._queue and not self.write_once():
+                time.sleep(min(RETRY_MOST_S, RETRY_FIRST_S * 2 ** min(self._failures, 8)))
+            more_upkeep = self._upkeep()
+
+    def _wait_for_work(self, more_upkeep: bool) -> bool:
+        """Returns once there is something to do; False where the journal is closed and all is written."""
         with self._changed:
-            while not self._queue and not self._closing:
+            while not (self._queue or self._closing or more_upkeep):
                 self._changed.wait()
-            return bool(self._queue)
+            return bool(self._queue) or not self._closing
+
+    def _upkeep(self) -> bool:
+        try:
+            return self._files.upkeep()
+        except OSError:
+            return False
+
 
-    def _wait_before_retry(self) -> None:
-        time.sleep(min(RETRY_MOST_S, RETRY_FIRST_S * 2 ** min(self._failures, 8)))
+def _oldest_since(works: list[_Append | _Checkpoint], otherwise: float) -> float:
+    return next((work.since for work in works if isinstance(work, _Append)), otherwise)
 
 
 def _after_last_checkpoint(queue: list[_Append | _Checkpoint]) -> int:
--- /dev/null
+++ b/tests/tier/memory_disk.py
@@ -0,0 +1,120 @@
+"""A `Disk` in memory that loses what was not synced, tears files, fills up, and fails at a chosen step."""
+
+from __future__ import annotations
+
+import copy
+import errno
+import itertools
+from collections.abc import Callable, Iterator
+
+import attrs
+
+
+class PowerLoss(Exception):
+    """The machine went away in the middle of an operation."""
+
+
+class _File:
+    def __init__(self, content: bytes = b"") -> None:
+        self.content = content
+        self.synced = content
+
+    def possible_contents(self) -> list[bytes]:
+        if self.synced == self.content:
+            return [self.content]
+        torn = self.content[: len(self.content) // 2]
+        return list(dict.fromkeys([self.synced, b"", torn, self.content]))
+
+
+_Folder = dict[str, _File]
+
+
+@attrs.frozen
+class _Change:
+    """One name goes, one comes."""
+
+    removed: str | None
+    put: str | None
+    file: _File | None
+
+    def apply(self, folder: _Folder) -> None:
+        if self.removed is not None:
+            folder.pop(self.removed, None)
+        if self.put is not None:
+            folder[self.put] = self.file
+
+
+class MemoryDisk:
+    """Paths are plain keys.  `fail_at` counts operations down to the one that is cut short."""
+
+    def __init__(self, files: _Folder | None = None) -> None:
+        self.files: _Folder = files or {}
+        self.lasting: _Folder = dict(self.files)
+        self.changes: list[_Change] = []  # of names, since the folder's last sync
+        self.fail_at = -1
+        self.failure: Callable[[], Exception] = PowerLoss
+
+    def make_folder(self, path: str) -> None:
+        pass
+
+    def list_folder(self, path: str) -> list[str]:
+        return list(dict.fromkeys(name[len(path) + 1 :].split("/")[0] for name in self.files))
+
+    def read(self, path: str) -> bytes:
+        return self.files[path].content
+
+    def create(self, path: str) -> None:
+        if path not in self.files:
+            self._step()
+            self._change(_Change(None, path, _File()))
+
+    def write(self, path: str, content: bytes) -> None:
+        self.create(path)
+        file = self.files[path]
+        file.content = content[: len(content) // 2]
+        self._step()
+        file.content = content
+
+    def sync(self, path: str) -> None:
+        self._step()
+        self.files[path].synced = self.files[path].content
+
+    def rename(self, old: str, new: str) -> None:
+        self._step()
+        self._change(_Change(old, new, self.files[old]))
+
+    def remove(self, path: str) -> None:
+        self._step()
+        self._change(_Change(path, None, None))
+
+    def sync_folder(self, path: str) -> None:
+        self._step()
+        self.lasting = dict(self.files)
+        self.changes.clear()
+
+    def after_kill(self) -> MemoryDisk:
+        """What a process finds whose machine went on: all that was done, lasting or not."""
+        return copy.deepcopy(self)
+
+    def after_power_loss(self) -> Iterator[MemoryDisk]:
+        """Each disk that a loss of power may leave."""
+        for kept in itertools.product((False, True), repeat=len(self.changes)):
+            folder = dict(self.lasting)
+            for change in itertools.compress(self.changes, kept):
+                change.apply(folder)
+            contents = [file.possible_contents() for file in folder.values()]
+            for left in itertools.product(*contents):
+                yield MemoryDisk({name: _File(one) for name, one in zip(folder, left, strict=True)})
+
+    def _change(self, change: _Change) -> None:
+        change.apply(self.files)
+        self.changes.append(change)
+
+    def _step(self) -> None:
+        self.fail_at -= 1
+        if self.fail_at == -1:
+            raise self.failure()
+
+
+def disk_full() -> OSError:
+    return OSError(errno.ENOSPC, "no space left")
