--- a/kestrelbend/tier/budgets/line.py
+++ b/kestrelbend/tier/budgets/line.py
@@ -25,6 +25,8 @@
 
 COMMANDS_A_REQUEST = 256
 
+_Key = tuple[str, str]  # a program and one of its reservations
+
 
 @attrs.define(eq=False)
 class _Waiting:
@@ -49,8 +51,8 @@
         self._send = send
         self._replicas = replicas
         self._settings = settings
-        self._reserves: dict[str, _Waiting] = {}
-        self._settles: dict[str, Settle] = {}
+        self._reserves: dict[_Key, _Waiting] = {}
+        self._settles: dict[_Key, Settle] = {}
         self._urgent = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._closing = False
@@ -64,7 +66,7 @@
     async def reserve(self, reserve: Reserve, within: float) -> ReserveOutcome:
         """The owner's outcome, or SILENT."""
         waiting = _Waiting(reserve, asyncio.get_running_loop().create_future())
-        self._reserves[reserve.reservation] = waiting
+        self._reserves[_key(reserve)] = waiting
         self._work(urgent=True)
         try:
             async with asyncio.timeout(within):
@@ -78,7 +80,7 @@
 
     def settle(self, settle: Settle) -> None:
         """Queues a settlement."""
-        self._settles[settle.reservation] = settle
+        self._settles[_key(settle)] = settle
         if len(self._settles) > self._settings.settlements_most:
             del self._settles[next(iter(self._settles))]
         self._work(urgent=False)
@@ -96,8 +98,8 @@
     def _give_up(self, waiting: _Waiting) -> None:
         """Takes back a reservation whose caller has not got the outcome, even if one is there just now."""
         reserve = waiting.reserve
-        if self._reserves.get(reserve.reservation) is waiting:
-            del self._reserves[reserve.reservation]
+        if self._reserves.get(_key(reserve)) is waiting:
+            del self._reserves[_key(reserve)]
         if waiting.sent:
             self.settle(Settle(reserve.program, reserve.reservation, 0, TurnEnd.NOT_RUN))
 
@@ -151,9 +153,13 @@
 
     def _take(self, reply: BudgetReply, waiting: list[_Waiting], settles: tuple[Settle, ...]) -> None:
         for settle in settles:
-            if self._settles.get(settle.reservation) is settle:
-                del self._settles[settle.reservation]
+            if self._settles.get(_key(settle)) is settle:
+                del self._settles[_key(settle)]
         for one, outcome in zip(waiting, reply.outcomes, strict=True):
             if not one.outcome.done():  # else its caller has gone, and gives it up in a moment
-                del self._reserves[one.reserve.reservation]
+                del self._reserves[_key(one.reserve)]
                 one.outcome.set_result(outcome)
+
+
+def _key(command: Reserve | Settle) -> _Key:
+    return command.program, command.reservation
--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -54,9 +54,9 @@
         if program is None:
             settled, retries = self._idle.pop(name, (0, 0))
             program = ProgramBudget(settled=settled, retries=retries)
+            if len(self._recent) >= self._recent_most:
+                self._lay_aside(self._least_needed())
         self._recent[name] = program
-        if len(self._recent) > self._recent_most:
-            self._lay_aside(self._least_needed())
         return program
 
     def _least_needed(self) -> str:
--- /dev/null
+++ b/tests/tier/test_budgets_table.py
@@ -0,0 +1,202 @@
+"""What a program's counter admits, refuses and takes back."""
+
+import testtools
+
+from kestrelbend.tier.budgets.commands import decode_commands, encode_commands
+from kestrelbend.tier.budgets.messages import Reserve, Settle, TurnEnd, Verdict
+from kestrelbend.tier.budgets.shards import shard_names, shard_of
+from kestrelbend.tier.budgets.table import BudgetTable
+
+MOST = 100
+
+
+class Program:
+    """One program's turns at a table."""
+
+    def __init__(self, table, name="program", budget=1000):
+        self.table = table
+        self.name = name
+        self.budget = budget
+
+    def reserve(self, reservation, fingerprint=1, session="main", spare=False):
+        command = Reserve(self.name, session, reservation, fingerprint, MOST, self.budget, spare)
+        return self.table.apply(command)
+
+    def settle(self, reservation, used, end=TurnEnd.COMPLETE):
+        self.table.apply(Settle(self.name, reservation, used, end))
+
+    def turns(self, count):
+        """Whole turns of different sessions."""
+        for number in range(count):
+            self.reserve(f"turn {number}", session=f"session {number}")
+            self.settle(f"turn {number}", MOST)
+
+    def broken_turn(self, end=TurnEnd.BROKEN_OFF, used=MOST):
+        self.reserve("first try", fingerprint=7)
+        self.settle("first try", used, end)
+
+
+class BudgetTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = BudgetTable()
+        self.program = Program(self.table, budget=250)
+
+    def test_given_room_for_two_turns_when_three_come_at_once_then_the_third_is_spent(self):
+        verdicts = [self.program.reserve(name, session=name).verdict for name in "abc"]
+        self.assertEqual([Verdict.ADMITTED, Verdict.ADMITTED, Verdict.SPENT], verdicts)
+
+    def test_given_a_turn_ends_early_when_settled_then_its_tokens_come_back(self):
+        self.program.reserve("a")
+        self.program.reserve("b", fingerprint=2, session="other")
+        self.program.settle("a", 30)
+        outcome = self.program.reserve("c", fingerprint=3)
+        self.assertEqual((Verdict.ADMITTED, 230, 30), (outcome.verdict, outcome.total, outcome.settled))
+
+    def test_given_more_was_handed_out_than_reserved_when_settled_then_the_true_figure_counts(self):
+        self.program.reserve("a")
+        self.program.settle("a", 160)
+        self.assertEqual((Verdict.SPENT, 160, 160), self.figures(self.program.reserve("b", fingerprint=2)))
+
+    def test_given_no_budget_when_turns_come_then_all_are_admitted(self):
+        for budget in (0, -1):
+            program = Program(self.table, f"without {budget}", budget)
+            self.assertEqual({Verdict.ADMITTED}, {program.reserve(str(n), n).verdict for n in range(50)})
+
+    def test_given_an_outcome_when_the_command_is_repeated_then_it_is_the_same_and_adds_nothing(self):
+        for name in "abc":
+            first = self.program.reserve(name, session=name)
+            self.assertEqual(first, self.program.reserve(name, session=name))
+
+    def test_given_a_settlement_when_it_is_repeated_then_nothing_changes(self):
+        self.program.reserve("a")
+        self.program.settle("a", 60)
+        self.program.settle("a", 60)
+        self.assertEqual(160, self.program.reserve("b", fingerprint=2).total)
+
+    def test_given_a_settled_turn_when_its_reservation_comes_late_then_it_is_not_admitted(self):
+        self.program.settle("early", 0, TurnEnd.NOT_RUN)
+        outcome = self.program.reserve("early")
+        self.assertEqual((Verdict.RETRY_LATER, 0, 0), self.figures(outcome))
+        self.assertGreater(outcome.retry_after_ms, 0)
+
+    def figures(self, outcome):
+        return outcome.verdict, outcome.total, outcome.settled
+
+
+class RetryTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.program = Program(BudgetTable(), budget=10_000)
+
+    def retry(self, reservation="again", **other):
+        outcome = self.program.reserve(reservation, fingerprint=7, **other)
+        return outcome.verdict, outcome.retry_after_ms
+
+    def test_given_few_turns_when_a_broken_one_is_repeated_then_the_floor_admits_it(self):
+        self.program.broken_turn()
+        self.assertEqual((Verdict.ADMITTED, 0), self.retry())
+
+    def test_given_many_turns_when_retries_pass_their_share_then_they_are_told_when_to_come_back(self):
+        self.program.turns(5)
+        self.program.broken_turn()
+        self.assertEqual((Verdict.ADMITTED, 0), self.retry("second"))
+        self.program.settle("second", MOST, TurnEnd.BROKEN_OFF)
+        self.assertEqual((Verdict.RETRY_LATER, 1000), self.retry("third"))
+        self.assertEqual((Verdict.ADMITTED, 0), self.retry("fourth", spare=True))
+
+    def test_given_a_refused_retry_when_more_turns_ran_then_the_retry_is_admitted(self):
+        self.program.broken_turn()
+        for name in ("second", "third"):
+            self.retry(name, spare=True)
+            self.program.settle(name, MOST, TurnEnd.BROKEN_OFF)
+        self.program.turns(10)
+        self.assertEqual(Verdict.RETRY_LATER, self.retry("fourth")[0])
+        for number in range(10, 15):
+            self.program.reserve(f"turn {number}", session=f"session {number}")
+        self.assertEqual(Verdict.ADMITTED, self.retry("fifth")[0])
+
+    def test_given_a_whole_turn_when_the_same_comes_again_then_it_is_no_retry(self):
+        self.program.turns(5)
+        for number in range(20):
+            self.assertEqual(Verdict.ADMITTED, self.retry(str(number))[0])
+            self.program.settle(str(number), MOST)
+
+    def test_given_a_turn_is_open_when_it_is_repeated_then_both_stay_reserved_and_one_is_a_retry(self):
+        self.program.turns(2)
+        self.program.reserve("first try", fingerprint=7)
+        self.assertEqual(400, self.program.reserve("second", fingerprint=7).total)
+        self.assertEqual(Verdict.RETRY_LATER, self.retry("third")[0])
+
+    def test_given_retries_that_did_not_run_when_repeated_then_they_count_for_nothing(self):
+        self.program.turns(8)
+        self.program.broken_turn(TurnEnd.NOT_RUN, 0)
+        for number in range(20):
+            self.assertEqual(Verdict.ADMITTED, self.retry(str(number))[0])
+            self.program.settle(str(number), 0, TurnEnd.NOT_RUN)
+
+    def test_given_the_budget_is_spent_when_a_turn_is_repeated_then_it_is_spent_and_no_retry(self):
+        self.program.budget = 400
+        self.program.turns(3)
+        self.program.broken_turn()
+        for number in range(9):
+            self.assertEqual((Verdict.SPENT, 0), self.retry(str(number)))
+        self.program.budget = 1000
+        self.assertEqual(Verdict.ADMITTED, self.retry("later")[0])
+
+
+class BoundsTest(testtools.TestCase):
+    def test_given_a_table_when_saved_and_restored_then_it_goes_on_as_before(self):
+        table = BudgetTable(recent_most=2)
+        programs = [Program(table, f"program {number}") for number in range(4)]
+        for program in programs:
+            program.turns(2)
+            program.broken_turn()
+        programs[-1].reserve("open", fingerprint=9)
+        copy = BudgetTable(recent_most=2)
+        copy.restore(table.snapshot())
+        for number in (3, 0, 1):
+            programs[number].table = table
+            outcome = programs[number].reserve("next", fingerprint=7)
+            programs[number].table = copy
+            self.assertEqual(outcome, programs[number].reserve("next", fingerprint=7))
+        self.assertEqual(table.snapshot(), copy.snapshot())
+
+    def test_given_more_programs_than_are_kept_when_one_comes_back_then_its_tokens_are_known(self):
+        table = BudgetTable(recent_most=4)
+        old = Program(table, "old")
+        old.turns(3)
+        still_open = Program(table, "open")
+        still_open.reserve("a")
+        for number in range(50):
+            Program(table, f"program {number}").turns(1)
+        self.assertEqual(400, old.reserve("next").total)
+        still_open.settle("a", 20)
+        self.assertEqual(20, still_open.reserve("b", fingerprint=2).settled)
+
+    def test_given_all_programs_have_open_turns_when_one_must_go_then_it_counts_at_its_most(self):
+        table = BudgetTable(recent_most=4)
+        for number in range(9):
+            Program(table, f"program {number}").reserve("a")
+        outcome = Program(table, "program 0").reserve("b", fingerprint=2)
+        self.assertEqual((200, 100), (outcome.total, outcome.settled))
+
+    def test_given_endless_programs_and_turns_when_they_go_on_then_the_table_stays_small(self):
+        table = BudgetTable(recent_most=4, idle_most=8)
+        for number in range(300):
+            Program(table, f"program {number}").reserve("a")
+            Program(table, "endless").reserve(f"turn {number}", session=f"session {number}")
+        self.assertLess(len(table.snapshot()), 20_000)
+
+
+class CarriedTest(testtools.TestCase):
+    def test_given_commands_when_encoded_and_decoded_then_they_are_the_same(self):
+        settles = (Settle("prögram", "a", 7, 2), Settle("", "", 0, 0))
+        reserves = (Reserve("prögram", "session", "r", 2**63 - 1, 5, -1, True),)
+        self.assertEqual(([*settles], [*reserves]), decode_commands(encode_commands(settles, reserves)))
+
+    def test_given_programs_when_spread_over_shards_then_each_has_its_share_and_keeps_it(self):
+        shards = [shard_of(f"program {number}", 4) for number in range(4000)]
+        self.assertEqual(set(shard_names(4)), set(shards))
+        self.assertTrue(all(800 < shards.count(name) < 1200 for name in shard_names(4)))
+        self.assertEqual("budget-3", shard_of("3fa81c", 4))
