--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -8,26 +8,34 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Awaitable, Callable
 
 import attrs
 import logbook
 
 from . import ports
+from .admission import Admission
+from .attempt import Attempter, Progress
 from .choice import Chooser
 from .client import Client, OwnAnswer
 from .connections import Connections
-from .exchange import AFFINITY_KEY, REQUEST_ID, SESSION, Exchange
+from .exchange import REQUEST_ID, Exchange
 from .forward import Forwarder
 from .health import Health
+from .hedge import Hedger
 from .life import Life
+from .pace import Pace
 from .reading import ClientGone, Receive, build_exchange, read_body
-from .send import Progress, Sender
+from .send import Sender
+from .split import Split
 from .turn import Turns, turn_of
 
 log = logbook.Logger("dataplane")
 Send = Callable[[dict], Awaitable[None]]
+TEND_S = 1.0
+NOT_EQUIPPED_RETRY_S = 0.5
+LEAVING_RETRY_S = 0.05
+TIME_OVER_RETRY_S = 0.1
 
 
 @attrs.define
@@ -39,12 +47,15 @@
     connections: Connections
     chooser: Chooser
     health: Health
+    pace: Pace
     forwarder: Forwarder
     turns: Turns
+    split: Split
     life: Life
-    rng: random.Random
+    _tended: float = 0.0
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """One request, by ASGI."""
         if scope["type"] != "http":
             return
         self.life.enter()
@@ -54,24 +65,25 @@
             self.life.leave()
 
     async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
-        request_id = next((value for name, value in scope["headers"] if name.lower() == REQUEST_ID), None)
+        begun = asyncio.get_running_loop().time()
+        request_id = next((value for name, value in scope["headers"] if name == REQUEST_ID), None)
         client = Client(send, lambda: self.life.draining, request_id)
         table = self.routing.current()
         if table is None:
-            await client.answer(OwnAnswer(503, "no configuration yet", 0.5))
+            await client.answer(OwnAnswer(503, "no configuration yet", NOT_EQUIPPED_RETRY_S))
+            return
+        if self.life.closed:
+            await client.answer(OwnAnswer(503, "this gateway is leaving", LEAVING_RETRY_S))
             return
         try:
             body = await read_body(receive, table.limits, scope["headers"])
         except ClientGone:
             return
-        if isinstance(body, OwnAnswer):
-            await client.answer(body)
-            return
-        begun = asyncio.get_running_loop().time()
+        self._tend(begun)
         table = self.routing.current() or table
-        exchange = build_exchange(
-            scope, table, body, begun, lambda route: self._target(route, scope["headers"])
-        )
+        exchange = body
+        if not isinstance(body, OwnAnswer):
+            exchange = build_exchange(scope, table, self.split, body, begun)
         if isinstance(exchange, OwnAnswer):
             await client.answer(exchange)
             return
@@ -82,33 +94,19 @@
     async def _bounded(self, exchange: Exchange, client: Client, receive: Receive) -> OwnAnswer | None:
         """Forwards until the deadline, or until the client goes."""
         progress = Progress()
-        gone = False
+        watch = _ClientWatch(receive)
         try:
             async with asyncio.timeout_at(exchange.deadline) as bound:
-
-                async def watch() -> None:
-                    nonlocal gone
-                    while (await receive())["type"] != "http.disconnect":
-                        pass
-                    gone = True
-                    bound.reschedule(0)
-
-                watcher = asyncio.create_task(watch())
+                watch.start(bound)
                 try:
                     return await self._carry(exchange, client, progress)
                 finally:
-                    watcher.cancel()
+                    watch.stop()
         except TimeoutError:
-            if gone or client.started:
-                return None
-            if progress.may_have_run or progress.offered:
-                return OwnAnswer(504, "the time is over")
-            return OwnAnswer(503, "the time is over, and the request was not sent", 0.1)
+            return None if watch.gone else _time_over(client, progress)
         except Exception:
             log.exception("an exchange failed")
-            if client.started:
-                return None
-            return OwnAnswer(500, "the gateway failed")
+            return _own_failure(client, progress)
 
     async def _carry(self, exchange: Exchange, client: Client, progress: Progress) -> OwnAnswer | None:
         turn = turn_of(exchange)
@@ -126,22 +124,58 @@
             lambda: self.forwarder.forward(exchange, client, progress),
         )
 
-    def _target(self, route: ports.Route, headers: list[tuple[bytes, bytes]]) -> str:
-        """The service of a route; a split sends what belongs together to one service."""
-        if len(route.targets) == 1:
-            return route.targets[0][0]
-        total = sum(weight for _, weight in route.targets)
-        fields = dict(headers)
-        key = fields.get(SESSION) or fields.get(AFFINITY_KEY)
-        if key is not None:
-            point = zlib.crc32(key) / 2**32 * total
-        else:
-            point = self.rng.random() * total
-        for service, weight in route.targets:
-            point -= weight
-            if point < 0:
-                return service
-        return route.targets[-1][0]
+    def _tend(self, now: float) -> None:
+        """Drops what rests too long, and what is known of backends that are no more."""
+        if now - self._tended < TEND_S:
+            return
+        self._tended = now
+        table = self.routing.current()
+        live = {backend.identity for service in table.services for backend in self.backends.of(service)}
+        self.connections.prune(live)
+        self.health.keep_only(live)
+        self.pace.keep_only(live, set(table.services))
+
+    def close_intake(self) -> None:
+        """The listener is being closed: a request that still arrives is refused, since its connection may be
+        closed before its answer."""
+        self.life.closed = True
+
+
+class _ClientWatch:
+    """Ends an exchange's time when its client goes away."""
+
+    def __init__(self, receive: Receive) -> None:
+        self.gone = False
+        self._receive = receive
+        self._task: asyncio.Task | None = None
+
+    def start(self, bound: asyncio.Timeout) -> None:
+        self._task = asyncio.ensure_future(self._watch(bound))
+
+    def stop(self) -> None:
+        self._task.cancel()
+
+    async def _watch(self, bound: asyncio.Timeout) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        self.gone = True
+        bound.reschedule(asyncio.get_running_loop().time())
+
+
+def _time_over(client: Client, progress: Progress) -> OwnAnswer | None:
+    if client.started:
+        return None
+    if progress.may_have_run:
+        return OwnAnswer(504, "the time is over")
+    return OwnAnswer(503, "the time is over, and the request did not run", TIME_OVER_RETRY_S)
+
+
+def _own_failure(client: Client, progress: Progress) -> OwnAnswer | None:
+    if client.started:
+        return None
+    if progress.may_have_run:
+        return OwnAnswer(502, "the gateway failed")
+    return OwnAnswer(503, "the gateway failed, and the request did not run", TIME_OVER_RETRY_S)
 
 
 def assemble(
@@ -157,8 +191,12 @@
 ) -> DataPlane:
     """Puts a data plane together.  `gateways` estimates how many gateways share the backends."""
     rng = rng or random.Random()
-    health = Health()
+    health, pace = Health(), Pace()
     connections = Connections(network, gateways)
-    chooser = Chooser(zone, health, connections, external_load, rng)
-    forwarder = Forwarder(backends, Sender(backends, connections), chooser, health)
-    return DataPlane(routing, backends, connections, chooser, health, forwarder, Turns(budget), life, rng)
+    chooser = Chooser(zone, health, pace, connections, external_load, rng)
+    attempter = Attempter(Sender(backends, connections), health, pace)
+    forwarder = Forwarder(backends, attempter, chooser, Hedger(pace), Admission(), rng)
+    split = Split(backends, rng)
+    return DataPlane(
+        routing, backends, connections, chooser, health, pace, forwarder, Turns(budget), split, life
+    )
--- /dev/null
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -0,0 +1,130 @@
+"""One attempt at an exchange: a send, and its answer up to the first part that can be passed on.
+
+A plain answer's first part is the whole of it (as far as it is small), a stream's is its first whole events:
+so an answer that breaks before that has cost its client nothing, and may be attempted anew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from .errors import DataPlaneError
+from .events import Events, EventSplitter
+from .exchange import Exchange, Failure
+from .health import Health
+from .pace import Pace
+from .send import Answer, Sender, Sending
+
+WHOLE_ANSWER_BYTES = 256 * 1024  # a plain answer up to this size is held until it is whole
+FAILED_AT = 500  # statuses from here on are failures that a repeat may mend
+
+
+@attrs.define
+class Progress:
+    """What became of an exchange's sends so far; true at any moment, also after a cancellation."""
+
+    sendings: list[Sending] = attrs.field(factory=list)
+
+    @property
+    def offered(self) -> bool:
+        """The request left for a backend."""
+        return any(sending.left for sending in self.sendings)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Nothing excludes that a backend began work on the request."""
+        return any(sending.may_have_run for sending in self.sendings)
+
+
+@attrs.define
+class Opened:
+    """An answer with its first part; it must be closed."""
+
+    answer: Answer
+    data: bytes
+    events: int
+    whole: bool  # nothing follows
+    splitter: EventSplitter | None  # of a stream
+
+    @property
+    def failed(self) -> bool:
+        """The backend answered that it failed."""
+        return self.answer.status >= FAILED_AT
+
+    def close(self) -> None:
+        """Gives back the connection."""
+        self.answer.close()
+
+
+class Attempter:
+    """Makes attempts and keeps what they tell of the backends."""
+
+    def __init__(self, sender: Sender, health: Health, pace: Pace) -> None:
+        self._sender = sender
+        self._health = health
+        self._pace = pace
+
+    async def attempt(
+        self, exchange: Exchange, sending: Sending, last_id: int | None, progress: Progress
+    ) -> Opened | Failure:
+        """The outcome of one attempt; `last_id` is the last event that the client has."""
+        begun = asyncio.get_running_loop().time()
+        progress.sendings.append(sending)
+        outcome = await self._open(exchange, sending, last_id)
+        self._learn(exchange, sending.backend.identity, outcome, begun)
+        return outcome
+
+    async def _open(self, exchange: Exchange, sending: Sending, last_id: int | None) -> Opened | Failure:
+        answer = await self._sender.send(exchange, sending)
+        if isinstance(answer, Failure):
+            return answer
+        opened = None
+        try:
+            opened = await (_open_events(answer, last_id) if answer.events else _open_plain(answer))
+        except DataPlaneError:
+            return Failure.BROKEN
+        finally:
+            if opened is None or opened.whole:
+                answer.close()
+        return opened
+
+    def _learn(self, exchange: Exchange, identity: str, outcome: Opened | Failure, begun: float) -> None:
+        now = asyncio.get_running_loop().time()
+        if isinstance(outcome, Opened):
+            if outcome.failed:
+                self._health.failed(identity, now)
+                return
+            self._health.answered(identity, now)
+            self._pace.note(exchange.service.name, exchange.route.name, identity, now - begun, now)
+        elif outcome is Failure.NOT_EXECUTED:
+            self._health.turned_away(identity, now)
+        elif outcome in (Failure.REFUSED, Failure.UNREACHABLE):
+            self._health.refused(identity, now)
+        elif not outcome.certainly_not_run:
+            self._health.failed(identity, now)
+
+
+async def _open_plain(answer: Answer) -> Opened:
+    held: list[bytes] = []
+    size = 0
+    while size <= WHOLE_ANSWER_BYTES:
+        data = await answer.next()
+        if data is None:
+            return Opened(answer, b"".join(held), 0, True, None)
+        held.append(data)
+        size += len(data)
+    return Opened(answer, b"".join(held), 0, False, None)
+
+
+async def _open_events(answer: Answer, last_id: int | None) -> Opened:
+    splitter = EventSplitter(last_id)
+    events = Events(b"", 0)
+    while not events.count:
+        data = await answer.next()
+        if data is None:
+            splitter.end()
+            return Opened(answer, b"", 0, True, splitter)
+        events = splitter.feed(data)
+    return Opened(answer, events.data, events.count, False, splitter)
--- a/kestrelbend/tier/dataplane/choice.py
+++ b/kestrelbend/tier/dataplane/choice.py
@@ -1,8 +1,9 @@
 """The choice of a backend for one send.
 
-Model services: a program's turns prefer one backend by rendezvous hashing, as long as it is not clearly
-busier than the least busy one, since it holds the parts of the prompt; otherwise the least busy.  Plain
-services: the less busy of two at random.  A backend in this gateway's zone wins at equal load.
+Model services and routes with `Sticky`: requests about one thing prefer one backend by rendezvous hashing, as
+long as it is not clearly busier than the least busy one, since it holds the thing's parts; otherwise the
+least busy.  Other services: the one of two at random that should answer first.  A backend in this gateway's
+zone wins at equal load.
 """
 
 from __future__ import annotations
@@ -10,16 +11,19 @@
 import random
 import zlib
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Sequence
 
 from ..discovery.messages import Backend
 from . import ports
 from .connections import Connections
 from .exchange import AFFINITY_KEY, PREFIX_HASH, PROGRAM, SESSION, Exchange
 from .health import Health
+from .pace import Pace
 
-OTHER_ZONE_LOAD = 0.04  # what a backend in another zone counts busier
-COLD_LOAD = 0.5  # what a backend that is slow from its start counts busier
+OTHER_ZONE_LOAD = 0.04  # how much busier a backend in another zone counts
+COLD_LOAD = 0.5  # how much busier one that is slow from its start counts
+SLOW_LOAD = 0.25  # how much busier one counts for each time that it is slower than its service
+SLOW_AT_MOST = 3.0
 AFFINITY_SLACK = 0.3  # of its slots that the preferred backend may be busier than the least busy
 
 
@@ -34,69 +38,85 @@
 
 
 class Chooser:
-    """Keeps this gateway's requests in flight at each backend, and chooses by them."""
+    """Keeps this gateway's requests in flight at each backend, and chooses by them.
+
+    `external_load` gives the requests that other gateways have at a backend, where that is known.
+    """
 
     def __init__(
         self,
         zone: str,
         health: Health,
+        pace: Pace,
         connections: Connections,
         external_load: Callable[[str], float] = lambda identity: 0.0,
         rng: random.Random | None = None,
     ) -> None:
         self._zone = zone
         self._health = health
+        self._pace = pace
         self._connections = connections
         self._external_load = external_load
         self._rng = rng or random.Random()
         self.in_flight: Counter[str] = Counter()
 
     def begin(self, identity: str) -> None:
+        """A send to the backend is under way."""
         self.in_flight[identity] += 1
 
     def end(self, identity: str) -> None:
+        """It is over."""
         self.in_flight[identity] -= 1
         if self.in_flight[identity] <= 0:
             del self.in_flight[identity]
 
-    def load(self, backend: Backend, service: ports.Service) -> float:
-        """Requests at the backend in relation to its slots."""
+    def _busy(self, backend: Backend, service: ports.Service) -> float:
+        """The share of the backend's slots that is taken, by this gateway's view."""
         slots = backend.slots or service.slots or 1
-        load = (self.in_flight[backend.identity] + self._external_load(backend.identity)) / slots
+        return (self.in_flight[backend.identity] + self._external_load(backend.identity)) / slots
+
+    def _load(self, backend: Backend, service: ports.Service, now: float) -> float:
+        load = self._busy(backend, service)
         if backend.zone != self._zone:
             load += OTHER_ZONE_LOAD
         if backend.cold_left_ms > 0:
             load += COLD_LOAD
+        slower = self._pace.ratio(service.name, backend.identity, now) - 1
+        if slower > 0:
+            load += SLOW_LOAD * min(slower, SLOW_AT_MOST)
         return load
 
     def has_room(self, backend: Backend, service: ports.Service, now: float) -> bool:
         """By this gateway's view a request sent there now would run at once."""
-        slots = backend.slots or service.slots or 1
-        busy = self.in_flight[backend.identity] + self._external_load(backend.identity)
         return (
-            busy < slots
+            self._busy(backend, service) < 1
             and not self._health.full(backend.identity, now)
             and self._connections.room(backend, service)
         )
 
-    def choose(self, exchange: Exchange, backends: Collection[Backend], now: float) -> Backend | None:
+    def choose(self, exchange: Exchange, backends: Sequence[Backend], now: float) -> Backend | None:
         """The best of `backends`; None where there are none."""
         service = exchange.service
-        candidates = self._health.sound(list(backends), now)
-        ready = [backend for backend in candidates if not self._health.full(backend.identity, now)]
-        connected = [b for b in ready or candidates if self._connections.room(b, service)]
-        candidates = connected or ready or candidates
-        if not candidates:
-            return None
-        if service.is_model:
-            return self._choose_model(exchange, candidates)
-        pair = self._rng.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=lambda backend: self.load(backend, service))
-
-    def _choose_model(self, exchange: Exchange, candidates: list[Backend]) -> Backend:
-        loads = {backend.identity: self.load(backend, exchange.service) for backend in candidates}
+        candidates = self._health.sound(backends, now)
+        ready = [
+            backend
+            for backend in candidates
+            if not self._health.full(backend.identity, now) and self._connections.room(backend, service)
+        ]
+        candidates = ready or candidates
+        if len(candidates) <= 1:
+            return candidates[0] if candidates else None
+        key = affinity_key(exchange) if service.is_model or exchange.route.sticky else None
+        if key is not None or service.is_model:
+            return self._by_affinity(service, key, candidates, now)
+        pair = self._rng.sample(candidates, 2)
+        return min(pair, key=lambda backend: self._expected(backend, service, now))
+
+    def _by_affinity(
+        self, service: ports.Service, key: bytes | None, candidates: list[Backend], now: float
+    ) -> Backend:
+        loads = {backend.identity: self._load(backend, service, now) for backend in candidates}
         least = min(candidates, key=lambda backend: loads[backend.identity])
-        key = affinity_key(exchange)
         if key is None:
             return least
         preferred = max(candidates, key=lambda backend: _weight(key, backend.identity))
@@ -104,8 +124,19 @@
             return preferred
         return least
 
+    def _expected(self, backend: Backend, service: ports.Service, now: float) -> float:
+        """In proportion to the time in which an answer may be expected."""
+        slots = backend.slots or service.slots or 1
+        load = self._busy(backend, service) + 1 / slots
+        if backend.zone != self._zone:
+            load += OTHER_ZONE_LOAD
+        if backend.cold_left_ms > 0:
+            load += COLD_LOAD
+        return load * self._pace.ratio(service.name, backend.identity, now)
+
 
 def _weight(key: bytes, identity: str) -> int:
     """Rendezvous weight: each key has its own order of the backends, whatever others come and go."""
     mixed = zlib.crc32(identity.encode(), zlib.crc32(key))
-    return (mixed * 0x9E3779B1) & 0xFFFFFFFF
+    mixed = (mixed ^ (mixed >> 16)) * 0x45D9F3B & 0xFFFFFFFF
+    return (mixed ^ (mixed >> 16)) * 0x45D9F3B & 0xFFFFFFFF
--- a/kestrelbend/tier/dataplane/client.py
+++ b/kestrelbend/tier/dataplane/client.py
@@ -35,16 +35,20 @@
         self._closing = closing
         self._request_id = request_id
         self.started = False
+        self.success = False
         self.finished = False
         self.events = 0  # handed over
 
     async def start(self, status: int, headers: Headers) -> None:
+        """The head of the answer."""
         self.started = True
+        self.success = 200 <= status < 300
         if self._closing():
             headers = [*headers, (b"connection", b"close")]
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def body(self, data: bytes, more: bool) -> None:
+        """A part of the body; the last one ends the answer."""
         if not more:
             self.finished = True
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
--- a/kestrelbend/tier/dataplane/connections.py
+++ b/kestrelbend/tier/dataplane/connections.py
@@ -16,7 +16,7 @@
 from ..discovery.messages import Backend
 from . import ports
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 DEFAULT_IDLE_S = 4.0  # for a backend that does not tell its own time in Keep-Alive
 IDLE_MARGIN_S = 0.5  # a connection is given up this long before the backend would close it
 SHARE_OF_LIMIT = 0.9  # of MaxConns that all gateways together take
@@ -30,17 +30,19 @@
         super().__init__(origin=origin, stream=stream)
         self.stream = stream
         self.idle_since = 0.0
-        self.idle_limit_s = DEFAULT_IDLE_S
-        self.closing = False  # the backend said so, or the answer was not whole
+        self.idle_limit_s: float | None = None  # as the backend tells it in Keep-Alive
+        self.closing = False  # the backend said so
 
     @property
     def surplus(self) -> bool:
         """Bytes came behind the answer."""
         return bool(self._h11_state.trailing_data[0]) or not self.stream.usable
 
-    @property
-    def reusable(self) -> bool:
-        return self.is_idle() and not self.closing and not self.surplus
+    def fresh_enough(self, now: float) -> bool:
+        """May carry the next request: its last answer was whole, and its rest was not too long."""
+        limit = DEFAULT_IDLE_S if self.idle_limit_s is None else self.idle_limit_s
+        rested = now - self.idle_since
+        return self.is_idle() and not self.closing and not self.surplus and rested < limit - IDLE_MARGIN_S
 
     def heed(self, headers: list[tuple[bytes, bytes]]) -> None:
         """Takes over what an answer's head says of the connection."""
@@ -82,15 +84,25 @@
         return max(2, int(service.max_conns * SHARE_OF_LIMIT / max(1, self._gateways())))
 
     async def acquire(
-        self, backend: Backend, service: ports.Service, idle_at_most_s: float, timeout_s: float
+        self,
+        backend: Backend,
+        service: ports.Service,
+        timeout_s: float,
+        untold_idle_s: float | None = None,
+        fresh: bool = False,
     ) -> Connection | None:
-        """An idle connection or a new one; None if the limit is reached.  Raises OSError."""
+        """An idle connection or a new one (`fresh`: a new one); None if the limit is reached.
+
+        `untold_idle_s` bounds the rest of connections whose backend does not tell its Keep-Alive.
+        Raises OSError.
+        """
         pool = self._pools.get(backend.identity)
         if pool is None:
             pool = self._pools[backend.identity] = _Pool(backend.address)
-        idle = self._take_idle(pool, idle_at_most_s)
-        if idle is not None:
-            return idle
+        if not fresh:
+            idle = self._take_idle(pool, untold_idle_s)
+            if idle is not None:
+                return idle
         if pool.open >= self._limit(service):
             self._drop_oldest_idle(pool)
         if pool.open >= self._limit(service):
@@ -104,18 +116,17 @@
         host, _, port = pool.address.rpartition(":")
         return Connection(httpcore.Origin(b"http", host.encode(), int(port)), stream)
 
-    def _take_idle(self, pool: _Pool, idle_at_most_s: float) -> Connection | None:
+    def _take_idle(self, pool: _Pool, untold_idle_s: float | None) -> Connection | None:
+        """The connection used last: it is the least likely to be closed meanwhile."""
         now = asyncio.get_running_loop().time()
         while pool.idle:
             connection = pool.idle[-1]
-            rested = now - connection.idle_since
-            if connection.reusable and rested < connection.idle_limit_s - IDLE_MARGIN_S:
-                if rested > idle_at_most_s:
-                    return None
-                pool.idle.pop()
-                return connection
-            pool.idle.pop()
-            self._discard(pool, connection)
+            if connection.fresh_enough(now):
+                if connection.idle_limit_s is None and untold_idle_s is not None:
+                    if now - connection.idle_since > untold_idle_s:
+                        return None
+                return pool.idle.pop()
+            self._discard(pool, pool.idle.pop())
         return None
 
     def _drop_oldest_idle(self, pool: _Pool) -> None:
@@ -125,11 +136,11 @@
     def release(self, backend: Backend, connection: Connection) -> None:
         """Takes a connection back; it is closed unless its answer was whole and nothing follows it."""
         pool = self._pools[backend.identity]
-        if not connection.reusable or connection.idle_limit_s <= IDLE_MARGIN_S:
+        connection.idle_since = now = asyncio.get_running_loop().time()
+        if connection.fresh_enough(now):
+            pool.idle.append(connection)
+        else:
             self._discard(pool, connection)
-            return
-        connection.idle_since = asyncio.get_running_loop().time()
-        pool.idle.append(connection)
 
     def _discard(self, pool: _Pool, connection: Connection) -> None:
         pool.open -= 1
@@ -141,8 +152,7 @@
         for identity, pool in list(self._pools.items()):
             kept = []
             for connection in pool.idle:
-                fresh = now - connection.idle_since < connection.idle_limit_s - IDLE_MARGIN_S
-                if identity in live and fresh and connection.reusable:
+                if identity in live and connection.fresh_enough(now):
                     kept.append(connection)
                 else:
                     self._discard(pool, connection)
--- a/kestrelbend/tier/dataplane/errors.py
+++ b/kestrelbend/tier/dataplane/errors.py
@@ -9,9 +9,7 @@
     """Why an exchange with a backend could not go on."""
 
     EVENT_IDS_FALL = "event_ids_fall"
-    WRONG_ANSWER = "wrong_answer"
     CUT = "cut"
-    SURPLUS = "surplus"
 
 
 class DataPlaneError(Exception):
--- a/kestrelbend/tier/dataplane/exchange.py
+++ b/kestrelbend/tier/dataplane/exchange.py
@@ -66,10 +66,12 @@
 
     @property
     def request_id(self) -> bytes:
+        """The id of this try of the client."""
         return self.fields[REQUEST_ID]
 
     @property
     def streaming(self) -> bool:
+        """Its answer is a series of events."""
         return self.route.kind == "streaming"
 
     @property
@@ -107,4 +109,5 @@
 
     @property
     def certainly_not_run(self) -> bool:
+        """The request has not run and will not run by this send."""
         return self not in (Failure.BROKEN, Failure.GARBLED)
--- a/kestrelbend/tier/dataplane/forward.py
+++ b/kestrelbend/tier/dataplane/forward.py
@@ -1,4 +1,4 @@
-"""Forwards one exchange: chooses backends, sends, repeats where that is allowed, passes the answer on.
+"""Forwards one exchange: chooses backends, attempts, repeats where that is allowed, passes the answer on.
 
 Invariants: a request that is not repeatable is sent again only after a send that certainly did not run; a
 repeatable one runs at no more than the route's `retries` backends that live on; an answer that was begun is
@@ -8,188 +8,218 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import attrs
 
 from ..discovery.messages import Backend
 from . import ports
+from .admission import Admission, Rank
+from .attempt import Attempter, Opened, Progress
 from .choice import Chooser
 from .client import Client, OwnAnswer
 from .errors import DataPlaneError
-from .events import EventSplitter
-from .exchange import LAST_EVENT_ID, Exchange, Failure
-from .health import Health
-from .send import Answer, Progress, Sender
+from .exchange import FINISH_MS, LAST_EVENT_ID, PROGRAM, Exchange, Failure
+from .hedge import Hedger
+from .send import Sending
 
-WHOLE_ANSWER_BYTES = 256 * 1024  # an answer up to this size is held until it is whole
-SENDS_AT_MOST = 12
-RUNS_AT_MOST = 4  # sends of one repeatable request that may have run
-REPEAT_PAUSE_S = 0.02
-RETRY_AFTER_S = 0.25
+SENDS_AT_MOST = 64
+RUNS_AT_MOST = 3  # attempts of one repeatable request that may have run
+REPEAT_PAUSES_S = (0.0, 0.03, 0.1)
+HOLD_SHARE = 0.2  # of its objective that a request waits for room before it is refused
+PROGRAM_HOLD_SHARE = 1.0  # a program's call costs the whole program when it fails
+RETRY_AFTER_S = 0.12
+RETRY_SPREAD_S = 0.2
 
 
 @attrs.define
-class _Attempts:
-    """What is known of the backends for this exchange."""
+class _Course:
+    """What is known of one exchange's attempts."""
 
+    rank: Rank
+    hold_until: float
+    position: int | None  # the id of the last event that the client has
     sends: int = 0
     runs: int = 0
-    ran_at: set[str] = attrs.field(factory=set)  # may have run there, and it lives as far as is known
-    left_out: set[str] = attrs.field(factory=set)  # turned it away, gone or out of reach
-    pause: bool = False
+    ran_at: set[str] = attrs.field(factory=set)  # may have run there, and it was not seen to crash
+    full: set[str] = attrs.field(factory=set)  # turned it away in this round
+    lost: set[str] = attrs.field(factory=set)  # gone or out of reach
 
 
 class Forwarder:
-    """Carries exchanges to an end.  Returns the own answer to give, or None when the client has its answer
-    (or must see its connection break)."""
+    """Carries exchanges to an end."""
 
     def __init__(
         self,
         backends: ports.Backends,
-        sender: Sender,
+        attempter: Attempter,
         chooser: Chooser,
-        health: Health,
+        hedger: Hedger,
+        admission: Admission,
+        rng: random.Random,
     ) -> None:
         self._backends = backends
-        self._sender = sender
+        self._attempter = attempter
         self._chooser = chooser
-        self._health = health
+        self._hedger = hedger
+        self._admission = admission
+        self._rng = rng
 
     async def forward(self, exchange: Exchange, client: Client, progress: Progress) -> OwnAnswer | None:
-        attempts = _Attempts()
-        splitter = EventSplitter(_number(exchange.fields.get(LAST_EVENT_ID)))
+        """The own answer to give; None when the client has its answer, or must see its connection break."""
+        course = _course(exchange)
+        service = exchange.service.name
+        if self._admission.must_wait(service, course.rank):
+            await self._admission.wait(service, course.rank, course.hold_until)
         while True:
-            backend = self._pick(exchange, attempts)
+            backend = self._pick(exchange, course)
             if backend is None:
-                return self._give_up(progress, client)
+                if await self._wait_for_room(exchange, course, client):
+                    continue
+                return self._refusal(progress, client)
             self._chooser.begin(backend.identity)
             try:
-                outcome = await self._send(exchange, backend, attempts, splitter, progress, client)
-                if isinstance(outcome, Answer):
-                    outcome = await self._pass_on(exchange, outcome, splitter, client)
+                failure = await self._try(exchange, course, backend, client, progress)
             finally:
                 self._chooser.end(backend.identity)
-            if outcome is None:
-                self._health.answered(backend.identity, asyncio.get_running_loop().time())
+            if failure is None or not failure.certainly_not_run:
+                self._admission.freed(service)
+            if failure is None:
                 return None
-            self._learn(backend, outcome, attempts)
-            if not outcome.certainly_not_run and not _may_repeat(exchange, client, splitter):
-                return self._give_up(progress, client)
-            if attempts.pause:
-                attempts.pause = False
-                await asyncio.sleep(REPEAT_PAUSE_S)
-
-    def _pick(self, exchange: Exchange, attempts: _Attempts) -> Backend | None:
-        if attempts.sends >= SENDS_AT_MOST or attempts.runs >= RUNS_AT_MOST:
+            self._take_in(course, backend, failure)
+            if not failure.certainly_not_run:
+                if not _may_repeat(exchange, course, client):
+                    return self._refusal(progress, client)
+                await asyncio.sleep(REPEAT_PAUSES_S[min(course.runs, len(REPEAT_PAUSES_S)) - 1])
+
+    def _pick(self, exchange: Exchange, course: _Course) -> Backend | None:
+        if course.sends >= SENDS_AT_MOST:
             return None
         live = self._backends.of(exchange.service.name)
-        candidates = [backend for backend in live if backend.identity not in attempts.left_out]
-        if len(attempts.ran_at) >= max(1, exchange.route.retries):
-            candidates = [backend for backend in candidates if backend.identity in attempts.ran_at]
-        now = asyncio.get_running_loop().time()
-        return self._chooser.choose(exchange, candidates, now)
+        left_out = course.full | course.lost
+        candidates = [backend for backend in live if backend.identity not in left_out]
+        if len(course.ran_at) >= max(1, exchange.route.retries):
+            candidates = [backend for backend in candidates if backend.identity in course.ran_at]
+        return self._chooser.choose(exchange, candidates, asyncio.get_running_loop().time())
+
+    async def _wait_for_room(self, exchange: Exchange, course: _Course, client: Client) -> bool:
+        """Whether the backends that were full may be tried again."""
+        if not course.full or course.sends >= SENDS_AT_MOST:
+            return False
+        until = exchange.deadline if client.started else course.hold_until
+        if not await self._admission.wait(exchange.service.name, course.rank, until):
+            return False
+        course.full.clear()
+        return True
 
-    async def _send(
+    async def _try(
         self,
         exchange: Exchange,
+        course: _Course,
         backend: Backend,
-        attempts: _Attempts,
-        splitter: EventSplitter,
-        progress: Progress,
         client: Client,
-    ) -> Answer | Failure:
-        attempts.sends += 1
+        progress: Progress,
+    ) -> Failure | None:
+        """One attempt, hedged, and the passing on of its answer; None when the client has it whole."""
         last = exchange.fields.get(LAST_EVENT_ID)
         if client.events:
-            last = b"%d" % splitter.last_id
-        outcome = None
+            last = b"%d" % course.position
+
+        async def attempt(second: bool) -> Opened | Failure:
+            course.sends += 1
+            sending = Sending(backend, last, fresh=second or course.runs > 0)
+            return await self._attempter.attempt(exchange, sending, course.position, progress)
+
+        opened = await self._hedger.run(exchange, attempt)
+        if isinstance(opened, Failure):
+            return opened
         try:
-            outcome = await self._sender.send(exchange, backend, last, progress)
+            if self._to_be_repeated(exchange, course, opened, client):
+                return Failure.BROKEN
+            return await self._pass_on(course, opened, client)
         finally:
-            progress.settle_send(outcome)
-        return outcome
+            opened.close()
+
+    def _to_be_repeated(self, exchange: Exchange, course: _Course, opened: Opened, client: Client) -> bool:
+        """A failure of the backend's own that a repeat may mend, or no continuation of what was begun."""
+        if client.started:
+            return not opened.answer.events
+        return opened.failed and exchange.repeatable and course.runs + 1 < RUNS_AT_MOST
 
-    def _learn(self, backend: Backend, failure: Failure, attempts: _Attempts) -> None:
-        """Takes in a failed send."""
-        identity, now = backend.identity, asyncio.get_running_loop().time()
+    async def _pass_on(self, course: _Course, opened: Opened, client: Client) -> Failure | None:
+        answer = opened.answer
+        if not client.started:
+            await client.start(answer.status, answer.headers)
+        if opened.whole:
+            await client.body(opened.data, more=False)
+            return None
+        data, events = opened.data, opened.events
+        try:
+            while data is not None:
+                if opened.splitter is not None:
+                    course.position = opened.splitter.last_id
+                    client.events += events
+                if data:
+                    await client.body(data, more=True)
+                data, events = await _next_part(opened)
+        except DataPlaneError:
+            return Failure.BROKEN
+        await client.body(b"", more=False)
+        return None
+
+    def _take_in(self, course: _Course, backend: Backend, failure: Failure) -> None:
+        identity = backend.identity
         if not failure.certainly_not_run:
-            self._health.failed(identity, now)
-            attempts.ran_at.add(identity)
-            attempts.runs += 1
-            attempts.pause = True
-            return
-        if failure is Failure.BROKEN_BEFORE_SEND:
-            return
-        if failure is Failure.NOT_EXECUTED:
-            self._health.turned_away(identity, now)
+            course.runs += 1
+            course.ran_at.add(identity)
+        elif failure in (Failure.NOT_EXECUTED, Failure.NO_CONNECTION):
+            course.full.add(identity)
+        elif failure is Failure.REFUSED:
+            course.lost.add(identity)
+            course.ran_at.discard(identity)  # it crashed: it does not count against `retries`
+        elif failure in (Failure.UNREACHABLE, Failure.WITHDRAWN):
+            course.lost.add(identity)
         elif failure is Failure.OTHER_INSTANCE:
             self._backends.mark_gone(identity)
-        elif failure in (Failure.REFUSED, Failure.UNREACHABLE):
-            self._health.refused(identity, now)
-        attempts.left_out.add(identity)
-        attempts.ran_at.discard(identity)
+            course.lost.add(identity)
+            course.ran_at.discard(identity)
 
-    def _give_up(self, progress: Progress, client: Client) -> OwnAnswer | None:
+    def _refusal(self, progress: Progress, client: Client) -> OwnAnswer | None:
         if client.started:
             return None
         if progress.may_have_run:
             return OwnAnswer(502, "the backend's answer was lost")
-        return OwnAnswer(503, "no backend could take the request", RETRY_AFTER_S)
+        retry_after_s = RETRY_AFTER_S + self._rng.random() * RETRY_SPREAD_S
+        return OwnAnswer(503, "no backend could take the request", retry_after_s)
 
-    async def _pass_on(
-        self, exchange: Exchange, answer: Answer, splitter: EventSplitter, client: Client
-    ) -> Failure | None:
-        """None when the client has the whole answer."""
-        try:
-            if answer.events:
-                await self._pass_events(answer, splitter, client)
-            elif client.started:
-                return Failure.GARBLED  # a resumed stream that is none
-            else:
-                await self._pass_whole(answer, client)
-            await answer.finish()
-            return None
-        except DataPlaneError:
-            return Failure.BROKEN
-        finally:
-            answer.close()
-
-    async def _pass_events(self, answer: Answer, splitter: EventSplitter, client: Client) -> None:
-        splitter.restart()
-        while (data := await answer.next()) is not None:
-            events = splitter.feed(data)
-            if events.count:
-                if not client.started:
-                    await client.start(answer.status, answer.headers)
-                client.events += events.count
-                await client.body(events.data, more=True)
-        splitter.end()
-        if not client.started:
-            await client.start(answer.status, answer.headers)
-        await client.body(b"", more=False)
 
-    async def _pass_whole(self, answer: Answer, client: Client) -> None:
-        held = []
-        size = 0
-        while (data := await answer.next()) is not None:
-            held.append(data)
-            size += len(data)
-            if size > WHOLE_ANSWER_BYTES:
-                if not client.started:
-                    await client.start(answer.status, answer.headers)
-                await client.body(b"".join(held), more=True)
-                held.clear()
-        if not client.started:
-            await client.start(answer.status, answer.headers)
-        await client.body(b"".join(held), more=False)
+async def _next_part(opened: Opened) -> tuple[bytes | None, int]:
+    data = await opened.answer.next()
+    if opened.splitter is None:
+        return data, 0
+    if data is None:
+        opened.splitter.end()
+        return None, 0
+    events = opened.splitter.feed(data)
+    return events.data, events.count
+
+
+def _course(exchange: Exchange) -> _Course:
+    fields = exchange.fields
+    finish = _number(fields.get(FINISH_MS))
+    finish_at = exchange.deadline if finish is None else exchange.begun + finish / 1000
+    share = PROGRAM_HOLD_SHARE if PROGRAM in fields else HOLD_SHARE
+    hold_until = min(exchange.deadline, exchange.begun + exchange.route.slo_ms / 1000 * share)
+    rank = Rank(exchange.route.priority, finish_at)
+    return _Course(rank, hold_until, _number(fields.get(LAST_EVENT_ID)))
 
 
-def _may_repeat(exchange: Exchange, client: Client, splitter: EventSplitter) -> bool:
-    if not exchange.repeatable:
+def _may_repeat(exchange: Exchange, course: _Course, client: Client) -> bool:
+    if not exchange.repeatable or course.runs >= RUNS_AT_MOST:
         return False
     if not client.started:
         return True
-    return exchange.streaming and client.events > 0 and splitter.last_id is not None
+    return exchange.streaming and client.events > 0 and course.position is not None
 
 
 def _number(value: bytes | None) -> int | None:
--- a/kestrelbend/tier/dataplane/life.py
+++ b/kestrelbend/tier/dataplane/life.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self.draining = False
+        self.closed = False  # the listener closes: connections at rest may end at any moment
         self.in_flight = 0
         self._equipped = False
         self._idle = asyncio.Event()
--- a/kestrelbend/tier/dataplane/network.py
+++ b/kestrelbend/tier/dataplane/network.py
@@ -14,7 +14,10 @@
 
 from . import ports
 
-USER_TIMEOUT_MS = 2000  # unacknowledged bytes for this long break the connection
+USER_TIMEOUT_MS = 2000  # bytes that stay unacknowledged for this long break the connection
+PROBE_AFTER_S = 1  # of silence; a peer that is gone is found while its answer is waited for
+PROBE_INTERVAL_S = 1
+PROBES = 2
 RECEIVE_HIGH_WATER_BYTES = 256 * 1024
 
 
@@ -35,9 +38,11 @@
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The transport is up."""
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Bytes came, asked for or not."""
         self.answered = True
         self._received += data
         if len(self._received) > RECEIVE_HIGH_WATER_BYTES and not self._paused:
@@ -46,11 +51,13 @@
         self._wake()
 
     def eof_received(self) -> bool:
+        """The peer sends no more; the transport closes itself."""
         self._ended = True
         self._wake()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
+        """The connection is closed, by either side."""
         self._ended = True
         self._error = error
         self._wake()
@@ -63,21 +70,28 @@
 
     @property
     def usable(self) -> bool:
+        """Neither closed nor holding bytes that nobody asked for."""
         return not (self._ended or self._received or self._transport.is_closing())
 
     def begin(self) -> None:
+        """Starts the account of a new request."""
         self.sent = False
         self.answered = False
 
     def abort(self) -> None:
+        """Closes at once; what has not left is dropped."""
         self._outgoing.clear()
+        self._ended = True
         self._transport.abort()
+        self._wake()
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Holds the bytes until the next read."""
         if buffer:
             self._outgoing.append(bytes(buffer))
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Sends what is held, then waits for bytes; empty at the end.  Raises httpcore.ReadError."""
         self._flush()
         while not self._received and not self._ended:
             self._waiter = asyncio.get_running_loop().create_future()
@@ -91,7 +105,7 @@
             return b""
         data = bytes(self._received[:max_bytes])
         del self._received[:max_bytes]
-        if self._paused:
+        if self._paused and not self._ended:
             self._paused = False
             self._transport.resume_reading()
         return data
@@ -105,24 +119,40 @@
         self._transport.write(data)
 
     async def aclose(self) -> None:
-        self._outgoing.clear()
-        self._transport.close()
+        """Closes at once: a request that is given up should not go on leaving."""
+        self.abort()
 
     def get_extra_info(self, info: str):
+        """`is_readable` as httpcore asks for it; all else from the transport."""
         if info == "is_readable":
             return not self.usable
         return self._transport.get_extra_info(info)
 
 
 class TcpNetwork:
-    """Opens TCP connections that fail fast when the other machine falls silent."""
+    """Opens TCP connections that break when the other machine falls silent."""
 
     async def connect(self, address: str, timeout_s: float) -> TcpStream:
+        """A connected stream; raises OSError, TimeoutError among them."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(timeout_s):
-            _, stream = await loop.create_connection(TcpStream, host, int(port))
-        sock = stream.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            _set_options(sock)
+            async with asyncio.timeout(timeout_s):
+                await loop.sock_connect(sock, (host, int(port)))
+            _, stream = await loop.create_connection(TcpStream, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
         return stream
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
--- a/kestrelbend/tier/dataplane/ports.py
+++ b/kestrelbend/tier/dataplane/ports.py
@@ -73,7 +73,11 @@
 
 
 class Budget(Protocol):
-    """Client side of the budgets of programs."""
+    """Client side of the budgets of programs.
+
+    A reservation that was not admitted, or whose `reserve` was cancelled, is taken back by the budget itself;
+    an admitted one by `settle`, which returns at once.
+    """
 
     async def reserve(self, service: str, command: Reserve) -> ReserveOutcome: ...
 
--- a/kestrelbend/tier/dataplane/reading.py
+++ b/kestrelbend/tier/dataplane/reading.py
@@ -11,9 +11,11 @@
 from . import ports
 from .client import OwnAnswer
 from .exchange import DEADLINE_MS, REQUEST_ID, Exchange, Headers
+from .split import Split
 
 Receive = Callable[[], Awaitable[dict]]
 MAX_DEADLINE_MS = 24 * 3600 * 1000
+NO_SERVICE_RETRY_S = 0.5
 
 
 class ClientGone(Exception):
@@ -21,56 +23,58 @@
 
 
 async def read_body(receive: Receive, limits: ports.Limits, headers: Headers) -> bytes | OwnAnswer:
-    """The whole body, or the refusal of one that is too large or comes too slowly."""
-    most = limits.max_body_bytes
+    """The whole body, or the refusal of one that is too large or comes too slowly.  Raises ClientGone."""
     for name, value in headers:
-        if name == b"content-length" and value.isdigit() and int(value) > most:
+        if name == b"content-length" and value.isdigit() and int(value) > limits.max_body_bytes:
             return OwnAnswer(413, "the body is too large")
-    parts: list[bytes] = []
-    size = 0
+    message = await receive()
+    if message["type"] == "http.request" and not message.get("more_body", False):
+        body = message.get("body", b"")
+        return body if len(body) <= limits.max_body_bytes else OwnAnswer(413, "the body is too large")
     try:
-        while True:
-            async with asyncio.timeout(limits.header_timeout_ms / 1000):
-                message = await receive()
-            if message["type"] == "http.disconnect":
-                raise ClientGone
-            part = message.get("body", b"")
-            size += len(part)
-            if size > most:
-                return OwnAnswer(413, "the body is too large")
-            if part:
-                parts.append(part)
-            if not message.get("more_body", False):
-                return b"".join(parts)
+        async with asyncio.timeout(limits.header_timeout_ms / 1000):
+            return await _read_parts(message, receive, limits.max_body_bytes)
     except TimeoutError:
         return OwnAnswer(408, "the body did not come in time")
 
 
+async def _read_parts(message: dict, receive: Receive, most: int) -> bytes | OwnAnswer:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        if message["type"] == "http.disconnect":
+            raise ClientGone
+        part = message.get("body", b"")
+        size += len(part)
+        if size > most:
+            return OwnAnswer(413, "the body is too large")
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
+        message = await receive()
+
+
 def build_exchange(
-    scope: dict, table: ports.RoutingTable, body: bytes, begun: float, pick: Callable[[ports.Route], str]
+    scope: dict, table: ports.RoutingTable, split: Split, body: bytes, begun: float
 ) -> Exchange | OwnAnswer:
     """The exchange of a request that was read whole, or its refusal."""
     headers: Headers = [(name.lower(), value) for name, value in scope["headers"]]
-    fields = dict(reversed(headers))
+    fields = dict(reversed(headers))  # of repeated headers the first
     path = scope["raw_path"].decode("latin1")
     if not path.startswith("/"):
         return OwnAnswer(400, "the target is not a path")
-    host = fields.get(b"host", b"").decode("latin1").strip().lower()
-    route = table.route(host, path)
-    if route is None and ":" in host:
-        route = table.route(host.rpartition(":")[0], path)
+    route = table.route(fields.get(b"host", b"").decode("latin1"), path)
     if route is None:
         return OwnAnswer(404, "no route")
     if not fields.get(REQUEST_ID):
         return OwnAnswer(400, "no request id")
-    service = table.services.get(pick(route))
+    service = table.services.get(split.service_of(route, fields))
     if service is None:
-        return OwnAnswer(503, "the route's service is unknown")
+        return OwnAnswer(503, "the route's service is unknown", NO_SERVICE_RETRY_S)
     query = scope.get("query_string", b"")
-    target = scope["raw_path"] + (b"?" + query if query else b"")
     return Exchange(
         method=scope["method"].encode("latin1"),
-        target=target,
+        target=scope["raw_path"] + (b"?" + query if query else b""),
         headers=headers,
         body=body,
         route=route,
--- a/kestrelbend/tier/dataplane/send.py
+++ b/kestrelbend/tier/dataplane/send.py
@@ -17,47 +17,76 @@
 from .errors import DataPlaneError, ErrorCode
 from .exchange import NOT_EXECUTED, REQUEST_ID, SERVER_STAMP, Exchange, Failure, Headers, end_to_end
 
-NON_REPEATABLE_IDLE_S = 1.0  # a connection idle for longer may be about to be closed by the backend
-PROMISES = frozenset((408, 421, 429, 503))  # statuses that promise that nothing ran
+UNTOLD_IDLE_S = 1.0  # non-repeatable: rest of a connection whose backend does not tell its Keep-Alive
+REFUSAL_BODY_S = 0.05  # how long the rest of a refusal is waited for, to use the connection again
+OTHER_INSTANCE = 421
+PROMISES = frozenset((408, 429, 503))  # with 421, the statuses that promise that nothing ran
 BROKEN_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, OSError)
 
 
 @attrs.define
-class Answer:
-    """An answer to our request whose head is in.  It must be closed."""
+class Sending:
+    """The account of one send; it outlives a cancelled task.
+
+    `last_event_id` is where a run goes on; `fresh` asks for a new connection.
+    """
 
-    status: int
-    headers: Headers  # end to end
-    events: bool  # a text/event-stream
     backend: Backend
-    _response: httpcore.Response
-    _connection: Connection
-    _connections: Connections
-    _closed: bool = False
+    last_event_id: bytes | None = None
+    fresh: bool = False
+    stream: ports.BackendStream | None = None
+    not_run: bool = False  # the backend says so
+
+    @property
+    def left(self) -> bool:
+        """A byte of the request was handed to the network."""
+        return self.stream is not None and self.stream.sent
+
+    @property
+    def may_have_run(self) -> bool:
+        """Nothing excludes that the backend began work on it."""
+        return self.left and not self.not_run
+
+
+class Answer:
+    """An answer to our request whose head is in.  It must be closed; then its connection is free."""
+
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        events: bool,
+        backend: Backend,
+        response: httpcore.Response,
+        connection: Connection,
+        connections: Connections,
+    ) -> None:
+        self.status = status
+        self.headers = headers  # end to end
+        self.events = events  # a text/event-stream
+        self._backend = backend
+        self._response = response
+        self._body = aiter(response.stream)
+        self._connection = connection
+        self._connections = connections
+        self._closed = False
 
     async def next(self) -> bytes | None:
         """The next bytes of the body; None at its proper end.  Raises DataPlaneError where it breaks."""
         try:
-            return await anext(self._body)
+            data = await anext(self._body)
         except StopAsyncIteration:
+            await self._response.aclose()
             return None
         except BROKEN_ERRORS as error:
             raise DataPlaneError(ErrorCode.CUT, str(error)) from error
-
-    _body: object = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self._body = aiter(self._response.stream)
-
-    async def finish(self) -> None:
-        """After the body's proper end: the connection may carry the next request."""
-        await self._response.aclose()
-        self.close()
+        return data
 
     def close(self) -> None:
+        """Gives the connection back; it is used again only after the body's proper end."""
         if not self._closed:
             self._closed = True
-            self._connections.release(self.backend, self._connection)
+            self._connections.release(self._backend, self._connection)
 
 
 class Sender:
@@ -67,38 +96,34 @@
         self._backends = backends
         self._connections = connections
 
-    async def send(
-        self, exchange: Exchange, backend: Backend, last_event_id: bytes | None, progress: Progress
-    ) -> Answer | Failure:
-        loop = asyncio.get_running_loop()
-        idle_at_most = float("inf") if exchange.repeatable else NON_REPEATABLE_IDLE_S
+    async def send(self, exchange: Exchange, sending: Sending) -> Answer | Failure:
+        """Sends the request and waits for the head of its answer."""
+        backend = sending.backend
+        untold_idle_s = None if exchange.repeatable else UNTOLD_IDLE_S
+        left_s = exchange.deadline - asyncio.get_running_loop().time()
         try:
             connection = await self._connections.acquire(
-                backend, exchange.service, idle_at_most, exchange.deadline - loop.time()
+                backend, exchange.service, left_s, untold_idle_s, sending.fresh
             )
         except ConnectionRefusedError:
             return Failure.REFUSED
-        except (OSError, TimeoutError):
+        except OSError:
             return Failure.UNREACHABLE
         if connection is None:
             return Failure.NO_CONNECTION
+        outcome: Answer | Failure | None = None
         try:
-            outcome = await self._converse(exchange, backend, connection, last_event_id, progress)
-        except BaseException:
-            self._connections.release(backend, connection)
-            raise
-        if isinstance(outcome, Failure):
-            self._connections.release(backend, connection)
+            outcome = await self._converse(exchange, sending, connection)
+        finally:
+            if not isinstance(outcome, Answer):
+                self._connections.release(backend, connection)
+        sending.not_run = isinstance(outcome, Failure) and outcome.certainly_not_run
         return outcome
 
     async def _converse(
-        self,
-        exchange: Exchange,
-        backend: Backend,
-        connection: Connection,
-        last_event_id: bytes | None,
-        progress: Progress,
+        self, exchange: Exchange, sending: Sending, connection: Connection
     ) -> Answer | Failure:
+        backend, stream = sending.backend, connection.stream
         live = self._backends.of(exchange.service.name)
         if all(other.identity != backend.identity for other in live):
             return Failure.WITHDRAWN
@@ -106,12 +131,11 @@
         request = httpcore.Request(
             exchange.method,
             _url(backend.address, exchange.target),
-            headers=exchange.headers_for(backend, now, last_event_id),
+            headers=exchange.headers_for(backend, now, sending.last_event_id),
             content=exchange.body,
         )
-        stream = connection.stream
         stream.begin()
-        progress.under_way = stream
+        sending.stream = stream
         try:
             response = await connection.handle_async_request(request)
         except BROKEN_ERRORS:
@@ -126,56 +150,33 @@
         headers = [(name.lower(), value) for name, value in response.headers]
         fields = dict(headers)
         connection.heed(headers)
+        status = response.status
         if fields.get(REQUEST_ID) != exchange.request_id:
-            return await self._reject(connection, Failure.GARBLED)
-        if response.status == 421:
-            return await self._drain(response, Failure.OTHER_INSTANCE)
-        if response.status in PROMISES:
-            if NOT_EXECUTED in fields:
-                return await self._drain(response, Failure.NOT_EXECUTED)
-            return await self._reject(connection, Failure.GARBLED)
-        success = 200 <= response.status < 300
+            return Failure.GARBLED
+        if status == OTHER_INSTANCE:
+            return await _read_out(response, Failure.OTHER_INSTANCE)
+        if status in PROMISES and NOT_EXECUTED in fields:
+            return await _read_out(response, Failure.NOT_EXECUTED)
+        if status in PROMISES or not _tells_its_end(exchange.method, status, fields):
+            return Failure.GARBLED
+        success = 200 <= status < 300
         if success and SERVER_STAMP not in fields:
-            return await self._reject(connection, Failure.GARBLED)
-        if not _tells_its_end(exchange.method, response.status, fields):
-            return await self._reject(connection, Failure.GARBLED)
-        kept = end_to_end(headers)
+            return Failure.GARBLED
         events = success and fields.get(b"content-type", b"").startswith(b"text/event-stream")
-        return Answer(response.status, kept, events, backend, response, connection, self._connections)
+        kept = end_to_end(headers)
+        return Answer(status, kept, events, backend, response, connection, self._connections)
 
-    async def _reject(self, connection: Connection, failure: Failure) -> Failure:
-        connection.closing = True
-        return failure
 
-    async def _drain(self, response: httpcore.Response, failure: Failure) -> Failure:
-        """Reads a refusal to its end, so that the connection can be used again."""
-        try:
+async def _read_out(response: httpcore.Response, failure: Failure) -> Failure:
+    """Reads a refusal to its end, so that the connection can be used again."""
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_S):
             async for _ in response.stream:
                 pass
-            await response.aclose()
-        except BROKEN_ERRORS:
-            pass
-        return failure
-
-
-@attrs.define
-class Progress:
-    """What became of an exchange so far; kept apart so that it outlives a cancelled task."""
-
-    under_way: ports.BackendStream | None = None  # the stream of the send that has no outcome yet
-    offered: bool = False  # a request reached a backend's connection
-    may_have_run: bool = False
-    own_answer: bool = False  # the client was answered by the gateway itself
-
-    def settle_send(self, outcome: Answer | Failure | None) -> None:
-        """Takes in the outcome of a send; None where the send was given up."""
-        sent = self.under_way is not None and self.under_way.sent
-        self.under_way = None
-        if not sent:
-            return
-        self.offered = True
-        if not (isinstance(outcome, Failure) and outcome.certainly_not_run):
-            self.may_have_run = True
+        await response.aclose()
+    except (*BROKEN_ERRORS, TimeoutError):
+        pass
+    return failure
 
 
 def _tells_its_end(method: bytes, status: int, fields: dict[bytes, bytes]) -> bool:
--- a/kestrelbend/tier/dataplane/server.py
+++ b/kestrelbend/tier/dataplane/server.py
@@ -16,11 +16,20 @@
 
 @attrs.frozen
 class Listener:
-    """An application at an address `ip:port`, served until `shutdown` returns."""
+    """An application at an address `ip:port`, served until `shutdown` returns.
+
+    `closing` is called right before the connections at rest are closed.
+    """
 
     application: Callable
     address: str
     shutdown: Callable[[], Awaitable[None]]
+    closing: Callable[[], None] = lambda: None
+
+    async def until_closing(self) -> None:
+        """Waits for the shutdown and tells the application of it."""
+        await self.shutdown()
+        self.closing()
 
 
 def server_config(
@@ -49,5 +58,5 @@
         for listener in listeners:
             config = server_config(listener.address, max_header_bytes, idle_timeout_ms)
             group.create_task(
-                serve(listener.application, config, shutdown_trigger=listener.shutdown, mode="asgi")
+                serve(listener.application, config, shutdown_trigger=listener.until_closing, mode="asgi")
             )
--- a/kestrelbend/tier/dataplane/turn.py
+++ b/kestrelbend/tier/dataplane/turn.py
@@ -1,7 +1,8 @@
 """The budget check round a turn of an agent program.
 
 Invariants: a turn is sent only after its most tokens were reserved; a 402 or a refusal by the budget is given
-only before any send; each reservation is settled exactly once, however the turn ends.
+only before any send; each admitted reservation is settled exactly once, however the turn ends.  One that was
+not admitted, or whose answer nobody waited for, is the budget's own to take back.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 from . import ports
 from .client import Client, OwnAnswer
 from .exchange import BUDGET, PREFIX_HASH, PROGRAM, SESSION, TOKEN_COUNT, Exchange
-from .send import Progress
+from .attempt import Progress
 
 SPENT = 402
 TOO_MANY = 429
@@ -85,20 +86,16 @@
             budget=turn.budget,
             spare=spare,
         )
-        settled = False
+        outcome = await self._budget.reserve(service, command)
+        refusal = _refusal(outcome.verdict, outcome.retry_after_ms)
+        if refusal is not None:
+            return refusal
         try:
-            outcome = await self._budget.reserve(service, command)
-            refusal = _refusal(outcome.verdict, outcome.retry_after_ms)
-            if refusal is not None:
-                settled = True  # a refused turn holds no reservation
-                return refusal
-            own = await forward()
-            return own
+            return await forward()
         finally:
-            if not settled:
-                used = client.events * max(1, exchange.service.stride)
-                end = _end(client, progress)
-                self._budget.settle(service, Settle(turn.program, turn.reservation, used, int(end)))
+            used = client.events * max(1, exchange.service.stride)
+            end = _end(client, progress)
+            self._budget.settle(service, Settle(turn.program, turn.reservation, used, int(end)))
 
 
 def _refusal(verdict: int, retry_after_ms: int) -> OwnAnswer | None:
@@ -113,7 +110,7 @@
 
 
 def _end(client: Client, progress: Progress) -> TurnEnd:
-    if client.finished and not progress.own_answer:
+    if client.finished and client.success:
         return TurnEnd.COMPLETE
     if client.started or progress.may_have_run:
         return TurnEnd.BROKEN_OFF
--- /dev/null
+++ b/tests/tier/dataplane_world.py
@@ -0,0 +1,449 @@
+"""A data plane on virtual time between scripted clients and backends; no sockets, no waiting.
+
+Backends speak real bytes: requests are parsed by h11 on their side, answers go through the gateway's own
+`TcpStream` and httpcore.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from collections.abc import Awaitable, Callable
+
+import attrs
+import h11
+
+from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle, Verdict
+from kestrelbend.tier.configuration.routing import Limits, Route, RoutingTable, Service
+from kestrelbend.tier.dataplane import Life, assemble
+from kestrelbend.tier.dataplane.network import TcpStream
+from kestrelbend.tier.discovery.messages import Backend
+
+ZONE = "here"
+STAMP = b"1.2.3.4"
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Lets time pass at once; nothing is ever readable."""
+
+    loop: VirtualLoop
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise AssertionError("the story waits for something that never comes")
+        self.loop.now += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock jumps to the next timer."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        selector = _JumpingSelector()
+        selector.loop = self
+        super().__init__(selector)
+
+    def time(self) -> float:
+        return self.now
+
+
+class _Transport(asyncio.Transport):
+    """The gateway's end of a connection to a scripted backend."""
+
+    def __init__(self, connection: BackendConnection) -> None:
+        super().__init__()
+        self._connection = connection
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        if not self.closed:
+            self._connection.arrived(bytes(data))
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def abort(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._connection.gateway_closed = True
+            self._connection.wake()
+
+    close = abort
+
+    def pause_reading(self) -> None:
+        pass
+
+    resume_reading = pause_reading
+
+
+@attrs.define
+class Asked:
+    """A request as a backend got it."""
+
+    method: str
+    target: str
+    fields: dict[str, str]
+    body: bytes
+    at: float
+    connection: BackendConnection
+
+
+class BackendConnection:
+    """The backend's end of one connection."""
+
+    def __init__(self, backend: ScriptedBackend) -> None:
+        self._backend = backend
+        self._parser = h11.Connection(h11.SERVER)
+        self._woken = asyncio.Event()
+        self.stream = TcpStream()
+        self.transport = _Transport(self)
+        self.stream.connection_made(self.transport)
+        self.gateway_closed = False
+
+    def wake(self) -> None:
+        self._woken.set()
+
+    def arrived(self, data: bytes) -> None:
+        self._parser.receive_data(data)
+        self.wake()
+
+    def send(self, data: bytes) -> None:
+        if not self.gateway_closed:
+            self.stream.data_received(data)
+
+    def close(self) -> None:
+        if not self.transport.closed:
+            self.transport.closed = True
+            self.stream.eof_received()
+            self.stream.connection_lost(None)
+
+    def reset(self) -> None:
+        if not self.transport.closed:
+            self.transport.closed = True
+            self.stream.connection_lost(ConnectionResetError("reset"))
+
+    async def serve(self) -> None:
+        while True:
+            asked = await self._next()
+            if asked is None:
+                return
+            self._backend.asked.append(asked)
+            await self._backend.handler()(asked)
+            self._parser = h11.Connection(h11.SERVER)
+
+    async def _next(self) -> Asked | None:
+        request, body = None, b""
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                if self.gateway_closed or self.transport.closed:
+                    return None
+                self._woken.clear()
+                await self._woken.wait()
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                fields = {name.decode(): value.decode() for name, value in request.headers}
+                now = asyncio.get_running_loop().time()
+                return Asked(request.method.decode(), request.target.decode(), fields, body, now, self)
+            else:
+                return None
+
+
+Handler = Callable[[Asked], Awaitable[None]]
+
+
+class ScriptedBackend:
+    """Answers its requests by its scripts, one each; the last script stays."""
+
+    def __init__(self, backend: Backend) -> None:
+        self.backend = backend
+        self.asked: list[Asked] = []
+        self.connections: list[BackendConnection] = []
+        self.refusing = False
+        self.unreachable = False
+        self._scripts: list[Handler] = [whole()]
+
+    def answers(self, *scripts: Handler) -> ScriptedBackend:
+        self._scripts = list(scripts)
+        return self
+
+    def handler(self) -> Handler:
+        return self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
+
+    @property
+    def ids(self) -> list[str]:
+        return [asked.fields["x-kestrelbend-request-id"] for asked in self.asked]
+
+
+def head(asked: Asked, status: int = 200, *lines: bytes, stamp: bool = True) -> bytes:
+    out = [b"HTTP/1.1 %d X" % status]
+    out.append(b"X-Kestrelbend-Request-Id: " + asked.fields["x-kestrelbend-request-id"].encode())
+    if stamp:
+        out.append(b"X-Kestrelbend-Server-Stamp: " + STAMP)
+    return b"\r\n".join([*out, *lines, b"", b""])
+
+
+def whole(body: bytes = b"whole", status: int = 200, after: float = 0.01, *lines: bytes, behind=b""):
+    """A plain answer with its length, and bytes behind it."""
+
+    async def script(asked: Asked) -> None:
+        await asyncio.sleep(after)
+        length = b"Content-Length: %d" % len(body)
+        asked.connection.send(head(asked, status, length, *lines) + body + behind)
+
+    return script
+
+
+def turned_away(status: int = 503, marked: bool = True):
+    """A refusal; `marked`: it says that the request did not run."""
+
+    async def script(asked: Asked) -> None:
+        lines = [b"X-Kestrelbend-Not-Executed: 1"] if marked else []
+        asked.connection.send(head(asked, status, b"Content-Length: 0", *lines))
+
+    return script
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def events(numbers, pause: float = 0.02, ending: str = "end", part: bytes = b""):
+    """A stream of events that ends properly, or by `close`, `reset` or silence after part of an event."""
+
+    async def script(asked: Asked) -> None:
+        connection = asked.connection
+        connection.send(head(asked, 200, b"Content-Type: text/event-stream", b"Transfer-Encoding: chunked"))
+        for number in numbers:
+            await asyncio.sleep(pause)
+            connection.send(b"%x\r\n%s\r\n" % (len(event(number)), event(number)))
+        if part:
+            connection.send(b"%x\r\n%s\r\n" % (len(part), part))
+        await asyncio.sleep(pause)
+        if ending == "end":
+            connection.send(b"0\r\n\r\n")
+        elif ending == "close":
+            connection.close()
+        elif ending == "reset":
+            connection.reset()
+
+    return script
+
+
+def raw(data: bytes, ending: str = "", after: float = 0.01):
+    """Any bytes, then nothing, `close` or `reset`."""
+
+    async def script(asked: Asked) -> None:
+        await asyncio.sleep(after)
+        asked.connection.send(data)
+        if ending:
+            getattr(asked.connection, ending)()
+
+    return script
+
+
+def breaks(ending: str = "reset", after: float = 0.01):
+    """No answer at all."""
+    return raw(b"", ending, after)
+
+
+def silent():
+    """Takes the request and never answers."""
+    return raw(b"")
+
+
+@attrs.define
+class Got:
+    """What a client got: `complete` where its answer ended properly."""
+
+    status: int | None = None
+    fields: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    complete: bool = False
+    at: float = 0.0
+    head_at: float = 0.0
+    parts: list[tuple[float, bytes]] = attrs.field(factory=list)
+
+    @property
+    def stamped(self) -> bool:
+        return "x-kestrelbend-server-stamp" in self.fields
+
+
+class FakeBudget:
+    """A budget by script; keeps what it was asked and told."""
+
+    def __init__(self) -> None:
+        self.verdict = Verdict.ADMITTED
+        self.spent: set[str] = set()
+        self.delay = 0.0
+        self.reserved: list[Reserve] = []
+        self.settled: list[Settle] = []
+
+    async def reserve(self, service: str, command: Reserve) -> ReserveOutcome:
+        self.reserved.append(command)
+        await asyncio.sleep(self.delay)
+        return ReserveOutcome(command.reservation, self.verdict, 0, 0, 250)
+
+    def settle(self, service: str, command: Settle) -> None:
+        self.settled.append(command)
+
+    def spent_locally(self, program: str, most: int, budget: int) -> bool:
+        return program in self.spent
+
+
+def route(name: str, kind: str, service: str, **changes) -> Route:
+    values = dict(
+        name=name, hostname="a.example", path_prefix=f"/{name}/", kind=kind, timeout_ms=2000, slo_ms=200,
+        priority=1, retries=1, stored=False, sticky=False, resumable=False, gap_aim_ms=200,
+        targets=((service, 1),),
+    )  # fmt: skip
+    return Route(**{**values, **changes})
+
+
+ROUTES = (
+    route("turns", "streaming", "models", resumable=True, sticky=True, timeout_ms=4000),
+    route("once", "streaming", "models"),
+    route("read", "idempotent", "tools"),
+    route("read2", "idempotent", "tools", retries=2),
+    route("pay", "non_idempotent", "tools"),
+    route("lost", "idempotent", "nowhere"),
+)
+SERVICES = {
+    "models": Service("models", "/healthz", 190, 4, 10000, 8, True),
+    "tools": Service("tools", "/healthz", 120, 6, 0, 0, False),
+    "nowhere": Service("nowhere", "/healthz", 120, 6, 0, 0, False),
+}
+
+
+class World:
+    """Backends, a data plane and clients; also the data plane's routing, backends and network."""
+
+    def __init__(self) -> None:
+        self.loop = VirtualLoop()
+        self.table: RoutingTable | None = RoutingTable(1, ROUTES, SERVICES, Limits())
+        self.budget = FakeBudget()
+        self.life = Life()
+        self.scripted: dict[str, ScriptedBackend] = {}
+        self.live: dict[str, Backend] = {}
+        self.gone: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._numbers = 0
+        self.plane = assemble(
+            self, self, self.budget, self, ZONE, self.life, gateways=lambda: 1, rng=random.Random(1)
+        )
+
+    # Ports
+
+    def current(self) -> RoutingTable | None:
+        return self.table
+
+    def of(self, service: str) -> tuple[Backend, ...]:
+        return tuple(backend for backend in self.live.values() if backend.service == service)
+
+    def mark_gone(self, identity: str) -> None:
+        self.gone.append(identity)
+        self.live.pop(identity, None)
+
+    async def connect(self, address: str, timeout_s: float) -> TcpStream:
+        scripted = self.scripted[address]
+        if scripted.unreachable:
+            await asyncio.sleep(timeout_s)
+            raise TimeoutError
+        await asyncio.sleep(0.001)
+        if scripted.refusing:
+            raise ConnectionRefusedError
+        connection = BackendConnection(scripted)
+        scripted.connections.append(connection)
+        self._tasks.add(asyncio.ensure_future(connection.serve()))
+        return connection.stream
+
+    # Scenery
+
+    def backend(self, identity: str, service: str = "tools", slots: int = 4) -> ScriptedBackend:
+        address = f"10.0.0.{len(self.scripted) + 1}:80"
+        backend = Backend(identity, service, address, ZONE, "v1", slots, 0, 0, 1)
+        self.live[identity] = backend
+        self.scripted[address] = ScriptedBackend(backend)
+        return self.scripted[address]
+
+    def run(self, story: Awaitable):
+        """Plays a story to its end, and what it left running a little longer."""
+
+        async def play():
+            try:
+                return await asyncio.wait_for(story, 600)
+            finally:
+                for task in self._tasks:
+                    task.cancel()
+                await asyncio.gather(*self._tasks, return_exceptions=True)
+
+        try:
+            return self.loop.run_until_complete(play())
+        finally:
+            self.loop.close()
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"question",
+        fields: dict[str, str] | None = None,
+        leave_after: float | None = None,
+        chunks: tuple[bytes, ...] = (),
+        without: tuple[str, ...] = (),
+    ) -> Got:
+        """One client's request; `leave_after`: it closes its connection then."""
+        self._numbers += 1
+        headers = {
+            "host": "a.example",
+            "x-kestrelbend-request-id": f"try-{self._numbers}",
+            "x-kestrelbend-deadline-ms": "1500",
+            **({"transfer-encoding": "chunked"} if chunks else {"content-length": str(len(body))}),
+            **(fields or {}),
+        }
+        raw_path, _, query = path.partition("?")
+        scope = {
+            "type": "http", "method": method, "path": raw_path, "raw_path": raw_path.encode(),
+            "query_string": query.encode(),
+            "headers": [(k.encode(), v.encode()) for k, v in headers.items() if k not in without],
+        }  # fmt: skip
+        inbox: asyncio.Queue = asyncio.Queue()
+        for part in chunks or (body,):
+            inbox.put_nowait({"type": "http.request", "body": part, "more_body": True})
+        inbox.put_nowait({"type": "http.request", "body": b"", "more_body": False})
+        if leave_after is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(leave_after, inbox.put_nowait, {"type": "http.disconnect"})
+        got = Got()
+        await self.plane(scope, inbox.get, lambda message: _receive(got, message))
+        got.at = asyncio.get_running_loop().time()
+        return got
+
+
+async def _receive(got: Got, message: dict) -> None:
+    now = asyncio.get_running_loop().time()
+    if message["type"] == "http.response.start":
+        assert got.status is None, "two answers"
+        got.status, got.head_at = message["status"], now
+        got.fields = {name.decode(): value.decode() for name, value in message["headers"]}
+    else:
+        assert got.status is not None and not got.complete, "bytes outside an answer"
+        got.body += message["body"]
+        if message["body"]:
+            got.parts.append((now, message["body"]))
+        got.complete = not message["more_body"]
+
+
+def turn(program: str = "p1", budget: int = 1000, most: int = 80, **fields: str) -> dict[str, str]:
+    """The fields of a program's turn."""
+    return {
+        "program": program, "session": "s1", "budget": str(budget), "finish-ms": "5000",
+        "x-kestrelbend-token-count": f"500,{most}", "x-kestrelbend-prefix-hash": "ab:400,cd:100",
+        "x-kestrelbend-deadline-ms": "4000", **fields,
+    }  # fmt: skip
