--- /dev/null
+++ b/kestrelbend/tier/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is part of the tier, and which nodes watch which."""
--- /dev/null
+++ b/kestrelbend/tier/membership/directory.py
@@ -0,0 +1,75 @@
+"""What a process knows of the tier, merged from the directories of several control nodes.
+
+Invariant: placements come from the highest version of the configuration's shard seen in this life, and the
+report kept for a shard is that of its highest epoch.
+"""
+
+from __future__ import annotations
+
+from .messages import Directory, Member, ShardPlacement, ShardReport
+
+
+class DirectoryView:
+    """The merged view; `take` feeds it."""
+
+    def __init__(self):
+        self._by_sender: dict[str, Directory] = {}
+        self._members: dict[str, Member] = {}
+        self.version = -1
+        self.placements: dict[str, ShardPlacement] = {}
+        self.reports: dict[str, ShardReport] = {}
+        self.retiring: tuple[str, ...] = ()
+
+    def take(self, sender: str, directory: Directory) -> None:
+        """Takes a control node's directory in place of its last one."""
+        self._by_sender[sender] = directory
+        if directory.version >= self.version:
+            self.version = directory.version
+            self.placements = {placed.shard: placed for placed in directory.placements}
+            self.retiring = directory.retiring
+        for report in directory.owners:
+            self.take_report(report)
+        self._merge_members()
+
+    def take_report(self, report: ShardReport) -> None:
+        """Takes word of a shard's owner from anybody."""
+        known = self.reports.get(report.shard)
+        if known is None or (report.epoch, bool(report.owner)) >= (known.epoch, bool(known.owner)):
+            self.reports[report.shard] = report
+
+    def forget(self, sender: str) -> None:
+        """The connection to a control node ended; its last word counts as long as there is no other."""
+        if len(self._by_sender) > 1:
+            self._by_sender.pop(sender, None)
+            self._merge_members()
+
+    def _merge_members(self) -> None:
+        merged: dict[str, Member] = {}
+        for directory in self._by_sender.values():
+            for member in directory.members:
+                known = merged.get(member.address)
+                if known is None or member.incarnation > known.incarnation:
+                    merged[member.address] = member
+        self._members = merged
+
+    @property
+    def members(self) -> list[Member]:
+        """Everybody that some control node holds for live."""
+        return list(self._members.values())
+
+    def control_addresses(self) -> list[str]:
+        """Internal addresses of the live control nodes."""
+        return [member.address for member in self._members.values() if member.serves_control]
+
+    def owner_of(self, shard: str) -> str:
+        """The replica last known to own a shard, or an empty string."""
+        report = self.reports.get(shard)
+        return "" if report is None else report.owner
+
+    def voters_of(self, shard: str) -> tuple[str, ...]:
+        """Replicas that may own a shard, in the order of ownership."""
+        report = self.reports.get(shard)
+        if report is not None and report.voters:
+            return report.voters
+        placed = self.placements.get(shard)
+        return placed.voters if placed is not None else ()
--- /dev/null
+++ b/kestrelbend/tier/membership/messages.py
@@ -0,0 +1,109 @@
+"""Who is part of the tier, as nodes tell their monitors and monitors tell each other."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class ShardReport:
+    """One replica as its process sees it; carried by heartbeats."""
+
+    shard: str
+    replica: str
+    epoch: int
+    owner: str  # replica id of the owner it knows, or ""
+    voters: tuple[str, ...]
+    applied_index: int
+    commit_index: int
+
+
+@attrs.frozen
+class Member:
+    """One process of the tier.  A later `incarnation` at an address replaces the earlier one."""
+
+    node: str
+    role: str
+    address: str  # of the internal protocol, "ip:port"
+    control_address: str  # of the operator's API, or ""
+    zone: str
+    replica: str  # identity of its disk, or "" without one
+    serves_control: bool
+    serves_storage: bool
+    serves_front: bool
+    incarnation: int
+
+
+@attrs.frozen
+class Heartbeat:
+    """From a process to its monitors: it runs, what it holds, what it has acknowledged."""
+
+    member: Member
+    beat: int
+    config_version: int
+    leaving: bool
+    shards: tuple[ShardReport, ...]
+
+
+@attrs.frozen
+class MemberSummary:
+    """From one monitor to the other control nodes: the heartbeats that it received since the last one."""
+
+    sender: str
+    beats: tuple[Heartbeat, ...]
+
+
+@attrs.frozen
+class ShardPlacement:
+    """Who should vote on a shard: decided in the configuration's shard, carried out by the shard's owner."""
+
+    shard: str
+    founders: tuple[str, ...]  # replicas that began the shard; never changes
+    voters: tuple[str, ...]  # replicas that should hold it now, in the order of ownership
+
+
+@attrs.frozen
+class Directory:
+    """What control nodes stream to all: where everybody is, who owns and who should hold which shard."""
+
+    version: int
+    members: tuple[Member, ...]
+    placements: tuple[ShardPlacement, ...]
+    owners: tuple[ShardReport, ...]
+    retiring: tuple[str, ...]  # nodes to be emptied
+
+
+@attrs.frozen
+class Subscribe:
+    """Asks a control node for its streams of configuration, backends and directory."""
+
+    member: Member
+    config_version: int
+
+
+@attrs.frozen
+class ConfigUpdate:
+    """A committed version of the configuration; `current` says that its owner was in touch just now."""
+
+    version: int
+    current: bool
+    body: bytes  # empty: nothing newer than the receiver has
+
+
+@attrs.frozen
+class ConfigAck:
+    """The receiver serves by this version."""
+
+    version: int
+
+
+@attrs.frozen
+class Hello:
+    """The first message on each connection, both ways: who is there.
+
+    `replica` is the identity of the process's disk; messages to replicas are sent only to the one meant.
+    """
+
+    address: str
+    replica: str
+    incarnation: int
--- /dev/null
+++ b/kestrelbend/tier/membership/placement.py
@@ -0,0 +1,128 @@
+"""Which replicas should hold a shard: pure functions of who is there.
+
+A replica stays where it is while it is live or was so lately.  One is replaced when its process stayed away,
+when its node came back with an emptied disk (another identity), or when its node is to be emptied.  A group
+never shrinks below what is live: where nobody can take a place, the lost replica keeps it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from .messages import Member, ShardPlacement
+
+LOST_S = 5.0  # a silent replica is replaced after this
+BUDGET_SHARDS = 6
+BUDGET_PREFIX = "budget-"
+CONFIGURATION_SHARD = "configuration"
+
+
+@attrs.frozen
+class Candidate:
+    """A live disk that could hold replicas; `preference` 0 is taken first."""
+
+    replica: str
+    address: str
+    node: str
+    zone: str
+    preference: int
+
+
+def group_size(tolerated_nodes: int) -> int:
+    """Voters of a group that bears the loss of so many."""
+    return 2 * tolerated_nodes + 1
+
+
+def address_of(replica: str) -> str:
+    """Where a replica's process listens."""
+    return replica.split("#", 1)[0]
+
+
+def candidates(members: Iterable[Member], retiring: Iterable[str], stores_first: bool) -> list[Candidate]:
+    """The live disks that may hold a shard's replicas."""
+    emptied = set(retiring)
+    found = []
+    for member in members:
+        if not member.replica or member.node in emptied:
+            continue
+        if not stores_first and not member.serves_control:
+            continue
+        preference = 0 if member.serves_storage == stores_first else 1
+        found.append(
+            Candidate(member.replica, member.address, member.node, member.zone, preference)
+        )
+    return sorted(found, key=lambda candidate: (candidate.preference, candidate.address))
+
+
+def next_voters(
+    current: tuple[str, ...],
+    size: int,
+    available: list[Candidate],
+    silence: Callable[[str], float],
+    retiring_replicas: Iterable[str] = (),
+) -> tuple[str, ...]:
+    """The voters wanted from now on, in the order of ownership; `current` unless somebody must go."""
+    leaving = set(retiring_replicas)
+    by_replica = {candidate.replica: candidate for candidate in available}
+    by_address = {candidate.address: candidate for candidate in available}
+    voters = list(current)
+    for place, replica in enumerate(voters):
+        if replica in by_replica:
+            continue
+        reborn = by_address.get(address_of(replica))
+        if reborn is not None and reborn.replica not in voters:
+            voters[place] = reborn.replica  # the same machine with an emptied disk
+            continue
+        if replica in leaving or silence(replica) > LOST_S:
+            substitute = _best(available, voters, by_replica, place)
+            if substitute is not None:
+                voters[place] = substitute.replica
+    while len(voters) < size:
+        added = _best(available, voters, by_replica, len(voters))
+        if added is None:
+            break
+        voters.append(added.replica)
+    _prefer(voters, available, by_replica)
+    return tuple(voters)
+
+
+def _best(available, voters, by_replica, place) -> Candidate | None:
+    """The candidate to take a place: preferred class, a zone of its own, then spread by the place."""
+    zones = {
+        by_replica[replica].zone
+        for index, replica in enumerate(voters)
+        if index != place and replica in by_replica
+    }
+    free = [candidate for candidate in available if candidate.replica not in voters]
+    if not free:
+        return None
+    return min(
+        free, key=lambda candidate: (candidate.preference, candidate.zone in zones, candidate.address)
+    )
+
+
+def _prefer(voters: list[str], available: list[Candidate], by_replica: dict[str, Candidate]) -> None:
+    """Replaces one voter of a lesser class where one of the preferred class is free."""
+    free = [
+        candidate
+        for candidate in available
+        if candidate.preference == 0 and candidate.replica not in voters
+    ]
+    for place, replica in enumerate(voters):
+        held = by_replica.get(replica)
+        if free and held is not None and held.preference > 0:
+            voters[place] = free[0].replica
+            return
+
+
+def found_budget_shards(size: int, available: list[Candidate]) -> list[ShardPlacement]:
+    """The first placement of all budget shards, their owners spread over the replicas."""
+    placements = []
+    for number in range(BUDGET_SHARDS):
+        chosen = next_voters((), size, available, lambda replica: 0.0)
+        turn = number % len(chosen)
+        voters = chosen[turn:] + chosen[:turn]
+        placements.append(ShardPlacement(f"{BUDGET_PREFIX}{number}", voters, voters))
+    return placements
--- /dev/null
+++ b/kestrelbend/tier/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""What processes of the tier say to each other."""
--- a/kestrelbend/tier/replication/election.py
+++ b/kestrelbend/tier/replication/election.py
@@ -3,6 +3,9 @@
 Raft's elections with pre-vote, here called trials (Ongaro 2014, sections 3.4 and 9.6).  The voters'
 order takes the place of chance: the earlier a voter stands in the group, the sooner it campaigns.
 
+Whoever is asked votes, also a replica that its own log doesn't name yet (4.2.2): the entry that names it
+may be the very one that waits for its vote.  A candidate counts the votes of its own group alone.
+
 Invariant: a vote leaves, and a replica's own vote counts, only once it is on its disk.
 """
 
@@ -116,7 +119,7 @@
         reply = VoteReply(state.shard, state.identity, epoch, granted, request.trial)
         if granted and not request.trial:
             state.vote_for(request.sender)
-            self._vote_waits = True
+            self._vote_waits = not state.hard_state_durable
             state.send_after_write(request.sender, reply)
         else:
             state.send(request.sender, reply)
@@ -169,5 +172,4 @@
     def _may_vote_for(self, request: RequestVote) -> bool:
         """Whether the candidate's log holds all that this replica may have helped to commit."""
         log = self._state.log
-        candidate = (request.last_epoch, request.last_index)
-        return self._state.is_voter and candidate >= (log.last_epoch, log.last_index)
+        return (request.last_epoch, request.last_index) >= (log.last_epoch, log.last_index)
--- /dev/null
+++ b/kestrelbend/tier/replication/host.py
@@ -0,0 +1,278 @@
+"""The replicas of one process: their messages, their disk and their state machines.
+
+The replicas themselves are pure; here they meet the links and the journal.  Invariant: a state machine has
+applied exactly the committed entries up to its replica's `applied_index`, in order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from .messages import (
+    AppendEntries,
+    DurableRecord,
+    DurableState,
+    Entry,
+    EntryKind,
+    InstallSnapshot,
+    ReplicaId,
+    ShardId,
+)
+from .replica import Replica, Timing
+
+COMPACT_ENTRIES = 2000
+
+
+class StateMachine(Protocol):
+    """What a shard's committed commands are applied to."""
+
+    def apply(self, command: bytes) -> object:
+        """Applies one command; deterministic.  The outcome goes to the proposer, if it is here."""
+
+    def snapshot(self) -> bytes:
+        """The whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Replaces the state by a snapshot's."""
+
+
+class Journal(Protocol):
+    """The process's disk, see `storage.journal`."""
+
+    wants_checkpoint: bool
+
+    def append(self, ticket: int, record: bytes) -> None:
+        """Takes a record to be written; its ticket comes back once it is durable."""
+
+    def checkpoint(self, records: list[bytes]) -> None:
+        """Replaces all records so far by these."""
+
+
+Outcome = Callable[[object | None], None]
+
+
+@attrs.define(eq=False)
+class _Hosted:
+    """A replica and what belongs to it."""
+
+    replica: Replica
+    machine: StateMachine
+    waiting: dict[int, tuple[int, Outcome]] = attrs.field(factory=dict)
+    confirming: dict[int, Callable[[bool], None]] = attrs.field(factory=dict)
+    compacted: int = 0
+
+
+class ShardHost:
+    """All replicas of a process.
+
+    `send(replica_id, message)` hands a message to the process of another replica; `machine_for(shard)` makes an
+    empty state machine; `on_applied(shard)` is called after commands were applied.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: ReplicaId,
+        timing: Timing,
+        journal: Journal,
+        encode: Callable[[DurableRecord], bytes],
+        send: Callable[[ReplicaId, object], None],
+        machine_for: Callable[[ShardId], StateMachine],
+        hosts: Callable[[ShardId], bool],
+        on_applied: Callable[[ShardId], None] = lambda shard: None,
+    ):
+        self.identity = identity
+        self._timing = timing
+        self._journal = journal
+        self._encode = encode
+        self._send = send
+        self._machine_for = machine_for
+        self._hosts = hosts
+        self._on_applied = on_applied
+        self._hosted: dict[ShardId, _Hosted] = {}
+        self._durable: dict[ShardId, DurableState] = {}
+        self._tickets: dict[int, tuple[_Hosted, int]] = {}
+        self._next_ticket = 1
+
+    # What is here
+
+    def load(self, records: list[DurableRecord]) -> None:
+        """Replays the disk's records, oldest first; replicas are opened from it afterwards."""
+        for record in records:
+            if record.replica == self.identity:
+                state = self._durable.setdefault(record.shard, DurableState())
+                replay(state, record)
+
+    def stored_shards(self) -> list[ShardId]:
+        """Shards that the disk holds a replica of."""
+        return list(self._durable)
+
+    def shards(self) -> list[ShardId]:
+        """Shards with a replica here."""
+        return list(self._hosted)
+
+    def replica(self, shard: ShardId) -> Replica | None:
+        """The replica of a shard, if there is one here."""
+        hosted = self._hosted.get(shard)
+        return None if hosted is None else hosted.replica
+
+    def machine(self, shard: ShardId) -> StateMachine | None:
+        """The state machine of a shard, if there is one here."""
+        hosted = self._hosted.get(shard)
+        return None if hosted is None else hosted.machine
+
+    def open(self, shard: ShardId, founders: tuple[ReplicaId, ...], now: float) -> Replica:
+        """The replica of a shard, begun from the disk where it isn't here yet."""
+        hosted = self._hosted.get(shard)
+        if hosted is not None:
+            return hosted.replica
+        replica = Replica(
+            shard=shard,
+            identity=self.identity,
+            founders=founders,
+            durable=self._durable.get(shard) or DurableState(),
+            timing=self._timing,
+            now=now,
+        )
+        hosted = _Hosted(replica, self._machine_for(shard))
+        self._hosted[shard] = hosted
+        self._work(hosted)
+        return replica
+
+    # What happens
+
+    def receive(self, message, now: float) -> None:
+        """A message from another replica; an owner's word begins a replica where none is here."""
+        hosted = self._hosted.get(message.shard)
+        if hosted is None:
+            if not isinstance(message, AppendEntries | InstallSnapshot) or not self._hosts(message.shard):
+                return
+            self.open(message.shard, (), now)
+            hosted = self._hosted[message.shard]
+        hosted.replica.receive(message, now)
+        self._work(hosted)
+
+    def tick(self, now: float) -> None:
+        """Time went on."""
+        for hosted in list(self._hosted.values()):
+            hosted.replica.tick(now)
+            self._work(hosted)
+        self._checkpoint_when_large()
+
+    def written(self, tickets: list[int], now: float) -> None:
+        """The journal has made these records durable."""
+        touched: dict[int, _Hosted] = {}
+        for ticket in tickets:
+            hosted, own_ticket = self._tickets.pop(ticket)
+            hosted.replica.written(own_ticket, now)
+            touched[id(hosted)] = hosted
+        for hosted in touched.values():
+            self._work(hosted)
+
+    # What is asked
+
+    def propose(self, shard: ShardId, command: bytes, outcome: Outcome, now: float) -> bool:
+        """Proposes a command; `outcome` gets the state machine's, or None where it is not known whether it counts."""
+        hosted = self._hosted.get(shard)
+        if hosted is None:
+            return False
+        index = hosted.replica.propose(command, now)
+        if index is None:
+            return False
+        hosted.waiting[index] = (hosted.replica.epoch, outcome)
+        return True
+
+    def confirm(self, shard: ShardId, outcome: Callable[[bool], None], now: float) -> bool:
+        """Calls back with True once the state here is the newest there is; False where that can't be said."""
+        hosted = self._hosted.get(shard)
+        if hosted is None:
+            return False
+        ticket = hosted.replica.confirm(now)
+        if ticket is None:
+            return False
+        hosted.confirming[ticket] = outcome
+        self._work(hosted)
+        return True
+
+    def flush(self, shard: ShardId) -> None:
+        """Sends and writes what proposals have left to do; several proposals share one write."""
+        hosted = self._hosted.get(shard)
+        if hosted is not None:
+            self._work(hosted)
+
+    # What comes of it
+
+    def _work(self, hosted: _Hosted) -> None:
+        effects = hosted.replica.take()
+        for own_ticket, record in effects.writes:
+            ticket = self._next_ticket
+            self._next_ticket += 1
+            self._tickets[ticket] = (hosted, own_ticket)
+            self._journal.append(ticket, self._encode(record))
+        for receiver, message in effects.sends:
+            self._send(receiver, message)
+        if effects.restore is not None:
+            hosted.machine.restore(effects.restore.state)
+            self._fail_waiting(hosted)
+        for entry in effects.applied:
+            self._apply(hosted, entry)
+        for ticket in effects.confirmed:
+            self._confirmed(hosted, ticket, True)
+        for ticket in effects.lost:
+            self._confirmed(hosted, ticket, False)
+        if hosted.waiting and not hosted.replica.is_owner:
+            self._fail_waiting(hosted)
+        if effects.applied or effects.restore is not None:
+            self._compact_when_long(hosted)
+            self._on_applied(hosted.replica.shard)
+
+    def _apply(self, hosted: _Hosted, entry: Entry) -> None:
+        outcome = None
+        if entry.kind == EntryKind.COMMAND:
+            outcome = hosted.machine.apply(entry.data)
+        waiting = hosted.waiting.pop(entry.index, None)
+        if waiting is None:
+            return
+        epoch, callback = waiting
+        callback(outcome if epoch == entry.epoch else None)
+
+    def _fail_waiting(self, hosted: _Hosted) -> None:
+        waiting, hosted.waiting = hosted.waiting, {}
+        for _, callback in waiting.values():
+            callback(None)
+
+    def _confirmed(self, hosted: _Hosted, ticket: int, sure: bool) -> None:
+        callback = hosted.confirming.pop(ticket, None)
+        if callback is not None:
+            callback(sure)
+
+    def _compact_when_long(self, hosted: _Hosted) -> None:
+        applied = hosted.replica.applied_index
+        if applied - hosted.compacted < COMPACT_ENTRIES:
+            return
+        hosted.compacted = applied
+        hosted.replica.compact(applied, hosted.machine.snapshot())
+        self._work(hosted)
+
+    def _checkpoint_when_large(self) -> None:
+        if not self._journal.wants_checkpoint:
+            return
+        records = [hosted.replica.durable_record() for hosted in self._hosted.values()]
+        self._journal.checkpoint([self._encode(record) for record in records])
+
+
+def replay(state: DurableState, record: DurableRecord) -> None:
+    """Adds one record of the disk to what a replica begins with."""
+    state.epoch = record.epoch
+    state.voted_for = record.voted_for
+    if record.snapshot is not None and record.snapshot.index >= state.snapshot.index:
+        state.snapshot = record.snapshot
+        covered = record.snapshot.index
+        state.entries = [entry for entry in state.entries if entry.index > covered]
+    if record.entries:
+        first = record.entries[0].index
+        state.entries = [entry for entry in state.entries if entry.index < first]
+        state.entries.extend(record.entries)
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -17,8 +17,8 @@
   acknowledged entry always waits.
 - A candidacy stays open beside a new trial, so that votes delayed by slow disks still count.
 - An owner whose own disk stalls hands over; one that can't gives up.
-- A replica that its own log doesn't name as a voter neither votes nor campaigns, so an emptied disk
-  (another identity) takes part in nothing before the group has taken it in.
+- A replica that its own log doesn't name as a voter never campaigns.  An emptied disk is another
+  identity, so its vote counts for nobody before a group has taken it in.
 
 Invariants: one owner in an epoch; a committed entry is in the log of every later owner; `applied`
 entries come once each and in their order, on top of the last `restore`.
@@ -73,7 +73,6 @@
         self._placement = Placement(self._state)
         self._next_confirmation = 1
         self._now = now
-        self._last_tick = now
         if durable.snapshot.index > 0:
             self._state.effects.restore = durable.snapshot
         if identity in founders and durable == DurableState():
@@ -123,7 +122,7 @@
         """Takes in a message of another replica."""
         if message.shard != self.shard or message.sender == self.identity:
             return
-        self._now = now
+        self._advance_clock(now)
         if isinstance(message, AppendEntries):
             if self._hear_owner(message, now):
                 self._following.append(message)
@@ -141,12 +140,7 @@
 
     def tick(self, now: float) -> None:
         """Does what is due by the clock; called about every 20 ms."""
-        self._now = now
-        stood_still = now - self._last_tick > self._timing.election_timeout
-        self._last_tick = now
-        if stood_still:
-            self._state.disk.forgive(now)
-            self._elections.rest(now)
+        self._advance_clock(now)
         if self._owner is not None:
             self._tick_owner(now)
         elif self._elections.is_due(now):
@@ -155,7 +149,7 @@
 
     def written(self, ticket: int, now: float) -> None:
         """The write `ticket` is on the disk, and so are all before it."""
-        self._now = now
+        self._advance_clock(now)
         self._state.written(ticket)
         elected = self._elections.written(now)
         if self._owner is not None:
@@ -167,14 +161,14 @@
 
     def propose(self, command: bytes, now: float) -> int | None:
         """Appends a command; its index, or None where this replica can't take it as the owner."""
-        self._now = now
+        self._advance_clock(now)
         if self._owner is None or self._placement.hands_over or not self._owner.in_touch(now):
             return None
         return self._owner.append(EntryKind.COMMAND, command)
 
     def confirm(self, now: float) -> int | None:
         """A ticket, reported once it is certain that no later owner had committed before this call."""
-        self._now = now
+        self._advance_clock(now)
         if self._owner is None or not self._owner.in_touch(now):
             return None
         ticket = self._next_confirmation
@@ -196,7 +190,7 @@
 
     def transfer(self, now: float) -> None:
         """Hands the ownership over, where this replica has it; owns on where nobody can take it."""
-        self._now = now
+        self._advance_clock(now)
         if self._owner is not None:
             self._placement.hand_over(self._owner, self._state.other_voters(), now)
 
@@ -222,6 +216,17 @@
             self._state.effects.confirmed.extend(owner.confirmed_reads())
         return self._state.take_effects()
 
+    def _advance_clock(self, now: float) -> None:
+        """Notes the time; a process that stood still believes nothing of what it knew before."""
+        stood_still = now - self._now > self._timing.election_timeout
+        self._now = now
+        if not stood_still:
+            return
+        self._state.disk.forgive(now)
+        self._elections.rest(now)
+        if self._owner is not None:
+            self._step_down(now)
+
     # Changes of role
 
     def _enter_epoch(self, epoch: int, now: float) -> None:
--- /dev/null
+++ b/kestrelbend/tier/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The processes of the tier, put together from its parts."""
--- /dev/null
+++ b/kestrelbend/tier/roles/control.py
@@ -0,0 +1,376 @@
+"""The control process: the configuration's shard, the operator's API, backends' heartbeats, and the directory.
+
+Every control node answers everything: orders go on to the shard's owner, news of backends to the other control
+nodes.  The owner of the configuration's shard also decides who should hold which shard.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from ..budgets.messages import BudgetRequest
+from ..budgets.shard_service import BudgetShards
+from ..configuration.messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
+from ..configuration.operator_api import OperatorApi
+from ..configuration.placements import encode_placement
+from ..configuration.shard_service import ConfigurationMachine, ConfigurationService
+from ..configuration.stream import ConfigStream
+from ..dataplane.server import Listener, serve_all
+from ..discovery.exchange import BackendExchange
+from ..discovery.messages import BackendAck, BackendNews, BackendState, BackendUpdate
+from ..discovery.registry import BackendRegistry, BeatRejected
+from ..membership.messages import ConfigAck, Directory, Heartbeat, MemberSummary, ShardReport, Subscribe
+from ..membership.placement import (
+    CONFIGURATION_SHARD,
+    candidates,
+    found_budget_shards,
+    group_size,
+    next_voters,
+)
+from ..membership.placement_changes import next_placement
+from ..membership.table import MemberTable, merge
+from ..protocol.links import Link
+from .process import CONTROL_PORT, TierProcess
+
+HAND_OVER_S = 1.0
+FOUNDING_WAIT_S = 2.5  # for stores to come before budgets are founded on what is there
+NOT_FOUND = 404
+TOO_FEW = 409
+NOT_NOW = 503
+OK = 200
+BAD_REQUEST = 400
+
+
+class ControlProcess(TierProcess):
+    """One control process."""
+
+    role = "control"
+    port_offset = CONTROL_PORT
+
+    def __init__(self, settings, settings_path):
+        self.budgets = BudgetShards()
+        super().__init__(settings, settings_path)
+        self.budgets.attach(self.host, self.now)
+        self.members = MemberTable()
+        self.registry = BackendRegistry()
+        self.exchange = BackendExchange(self.address, self.registry.all, self._peer_links)
+        self.config_stream = ConfigStream()
+        self.configuration: ConfigurationService | None = None
+        self._directory_links: dict[Link, Directory | None] = {}
+        self._summary_at = self.now()
+        self._owner_since = 0.0
+        self._in_touch_since = self.now()
+        self._proposing = False
+        self._serving: asyncio.Task | None = None
+
+    # The shards
+
+    def machine_for(self, shard):
+        """The configuration's state, or a budget table where stores are too few."""
+        if shard == CONFIGURATION_SHARD:
+            return ConfigurationMachine()
+        return self.budgets.machine_for(shard)
+
+    def hosts_shard(self, shard):
+        """Control nodes hold the configuration, too."""
+        return shard == CONFIGURATION_SHARD or super().hosts_shard(shard)
+
+    def open_replicas(self):
+        """The configuration's replica is always here; seeds found it at the first start."""
+        founders = ()
+        if self.settings.bootstrap:
+            founders = tuple(f"{address}#first" for address in self.seed_addresses())
+        self.host.open(CONFIGURATION_SHARD, founders, self.now())
+        self.configuration = ConfigurationService(
+            self.host, self.links, self.now, self.config_stream.until_acknowledged
+        )
+        super().open_replicas()
+
+    def on_applied(self, shard):
+        """A new version goes to the gateways at once."""
+        if shard == CONFIGURATION_SHARD and self.configuration is not None:
+            self._stream_configuration()
+
+    def _stream_configuration(self) -> None:
+        state = self.configuration.state
+        if state.version:
+            current = self.configuration.replica.in_touch(self.now())
+            self.config_stream.stream(state.version, state.body, current)
+
+    def config_version(self):
+        """The version applied here."""
+        return self.configuration.state.version if self.configuration else 0
+
+    # Links
+
+    def _peer_links(self) -> list[Link]:
+        """Connections to the other control nodes that stand."""
+        addresses = set(self.control_addresses())
+        links = [self.links.to(address) for address in addresses]
+        return [link for link in links if link is not None]
+
+    def on_peer(self, link):
+        """Another control node gets all that is known of backends; it has no need of other streams."""
+        if link.address in self.control_addresses():
+            self.exchange.tell_peer_everything(link)
+
+    def on_lost(self, link):
+        """Ends the streams of a connection."""
+        super().on_lost(link)
+        self.exchange.lost(link)
+        self.config_stream.lost(link)
+        self._directory_links.pop(link, None)
+
+    def on_message(self, link, message, sequence):
+        """What others say to a control node."""
+        if isinstance(message, Heartbeat):
+            self.members.heard(message, self.now())
+        elif isinstance(message, MemberSummary):
+            merge(self.members, message.beats, self.now())
+        elif isinstance(message, Subscribe):
+            self._subscribe(link, message)
+        elif isinstance(message, ConfigAck):
+            self.config_stream.take_ack(link, message.version)
+        elif isinstance(message, BackendAck):
+            self.exchange.take_ack(link, message)
+        elif isinstance(message, BackendNews):
+            self._merge_backends([message.backend])
+            self.exchange.acknowledge_news(link, sequence, message)
+        elif isinstance(message, BackendUpdate):
+            self._merge_backends(message.backends)
+        elif isinstance(message, ConfigOrder):
+            self._answer(link, sequence, self._decide(message))
+        elif isinstance(message, ReadRequest):
+            self._answer(link, sequence, self._read_here())
+        elif isinstance(message, BudgetRequest):
+            self.budgets.request(message, lambda reply: link.reply(sequence, reply))
+
+    def _answer(self, link, sequence, answering) -> None:
+        async def answer():
+            link.reply(sequence, await answering)
+
+        self.spawn(answer())
+
+    async def _decide(self, order: ConfigOrder) -> ConfigOutcome:
+        if not self.configuration.replica.is_owner:
+            return ConfigOutcome(0, 0, "not the owner")
+        return await self.configuration.decide(order)
+
+    async def _read_here(self) -> ReadReply:
+        return await self.configuration.read_here()
+
+    def _subscribe(self, link: Link, message: Subscribe) -> None:
+        self._directory_links[link] = None
+        if message.member.serves_front:
+            self.config_stream.subscribe(link, message.config_version)
+            self.exchange.subscribe(link)
+            self._stream_configuration()
+        self._send_directory(self.now())
+
+    def _merge_backends(self, backends) -> None:
+        now = self.now()
+        changed = [backend for backend in backends if self.registry.merge(backend, now)]
+        self.exchange.stream(changed)
+
+    # Time
+
+    def on_tick(self, now):
+        """Gateways that wait for a current version get it as soon as this replica is in touch."""
+        self._stream_configuration()
+
+    def on_heartbeat(self, now):
+        """Tells the other monitors and all subscribers who is there, and places shards."""
+        self.members.heard(self.heartbeat(), now)
+        self.members.forget_old(now)
+        beats = self.members.heard_since(self._summary_at)
+        self._summary_at = now
+        if beats:
+            summary = MemberSummary(self.address, tuple(beats))
+            for link in self._peer_links():
+                link.send(summary)
+        self._take_own_directory(now)
+        self._send_directory(now)
+        self._place_shards(now)
+        self._presume_silent_gone(now)
+
+    def _presume_silent_gone(self, now: float) -> None:
+        if not self.configuration.replica.in_touch(now):
+            self._in_touch_since = now
+        beat_interval = self.settings.heartbeat_ms / 1000
+        silent = self.registry.expired(now, beat_interval, self._in_touch_since)
+        self.exchange.stream(list(silent.gone))
+
+    def _own_directory(self, now: float) -> Directory:
+        state = self.configuration.state
+        reports = sorted(self.members.reports().values(), key=lambda report: report.shard)
+        return Directory(
+            version=self.configuration.replica.applied_index,
+            members=tuple(self.members.members(now)),
+            placements=state.placements,
+            owners=tuple(without_progress(report) for report in reports),
+            retiring=state.retiring,
+        )
+
+    def _take_own_directory(self, now: float) -> None:
+        self.directory.take(self.address, self._own_directory(now))
+        self.on_directory()
+
+    def _send_directory(self, now: float) -> None:
+        directory = self._own_directory(now)
+        for link, sent in list(self._directory_links.items()):
+            if sent != directory:
+                link.send(directory)
+                self._directory_links[link] = directory
+
+    # Placement, by the owner of the configuration's shard
+
+    def _place_shards(self, now: float) -> None:
+        replica = self.configuration.replica
+        if not replica.is_owner:
+            self._owner_since = now
+            return
+        self._place_configuration(now)
+        if self._proposing or now - self._owner_since < 0.5:
+            return
+        order = self._next_placement(now)
+        if order is not None:
+            self._proposing = True
+            self.spawn(self._order_placement(order))
+
+    def _place_configuration(self, now: float) -> None:
+        replica = self.configuration.replica
+        available = candidates(self.members.members(now), (), stores_first=False)
+        replica.set_learners([candidate.replica for candidate in available])
+        voters = next_voters(
+            tuple(replica.voters),
+            group_size(self.settings.tolerate_nodes),
+            available,
+            lambda voter: self.members.silence(voter, now),
+        )
+        replica.set_target(voters)
+
+    def _next_placement(self, now: float):
+        state = self.configuration.state
+        live = self.members.members(now)
+        available = candidates(live, state.retiring, stores_first=True)
+        size = group_size(self.settings.tolerate_nodes)
+        if not state.placements:
+            stores = [candidate for candidate in available if candidate.preference == 0]
+            if len(stores) < size and now - self._owner_since < FOUNDING_WAIT_S:
+                return None
+            if not available:
+                return None
+            return [self._placement_order(placed) for placed in found_budget_shards(size, available)]
+        placed = next_placement(
+            state.placements,
+            size,
+            available,
+            self.members,
+            state.retiring,
+            now,
+        )
+        return None if placed is None else [self._placement_order(placed)]
+
+    @staticmethod
+    def _placement_order(placed) -> ConfigOrder:
+        return ConfigOrder(OrderKind.PLACEMENT, 0, encode_placement(placed))
+
+    async def _order_placement(self, orders) -> None:
+        try:
+            for order in orders:
+                await self.configuration.decide(order)
+        finally:
+            self._proposing = False
+
+    # The operator's API, see configuration.ports
+
+    async def order(self, order: ConfigOrder) -> ConfigOutcome:
+        """An order on the configuration."""
+        return await self.configuration.order(order)
+
+    async def read(self) -> ReadReply:
+        """The newest configuration."""
+        return await self.configuration.read()
+
+    async def beat(self, identity: str, report: dict) -> int:
+        """A backend's heartbeat: known here and, where it matters, everywhere before it is acknowledged."""
+        before = self.registry.get(identity)
+        backend = self.registry.beat(identity, report, self.now())
+        if isinstance(backend, BeatRejected):
+            return BAD_REQUEST
+        await self._spread(before, backend)
+        return OK
+
+    async def leave(self, identity: str) -> int:
+        """A backend has ended."""
+        before = self.registry.get(identity)
+        backend = self.registry.leave(identity, self.now())
+        if isinstance(backend, BeatRejected):
+            return BAD_REQUEST
+        await self._spread(before, backend)
+        return OK
+
+    async def _spread(self, before, backend) -> None:
+        leaves = backend.state != BackendState.READY
+        if leaves and (before is None or before.state != backend.state):
+            await self.exchange.tell_all(backend)
+        elif before != backend:
+            self.exchange.stream([backend])
+            self.exchange.tell_peers(backend)
+
+    async def retire_start(self, node: str, deadline_s: float) -> int:
+        """Begins to empty a store."""
+        now = self.now()
+        live = self.members.members(now)
+        if not any(member.node == node and member.serves_storage for member in live):
+            return NOT_FOUND
+        emptied = {*self.configuration.state.retiring, node}
+        left = candidates(live, emptied, stores_first=True)
+        if len(left) < group_size(self.settings.tolerate_nodes):
+            return TOO_FEW
+        outcome = await self.configuration.order(ConfigOrder(OrderKind.RETIRE, 0, node.encode()))
+        return outcome.status or NOT_NOW
+
+    async def retire_state(self, node: str) -> str | None:
+        """`running` until no shard has a voter on the node."""
+        if node not in self.configuration.state.retiring:
+            return None
+        now = self.now()
+        holders = {
+            voter for report in self.members.reports().values() for voter in report.voters
+        }
+        wanted = {
+            voter for placed in self.configuration.state.placements for voter in placed.voters
+        }
+        for member in self.members.members(now, within=60.0):
+            if member.node == node and member.replica in holders | wanted:
+                return "running"
+        return "complete"
+
+    def beat_url(self) -> str | None:
+        """Backends go on calling whom they called."""
+        return None
+
+    # Life
+
+    async def start(self):
+        """Serves the operator's API."""
+        self._serving = self.spawn(
+            serve_all([Listener(OperatorApi(self), self.settings.listen_control, self._served)])
+        )
+
+    async def _served(self) -> None:
+        await self.served_enough.wait()
+
+    async def stop(self):
+        """Hands over the shards owned here, then ends the API."""
+        await self.hand_over(HAND_OVER_S)
+        self.served_enough.set()
+        await asyncio.wait([self._serving], timeout=1.5)
+
+
+def without_progress(report: ShardReport) -> ShardReport:
+    """A report as the directory tells it: what changes with each command is left out."""
+    return attrs.evolve(report, applied_index=0, commit_index=0)
--- /dev/null
+++ b/kestrelbend/tier/roles/gateway.py
@@ -0,0 +1,209 @@
+"""The gateway process: serves clients by the data plane, told by control nodes, asking stores for budgets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from ..budgets.client import BudgetClient
+from ..budgets.messages import BudgetReply, BudgetRequest, Reserve, ReserveOutcome, Settle, Verdict
+from ..configuration.routing import RoutingTable
+from ..dataplane.app import assemble
+from ..dataplane.life import Life
+from ..dataplane.network import TcpNetwork
+from ..dataplane.ready import ReadyApplication
+from ..dataplane.server import Listener, serve_all
+from ..discovery.messages import BackendAck, BackendUpdate
+from ..discovery.view import BackendView
+from ..membership.messages import ConfigAck, ConfigUpdate
+from ..membership.placement import BUDGET_PREFIX, address_of
+from .process import GATEWAY_PORT, TierProcess
+
+BUDGET_REPLY_S = 0.35
+SILENT_READY_S = 1.0  # without any control node or store for longer, new connections should go elsewhere
+SETTLED_BACKENDS_S = 3.0  # after this a gateway serves though some service has no backend yet
+VIEW_CHECK_S = 1.0
+LEAVE_S = 2.6  # the platform's two misses of readiness, and a little
+SETTLE_S = 0.8
+
+
+class RoutingHolder:
+    """The routing table in force; `take` never goes back."""
+
+    def __init__(self):
+        self._table: RoutingTable | None = None
+
+    def current(self) -> RoutingTable | None:
+        """The newest table, None before the first configuration."""
+        return self._table
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return 0 if self._table is None else self._table.version
+
+    def take(self, version: int, body: bytes) -> None:
+        """Puts a newer version in force."""
+        if version > self.version:
+            self._table = RoutingTable.from_document(version, json.loads(body))
+
+
+class GatewayProcess(TierProcess):
+    """One gateway."""
+
+    role = "gateway"
+    port_offset = GATEWAY_PORT
+
+    def __init__(self, settings, settings_path):
+        super().__init__(settings, settings_path)
+        self.routing = RoutingHolder()
+        self.view = BackendView()
+        self.life = Life()
+        self.budget_client: BudgetClient | None = None
+        self._shard_count = 0
+        self._current = False
+        self._told_backends_at: float | None = None
+        self._heard_at = self.now()
+        self._view_checked = 0.0
+        self._serving: asyncio.Task | None = None
+        self.data_plane = assemble(
+            self.routing,
+            self,
+            self,
+            TcpNetwork(),
+            settings.zone,
+            self.life,
+            gateways=self._gateways,
+        )
+
+    def _gateways(self) -> int:
+        return max(1, sum(member.serves_front for member in self.directory.members))
+
+    # Streams
+
+    def config_version(self):
+        """The version that requests are handled by."""
+        return self.routing.version
+
+    def on_message(self, link, message, sequence):
+        """What control nodes stream."""
+        if isinstance(message, ConfigUpdate):
+            self._take_configuration(link, message)
+        elif isinstance(message, BackendUpdate):
+            self._take_backends(link, message)
+
+    def _take_configuration(self, link, update: ConfigUpdate) -> None:
+        if update.body:
+            self.routing.take(update.version, update.body)
+        if update.current and self.routing.version >= update.version:
+            self._current = True
+        link.send(ConfigAck(self.routing.version))
+
+    def _take_backends(self, link, update: BackendUpdate) -> None:
+        now = self.now()
+        self.view.take(update, now)
+        if update.whole and self._told_backends_at is None:
+            self._told_backends_at = now
+        link.send(BackendAck(update.sender, update.number))
+
+    def on_directory(self):
+        """The number of budget shards is known with the first placements."""
+        super().on_directory()
+        count = sum(shard.startswith(BUDGET_PREFIX) for shard in self.directory.placements)
+        if count and self.budget_client is None:
+            self._shard_count = count
+            self.budget_client = BudgetClient(self._send_budget, self._budget_addresses, count)
+
+    def wanted_links(self):
+        """Control nodes, and all that may own a budget shard."""
+        wanted = super().wanted_links()
+        for shard in self.directory.placements:
+            wanted.update(address_of(voter) for voter in self.directory.voters_of(shard))
+        return wanted
+
+    # Budgets
+
+    def _budget_addresses(self, shard: str) -> list[str]:
+        owner = self.directory.owner_of(shard)
+        voters = self.directory.voters_of(shard)
+        ordered = ([owner] if owner else []) + [voter for voter in voters if voter != owner]
+        return [address_of(voter) for voter in ordered]
+
+    async def _send_budget(self, address: str, request: BudgetRequest) -> BudgetReply | None:
+        link = self.links.to(address)
+        if link is None:
+            return None
+        reply = await link.request(request, BUDGET_REPLY_S)
+        return reply if isinstance(reply, BudgetReply) else None
+
+    async def reserve(self, service: str, command: Reserve) -> ReserveOutcome:
+        """A turn's tokens at the owner of its program's shard."""
+        if self.budget_client is None:
+            return ReserveOutcome(command.reservation, Verdict.SILENT, 0, 0, 0)
+        return await self.budget_client.reserve(command)
+
+    def settle(self, service: str, command: Settle) -> None:
+        """How a turn ended."""
+        self.budget_client.settle(command)
+
+    def spent_locally(self, program: str, most: int, budget: int) -> bool:
+        """Whether the last total seen already refuses the turn."""
+        return self.budget_client is not None and self.budget_client.spent_locally(
+            program, most, budget
+        )
+
+    # Backends
+
+    def of(self, service: str):
+        """The ready backends of a service."""
+        return self.view.of(service)
+
+    def mark_gone(self, identity: str) -> None:
+        """Another backend answered in this one's place."""
+        self.view.mark_gone(identity, self.now())
+
+    # Time
+
+    def on_heartbeat(self, now):
+        """Readiness follows what is known and who is in touch."""
+        if now - self._view_checked >= VIEW_CHECK_S:
+            self._view_checked = now
+            self.view.refresh(now, self.settings.heartbeat_ms / 1000)
+        if any(self.links.to(address) for address in self.links.addresses()):
+            self._heard_at = now
+        self.life.set_ready(self._equipped(now))
+
+    def _equipped(self, now: float) -> bool:
+        if not self._current or self.budget_client is None or self._told_backends_at is None:
+            return False
+        if now - self._heard_at > SILENT_READY_S:
+            return False
+        if now - self._told_backends_at > SETTLED_BACKENDS_S:
+            return True
+        table = self.routing.current()
+        return all(self.view.of(service) for service in table.services)
+
+    # Life
+
+    async def start(self):
+        """Serves clients and the platform's question of readiness."""
+        self._serving = self.spawn(
+            serve_all(
+                [
+                    Listener(self.data_plane, self.settings.listen_front, self._served),
+                    Listener(ReadyApplication(self.life), self.settings.listen_ready, self._served),
+                ]
+            )
+        )
+
+    async def _served(self) -> None:
+        await self.served_enough.wait()
+
+    async def stop(self):
+        """Takes no new connections, finishes what runs, and brings the settlements home."""
+        self.life.drain()
+        await asyncio.sleep(min(LEAVE_S, self.settings.bounds.grace_s / 3))
+        self.served_enough.set()
+        await asyncio.wait([self._serving], timeout=self.settings.bounds.grace_s / 2)
+        if self.budget_client is not None:
+            await self.budget_client.close(SETTLE_S)
--- /dev/null
+++ b/kestrelbend/tier/roles/process.py
@@ -0,0 +1,368 @@
+"""What every process of the tier has: settings, disk, links, heartbeats and its part of the shards.
+
+Roles derive from `TierProcess` and add what they serve.  All state is touched from the event loop's thread;
+only the journal's writer is a thread of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+
+import logbook
+
+from ..membership.directory import DirectoryView
+from ..membership.messages import Directory, Heartbeat, Hello, Member, ShardReport, Subscribe
+from ..membership.placement import BUDGET_PREFIX, CONFIGURATION_SHARD, address_of
+from ..membership.ring import monitors
+from ..protocol.codec import DecodeError, decode, encode
+from ..protocol.links import Link, Links
+from ..replication.host import ShardHost
+from ..replication.messages import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    RequestVote,
+    TransferOwnership,
+    VoteReply,
+)
+from ..replication.replica import Timing
+from ..storage.identity import DataFolder
+from ..storage.journal import DiskJournal
+from .settings import Settings, SettingsError
+
+CONTROL_PORT = 0  # offsets into the free ports of a machine
+GATEWAY_PORT = 1
+STORE_PORT = 2
+TICK_S = 0.02
+HEARTBEAT_S = 0.25
+SETTINGS_CHECK_S = 1.0
+MOST_CONTROL_LINKS = 8
+REPLICA_MESSAGES = (
+    RequestVote,
+    VoteReply,
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    TransferOwnership,
+)
+
+
+class TierProcess:
+    """A process of the tier; `run` serves until SIGTERM."""
+
+    role = ""
+    port_offset = 0
+
+    def __init__(self, settings: Settings, settings_path: str):
+        self.settings = settings
+        self._settings_path = settings_path
+        self._settings_changed = _modified(settings_path)
+        self.log = logbook.Logger(f"kestrelbend.{self.role}")
+        self.now = time.monotonic
+        self.incarnation = time.time_ns() // 1000
+        self.address = f"{settings.ip}:{settings.port_range[0] + self.port_offset}"
+        self.directory = DirectoryView()
+        self.leaving = False
+        self.stopping = asyncio.Event()
+        self.served_enough = asyncio.Event()  # ends the listeners of the role
+        self._beat = 0
+        self._tasks: set[asyncio.Task] = set()
+        self.journal = None
+        self.replica_id = ""
+        self.host: ShardHost | None = None
+        if settings.data_dir:
+            self._open_disk()
+        self.member = self._member()
+        self.links = Links(
+            Hello(self.address, self.replica_id, self.incarnation),
+            self.log,
+            self._on_message,
+            self.on_peer,
+            self.on_lost,
+        )
+
+    # Beginning
+
+    def _open_disk(self) -> None:
+        folder = DataFolder.open(self.settings.data_dir, self.settings.bootstrap)
+        self.replica_id = f"{self.address}#{folder.identity}"
+        loop = asyncio.get_running_loop()
+        capacity = int(self.settings.disk_mb * 1_000_000)
+        self.journal = DiskJournal(
+            folder.journal_folder, capacity, self._written, loop.call_soon_threadsafe
+        )
+        records = []
+        for data in self.journal.load():
+            try:
+                records.append(decode(data))
+            except DecodeError as fault:
+                self.log.error("record on disk refused: {}", fault)
+        self.host = ShardHost(
+            identity=self.replica_id,
+            timing=Timing(),
+            journal=self.journal,
+            encode=encode,
+            send=self._send_to_replica,
+            machine_for=self.machine_for,
+            hosts=self.hosts_shard,
+            on_applied=self.on_applied,
+        )
+        self.host.load(records)
+        self.journal.start()
+
+    def _member(self) -> Member:
+        settings = self.settings
+        return Member(
+            node=settings.node,
+            role=self.role,
+            address=self.address,
+            control_address=settings.listen_control,
+            zone=settings.zone,
+            replica=self.replica_id,
+            serves_control="control" in settings.serves,
+            serves_storage="storage" in settings.serves,
+            serves_front="front" in settings.serves,
+            incarnation=self.incarnation,
+        )
+
+    def seed_addresses(self) -> list[str]:
+        """The internal addresses of the control processes that the settings name."""
+        port = self.settings.port_range[0] + CONTROL_PORT
+        return [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self.settings.seeds]
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Runs a coroutine beside the others; the task is kept until it ends."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # For the roles
+
+    def machine_for(self, shard: str):
+        """An empty state machine for a shard."""
+        raise NotImplementedError
+
+    def hosts_shard(self, shard: str) -> bool:
+        """Whether a replica of the shard may begin here on its owner's word."""
+        return shard.startswith(BUDGET_PREFIX)
+
+    def on_applied(self, shard: str) -> None:
+        """Commands of a shard were applied."""
+
+    def on_peer(self, link: Link) -> None:
+        """An outgoing connection stands: control nodes are asked for their streams."""
+        if link.address in self.control_addresses():
+            link.send(Subscribe(self.member, self.config_version()))
+
+    def on_lost(self, link: Link) -> None:
+        """A connection ended."""
+        if link.outgoing and link.address:
+            self.directory.forget(link.address)
+
+    def config_version(self) -> int:
+        """The version of the configuration that this process serves by."""
+        return 0
+
+    def on_message(self, link: Link, message, sequence: int) -> None:
+        """A message that is the role's own."""
+
+    async def start(self) -> None:
+        """Starts what the role serves."""
+
+    async def stop(self) -> None:
+        """Ends what the role serves, losing nothing."""
+
+    def on_tick(self, now: float) -> None:
+        """Called about every `TICK_S`."""
+
+    def on_heartbeat(self, now: float) -> None:
+        """Called about every `HEARTBEAT_S`."""
+
+    # Links
+
+    def control_addresses(self) -> list[str]:
+        """Control nodes by the directory and by the settings' seeds."""
+        known = list(dict.fromkeys(self.directory.control_addresses() + self.seed_addresses()))
+        return known[:MOST_CONTROL_LINKS]
+
+    def wanted_links(self) -> set[str]:
+        """Addresses to keep connections to."""
+        wanted = set(self.control_addresses())
+        if self.host is not None:
+            for shard in self.host.shards():
+                replica = self.host.replica(shard)
+                wanted.update(address_of(voter) for voter in replica.voters)
+            for placed in self.directory.placements.values():
+                if self.replica_id in placed.voters:
+                    wanted.update(address_of(voter) for voter in placed.voters)
+        return wanted
+
+    def _send_to_replica(self, receiver: str, message) -> None:
+        address = address_of(receiver)
+        link = self.links.to(address)
+        if link is None:
+            self.links.add(address)
+        elif link.peer.replica == receiver:
+            link.send(message)
+
+    def _on_message(self, link: Link, message, sequence: int) -> None:
+        if isinstance(message, REPLICA_MESSAGES):
+            if self.host is not None:
+                self.host.receive(message, self.now())
+        elif isinstance(message, Directory):
+            self.directory.take(link.address, message)
+            self.on_directory()
+        else:
+            self.on_message(link, message, sequence)
+
+    def _written(self, tickets: list[int]) -> None:
+        self.host.written(tickets, self.now())
+
+    def on_directory(self) -> None:
+        """A control node told who is there: replicas placed here begin, links follow."""
+        self.follow_placements()
+        self.links.keep(self.wanted_links())
+
+    def follow_placements(self) -> None:
+        """Opens founded replicas, and tells the owners among them which voters are wanted."""
+        if self.host is None:
+            return
+        now = self.now()
+        for placed in self.directory.placements.values():
+            replica = self.host.replica(placed.shard)
+            if replica is None and self._belongs_here(placed):
+                replica = self.host.open(placed.shard, placed.founders, now)
+            if replica is not None:
+                replica.set_target(placed.voters)
+
+    def _belongs_here(self, placed) -> bool:
+        return self.replica_id in placed.founders or placed.shard in self.host.stored_shards()
+
+    # Time
+
+    async def _tick_loop(self) -> None:
+        beat_at = settings_at = 0.0
+        while True:
+            now = self.now()
+            if self.host is not None:
+                self.host.tick(now)
+            self.on_tick(now)
+            if now >= beat_at:
+                beat_at = now + HEARTBEAT_S
+                self._send_heartbeat()
+                self.on_heartbeat(now)
+                self.links.keep(self.wanted_links())
+            if now >= settings_at:
+                settings_at = now + SETTINGS_CHECK_S
+                self._follow_settings()
+            await asyncio.sleep(TICK_S)
+
+    def shard_reports(self) -> tuple[ShardReport, ...]:
+        """This process's replicas, as heartbeats tell of them."""
+        if self.host is None:
+            return ()
+        reports = []
+        for shard in self.host.shards():
+            replica = self.host.replica(shard)
+            reports.append(
+                ShardReport(
+                    shard=shard,
+                    replica=self.replica_id,
+                    epoch=replica.epoch,
+                    owner=replica.owner,
+                    voters=tuple(replica.voters),
+                    applied_index=replica.applied_index,
+                    commit_index=replica.commit_index,
+                )
+            )
+        return tuple(reports)
+
+    def heartbeat(self) -> Heartbeat:
+        """What this process tells its monitors now."""
+        self._beat += 1
+        return Heartbeat(
+            self.member, self._beat, self.config_version(), self.leaving, self.shard_reports()
+        )
+
+    def _send_heartbeat(self) -> None:
+        heartbeat = self.heartbeat()
+        data = encode(heartbeat)
+        for address in monitors(self.address, self.control_addresses()):
+            link = self.links.to(address)
+            if link is not None:
+                link.send_encoded(data)
+
+    def _follow_settings(self) -> None:
+        modified = _modified(self._settings_path)
+        if modified == self._settings_changed:
+            return
+        self._settings_changed = modified
+        try:
+            self.settings = Settings.read(self._settings_path)
+        except SettingsError as fault:
+            self.log.error("settings kept as they were: {}", fault)
+            return
+        self.links.keep(self.wanted_links())
+
+    # Life
+
+    async def run(self) -> None:
+        """Serves until SIGTERM and the end of what is under way."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._follow_settings)
+        await self.links.listen()
+        self.links.keep(self.wanted_links())
+        if self.host is not None:
+            self.open_replicas()
+        await self.start()
+        ticking = loop.create_task(self._tick_loop())
+        ticking.add_done_callback(_must_not_end)
+        self.log.info("{} serves at {} as {}", self.role, self.address, self.replica_id or "no replica")
+        await self.stopping.wait()
+        self.log.info("{} leaves", self.role)
+        self.leaving = True
+        await self.stop()
+        ticking.remove_done_callback(_must_not_end)
+        ticking.cancel()
+        await self.links.close()
+
+    def open_replicas(self) -> None:
+        """Opens the replicas that the disk holds."""
+        for shard in self.host.stored_shards():
+            if shard != CONFIGURATION_SHARD:
+                self.host.open(shard, (), self.now())
+
+    async def hand_over(self, within: float) -> None:
+        """Hands every shard owned here to another replica, waiting for it a little."""
+        if self.host is None:
+            return
+        now = self.now()
+        for shard in self.host.shards():
+            self.host.replica(shard).transfer(now)
+            self.host.flush(shard)
+        ends = now + within
+        while self.now() < ends and self._owns_any():
+            await asyncio.sleep(TICK_S)
+
+    def _owns_any(self) -> bool:
+        return any(self.host.replica(shard).is_owner for shard in self.host.shards())
+
+
+def _modified(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
+
+
+def _must_not_end(task: asyncio.Task) -> None:
+    """A loop that ends is a broken invariant: the process must not go on without it."""
+    if not task.cancelled() and task.exception() is not None:
+        logbook.Logger("kestrelbend").critical("a loop ended: {!r}", task.exception())
+        os._exit(70)
