Data plane: silence counts against a backend; limits of clients act at once

A backend that hung was chosen again until deadlines passed; an answer that is far later than usual is now a failure.

--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -102,6 +102,7 @@
         try:
             async with asyncio.timeout_at(exchange.deadline) as bound:
                 watch.start(bound)
+                client.before_end = watch.stop
                 try:
                     return await self._carry(exchange, client, progress)
                 finally:
--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -18,6 +18,7 @@
 from .send import Answer, Sender, Sending
 
 WHOLE_ANSWER_BYTES = 256 * 1024  # a plain answer up to this size is held until it is whole
+SUSPECT_FACTOR = 1.5  # of the patience with a route: a longer silence counts against the backend
 FAILED_AT = 500  # statuses from here on are failures that a repeat may mend
 
 
@@ -70,12 +71,22 @@
         self, exchange: Exchange, sending: Sending, last_id: int | None, progress: Progress
     ) -> Opened | Failure:
         """The outcome of one attempt; `last_id` is the last event that the client has."""
-        begun = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
         progress.sendings.append(sending)
-        outcome = await self._open(exchange, sending, last_id)
+        silence = self._pace.patience(exchange.route) * SUSPECT_FACTOR
+        alarm = loop.call_later(silence, self._silent, sending)
+        try:
+            outcome = await self._open(exchange, sending, last_id)
+        finally:
+            alarm.cancel()
         self._learn(exchange, sending.backend.identity, outcome, begun)
         return outcome
 
+    def _silent(self, sending: Sending) -> None:
+        if sending.left:
+            self._health.failed(sending.backend.identity, asyncio.get_running_loop().time())
+
     async def _open(self, exchange: Exchange, sending: Sending, last_id: int | None) -> Opened | Failure:
         answer = await self._sender.send(exchange, sending)
         if isinstance(answer, Failure):
--- a/kestrelbend/tier/dataplane/client.py
+++ b/kestrelbend/tier/dataplane/client.py
@@ -24,7 +24,11 @@
 
 
 class Client:
-    """Sends one answer.  `closing` is asked at its start: the connection ends with it."""
+    """Sends one answer.  `closing` is asked at its start: the connection ends with it.
+
+    `before_end` is called before the last part: the server ends the exchange within that call, and nothing
+    may interrupt it there.
+    """
 
     def __init__(
         self,
@@ -39,6 +43,7 @@
         self.success = False
         self.finished = False
         self.events = 0  # handed over
+        self.before_end: Callable[[], None] = lambda: None
 
     async def start(self, status: int, headers: Headers) -> None:
         """The head of the answer."""
@@ -52,6 +57,7 @@
         """A part of the body; the last one ends the answer."""
         if not more:
             self.finished = True
+            self.before_end()
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
     async def answer(self, own: OwnAnswer) -> None:
--- a/kestrelbend/tier/dataplane/connections.py
+++ b/kestrelbend/tier/dataplane/connections.py
@@ -10,6 +10,7 @@
 import re
 from collections.abc import Callable
 
+import anyio  # noqa: F401  httpcore needs it under asyncio, and says so only at its first request
 import attrs
 import httpcore
 
@@ -86,10 +87,6 @@
         pool = self._pools.get(backend.identity)
         return pool is None or bool(pool.idle) or pool.open < self._limit(service)
 
-    def idle(self, identity: str) -> int:
-        pool = self._pools.get(identity)
-        return len(pool.idle) if pool is not None else 0
-
     def _limit(self, service: ports.Service) -> int:
         return max(2, int(service.max_conns * SHARE_OF_LIMIT / max(1, self._gateways())))
 
--- a/kestrelbend/tier/dataplane/forward.py
+++ b/kestrelbend/tier/dataplane/forward.py
@@ -25,6 +25,7 @@
 
 SENDS_AT_MOST = 64
 RUNS_AT_MOST = 3  # attempts of one repeatable request that may have run
+BREAKS_AT_MOST = 2
 REPEAT_PAUSES_S = (0.0, 0.03, 0.1)
 HOLD_SHARE = 0.2  # of its objective that a request waits for room before it is refused
 PROGRAM_HOLD_SHARE = 1.0  # a program's call costs the whole program when it fails
@@ -41,6 +42,7 @@
     position: int | None  # the id of the last event that the client has
     sends: int = 0
     runs: int = 0
+    breaks: int = 0  # connections that broke before the request left
     ran_at: set[str] = attrs.field(factory=set)  # may have run there, and it was not seen to crash
     full: set[str] = attrs.field(factory=set)  # turned it away in this round
     lost: set[str] = attrs.field(factory=set)  # gone or out of reach
@@ -172,6 +174,10 @@
         if not failure.certainly_not_run:
             course.runs += 1
             course.ran_at.add(identity)
+        elif failure is Failure.BROKEN_BEFORE_SEND:
+            course.breaks += 1
+            if course.breaks >= BREAKS_AT_MOST:
+                course.full.add(identity)  # it resets connections beyond its limit
         elif failure in (Failure.NOT_EXECUTED, Failure.NO_CONNECTION):
             course.full.add(identity)
         elif failure is Failure.REFUSED:
--- a/kestrelbend/tier/dataplane/hedge.py
+++ b/kestrelbend/tier/dataplane/hedge.py
@@ -13,9 +13,6 @@
 from .exchange import Exchange, Failure
 from .pace import Pace
 
-USUAL_FACTOR = 4.0  # silence in relation to the route's usual time
-AIM_FACTOR = 0.7  # silence in relation to the route's objective, for plain requests
-STREAM_AIM_FACTOR = 3.0  # the same for streams, which wait for the reading of their prompts
 SHARE = 0.05  # of all requests
 SAVED_AT_MOST = 3.0
 
@@ -37,18 +34,13 @@
         first = asyncio.ensure_future(attempt(False))
         tasks = [first]
         try:
-            await asyncio.wait(tasks, timeout=self._patience(exchange))
+            await asyncio.wait(tasks, timeout=self._pace.patience(exchange.route))
             if not first.done() and self._spend():
                 tasks.append(asyncio.ensure_future(attempt(True)))
             return await _first_opened(tasks)
         finally:
             _give_up(tasks)
 
-    def _patience(self, exchange: Exchange) -> float:
-        factor = STREAM_AIM_FACTOR if exchange.streaming else AIM_FACTOR
-        usual = self._pace.usual(exchange.route.name) or 0.0
-        return max(exchange.route.slo_ms / 1000 * factor, usual * USUAL_FACTOR)
-
     def _spend(self) -> bool:
         if self._saved < 1:
             return False
--- a/kestrelbend/tier/dataplane/pace.py
+++ b/kestrelbend/tier/dataplane/pace.py
@@ -4,9 +4,14 @@
 
 import attrs
 
+from . import ports
+
 NEWEST_SHARE = 0.2  # of the newest value in a mean
 STALE_S = 6.0  # an older mean of one backend says nothing of now
 MOST_RATIO = 8.0
+USUAL_FACTOR = 4.0  # patience in relation to the route's usual time
+AIM_FACTOR = 0.7  # patience in relation to the route's objective, for plain requests
+STREAM_AIM_FACTOR = 3.0  # the same for streams, whose prompts wait to be read
 MOST_ROUTES = 10_000
 
 
@@ -41,10 +46,12 @@
             else:
                 mean.add(seconds, now)
 
-    def usual(self, route: str) -> float | None:
-        """The mean of a route, None before its first answer."""
-        mean = self._routes.get(route)
-        return None if mean is None else mean.value
+    def patience(self, route: ports.Route) -> float:
+        """Seconds of silence after a send that are far more than usual on this route."""
+        usual = self._routes.get(route.name)
+        factor = STREAM_AIM_FACTOR if route.kind == "streaming" else AIM_FACTOR
+        aim_s = route.slo_ms / 1000 * factor
+        return aim_s if usual is None else max(aim_s, usual.value * USUAL_FACTOR)
 
     def ratio(self, service: str, identity: str, now: float) -> float:
         """How slow a backend is in relation to its service: 1 where nothing is known lately."""
--- a/kestrelbend/tier/dataplane/server.py
+++ b/kestrelbend/tier/dataplane/server.py
@@ -5,14 +5,21 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 
+import anyio.lowlevel
 import attrs
 import hypercorn
 from hypercorn.asyncio import serve
 
+from . import ports
+
 IDLE_FACTOR = 1.5  # of the operator's IdleTimeoutMs; clients may use a connection until that is over
+UNTOLD_IDLE_MS = 40000.0  # before the first configuration
+UNTOLD_HEADER_BYTES = 65536
 GRACE_S = 7.0
 BACKLOG = 1024
 
+CurrentLimits = Callable[[], ports.Limits | None]
+
 
 @attrs.frozen
 class Listener:
@@ -32,32 +39,41 @@
         self.closing()
 
 
-def server_config(
-    address: str, max_header_bytes: int = 65536, idle_timeout_ms: int = 15000, grace_s: float = GRACE_S
-) -> hypercorn.Config:
-    """Hypercorn's settings for one address."""
-    config = hypercorn.Config()
-    config.bind = [address]
-    config.h11_max_incomplete_size = max_header_bytes
-    config.keep_alive_timeout = idle_timeout_ms * IDLE_FACTOR / 1000
-    config.keep_alive_max_requests = 1_000_000_000
-    config.graceful_timeout = grace_s
-    config.backlog = BACKLOG
-    config.include_server_header = False
-    config.include_date_header = False
-    config.max_app_queue_size = 0  # a full queue would lock an application that refuses a body early
-    config.accesslog = None
-    config.errorlog = None
-    return config
-
-
-async def serve_all(
-    listeners: Sequence[Listener], max_header_bytes: int = 65536, idle_timeout_ms: int = 15000
-) -> None:
-    """Serves all listeners; returns when all are shut down."""
+class ServerConfig(hypercorn.Config):
+    """Hypercorn's settings for one address; the operator's limits act on the next request."""
+
+    def __init__(self, address: str, limits: CurrentLimits = lambda: None) -> None:
+        self._limits = limits
+        self.bind = [address]
+        self.keep_alive_max_requests = 1_000_000_000
+        self.graceful_timeout = GRACE_S
+        self.backlog = BACKLOG
+        self.include_server_header = False
+        self.include_date_header = False
+        self.max_app_queue_size = 0  # a full queue would lock an application that refuses a body early
+        self.accesslog = None
+        self.errorlog = None
+
+    @property
+    def keep_alive_timeout(self) -> float:
+        """Seconds after which a connection at rest is closed."""
+        limits = self._limits()
+        idle_ms = UNTOLD_IDLE_MS if limits is None else limits.idle_timeout_ms
+        return idle_ms * IDLE_FACTOR / 1000
+
+    @property
+    def h11_max_incomplete_size(self) -> int:
+        """The bytes of a head that are kept until it is whole."""
+        limits = self._limits()
+        return UNTOLD_HEADER_BYTES if limits is None else limits.max_header_bytes
+
+
+async def serve_all(listeners: Sequence[Listener], limits: CurrentLimits = lambda: None) -> None:
+    """Serves all listeners; returns when all are shut down.  `limits` gives those in force."""
+    await anyio.lowlevel.checkpoint()  # loads what httpcore would load within its first request
     async with asyncio.TaskGroup() as group:
         for listener in listeners:
-            config = server_config(listener.address, max_header_bytes, idle_timeout_ms)
+            config = ServerConfig(listener.address, limits)
             group.create_task(
                 serve(listener.application, config, shutdown_trigger=listener.until_closing, mode="asgi")
             )
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -166,6 +166,7 @@
         self.connections: list[BackendConnection] = []
         self.refusing = False
         self.unreachable = False
+        self.resetting = False
         self._scripts: list[Handler] = [whole()]
 
     def answers(self, *scripts: Handler) -> ScriptedBackend:
@@ -359,6 +360,8 @@
             raise ConnectionRefusedError
         connection = BackendConnection(scripted)
         scripted.connections.append(connection)
+        if scripted.resetting:
+            connection.reset()
         self._tasks.add(asyncio.ensure_future(connection.serve()))
         return connection.stream
 
--- a/tests/tier/test_dataplane_requests.py
+++ b/tests/tier/test_dataplane_requests.py
@@ -371,6 +371,30 @@
         self.assertEqual(503, got.status)
         self.assertEqual([], self.first.asked)
 
+    def test_a_backend_that_stays_silent_is_passed_over(self):
+        self.first.answers(silent())
+
+        async def story():
+            asked = [asyncio.ensure_future(self.world.ask("/pay/x")) for _ in range(4)]
+            await asyncio.sleep(0.4)
+            before = len(self.first.asked)
+            statuses = await self.all_served(6)
+            await asyncio.gather(*asked)
+            return statuses, len(self.first.asked) - before
+
+        self.assertEqual(({200}, 0), self.world.run(story()))
+
+    def test_a_slower_backend_gets_fewer_requests(self):
+        self.first.answers(whole(after=0.1))
+        self.world.run(self.all_served(60))
+        self.assertTrue(len(self.first.asked) * 3 < len(self.second.asked), len(self.first.asked))
+
+    def test_a_backend_that_resets_new_connections_is_left_for_another(self):
+        self.first.resetting = self.second.resetting = True
+        third = self.world.backend("i-3")
+        self.assertEqual({200}, self.world.run(self.all_served(5)))
+        self.assertEqual(5, len(third.asked))
+
     def test_suspicion_leaves_half_of_a_service_in_use(self):
         for backend in self.both:
             backend.answers(breaks(), breaks(), breaks(), whole())
