--- a/kestrelbend/tier/discovery/exchange.py
+++ b/kestrelbend/tier/discovery/exchange.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from .messages import Backend, BackendAck, BackendNews, BackendNewsAck, BackendUpdate
+from .messages import Backend, BackendAck, BackendUpdate
 
 ACK_WAIT_S = 0.6
 
@@ -90,18 +90,21 @@
             (subscriber, subscriber.send(backends, whole=False)) for subscriber in self._subscribers.values()
         ]
 
-    def tell_peers(self, backend: Backend) -> None:
+    def tell_peers(self, backends: list[Backend]) -> None:
         """Tells the other control nodes without waiting for them."""
+        if not backends:
+            return
+        news = BackendUpdate(self._sender, 0, False, tuple(backends))
         for link in self._peers():
-            link.send(BackendNews(backend))
+            link.send(news)
 
-    async def tell_all(self, backend: Backend) -> None:
+    async def tell_all(self, backends: list[Backend]) -> None:
         """Tells everybody and waits until they have it, or `ACK_WAIT_S` long."""
-        sent = self.stream([backend])
+        sent = self.stream(backends)
         waits = [subscriber.until(number) for subscriber, number in sent]
-        waits += [
-            asyncio.ensure_future(link.request(BackendNews(backend), ACK_WAIT_S)) for link in self._peers()
-        ]
+        news = BackendUpdate(self._sender, 0, False, tuple(backends))
+        for link in self._peers():
+            waits.append(asyncio.ensure_future(link.request(news, ACK_WAIT_S)))
         if not waits:
             return
         _, late = await asyncio.wait(waits, timeout=ACK_WAIT_S)
@@ -113,6 +116,6 @@
         link.send(BackendUpdate(self._sender, 0, True, tuple(self._everything())))
 
     @staticmethod
-    def acknowledge_news(link, sequence: int, news: BackendNews) -> None:
+    def acknowledge_news(link, sequence: int, news: BackendUpdate) -> None:
         """Answers another control node's news."""
-        link.reply(sequence, BackendNewsAck(news.backend.identity))
+        link.reply(sequence, BackendAck(news.sender, news.number))
--- a/kestrelbend/tier/discovery/messages.py
+++ b/kestrelbend/tier/discovery/messages.py
@@ -47,17 +47,3 @@
 
     sender: str
     number: int
-
-
-@attrs.frozen
-class BackendNews:
-    """A change of one backend, from the control node that heard it to the others; answered by its ack."""
-
-    backend: Backend
-
-
-@attrs.frozen
-class BackendNewsAck:
-    """The receiver holds the news and has handed it to its subscribers."""
-
-    identity: str
--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -37,6 +37,4 @@
 struct ConfigOutcome { 1: i32 status, 2: i64 version, 3: string reason }
 struct ReadRequest { 1: string shard }
 struct ReadReply { 1: bool owner, 2: i64 version, 3: binary body }
-struct BackendNews { 1: Backend backend }
-struct BackendNewsAck { 1: string identity }
 struct Hello { 1: string address, 2: string replica, 3: i64 incarnation }
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -19,7 +19,7 @@
 from ..configuration.stream import ConfigStream
 from ..dataplane.server import Listener, serve_all
 from ..discovery.exchange import BackendExchange
-from ..discovery.messages import BackendAck, BackendNews, BackendState, BackendUpdate
+from ..discovery.messages import Backend, BackendAck, BackendState, BackendUpdate
 from ..discovery.registry import BackendRegistry, BeatRejected
 from ..membership.messages import ConfigAck, Directory, Heartbeat, MemberSummary, ShardReport, Subscribe
 from ..membership.placement import (
@@ -55,6 +55,7 @@
         self.budgets.attach(self.host, self.now)
         self.members = MemberTable()
         self.registry = BackendRegistry()
+        self._streamed = 0  # the registry's number that subscribers were brought to
         self.exchange = BackendExchange(self.address, self.registry.all, self._peer_links)
         self.config_stream = ConfigStream()
         self.configuration: ConfigurationService | None = None
@@ -135,11 +136,9 @@
             self.config_stream.take_ack(link, message.version)
         elif isinstance(message, BackendAck):
             self.exchange.take_ack(link, message)
-        elif isinstance(message, BackendNews):
-            self._merge_backends([message.backend])
-            self.exchange.acknowledge_news(link, sequence, message)
         elif isinstance(message, BackendUpdate):
             self._merge_backends(message.backends)
+            self.exchange.acknowledge_news(link, sequence, message)
         elif isinstance(message, ConfigOrder):
             self._answer(link, sequence, self._decide(message))
         elif isinstance(message, ReadRequest):
@@ -171,8 +170,15 @@
 
     def _merge_backends(self, backends) -> None:
         now = self.now()
-        changed = [backend for backend in backends if self.registry.merge(backend, now)]
-        self.exchange.stream(changed)
+        for backend in backends:
+            self.registry.merge(backend, now)
+        self.exchange.stream(self._registry_changes())
+
+    def _registry_changes(self) -> list[Backend]:
+        """What has changed in the registry since this was last asked."""
+        changes = self.registry.changes_since(self._streamed)
+        self._streamed = changes.number
+        return list(changes.backends)
 
     # Time
 
@@ -199,8 +205,8 @@
         if not self.configuration.replica.in_touch(now):
             self._in_touch_since = now
         beat_interval = self.settings.heartbeat_ms / 1000
-        silent = self.registry.expired(now, beat_interval, self._in_touch_since)
-        self.exchange.stream(list(silent.gone))
+        self.registry.expired(now, beat_interval, self._in_touch_since)
+        self.exchange.stream(self._registry_changes())
 
     def _own_directory(self, now: float) -> Directory:
         state = self.configuration.state
@@ -296,30 +302,23 @@
 
     async def beat(self, identity: str, report: dict) -> int:
         """A backend's heartbeat: known here and, where it matters, everywhere before it is acknowledged."""
-        before = self.registry.get(identity)
-        backend = self.registry.beat(identity, report, self.now())
-        if isinstance(backend, BeatRejected):
-            return BAD_REQUEST
-        await self._spread(before, backend)
-        return OK
+        return await self._taken(self.registry.beat(identity, report, self.now()))
 
     async def leave(self, identity: str) -> int:
         """A backend has ended."""
-        before = self.registry.get(identity)
-        backend = self.registry.leave(identity, self.now())
-        if isinstance(backend, BeatRejected):
+        return await self._taken(self.registry.leave(identity, self.now()))
+
+    async def _taken(self, outcome: Backend | BeatRejected) -> int:
+        if isinstance(outcome, BeatRejected):
             return BAD_REQUEST
-        await self._spread(before, backend)
+        changes = self._registry_changes()
+        if any(backend.state != BackendState.READY for backend in changes):
+            await self.exchange.tell_all(changes)
+        else:
+            self.exchange.stream(changes)
+            self.exchange.tell_peers(changes)
         return OK
 
-    async def _spread(self, before, backend) -> None:
-        leaves = backend.state != BackendState.READY
-        if leaves and (before is None or before.state != backend.state):
-            await self.exchange.tell_all(backend)
-        elif before != backend:
-            self.exchange.stream([backend])
-            self.exchange.tell_peers(backend)
-
     async def retire_start(self, node: str, deadline_s: float) -> int:
         """Begins to empty a store."""
         now = self.now()
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
 
 from ..budgets.client import BudgetClient
 from ..budgets.messages import BudgetReply, BudgetRequest, Reserve, ReserveOutcome, Settle, Verdict
+from ..configuration.document import read_accepted
 from ..configuration.routing import RoutingTable
 from ..dataplane.app import assemble
 from ..dataplane.life import Life
@@ -45,7 +45,7 @@
     def take(self, version: int, body: bytes) -> None:
         """Puts a newer version in force."""
         if version > self.version:
-            self._table = RoutingTable.from_document(version, json.loads(body))
+            self._table = RoutingTable.from_document(version, read_accepted(body).values)
 
 
 class GatewayProcess(TierProcess):
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -40,6 +40,7 @@
 HEARTBEAT_S = 0.25
 SETTINGS_CHECK_S = 1.0
 MOST_CONTROL_LINKS = 8
+JOURNAL_CLOSE_S = 0.5
 REPLICA_MESSAGES = (
     RequestVote,
     VoteReply,
@@ -331,6 +332,8 @@
         ticking.remove_done_callback(_must_not_end)
         ticking.cancel()
         await self.links.close()
+        if self.journal is not None:
+            await asyncio.to_thread(self.journal.close, JOURNAL_CLOSE_S)
 
     def open_replicas(self) -> None:
         """Opens the replicas that the disk holds."""
