Tier: a process reaches clocks, disk, signals and listeners through its environment

So that a fleet in memory can put others in their place. The operating system's stay the default, and nothing changes with them; a store still does not load the HTTP server.

--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -17,7 +17,7 @@
 from ..configuration.placements import encode_placement
 from ..configuration.shard_service import ConfigurationMachine, ConfigurationService
 from ..configuration.stream import ConfigStream
-from ..dataplane.server import Listener, serve_all
+from ..dataplane.server import Listener
 from ..discovery.exchange import BackendExchange
 from ..discovery.messages import Backend, BackendAck, BackendState, BackendUpdate
 from ..discovery.registry import BackendRegistry, BeatRejected
@@ -49,9 +49,9 @@
     role = "control"
     port_offset = CONTROL_PORT
 
-    def __init__(self, settings, settings_path):
+    def __init__(self, settings, settings_path, environment=None):
         self.budgets = BudgetShards()
-        super().__init__(settings, settings_path)
+        super().__init__(settings, settings_path, environment)
         self.budgets.attach(self.host, self.now)
         self.members = MemberTable()
         self.registry = BackendRegistry()
@@ -357,7 +357,7 @@
     async def start(self):
         """Serves the operator's API."""
         self._serving = self.spawn(
-            serve_all([Listener(OperatorApi(self), self.settings.listen_control, self._served)])
+            self.environment.serve([Listener(OperatorApi(self), self.settings.listen_control, self._served)])
         )
 
     async def _served(self) -> None:
--- /dev/null
+++ b/kestrelbend/tier/roles/environment.py
@@ -0,0 +1,111 @@
+"""The surroundings of a process: clocks, disk, signals, settings and listeners of the operating system.
+
+A process reaches these only through its `Environment`, so that a fleet in memory can put others in their
+place.  Connections need no part here: they are made by the running event loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+import signal
+import time
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Protocol
+
+from ..storage.disk import Disk
+from ..storage.journal import DiskJournal
+from ..storage.os_disk import OsDisk
+from .settings import Settings
+
+if TYPE_CHECKING:
+    from ..dataplane.server import Listener
+
+IDENTITY_BYTES = 4
+BROKEN_INVARIANT = 70  # the exit status of a process that must not go on
+
+Written = Callable[[list[int]], None]
+
+
+class Environment(Protocol):
+    """What a process asks of the machine that it runs on."""
+
+    def now(self) -> float:
+        """The steady clock, in seconds."""
+
+    def new_incarnation(self) -> int:
+        """A number for this life of the process, higher than those of its earlier lives."""
+
+    def new_disk_identity(self) -> str:
+        """A name for an emptied disk that no other disk has had."""
+
+    def disk(self) -> Disk:
+        """The disk that `DataDir` is on."""
+
+    def journal(self, folder: str, capacity_bytes: int, written: Written) -> DiskJournal:
+        """A journal that calls `written` on the event loop, and writes only once it is started."""
+
+    async def close_journal(self, journal: DiskJournal, within: float) -> None:
+        """Writes what waits, for a time in seconds at most."""
+
+    def on_signals(self, stop: Callable[[], None], reload: Callable[[], None]) -> None:
+        """What to call when the platform asks for an end, and when it has changed the settings."""
+
+    def settings_changed_at(self, path: str) -> int:
+        """When the settings file was changed last, 0 where there is none."""
+
+    def read_settings(self, path: str) -> Settings:
+        """The settings as they stand now; raises `SettingsError`."""
+
+    async def serve(self, listeners: Sequence[Listener], **options) -> None:
+        """Serves until all listeners are shut down; options as of `serve_all`."""
+
+    def abort(self) -> None:
+        """Ends the process at once: an invariant is broken."""
+
+
+class SystemEnvironment:
+    """The operating system's."""
+
+    def now(self) -> float:
+        return time.monotonic()
+
+    def new_incarnation(self) -> int:
+        return time.time_ns() // 1000
+
+    def new_disk_identity(self) -> str:
+        return secrets.token_hex(IDENTITY_BYTES)
+
+    def disk(self) -> Disk:
+        return OsDisk()
+
+    def journal(self, folder: str, capacity_bytes: int, written: Written) -> DiskJournal:
+        loop = asyncio.get_running_loop()
+        return DiskJournal(folder, capacity_bytes, written, loop.call_soon_threadsafe)
+
+    async def close_journal(self, journal: DiskJournal, within: float) -> None:
+        await asyncio.to_thread(journal.close, within)
+
+    def on_signals(self, stop: Callable[[], None], reload: Callable[[], None]) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop)
+        loop.add_signal_handler(signal.SIGINT, stop)
+        loop.add_signal_handler(signal.SIGHUP, reload)
+
+    def settings_changed_at(self, path: str) -> int:
+        try:
+            return os.stat(path).st_mtime_ns
+        except OSError:
+            return 0
+
+    def read_settings(self, path: str) -> Settings:
+        return Settings.read(path)
+
+    async def serve(self, listeners: Sequence[Listener], **options) -> None:
+        from ..dataplane.server import serve_all  # stores serve nothing and don't load it
+
+        await serve_all(listeners, **options)
+
+    def abort(self) -> None:
+        os._exit(BROKEN_INVARIANT)
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -12,7 +12,7 @@
 from ..dataplane.life import Life
 from ..dataplane.network import TcpNetwork
 from ..dataplane.ready import ReadyApplication
-from ..dataplane.server import Listener, serve_all
+from ..dataplane.server import Listener
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.view import BackendView
 from ..membership.messages import ConfigAck, ConfigUpdate
@@ -54,8 +54,8 @@
     role = "gateway"
     port_offset = GATEWAY_PORT
 
-    def __init__(self, settings, settings_path):
-        super().__init__(settings, settings_path)
+    def __init__(self, settings, settings_path, environment=None):
+        super().__init__(settings, settings_path, environment)
         self.routing = RoutingHolder()
         self.view = BackendView()
         self.life = Life()
@@ -188,7 +188,7 @@
     async def start(self):
         """Serves clients and the platform's question of readiness."""
         self._serving = self.spawn(
-            serve_all(
+            self.environment.serve(
                 [
                     Listener(self.data_plane, self.settings.listen_front, self._served),
                     Listener(ReadyApplication(self.life), self.settings.listen_ready, self._served),
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -7,9 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import signal
-import time
 
 import logbook
 
@@ -30,7 +27,7 @@
 )
 from ..replication.replica import Timing
 from ..storage.identity import DataFolder
-from ..storage.journal import DiskJournal
+from .environment import Environment, SystemEnvironment
 from .settings import Settings, SettingsError
 
 CONTROL_PORT = 0  # offsets into the free ports of a machine
@@ -57,13 +54,14 @@
     role = ""
     port_offset = 0
 
-    def __init__(self, settings: Settings, settings_path: str):
+    def __init__(self, settings: Settings, settings_path: str, environment: Environment | None = None):
         self.settings = settings
+        self.environment = environment or SystemEnvironment()
         self._settings_path = settings_path
-        self._settings_changed = _modified(settings_path)
+        self._settings_changed = self.environment.settings_changed_at(settings_path)
         self.log = logbook.Logger(f"kestrelbend.{self.role}")
-        self.now = time.monotonic
-        self.incarnation = time.time_ns() // 1000
+        self.now = self.environment.now
+        self.incarnation = self.environment.new_incarnation()
         self.address = f"{settings.ip}:{settings.port_range[0] + self.port_offset}"
         self.directory = DirectoryView()
         self.leaving = False
@@ -88,13 +86,15 @@
     # Beginning
 
     def _open_disk(self) -> None:
-        folder = DataFolder.open(self.settings.data_dir, self.settings.bootstrap)
+        folder = DataFolder.open(
+            self.settings.data_dir,
+            self.settings.bootstrap,
+            self.environment.disk(),
+            self.environment.new_disk_identity,
+        )
         self.replica_id = f"{self.address}#{folder.identity}"
-        loop = asyncio.get_running_loop()
         capacity = int(self.settings.disk_mb * 1_000_000)
-        self.journal = DiskJournal(
-            folder.journal_folder, capacity, self._written, loop.call_soon_threadsafe
-        )
+        self.journal = self.environment.journal(folder.journal_folder, capacity, self._written)
         records = []
         for data in self.journal.load():
             try:
@@ -298,12 +298,12 @@
                 link.send_encoded(data)
 
     def _follow_settings(self) -> None:
-        modified = _modified(self._settings_path)
-        if modified == self._settings_changed:
+        changed = self.environment.settings_changed_at(self._settings_path)
+        if changed == self._settings_changed:
             return
-        self._settings_changed = modified
+        self._settings_changed = changed
         try:
-            self.settings = Settings.read(self._settings_path)
+            self.settings = self.environment.read_settings(self._settings_path)
         except SettingsError as fault:
             self.log.error("settings kept as they were: {}", fault)
             return
@@ -314,26 +314,24 @@
     async def run(self) -> None:
         """Serves until SIGTERM and the end of what is under way."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._follow_settings)
+        self.environment.on_signals(self.stopping.set, self._follow_settings)
         await self.links.listen()
         self.links.keep(self.wanted_links())
         if self.host is not None:
             self.open_replicas()
         await self.start()
         ticking = loop.create_task(self._tick_loop())
-        ticking.add_done_callback(_must_not_end)
+        ticking.add_done_callback(self._must_not_end)
         self.log.info("{} serves at {} as {}", self.role, self.address, self.replica_id or "no replica")
         await self.stopping.wait()
         self.log.info("{} leaves", self.role)
         self.leaving = True
         await self.stop()
-        ticking.remove_done_callback(_must_not_end)
+        ticking.remove_done_callback(self._must_not_end)
         ticking.cancel()
         await self.links.close()
         if self.journal is not None:
-            await asyncio.to_thread(self.journal.close, JOURNAL_CLOSE_S)
+            await self.environment.close_journal(self.journal, JOURNAL_CLOSE_S)
 
     def open_replicas(self) -> None:
         """Opens the replicas that the disk holds."""
@@ -356,16 +354,8 @@
     def _owns_any(self) -> bool:
         return any(self.host.replica(shard).is_owner for shard in self.host.shards())
 
-
-def _modified(path: str) -> int:
-    try:
-        return os.stat(path).st_mtime_ns
-    except OSError:
-        return 0
-
-
-def _must_not_end(task: asyncio.Task) -> None:
-    """A loop that ends is a broken invariant: the process must not go on without it."""
-    if not task.cancelled() and task.exception() is not None:
-        logbook.Logger("kestrelbend").critical("a loop ended: {!r}", task.exception())
-        os._exit(70)
+    def _must_not_end(self, task: asyncio.Task) -> None:
+        """A loop that ends is a broken invariant: the process must not go on without it."""
+        if not task.cancelled() and task.exception() is not None:
+            logbook.Logger("kestrelbend").critical("a loop ended: {!r}", task.exception())
+            self.environment.abort()
--- a/kestrelbend/tier/roles/store.py
+++ b/kestrelbend/tier/roles/store.py
@@ -15,9 +15,9 @@
     role = "store"
     port_offset = STORE_PORT
 
-    def __init__(self, settings, settings_path):
+    def __init__(self, settings, settings_path, environment=None):
         self.budgets = BudgetShards()
-        super().__init__(settings, settings_path)
+        super().__init__(settings, settings_path, environment)
         self.budgets.attach(self.host, self.now)
 
     def machine_for(self, shard):
--- a/kestrelbend/tier/storage/identity.py
+++ b/kestrelbend/tier/storage/identity.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import secrets
+from collections.abc import Callable
 
 import attrs
 
@@ -30,7 +31,13 @@
     created: bool
 
     @classmethod
-    def open(cls, data_dir: str, bootstrap: bool, disk: Disk | None = None) -> DataFolder:
+    def open(
+        cls,
+        data_dir: str,
+        bootstrap: bool,
+        disk: Disk | None = None,
+        new_identity: Callable[[], str] = lambda: secrets.token_hex(_IDENTITY_BYTES),
+    ) -> DataFolder:
         """`bootstrap`: the whole system starts on empty disks, so the disks' identities are known ahead.
 
         Raises `StorageDamaged`, and `OSError` where the disk does not take the identity.
@@ -42,7 +49,7 @@
         created = _IDENTITY_NAME not in names
         if created:
             _check_no_versions(disk, data_dir, names)
-            identity = FIRST_IDENTITY if bootstrap else secrets.token_hex(_IDENTITY_BYTES)
+            identity = FIRST_IDENTITY if bootstrap else new_identity()
             _write_identity(disk, data_dir, identity)
         identity = _read_identity(disk, data_dir)
         journal_folder = f"{data_dir}/{_JOURNAL_NAME}"
