--- a/kestrelbend/tier/budgets/line.py
+++ b/kestrelbend/tier/budgets/line.py
@@ -137,7 +137,7 @@
         request = BudgetRequest(self._shard, tuple(one.reserve for one in waiting), settles)
         reply = await self._ask(target, request)
         if reply is None:
-            self._route.no_reply(target, asyncio.get_running_loop().time())
+            self._route.no_reply(target, now, asyncio.get_running_loop().time())
         elif not reply.owner or len(reply.outcomes) != len(waiting):
             self._route.not_owner(target, reply.owner_hint)
         else:
--- a/kestrelbend/tier/budgets/route.py
+++ b/kestrelbend/tier/budgets/route.py
@@ -65,11 +65,12 @@
         self._note_asked(replica)
         self._likely = "" if hint in self._asked else hint
 
-    def no_reply(self, replica: str, now: float) -> None:
-        """The replica cannot be reached, or took too long."""
+    def no_reply(self, replica: str, asked_at: float, now: float) -> None:
+        """The replica took too long; or it can't be reached, which is told at once and costs no time."""
         self._note_asked(replica)
         self._likely = ""
-        self._silent_until[replica] = now + self._settings.silent_s
+        if now - asked_at >= self._settings.attempt_s / 2:
+            self._silent_until[replica] = now + self._settings.silent_s
 
     def _note_asked(self, replica: str) -> None:
         self._last = replica
--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -16,7 +16,7 @@
 from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle, TurnEnd, Verdict
 from kestrelbend.tier.budgets.program import OpenTurn, ProgramBudget, SessionTurn
 
-RECENT_PROGRAMS = 4_000
+RECENT_PROGRAMS = 2_000
 IDLE_PROGRAMS = 60_000
 LOOKED_THROUGH = 16
 
--- /dev/null
+++ b/tests/tier/test_budgets_route.py
@@ -0,0 +1,54 @@
+"""How a gateway finds a shard's owner."""
+
+import testtools
+
+from kestrelbend.tier.budgets.route import ClientSettings, OwnerRoute
+
+
+class RouteTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.settings = ClientSettings()
+        self.route = OwnerRoute(self.settings)
+
+    def target(self, now=0.0):
+        return self.route.target(("a", "b", "c"), now)
+
+    def test_given_nobody_knows_the_owner_when_searched_then_each_is_asked_once_and_rounds_have_pauses(self):
+        pauses = []
+        for _round in range(6):
+            for replica in "abc":
+                self.assertEqual(replica, self.target())
+                self.route.not_owner(replica, "")
+            self.assertIsNone(self.target())
+            pauses.append(self.route.pause())
+        self.assertEqual([0.02, 0.04, 0.08, 0.16, 0.3, 0.3], [round(pause, 6) for pause in pauses])
+
+    def test_given_two_that_name_each_other_when_searched_then_the_third_is_asked(self):
+        self.route.not_owner("a", "b")
+        self.assertEqual("b", self.target())
+        self.route.not_owner("b", "a")
+        self.assertEqual("c", self.target())
+
+    def test_given_an_owner_that_is_silent_when_others_still_name_it_then_it_is_left_out_for_a_while(self):
+        self.route.owner("b")
+        self.route.no_reply("b", asked_at=0.7, now=1.0)
+        self.assertEqual("c", self.target(now=1.0))
+        self.route.not_owner("c", "b")
+        self.assertEqual("a", self.target(now=1.0))
+        self.route.not_owner("a", "b")
+        self.assertIsNone(self.target(now=1.0))
+        self.assertEqual(["c", "b"], [self.target(now=1.1), self.next_after("a", now=1.6)])
+
+    def test_given_a_replica_that_cannot_be_reached_when_it_is_back_then_the_next_round_finds_it(self):
+        self.route.no_reply("a", asked_at=1.0, now=1.001)
+        for replica in "bc":
+            self.assertEqual(replica, self.target(now=1.01))
+            self.route.not_owner(replica, "a")
+        self.assertIsNone(self.target(now=1.01))
+        self.assertEqual("a", self.target(now=1.03))
+
+    def next_after(self, replica, now):
+        self.route.not_owner("c", "")
+        self.route.not_owner(replica, "")
+        return self.target(now)
