--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -138,7 +138,7 @@
         live = {backend.identity for service in table.services for backend in self.backends.of(service)}
         self.connections.prune(live)
         self.health.keep_only(live)
-        self.pace.keep_only(live, set(table.services))
+        self.pace.keep_only(live)
 
     def close_intake(self) -> None:
         """The listener is being closed: a request that still arrives is refused, since its connection may be
--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -108,7 +108,7 @@
                 self._health.failed(identity, now)
                 return
             self._health.answered(identity, now)
-            self._pace.note(exchange.service.name, exchange.route.name, identity, now - begun, now)
+            self._pace.note(exchange.route.name, identity, now - begun, now)
         elif outcome is Failure.NOT_EXECUTED:
             self._health.turned_away(identity, now)
         elif outcome in (Failure.REFUSED, Failure.UNREACHABLE):
--- a/kestrelbend/tier/dataplane/choice.py
+++ b/kestrelbend/tier/dataplane/choice.py
@@ -1,9 +1,9 @@
 """The choice of a backend for one send.
 
-Model services and routes with `Sticky`: requests about one thing prefer one backend by rendezvous hashing, as
-long as it is not clearly busier than the least busy one, since it holds the thing's parts; otherwise the
-least busy.  Other services: the one of two at random that should answer first.  A backend in this gateway's
-zone wins at equal load.
+Model services and routes with `Sticky`: requests about one thing go to the first backend in the thing's own
+order (rendezvous hashing, this gateway's zone first) that is not clearly busier than the least busy one, as
+it is the likeliest to hold the thing's parts.  Other services: of two at random the one that should answer
+first; at equal load one in this zone, or one to which a connection rests.
 """
 
 from __future__ import annotations
@@ -21,6 +21,8 @@
 from .pace import Pace
 
 OTHER_ZONE_LOAD = 0.04  # how much busier a backend in another zone counts
+NEW_CONNECTION_LOAD = 0.04  # how much busier one counts that needs a new connection
+TRIED_SHARE = 0.2  # of such choices that overlook it, or a faster backend would stay unknown
 COLD_LOAD = 0.5  # how much busier one that is slow from its start counts
 SLOW_LOAD = 0.25  # how much busier one counts for each time that it is slower than its service
 SLOW_AT_MOST = 3.0
@@ -81,7 +83,7 @@
             load += OTHER_ZONE_LOAD
         if backend.cold_left_ms > 0:
             load += COLD_LOAD
-        slower = self._pace.ratio(service.name, backend.identity, now) - 1
+        slower = (self._pace.ratio(backend.identity, now) or 1.0) - 1
         if slower > 0:
             load += SLOW_LOAD * min(slower, SLOW_AT_MOST)
         return load
@@ -115,14 +117,17 @@
     def _by_affinity(
         self, service: ports.Service, key: bytes | None, candidates: list[Backend], now: float
     ) -> Backend:
+        """The first in the key's order, this zone's before others, that is not clearly busier."""
         loads = {backend.identity: self._load(backend, service, now) for backend in candidates}
         least = min(candidates, key=lambda backend: loads[backend.identity])
         if key is None:
             return least
-        preferred = max(candidates, key=lambda backend: _weight(key, backend.identity))
-        if loads[preferred.identity] <= loads[least.identity] + AFFINITY_SLACK:
-            return preferred
-        return least
+        most = loads[least.identity] + AFFINITY_SLACK
+        near_enough = (backend for backend in candidates if loads[backend.identity] <= most)
+        return max(
+            near_enough,
+            key=lambda backend: (backend.zone == self._zone, _weight(key, backend.identity)),
+        )
 
     def _expected(self, backend: Backend, service: ports.Service, now: float) -> float:
         """In proportion to the time in which an answer may be expected."""
@@ -132,7 +137,9 @@
             load += OTHER_ZONE_LOAD
         if backend.cold_left_ms > 0:
             load += COLD_LOAD
-        return load * self._pace.ratio(service.name, backend.identity, now)
+        if not self._connections.rests(backend.identity) and self._rng.random() > TRIED_SHARE:
+            load += NEW_CONNECTION_LOAD
+        return load * (self._pace.ratio(backend.identity, now) or 1.0)
 
 
 def _weight(key: bytes, identity: str) -> int:
--- a/kestrelbend/tier/dataplane/connections.py
+++ b/kestrelbend/tier/dataplane/connections.py
@@ -87,6 +87,11 @@
         pool = self._pools.get(backend.identity)
         return pool is None or bool(pool.idle) or pool.open < self._limit(service)
 
+    def rests(self, identity: str) -> bool:
+        """A connection to the backend is there and carries no request."""
+        pool = self._pools.get(identity)
+        return pool is not None and bool(pool.idle)
+
     @property
     def open(self) -> int:
         """All connections, those that are being made among them."""
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -367,9 +367,11 @@
 
     # Scenery
 
-    def backend(self, identity: str, service: str = "tools", slots: int = 4) -> ScriptedBackend:
+    def backend(
+        self, identity: str, service: str = "tools", slots: int = 4, zone: str = ZONE
+    ) -> ScriptedBackend:
         address = f"10.0.0.{len(self.scripted) + 1}:80"
-        backend = Backend(identity, service, address, ZONE, "v1", slots, 0, 0, 1)
+        backend = Backend(identity, service, address, zone, "v1", slots, 0, 0, 1)
         self.live[identity] = backend
         self.scripted[address] = ScriptedBackend(backend)
         return self.scripted[address]
--- a/tests/tier/test_dataplane_streams.py
+++ b/tests/tier/test_dataplane_streams.py
@@ -246,3 +246,39 @@
         fields = {key: value for key, value in turn().items() if key != "budget"}
         got = self.world.run(self.world.ask("/turns/x", fields=fields))
         self.assertEqual((200, []), (got.status, self.budget.reserved))
+
+
+class Choice(testtools.TestCase):
+    """Which backend a thing's requests prefer."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = World()
+        for number in range(1, 7):
+            zone = "here" if number % 2 else "there"
+            self.world.backend(f"i-{number}", "models", zone=zone).answers(events([1]))
+
+    def used(self, keys):
+        async def story():
+            for key in keys:
+                await self.world.ask("/turns/x", fields={"program": key})
+
+        self.world.run(story())
+        return {scripted.backend.identity for scripted in self.world.scripted.values() if scripted.asked}
+
+    def test_things_spread_over_the_backends_of_the_zone(self):
+        self.assertEqual({"i-1", "i-3", "i-5"}, self.used(f"p{number}" for number in range(40)))
+
+    def test_other_zones_serve_where_this_one_has_none(self):
+        for identity in ("i-1", "i-3", "i-5"):
+            self.world.mark_gone(identity)
+        self.assertEqual({"i-2", "i-4", "i-6"}, self.used(f"p{number}" for number in range(40)))
+
+    def test_a_burst_spills_to_all(self):
+        async def story():
+            asks = [self.world.ask("/turns/x", fields={"program": "p"}) for _ in range(24)]
+            await asyncio.gather(*asks)
+
+        self.world.run(story())
+        counts = [len(scripted.asked) for scripted in self.world.scripted.values()]
+        self.assertTrue(max(counts) <= 6 and min(counts) >= 2, counts)
