--- a/kestrelbend/tier/dataplane/choice.py
+++ b/kestrelbend/tier/dataplane/choice.py
@@ -22,7 +22,7 @@
 
 OTHER_ZONE_LOAD = 0.04  # how much busier a backend in another zone counts
 NEW_CONNECTION_LOAD = 0.04  # how much busier one counts that needs a new connection
-TRIED_SHARE = 0.2  # of such choices that overlook it, or a faster backend would stay unknown
+TRIED_SHARE = 0.1  # of choices that look at load alone, or a faster backend would stay unknown
 COLD_LOAD = 0.5  # how much busier one that is slow from its start counts
 SLOW_LOAD = 0.25  # how much busier one counts for each time that it is slower than its service
 SLOW_AT_MOST = 3.0
@@ -112,6 +112,8 @@
         if key is not None or service.is_model:
             return self._by_affinity(service, key, candidates, now)
         pair = self._rng.sample(candidates, 2)
+        if self._rng.random() < TRIED_SHARE:
+            return min(pair, key=lambda backend: self._busy(backend, service))
         return min(pair, key=lambda backend: self._expected(backend, service, now))
 
     def _by_affinity(
@@ -137,7 +139,7 @@
             load += OTHER_ZONE_LOAD
         if backend.cold_left_ms > 0:
             load += COLD_LOAD
-        if not self._connections.rests(backend.identity) and self._rng.random() > TRIED_SHARE:
+        if not self._connections.rests(backend.identity):
             load += NEW_CONNECTION_LOAD
         return load * (self._pace.ratio(backend.identity, now) or 1.0)
 
