--- a/kestrelbend/tier/replication/placement.py
+++ b/kestrelbend/tier/replication/placement.py
@@ -21,6 +21,8 @@
         self.learners: Voters = ()
         self._state = state
         self._handover: Handover | None = None
+        self._leaving: set[ReplicaId] = set()
+        self._departed: dict[ReplicaId, float] = {}
 
     @property
     def hands_over(self) -> bool:
@@ -30,11 +32,23 @@
     def reset(self) -> None:
         """The ownership is over, and any handover with it."""
         self._handover = None
+        self._leaving = set()
+        self._departed = {}
 
-    def follow_group(self, owner: Ownership) -> None:
-        """Replicates to the group, the committed one before it, and those who are to join."""
-        committed = self._state.log.voters_at(self._state.commit_index)
-        owner.follow((*self._state.voters, *committed, *self.target, *self.learners))
+    def follow_group(self, owner: Ownership, now: float) -> None:
+        """Replicates to the group, to those who are to join, and for a while to who left.
+
+        Who leaves gets the entry that says so only once that is committed: one that held it earlier would
+        neither campaign any more nor vote for the others, whose logs are shorter.
+        """
+        state = self._state
+        committed = state.log.voters_at(state.commit_index)
+        leaving = set(committed) - set(state.voters)
+        until = now + state.timing.departure
+        self._departed.update((gone, until) for gone in self._leaving - leaving)
+        self._leaving = leaving
+        wanted = (*state.voters, *self.target, *self.learners, *self._departed)
+        owner.follow(identity for identity in wanted if identity not in leaving)
 
     def hand_over(self, owner: Ownership, candidates: Voters, now: float) -> None:
         """Begins a handover to one of the candidates, unless one runs."""
@@ -50,6 +64,9 @@
         stalls = self._state.disk_stalls(now)
         if stalls:
             self.hand_over(owner, self._state.other_voters(), now)
+        if any(until < now for until in self._departed.values()):
+            self._departed = {gone: until for gone, until in self._departed.items() if until >= now}
+            self.follow_group(owner, now)
         if self._handover is None:
             self.step(owner, now)
         elif not self._handover.has_failed(now, self._state):
@@ -74,6 +91,6 @@
         group = next_group(state.voters, self.target, state.identity, is_live, owner.is_caught_up)
         if group is not None:
             owner.append(EntryKind.GROUP, encode_group(group))
-            self.follow_group(owner)
+            self.follow_group(owner, now)
         elif state.identity not in self.target and set(self.target) < set(state.voters):
             self.hand_over(owner, self.target, now)
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -180,13 +180,13 @@
         """The replicas that get all entries without a vote, while this one owns."""
         self._placement.learners = tuple(identities)
         if self._owner is not None:
-            self._placement.follow_group(self._owner)
+            self._placement.follow_group(self._owner, self._now)
 
     def set_target(self, voters: tuple[ReplicaId, ...]) -> None:
         """The voters wished for, in the order of ownership; moved towards while this one owns."""
         self._placement.target = tuple(voters)
         if self._owner is not None:
-            self._placement.follow_group(self._owner)
+            self._placement.follow_group(self._owner, self._now)
 
     def transfer(self, now: float) -> None:
         """Hands the ownership over, where this replica has it; owns on where nobody can take it."""
@@ -254,7 +254,7 @@
         self._elections.end_campaigns()
         self._owner = Ownership(self._state, now)
         self._state.effects.ownership_changed = True
-        self._placement.follow_group(self._owner)
+        self._placement.follow_group(self._owner, self._now)
         self._owner.begin_round(now)
         self._owner.append(EntryKind.EMPTY, b"")
 
@@ -305,7 +305,7 @@
 
     def _advance_commit(self, now: float) -> None:
         if self._owner.advance_commit():
-            self._placement.follow_group(self._owner)
+            self._placement.follow_group(self._owner, self._now)
             self._placement.step(self._owner, now)
 
     def _tick_owner(self, now: float) -> None:
--- a/kestrelbend/tier/replication/timing.py
+++ b/kestrelbend/tier/replication/timing.py
@@ -24,6 +24,7 @@
     snapshot_retry: float = 1.0  # between two snapshots to one follower
     disk_stall: float = 0.8  # that a write may take before the disk counts as stalled
     transfer_timeout: float = 1.0  # that a handover may take
+    departure: float = 2.0  # that a replica which left the group still gets entries, to learn of it
     append_bytes: int = 512 * 1024  # in one AppendEntries, unless one entry is larger
     window_bytes: int = 4 * 1024 * 1024  # under way to one follower
     catchup_entries: int = 64  # that a learner may lack when it becomes a voter
--- /dev/null
+++ b/tests/tier/test_replication_search.py
@@ -0,0 +1,178 @@
+"""A seeded search: machines, links and disks fail by chance, the shard's promises hold, and calm heals.
+
+`python -m tests.tier.test_replication_search FIRST LAST` runs seeds; each failure names its own.
+"""
+
+import sys
+
+import testtools
+
+from kestrelbend.tier.replication import Timing
+from tests.tier.replication_harness import Cluster
+
+SEEDS = 200
+STORM_S = 4.0
+PROGRESS_S = 2.0  # after calm, until a command must be committed
+
+
+class Storm:
+    """One seed's troubles: at every tick something may break, or be mended."""
+
+    def __init__(self, seed):
+        names = "abcde" if seed % 3 == 0 else "abc"
+        others = "xy" if seed % 2 else ""
+        timing = Timing(tail_entries=4, catchup_entries=4) if seed % 5 else Timing()
+        self.cluster = Cluster(names, others, seed, timing)
+        self.random = self.cluster.random
+        self.lost_disks = 0
+        self.proposed = 0
+        self.harshness = self.random.choice((0.02, 0.05, 0.15))
+        self.cluster.links.loss = self.random.choice((0.0, 0.02, 0.2))
+        self.cluster.links.double = self.random.choice((0.0, 0.1))
+        self.cluster.links.spread = self.random.choice((0.0, 0.01, 0.15))
+        for node in self.cluster.nodes.values():
+            node.disk_delay = self.random.choice((0.001, 0.01, 0.1))
+
+    def run(self):
+        self.cluster.run(self.random.choice((0.3, 1.0)))
+        end = self.cluster.now + STORM_S
+        while self.cluster.now < end:
+            if self.random.random() < self.harshness:
+                self.trouble()
+            self.work()
+            self.cluster.run(0.02)
+        self.check_progress()
+        self.check_group()
+
+    def work(self):
+        node = self.random.choice([node for node in self.cluster.nodes.values()])
+        if node.up and node.replica.is_owner:
+            for _ in range(self.random.choice((0, 1, 5))):
+                self.proposed += 1
+                self.cluster.propose(b"command %d" % self.proposed, node)
+            self.cluster.confirm(node)
+
+    def trouble(self):
+        """Breaks something, or mends something broken."""
+        cluster = self.cluster
+        name = self.random.choice(list(cluster.nodes))
+        node = cluster.nodes[name]
+        if node.replica is None:
+            cluster.start(name)
+        elif node.frozen:
+            cluster.thaw(name)
+        elif node.stalled:
+            cluster.mend_disk(name)
+        elif cluster.links.cut and self.random.random() < 0.5:
+            cluster.join()
+        else:
+            self.break_one(name)
+
+    def break_one(self, name):
+        cluster = self.cluster
+        kinds = ("power", "power", "freeze", "stall", "isolate", "cut", "transfer", "aim", "aim", "compact")
+        kind = self.random.choice((*kinds, "blackout", "wipe"))
+        if kind == "power":
+            cluster.lose_power(name)
+        elif kind == "freeze":
+            cluster.freeze(name)
+        elif kind == "stall":
+            cluster.stall_disk(name)
+        elif kind == "isolate":
+            cluster.isolate(name)
+        elif kind == "cut":
+            cluster.cut(name, self.random.choice(list(cluster.nodes)))
+        elif kind == "transfer" and cluster.owner():
+            cluster.transfer()
+        elif kind == "aim":
+            self.aim()
+        elif kind == "compact":
+            cluster.compact(name)
+        elif kind == "blackout":
+            self.blackout()
+        elif kind == "wipe":
+            self.wipe(name)
+
+    def blackout(self):
+        """Power is lost everywhere, at times with one disk for good."""
+        names = list(self.cluster.nodes)
+        self.cluster.lose_power(*names)
+        if self.random.random() < 0.5:
+            self.wipe(self.random.choice(names))
+        for name in names:
+            self.cluster.start(name)
+
+    def wipe(self, name):
+        """A disk is lost: no second one before the group has replaced the first."""
+        if self.lost_disks == 0:
+            self.lost_disks += 1
+            self.cluster.wipe(name)
+            self.cluster.start(name)
+
+    def aim(self):
+        names = list(self.cluster.nodes)
+        self.random.shuffle(names)
+        self.cluster.aim(names[: self.random.choice((3, 3, 4, 5))])
+
+    def calm(self):
+        """All machines run, links and disks are sound; lost disks stay lost."""
+        cluster = self.cluster
+        cluster.join()
+        cluster.links.loss = cluster.links.double = 0.0
+        cluster.links.spread = 0.005
+        for node in cluster.nodes.values():
+            node.disk_delay = 0.002
+            if node.replica is None:
+                cluster.start(node.name)
+            if node.frozen:
+                cluster.thaw(node.name)
+            cluster.mend_disk(node.name)
+
+    def check_progress(self):
+        cluster = self.cluster
+        self.calm()
+        end = cluster.now + PROGRESS_S
+        command = b"after the storm"
+        while cluster.now < end and not cluster.committed(command):
+            cluster.propose(command)
+            cluster.run(0.02)
+        assert cluster.committed(command), f"no progress in {PROGRESS_S} s of calm"
+
+    def check_group(self):
+        """In calm, the group becomes the one wished for, and all of it holds the whole history."""
+        cluster = self.cluster
+        names = self.random.sample(list(cluster.nodes), 3)
+        target = tuple(cluster.nodes[name].identity for name in names)
+        cluster.aim(names)
+        assert cluster.run_until(lambda: cluster.promises.group == target, PROGRESS_S), (
+            "not the group wished for"
+        )
+        cluster.run(0.5)
+        assert cluster.owner().identity in target, "an owner outside of the group"
+        for name in names:
+            held = cluster.nodes[name].applied_index
+            assert held == len(cluster.promises.history), f"{name} lags in calm"
+
+
+def failures(first, last):
+    """The seeds that broke a promise, with what they broke."""
+    found = []
+    for seed in range(first, last):
+        try:
+            Storm(seed).run()
+        except AssertionError as broken:
+            found.append(f"seed {seed}: {broken}")
+    return found
+
+
+class SeededSearch(testtools.TestCase):
+    def test_no_seed_breaks_a_promise(self):
+        self.assertEqual([], failures(0, SEEDS))
+
+
+if __name__ == "__main__":
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    broken = failures(first, last)
+    print(*broken, sep="\n")
+    print(f"{last - first} seeds, {len(broken)} failed")
+    sys.exit(bool(broken))
