Tier: all budget shards are placed before a gateway asks; checkpoints keep unopened shards

A gateway that saw part of the placements hashed a program to another shard than later; an owner that died while founding left shards without a place; a checkpoint wrote only open replicas; a record that does not decode was passed over.

--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -117,12 +117,21 @@
             return
 
 
-def found_budget_shards(size: int, available: list[Candidate]) -> list[ShardPlacement]:
-    """The first placement of all budget shards, their owners spread over the replicas."""
+def budget_shards() -> list[str]:
+    """The names of all budget shards.  Their number never changes: it decides where a program's total is."""
+    return [f"{BUDGET_PREFIX}{number}" for number in range(BUDGET_SHARDS)]
+
+
+def found_budget_shards(
+    placed: Iterable[str], size: int, available: list[Candidate]
+) -> list[ShardPlacement]:
+    """The first placement of the budget shards not placed yet, their owners spread over the replicas."""
+    known = set(placed)
+    chosen = next_voters((), size, available, lambda replica: 0.0)
     placements = []
-    for number in range(BUDGET_SHARDS):
-        chosen = next_voters((), size, available, lambda replica: 0.0)
+    for number, shard in enumerate(budget_shards()):
         turn = number % len(chosen)
         voters = chosen[turn:] + chosen[:turn]
-        placements.append(ShardPlacement(f"{BUDGET_PREFIX}{number}", voters, voters))
+        if shard not in known:
+            placements.append(ShardPlacement(shard, voters, voters))
     return placements
--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -261,9 +261,19 @@
         if not self._journal.wants_checkpoint:
             return
         records = [hosted.replica.durable_record() for hosted in self._hosted.values()]
+        for shard, state in self._durable.items():
+            if shard not in self._hosted:
+                records.append(record_of(shard, self.identity, state))
         self._journal.checkpoint([self._encode(record) for record in records])
 
 
+def record_of(shard: ShardId, replica: ReplicaId, state: DurableState) -> DurableRecord:
+    """All that the disk holds of a replica that is not open, in one record."""
+    return DurableRecord(
+        shard, replica, state.epoch, state.voted_for, tuple(state.entries), state.snapshot
+    )
+
+
 def replay(state: DurableState, record: DurableRecord) -> None:
     """Adds one record of the disk to what a replica begins with."""
     state.epoch = record.epoch
--- a/kestrelbend/tier/roles/command.py
+++ b/kestrelbend/tier/roles/command.py
@@ -10,6 +10,7 @@
 import logbook
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
 from .settings import Settings, SettingsError
 
@@ -82,9 +83,17 @@
     description = "Keep programs' budgets."
 
 
+def _fleet_command() -> Command:
+    """The search on the fleet in memory; serving processes don't load it."""
+    from ..fleet.command import FleetCommand
+
+    return FleetCommand()
+
+
 def main() -> int:
     """The entry point of `python -m kestrelbend.tier`."""
     application = Application("kestrelbend")
     for command in (GatewayCommand, ControlCommand, StoreCommand):
         application.add(command())
+    application.set_command_loader(FactoryCommandLoader({"fleet": _fleet_command}))
     return application.run()
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -1,7 +1,7 @@
-"""The control process: the configuration's shard, the operator's API, backends' heartbeats, and the directory.
+"""The control process: the configuration's shard, the operator's API, backends' heartbeats, the directory.
 
-Every control node answers everything: orders go on to the shard's owner, news of backends to the other control
-nodes.  The owner of the configuration's shard also decides who should hold which shard.
+Every control node answers everything: orders go on to the shard's owner, news of backends to the other
+control nodes.  The owner of the configuration's shard also decides who should hold which shard.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 from ..membership.messages import ConfigAck, Directory, Heartbeat, MemberSummary, ShardReport, Subscribe
 from ..membership.placement import (
     CONFIGURATION_SHARD,
+    budget_shards,
     candidates,
     found_budget_shards,
     group_size,
@@ -262,13 +263,15 @@
         live = self.members.members(now)
         available = candidates(live, state.retiring, stores_first=True)
         size = group_size(self.settings.tolerate_nodes)
-        if not state.placements:
+        placed_shards = {placed.shard for placed in state.placements}
+        if not placed_shards.issuperset(budget_shards()):
             stores = [candidate for candidate in available if candidate.preference == 0]
             if len(stores) < size and now - self._owner_since < FOUNDING_WAIT_S:
                 return None
             if not available:
                 return None
-            return [self._placement_order(placed) for placed in found_budget_shards(size, available)]
+            founded = found_budget_shards(placed_shards, size, available)
+            return [self._placement_order(placed) for placed in founded]
         placed = next_placement(
             state.placements,
             size,
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -16,7 +16,7 @@
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.view import BackendView
 from ..membership.messages import ConfigAck, ConfigUpdate
-from ..membership.placement import BUDGET_PREFIX, address_of
+from ..membership.placement import BUDGET_SHARDS, address_of, budget_shards
 from .process import GATEWAY_PORT, TierProcess
 
 BUDGET_REPLY_S = 0.35
@@ -60,7 +60,6 @@
         self.view = BackendView()
         self.life = Life()
         self.budget_client: BudgetClient | None = None
-        self._shard_count = 0
         self._current = False
         self._told_backends_at: float | None = None
         self._heard_at = self.now()
@@ -107,12 +106,13 @@
         link.send(BackendAck(update.sender, update.number))
 
     def on_directory(self):
-        """The number of budget shards is known with the first placements."""
+        """Budgets can be asked for once every shard is placed: a program always meets the same one."""
         super().on_directory()
-        count = sum(shard.startswith(BUDGET_PREFIX) for shard in self.directory.placements)
-        if count and self.budget_client is None:
-            self._shard_count = count
-            self.budget_client = BudgetClient(self._send_budget, self._budget_addresses, count)
+        placed = self.directory.placements
+        if self.budget_client is None and all(shard in placed for shard in budget_shards()):
+            self.budget_client = BudgetClient(
+                self._send_budget, self._budget_addresses, BUDGET_SHARDS
+            )
 
     def wanted_links(self):
         """Control nodes, and all that may own a budget shard."""
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -14,7 +14,7 @@
 from ..membership.messages import Directory, Heartbeat, Hello, Member, ShardReport, Subscribe
 from ..membership.placement import BUDGET_PREFIX, CONFIGURATION_SHARD, address_of
 from ..membership.ring import monitors
-from ..protocol.codec import DecodeError, decode, encode
+from ..protocol.codec import decode, encode
 from ..protocol.links import Link, Links
 from ..replication.host import ShardHost
 from ..replication.messages import (
@@ -95,12 +95,7 @@
         self.replica_id = f"{self.address}#{folder.identity}"
         capacity = int(self.settings.disk_mb * 1_000_000)
         self.journal = self.environment.journal(folder.journal_folder, capacity, self._written)
-        records = []
-        for data in self.journal.load():
-            try:
-                records.append(decode(data))
-            except DecodeError as fault:
-                self.log.error("record on disk refused: {}", fault)
+        records = [decode(data) for data in self.journal.load()]
         self.host = ShardHost(
             identity=self.replica_id,
             timing=Timing(),
