--- a/tests/tier/test_replication_exhaustive.py
+++ b/tests/tier/test_replication_exhaustive.py
@@ -2,8 +2,9 @@
 
 A run's script is: the first replica campaigns, then two commands are proposed.  Messages and finished
 writes wait in one queue.  At every step a fault may come instead: the head message is lost, doubled or
-put last, a replica loses power (its unsynced writes lost, or kept), or its patience with the owner ends.  States
-reached twice are searched once.  At the end of each run, calm must bring a further command through.
+put last, a replica loses power (its unsynced writes lost, or kept), or its patience with the owner
+ends.  States reached twice are searched once.  At the end of each run, calm must bring a further
+command through.
 
 `python -m tests.tier.test_replication_exhaustive FAULTS` searches with more faults in a run.
 """
--- /dev/null
+++ b/tests/tier/test_replication_log.py
@@ -0,0 +1,194 @@
+"""What a replica's log and its disk's records promise, and when an owner may count an entry."""
+
+import attrs
+import testtools
+
+from kestrelbend.tier.replication import Replica, Timing, replay
+from kestrelbend.tier.replication.group import next_group
+from kestrelbend.tier.replication.log import ReplicaLog
+from kestrelbend.tier.replication.messages import (
+    AppendEntries,
+    AppendReply,
+    DurableRecord,
+    DurableState,
+    Entry,
+    EntryKind,
+    RequestVote,
+    Snapshot,
+    VoteReply,
+)
+
+SHARD = "budget-0"
+GROUP = ("a", "b", "c")
+
+
+def entry(index, epoch, data=b""):
+    return Entry(index, epoch, EntryKind.COMMAND, data)
+
+
+def record(*entries, epoch=1, snapshot=None):
+    return DurableRecord(SHARD, "a", epoch, "", entries, snapshot)
+
+
+def voter(**durable):
+    state = DurableState(snapshot=Snapshot(voters=GROUP), **durable)
+    return Replica(shard=SHARD, identity="a", founders=(), durable=state, timing=Timing(), now=0.0)
+
+
+def write(replica, now):
+    """Ends all writes; the messages that were due before and after."""
+    effects = replica.take()
+    for ticket, _ in effects.writes:
+        replica.written(ticket, now)
+    return effects.sends + replica.take().sends
+
+
+class LogPromises(testtools.TestCase):
+    def test_a_write_that_ends_late_does_not_vouch_for_what_replaced_it(self):
+        log = ReplicaLog(DurableState())
+        log.replace_from([entry(1, 1), entry(2, 1)])
+        log.begin_write(1)
+        log.replace_from([entry(2, 2)])
+        log.begin_write(2)
+        log.end_write(1)
+        self.assertEqual(1, log.durable_index)
+        log.end_write(2)
+        self.assertEqual(2, log.durable_index)
+
+    def test_entries_under_a_foreign_snapshot_are_not_durable_until_it_is_written(self):
+        log = ReplicaLog(DurableState(entries=[entry(1, 1), entry(2, 1)]))
+        log.install(Snapshot(3, 2, GROUP, b"state"), commit_index=1)
+        self.assertEqual(1, log.durable_index)
+        log.begin_write(1)
+        log.end_write(1)
+        self.assertEqual(3, log.durable_index)
+
+
+class ReplayPromises(testtools.TestCase):
+    def test_entries_that_follow_a_snapshot_stay(self):
+        state = replay([record(entry(1, 1), entry(2, 1)), record(snapshot=Snapshot(1, 1, GROUP))])
+        self.assertEqual([entry(2, 1)], state.entries)
+
+    def test_entries_behind_another_ones_place_go(self):
+        old = record(entry(1, 1), entry(2, 1), entry(3, 4))
+        state = replay([old, record(epoch=5, snapshot=Snapshot(2, 3, GROUP))])
+        self.assertEqual(([], 5), (state.entries, state.epoch))
+
+    def test_entries_replace_what_the_disk_held_from_their_first_on(self):
+        state = replay([record(entry(1, 1), entry(2, 1), entry(3, 1)), record(entry(2, 2), epoch=2)])
+        self.assertEqual([entry(1, 1), entry(2, 2)], state.entries)
+
+
+class GroupSteps(testtools.TestCase):
+    def step(self, voters, target, owner="a", dead="", behind=""):
+        group = next_group(
+            tuple(voters), tuple(target), owner, lambda one: one not in dead, lambda one: one not in behind
+        )
+        return group and "".join(group)
+
+    def test_one_is_added_before_one_goes(self):
+        self.assertEqual("abdc", self.step("abc", "abd"))
+        self.assertEqual("abd", self.step("abdc", "abd"))
+        self.assertIsNone(self.step("abd", "abd"))
+
+    def test_the_dead_go_first_and_the_owner_never(self):
+        self.assertEqual("bca", self.step("abcd", "bc", dead="d"))
+        self.assertIsNone(self.step("bca", "bc"))
+
+    def test_who_lags_or_is_dead_is_not_added(self):
+        self.assertIsNone(self.step("abc", "abd", behind="d"))
+        self.assertIsNone(self.step("abc", "abd", dead="d"))
+
+    def test_no_step_leaves_a_group_without_a_live_majority(self):
+        self.assertIsNone(self.step("abc", "ab", dead="b"))
+        self.assertIsNone(self.step("abc", "abcd", dead="bc"))
+
+
+class VoteRule(testtools.TestCase):
+    request = RequestVote(SHARD, "b", 1, 0, 0, trial=False)
+
+    def test_a_vote_asked_for_twice_is_given_twice_and_holds_nothing_up(self):
+        replica = voter()
+        replies = []
+        for _ in range(2):
+            replica.receive(self.request, 0.1)
+            replies += write(replica, 0.1)
+        self.assertEqual([("b", VoteReply(SHARD, "a", 1, True, trial=False))] * 2, replies)
+        replica.tick(0.4)
+        replica.tick(0.7)
+        self.assertEqual(["b", "c"], [receiver for receiver, _ in write(replica, 0.7)])
+
+    def test_one_epochs_vote_goes_to_one_candidate(self):
+        replica = voter()
+        replica.receive(self.request, 0.1)
+        replica.receive(attrs.evolve(self.request, sender="c"), 0.1)
+        granted = {receiver: reply.granted for receiver, reply in write(replica, 0.1)}
+        self.assertEqual({"b": True, "c": False}, granted)
+
+    def test_a_shorter_log_gets_no_vote(self):
+        replica = voter(entries=[entry(1, 1)])
+        replica.receive(attrs.evolve(self.request, epoch=2), 0.1)
+        self.assertEqual([False], [reply.granted for _, reply in write(replica, 0.1)])
+
+
+class CommitRule(testtools.TestCase):
+    def candidate(self):
+        """A candidate for epoch 3 whose log ends with an uncommitted entry of epoch 2."""
+        replica = voter(epoch=2, voted_for="a", entries=[entry(1, 1), entry(2, 2)])
+        replica.tick(0.3)
+        replica.tick(0.6)
+        replica.receive(VoteReply(SHARD, "b", 3, True, trial=True), 0.6)
+        write(replica, 0.6)
+        return replica
+
+    def owner(self):
+        replica = self.candidate()
+        replica.receive(VoteReply(SHARD, "b", 3, True, trial=False), 0.6)
+        write(replica, 0.6)
+        return replica
+
+    def test_an_older_epochs_entry_is_not_committed_by_counting(self):
+        replica = self.owner()
+        replica.receive(AppendReply(SHARD, "b", 3, True, 2, 1), 0.6)
+        self.assertEqual(0, replica.commit_index)
+        replica.receive(AppendReply(SHARD, "b", 3, True, 3, 1), 0.6)
+        self.assertEqual(3, replica.commit_index)
+
+    def test_the_group_stands_until_the_epoch_has_committed(self):
+        replica = self.owner()
+        replica.set_target(("a", "b"))
+        replica.receive(AppendReply(SHARD, "b", 3, True, 2, 1), 0.6)
+        replica.tick(0.62)
+        self.assertEqual(GROUP, replica.voters)
+        replica.receive(AppendReply(SHARD, "b", 3, True, 3, 1), 0.62)
+        self.assertEqual(("a", "b"), replica.voters)
+
+    def test_a_candidate_that_stood_still_does_not_own_by_old_votes(self):
+        replica = self.candidate()
+        replica.receive(VoteReply(SHARD, "b", 3, True, trial=False), 5.0)
+        self.assertFalse(replica.is_owner)
+
+    def test_a_reply_speaks_for_the_moment_its_round_began(self):
+        replica = self.owner()
+        replica.tick(0.9)
+        replica.receive(AppendReply(SHARD, "b", 3, True, 2, 1), 1.2)
+        self.assertFalse(replica.in_touch(1.2))
+
+    def test_a_read_waits_for_an_entry_of_the_epoch(self):
+        replica = self.owner()
+        ticket = replica.confirm(0.6)
+        replica.take()
+        replica.receive(AppendReply(SHARD, "b", 3, True, 2, 2), 0.6)
+        self.assertEqual([], replica.take().confirmed)
+        replica.receive(AppendReply(SHARD, "b", 3, True, 3, 2), 0.6)
+        self.assertEqual([ticket], replica.take().confirmed)
+
+    def test_late_and_foreign_messages_change_nothing(self):
+        replica = self.owner()
+        before = replica.durable_record()
+        replica.receive(AppendEntries(SHARD, "b", 2, 0, 0, (entry(1, 2),), 1, 9), 0.6)
+        replica.receive(AppendEntries("budget-1", "b", 9, 0, 0, (entry(1, 9),), 1, 9), 0.6)
+        replica.receive(AppendReply(SHARD, "b", 2, True, 3, 1), 0.6)
+        replica.receive(AppendReply(SHARD, "stranger", 3, True, 3, 1), 0.6)
+        self.assertEqual((before, 0), (replica.durable_record(), replica.commit_index))
+        self.assertTrue(replica.is_owner)
--- a/tests/tier/test_replication_search.py
+++ b/tests/tier/test_replication_search.py
@@ -11,7 +11,21 @@
 from tests.tier.replication_harness import Cluster
 
 SEEDS = 200
+HURRIED = Timing(  # more owners and snapshots in the same time
+    heartbeat=0.04,
+    election_timeout=0.2,
+    rank_step=0.04,
+    sticky=0.12,
+    trial_retry=0.06,
+    trial_patience=0.1,
+    reply_timeout=0.12,
+    disk_stall=0.5,
+    snapshot_retry=0.3,
+    tail_entries=0,
+    catchup_entries=4,
+)
 STORM_S = 4.0
+COMPACTION_CHANCE = 0.1
 PROGRESS_S = 2.0  # after calm, until a command must be committed
 
 
@@ -21,17 +35,17 @@
     def __init__(self, seed):
         names = "abcde" if seed % 3 == 0 else "abc"
         others = "xy" if seed % 2 else ""
-        timing = Timing(tail_entries=4, catchup_entries=4) if seed % 5 else Timing()
+        timing = HURRIED if seed % 5 else Timing()
         self.cluster = Cluster(names, others, seed, timing)
         self.random = self.cluster.random
         self.lost_disks = 0
         self.proposed = 0
-        self.harshness = self.random.choice((0.02, 0.05, 0.15))
+        self.harshness = self.random.choice((0.05, 0.15, 0.4))
         self.cluster.links.loss = self.random.choice((0.0, 0.02, 0.2))
         self.cluster.links.double = self.random.choice((0.0, 0.1))
         self.cluster.links.spread = self.random.choice((0.0, 0.01, 0.15))
         for node in self.cluster.nodes.values():
-            node.disk_delay = self.random.choice((0.001, 0.01, 0.1))
+            node.disk_delay = self.random.choice((0.001, 0.01, 0.1, 0.25))
 
     def run(self):
         self.cluster.run(self.random.choice((0.3, 1.0)))
@@ -45,7 +59,9 @@
         self.check_group()
 
     def work(self):
-        node = self.random.choice([node for node in self.cluster.nodes.values()])
+        node = self.random.choice(list(self.cluster.nodes.values()))
+        if node.up and self.random.random() < COMPACTION_CHANCE:
+            self.cluster.compact(node.name)
         if node.up and node.replica.is_owner:
             for _ in range(self.random.choice((0, 1, 5))):
                 self.proposed += 1
@@ -55,8 +71,8 @@
     def trouble(self):
         """Breaks something, or mends something broken."""
         cluster = self.cluster
-        name = self.random.choice(list(cluster.nodes))
-        node = cluster.nodes[name]
+        node = self.random.choice([*cluster.nodes.values(), cluster.owner() or cluster.nodes["a"]])
+        name = node.name
         if node.replica is None:
             cluster.start(name)
         elif node.frozen:
@@ -70,10 +86,25 @@
 
     def break_one(self, name):
         cluster = self.cluster
-        kinds = ("power", "power", "freeze", "stall", "isolate", "cut", "transfer", "aim", "aim", "compact")
+        kinds = (
+            "power",
+            "bounce",
+            "bounce",
+            "bounce",
+            "freeze",
+            "stall",
+            "isolate",
+            "cut",
+            "transfer",
+            "aim",
+            "aim",
+        )
         kind = self.random.choice((*kinds, "blackout", "wipe"))
         if kind == "power":
             cluster.lose_power(name)
+        elif kind == "bounce":
+            cluster.lose_power(name)
+            cluster.start(name)
         elif kind == "freeze":
             cluster.freeze(name)
         elif kind == "stall":
@@ -86,8 +117,6 @@
             cluster.transfer()
         elif kind == "aim":
             self.aim()
-        elif kind == "compact":
-            cluster.compact(name)
         elif kind == "blackout":
             self.blackout()
         elif kind == "wipe":
--- a/tests/tier/test_replication_stories.py
+++ b/tests/tier/test_replication_stories.py
@@ -95,6 +95,30 @@
         cluster.mend_disk("c")
         self.assertTrue(cluster.run_until(lambda: cluster.committed(b"held"), 0.2))
 
+    def test_the_owner_counts_its_own_disk_only_once_written(self):
+        cluster = settled()
+        cluster.stall_disk("a")
+        cluster.stall_disk("c")
+        cluster.propose(b"on one disk")
+        cluster.run(0.3)
+        self.assertFalse(cluster.committed(b"on one disk"))
+
+    def test_no_vote_leaves_before_it_is_on_the_disk(self):
+        cluster = settled()
+        cluster.lose_power("a")
+        cluster.stall_disk("c")
+        cluster.run(1.5)
+        self.assertIsNone(cluster.owner())
+        cluster.mend_disk("c")
+        self.assertTrue(cluster.run_until(cluster.owner, 0.1))
+
+    def test_a_vote_asked_for_twice_is_given_and_counts_once(self):
+        cluster = Cluster()
+        cluster.links.double = 1.0
+        cluster.run(1.0)
+        cluster.lose_power("a")
+        self.assertTrue(cluster.run_until(cluster.owner, 1.2))
+
     def test_a_slow_disk_costs_no_contact(self):
         cluster = settled()
         cluster.stall_disk("c")
@@ -181,6 +205,40 @@
         cluster.run(2.0)
         self.assertEqual(("a#1", "b#1", "c#1"), cluster.owner().replica.voters)
 
+    def test_a_newcomer_gives_the_vote_that_its_own_entry_waits_for(self):
+        cluster = settled("abc", others="d")
+        cluster.owner().replica.set_learners(("d#1",))
+        cluster.run(0.3)
+        cluster.lose_power("c")
+        cluster.cut("a", "b")
+        cluster.cut("a", "d")
+        cluster.aim("abcd")
+        cluster.run(0.06)
+        self.assertEqual((4, 0), tuple(len(cluster.nodes[name].replica.voters) for name in "ad"))
+        cluster.lose_power("a")
+        cluster.start("a")
+        cluster.join()
+        self.assertTrue(cluster.run_until(cluster.owner, 2.0))
+
+    def test_who_left_learns_of_it_and_asks_for_no_votes(self):
+        cluster = settled("abcd")
+        cluster.aim("abc")
+        cluster.run(1.0)
+        self.assertEqual(("a#1", "b#1", "c#1"), cluster.nodes["d"].replica.voters)
+        cluster.sent.clear()
+        cluster.run(3.0)
+        self.assertEqual([], [message for sender, _, message in cluster.sent if sender == "d"][20:])
+
+    def test_a_removal_does_not_block_the_group_when_the_owner_dies_with_it(self):
+        cluster = settled("abcd")
+        cluster.cut("a", "b")
+        cluster.cut("a", "c")
+        cluster.aim("abc")
+        cluster.run(0.06)
+        cluster.wipe("a")
+        cluster.join()
+        self.assertTrue(cluster.run_until(cluster.owner, 2.0))
+
     def test_a_new_order_changes_who_owns_next(self):
         cluster = settled()
         cluster.aim("acb")
