--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import math
+from collections import defaultdict
 from contextvars import ContextVar
 from functools import partial
 
@@ -33,8 +34,15 @@
     """Nothing is written: the kept connection has ended or said something of its own."""
 
 
+class Settling(Exception):
+    """Nothing is written: no connection can be made, and one rests for a moment after its answer."""
+
+
 SENDING = ContextVar("sending")     # of the running task
 TURNS = 4               # of the loop, in which what lies unread at either end is read
+REST_S = 0.03           # after an answer, in which a second one may come
+FIRST_RESTS = 3         # in which a backend has to be silent before its connections need none
+RESTS_AFTER_NOISE = 100     # the same, once it spoke out of its turn
 
 
 class Sending:
@@ -84,10 +92,13 @@
 
 
 async def _connects(_session, context, _params):
-    """The process may hold only so many descriptors, and none is left for this connection."""
+    """The process may hold only so many descriptors, and none is left for this connection; one that
+    rests is waited for then."""
     sending = context.trace_request_ctx
     peer = sending.peer
     if not peer.sockets.room_beside_clients(peer.connecting):
+        if sending.link.connector.resting:
+            raise Settling
         counters["no_descriptor_left"] += 1
         peer.renew()
         raise NotWanted
@@ -106,13 +117,33 @@
     return config
 
 
+class Trust:
+    """How often a backend has yet to be silent after an answer before its connections are used again at once.
+    Time alone tells a second answer that comes late from the next request's, and resting every connection
+    after every answer costs handshakes: so a backend earns that its connections need no rest, and loses it by
+    bytes out of its turn."""
+    __slots__ = ("rests",)
+
+    def __init__(self):
+        self.rests = FIRST_RESTS
+
+    def silent(self):
+        """It said nothing while a connection rested."""
+        self.rests = max(0, self.rests - 1)
+
+    def spoke(self):
+        """It sent bytes behind an answer, or on a connection with no request."""
+        self.rests = RESTS_AFTER_NOISE
+
+
 class Answers(ResponseHandler):
     """aiohttp's reader of one connection's answers, kept to one answer for each request.  By itself it would
     take what comes behind an answer, or before the request, for the next request's, throw a good answer away
     for noise behind it, and wait until the delivery's time is up for one that began and never ends."""
 
-    def __init__(self, loop, patience):
+    def __init__(self, loop, patience, trust):
         super().__init__(loop)
+        self.trust = trust
         self.patience, self.asked, self.final, self.left, self.timer = patience, False, None, None, None
 
     def set_response_params(self, **more):
@@ -160,6 +191,7 @@
                 self.quiet()
         if data:
             counters["answers_with_more_behind"] += 1
+            self.trust.spoke()
             self.force_close()
             if self.transport is not None:
                 self.transport.close()
@@ -183,15 +215,40 @@
         super().connection_lost(exc)
 
 
+class RestingConnector(aiohttp.TCPConnector):
+    """Keeps a connection out of use for a moment after an answer, as long as its backend is not trusted."""
+
+    def __init__(self, trust, **options):
+        super().__init__(**options)
+        self.trust, self.resting = trust, 0
+
+    def _release(self, key, protocol, *, should_close=False):
+        if should_close or protocol.should_close or not self.trust.rests:
+            super()._release(key, protocol, should_close=should_close)
+        else:
+            self.resting += 1
+            self._loop.call_later(REST_S, self.rested, key, protocol)
+
+    def rested(self, key, protocol):
+        """Its moment is over: it is free, or was ended meanwhile."""
+        self.resting -= 1
+        if protocol.is_connected() and not protocol.should_close:
+            self.trust.silent()
+        super()._release(key, protocol)
+
+
 class Link:
     """The connections to one backend at one address."""
 
-    def __init__(self, endpoint, settings):
+    def __init__(self, endpoint, settings, trust):
         idle = (settings["idle_close"] - 2 * settings["connect_timeout"]) / 1e6
         # Closed here before the far side's machine does: what is written after that would be lost.
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=max(0.0, idle), happy_eyeballs_delay=None)
+        must(hasattr(aiohttp.TCPConnector, "_release"), "client_keeps_connections_back")
+        self.connector = connector = RestingConnector(
+            trust, limit=0, keepalive_timeout=max(0.0, idle), happy_eyeballs_delay=None)
         must(hasattr(connector, "_factory"), "client_reads_one_answer_a_request")
-        connector._factory = partial(Answers, asyncio.get_running_loop(), settings["connect_timeout"] / 1e6)
+        connector._factory = partial(
+            Answers, asyncio.get_running_loop(), settings["connect_timeout"] / 1e6, trust)
         self.session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
             skip_auto_headers=AUTO_HEADERS, trace_configs=[trace()],
@@ -208,6 +265,7 @@
         self.sockets, self.connecting = sockets, 0
         # Where each backend is; the links to those that were ever sent to; by delivery: its task; probes.
         self.endpoints, self.links, self.running, self.tasks = {}, {}, {}, set()
+        self.trust = defaultdict(Trust)     # by backend, as long as it stays at its address
         self.barred = {}        # backends that a list not yet taken in takes off or moves, by that list
 
     # Addresses.
@@ -221,11 +279,12 @@
         """Made when it is first needed: one for each of hundreds costs time at the start, and memory."""
         link = self.links.get(backend)
         if link is None and backend in self.endpoints:
-            link = self.links[backend] = Link(self.endpoints[backend], self.settings)
+            link = self.links[backend] = Link(self.endpoints[backend], self.settings, self.trust[backend])
         return link
 
     def unlisted(self, backend):
         self.endpoints.pop(backend, None)
+        self.trust.pop(backend, None)
         self.retire(backend)
 
     def retire(self, backend):
@@ -314,6 +373,8 @@
                         break
                     except Stale:               # another connection, perhaps a new one
                         sending.over()
+                    except Settling:
+                        await asyncio.sleep(REST_S)
             link.heard = self.clock()
             return answer
         finally:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -440,6 +440,54 @@
     run(test())
 
 
+async def trusted(world):
+    """The backend has been silent after its answers as often as it takes; one connection is kept to it."""
+    for n in range(backends.FIRST_RESTS):
+        assert (await world.ask(f"/op/{0xf0 + n:016x}"))[0] == 200
+        await asyncio.sleep(2 * backends.REST_S)
+
+
+def test_a_backend_seen_to_be_silent_after_its_answers_is_asked_again_at_once():
+    async def test():
+        async with World() as world:
+            await trusted(world)
+            kept, on = set(world.backends[0].writers), await asyncio.open_connection(*world.listen)
+            for n in range(5):
+                assert (await world.ask(f"/op/{n:016x}", on=on))[2] == b"fine"
+            assert world.backends[0].writers == kept and len(kept) == 1
+    run(test())
+
+
+@pytest.mark.parametrize("noise", [b"noise", b"<a moment later>noise"])
+def test_a_backend_that_spoke_out_of_its_turn_has_to_be_silent_again_first(noise):
+    async def test():
+        async with World() as world:
+            await trusted(world)
+            good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+            world.backends[0].play = [b"raw " + good + b"good" + noise,
+                                      b"raw " + good + b"good<a moment later>" + good + b"late"]
+            on = await asyncio.open_connection(*world.listen)
+            assert (await world.ask(on=on))[2] == b"good"
+            await asyncio.sleep(2 * backends.REST_S)
+            assert (await world.ask(on=on))[2] == b"good"
+            assert (await world.ask(on=on))[2] == b"fine"               # well within that moment
+            assert (await world.ask(on=on))[2] == b"fine"
+    run(test())
+
+
+def test_a_connection_at_rest_is_waited_for_where_no_descriptor_is_left_for_a_new_one():
+    async def test():
+        async with World(1) as world:
+            backend, met = world.backends[0], []
+            on, sockets = await asyncio.open_connection(*world.listen), world.owner.clients.sockets
+            for n in range(4):
+                sockets.most, sockets.held = (256, lambda: 0) if n == 0 else (40, lambda: 39)
+                assert (await world.ask(f"/op/{n:016x}", on=on))[0] == 200
+                met.append(next(iter(backend.writers)))
+            assert len(set(met)) == 1 and len(backend.writers) == 1
+    run(test())
+
+
 def test_a_window_for_repeats_that_ends_while_a_connection_is_made_ends_the_repeating(monkeypatch):
     gate = Gate(monkeypatch)
 
