--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from .durable import apply_record
 from .messages import (
     AppendEntries,
     DurableRecord,
@@ -68,8 +69,8 @@
 class ShardHost:
     """All replicas of a process.
 
-    `send(replica_id, message)` hands a message to the process of another replica; `machine_for(shard)` makes an
-    empty state machine; `on_applied(shard)` is called after commands were applied.
+    `send(replica_id, message)` hands a message to the process of another replica; `machine_for(shard)`
+    makes an empty state machine; `on_applied(shard)` is called after commands were applied.
     """
 
     def __init__(
@@ -104,7 +105,7 @@
         for record in records:
             if record.replica == self.identity:
                 state = self._durable.setdefault(record.shard, DurableState())
-                replay(state, record)
+                apply_record(state, record)
 
     def stored_shards(self) -> list[ShardId]:
         """Shards that the disk holds a replica of."""
@@ -175,7 +176,7 @@
     # What is asked
 
     def propose(self, shard: ShardId, command: bytes, outcome: Outcome, now: float) -> bool:
-        """Proposes a command; `outcome` gets the state machine's, or None where it is not known whether it counts."""
+        """Proposes a command; `outcome` gets the state machine's, None where it may or may not count."""
         hosted = self._hosted.get(shard)
         if hosted is None:
             return False
@@ -272,17 +273,3 @@
     return DurableRecord(
         shard, replica, state.epoch, state.voted_for, tuple(state.entries), state.snapshot
     )
-
-
-def replay(state: DurableState, record: DurableRecord) -> None:
-    """Adds one record of the disk to what a replica begins with."""
-    state.epoch = record.epoch
-    state.voted_for = record.voted_for
-    if record.snapshot is not None and record.snapshot.index >= state.snapshot.index:
-        state.snapshot = record.snapshot
-        covered = record.snapshot.index
-        state.entries = [entry for entry in state.entries if entry.index > covered]
-    if record.entries:
-        first = record.entries[0].index
-        state.entries = [entry for entry in state.entries if entry.index < first]
-        state.entries.extend(record.entries)
