--- a/benchmarks/tier_stream.py
+++ b/benchmarks/tier_stream.py
@@ -19,7 +19,10 @@
 import attrs
 
 from kestrelbend.tier.budgets.messages import ReserveOutcome, Verdict
-from kestrelbend.tier.dataplane import Life, Listener, TcpNetwork, assemble, serve_all
+from kestrelbend.tier.dataplane.app import assemble
+from kestrelbend.tier.dataplane.life import Life
+from kestrelbend.tier.dataplane.network import TcpNetwork
+from kestrelbend.tier.dataplane.server import Listener, serve_all
 from kestrelbend.tier.discovery.messages import Backend
 
 EVENTS = 9
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -16,7 +16,8 @@
 
 from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle, Verdict
 from kestrelbend.tier.configuration.routing import Limits, Route, RoutingTable, Service
-from kestrelbend.tier.dataplane import Life, assemble
+from kestrelbend.tier.dataplane.app import assemble
+from kestrelbend.tier.dataplane.life import Life
 from kestrelbend.tier.dataplane.network import TcpStream
 from kestrelbend.tier.discovery.messages import Backend
 
--- a/tests/tier/test_dataplane_server.py
+++ b/tests/tier/test_dataplane_server.py
@@ -7,7 +7,9 @@
 
 import testtools
 
-from kestrelbend.tier.dataplane import Life, Listener, ReadyApplication, serve_all
+from kestrelbend.tier.dataplane.life import Life
+from kestrelbend.tier.dataplane.ready import ReadyApplication
+from kestrelbend.tier.dataplane.server import Listener, serve_all
 from kestrelbend.tier.dataplane.client import Client
 
 HOST = b" HTTP/1.1\r\nHost: a.example\r\n"
