--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -80,12 +80,15 @@
             outcome = await self._open(exchange, sending, last_id)
         finally:
             alarm.cancel()
+        if sending.suspected:
+            self._health.spoke(sending.backend.identity, loop.time())
         self._learn(exchange, sending.backend.identity, outcome, begun)
         return outcome
 
     def _silent(self, sending: Sending) -> None:
         if sending.left:
-            self._health.failed(sending.backend.identity, asyncio.get_running_loop().time())
+            sending.suspected = True
+            self._health.silent(sending.backend.identity, asyncio.get_running_loop().time())
 
     async def _open(self, exchange: Exchange, sending: Sending, last_id: int | None) -> Opened | Failure:
         answer = await self._sender.send(exchange, sending)
--- a/kestrelbend/tier/dataplane/forward.py
+++ b/kestrelbend/tier/dataplane/forward.py
@@ -29,6 +29,9 @@
 REPEAT_PAUSES_S = (0.0, 0.03, 0.1)
 HOLD_SHARE = 0.2  # of its objective that a request waits for room before it is refused
 PROGRAM_HOLD_SHARE = 1.0  # a program's call costs the whole program when it fails
+SILENCE_S = 1.0  # of a stream that was begun; clients give up at twice this, or at twice the next two
+SILENCE_AIMS = 2.0  # in relation to the objective
+SILENCE_GAPS = 4.0  # in relation to the longest pause in time
 RETRY_AFTER_S = 0.12
 RETRY_SPREAD_S = 0.2
 
@@ -138,7 +141,7 @@
         try:
             if self._to_be_repeated(exchange, course, opened, client):
                 return Failure.BROKEN
-            return await self._pass_on(course, opened, client)
+            return await self._pass_on(exchange, course, opened, client)
         finally:
             opened.close()
 
@@ -148,23 +151,31 @@
             return not opened.answer.events
         return opened.failed and exchange.repeatable and course.runs + 1 < RUNS_AT_MOST
 
-    async def _pass_on(self, course: _Course, opened: Opened, client: Client) -> Failure | None:
+    async def _pass_on(
+        self, exchange: Exchange, course: _Course, opened: Opened, client: Client
+    ) -> Failure | None:
         answer = opened.answer
         if not client.started:
             await client.start(answer.status, answer.headers)
         if opened.whole:
             await client.body(opened.data, more=False)
             return None
+        silence_s = _silence(exchange)
+        loop = asyncio.get_running_loop()
         data, events = opened.data, opened.events
         try:
-            while data is not None:
-                if opened.splitter is not None:
-                    course.position = opened.splitter.last_id
-                    client.events += events
-                if data:
-                    await client.body(data, more=True)
-                data, events = await _next_part(opened)
-        except DataPlaneError:
+            async with asyncio.timeout(None) as silence:  # set while the backend is waited for, alone
+                while data is not None:
+                    if opened.splitter is not None:
+                        course.position = opened.splitter.last_id
+                        client.events += events
+                    if data:
+                        await client.body(data, more=True)
+                    if silence_s is not None:
+                        silence.reschedule(loop.time() + silence_s)
+                    data, events = await _next_part(opened)
+                    silence.reschedule(None)
+        except (DataPlaneError, TimeoutError):
             return Failure.BROKEN
         await client.body(b"", more=False)
         return None
@@ -210,6 +221,14 @@
     return events.data, events.count
 
 
+def _silence(exchange: Exchange) -> float | None:
+    """Seconds after which a stream that fell silent is resumed: well before its client gives it up."""
+    if not (exchange.streaming and exchange.route.resumable):
+        return None
+    route = exchange.route
+    return max(SILENCE_S, route.slo_ms / 1000 * SILENCE_AIMS, route.gap_aim_ms / 1000 * SILENCE_GAPS)
+
+
 def _course(exchange: Exchange) -> _Course:
     fields = exchange.fields
     finish = _number(fields.get(FINISH_MS))
--- a/kestrelbend/tier/dataplane/health.py
+++ b/kestrelbend/tier/dataplane/health.py
@@ -18,6 +18,7 @@
 HALF_LIFE_S = 4.0  # of suspicion
 ANSWER_FACTOR = 0.7  # what an answer leaves of suspicion
 SUSPECT_AT = 0.9  # one failure for about half a second, two for about five
+SILENCE_WEIGHT = 1.0  # besides a failure's: a lost answer costs more than one that fails
 WEIGHT_AT_MOST = 4.0
 SUSPICION_AT_MOST = 8.0
 
@@ -64,10 +65,21 @@
         """It broke off, spoilt or failed an answer, or could not be reached."""
         seen = self._of(identity)
         seen.failures += 1
-        weight = min(2.0 ** (seen.failures - 1), WEIGHT_AT_MOST)
-        seen.suspicion = min(seen.at(now) + weight, SUSPICION_AT_MOST)
+        self._add(seen, min(2.0 ** (seen.failures - 1), WEIGHT_AT_MOST), now)
+
+    def _add(self, seen: _Seen, weight: float, now: float) -> None:
+        seen.suspicion = min(max(seen.at(now) + weight, 0.0), SUSPICION_AT_MOST)
         seen.as_of = now
 
+    def silent(self, identity: str, now: float) -> None:
+        """A request has waited far longer than usual; where its answer comes yet, `spoke` takes this back."""
+        self.failed(identity, now)
+        self._add(self._of(identity), SILENCE_WEIGHT, now)
+
+    def spoke(self, identity: str, now: float) -> None:
+        """The answer came after all."""
+        self._add(self._of(identity), -SILENCE_WEIGHT - 1, now)
+
     def refused(self, identity: str, now: float) -> None:
         """Nothing listens at its address, or nothing answers there."""
         self._of(identity).failures += 1
--- a/kestrelbend/tier/dataplane/ports.py
+++ b/kestrelbend/tier/dataplane/ports.py
@@ -20,12 +20,13 @@
 
     name: str
     kind: str
-    timeout_ms: int
-    slo_ms: int
+    timeout_ms: float
+    slo_ms: float
     priority: int
     retries: int
     sticky: bool
     resumable: bool
+    gap_aim_ms: float
     targets: tuple[tuple[str, int], ...]
 
 
@@ -44,8 +45,8 @@
 
     max_header_bytes: int
     max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
 
 
 class RoutingTable(Protocol):
--- a/kestrelbend/tier/dataplane/send.py
+++ b/kestrelbend/tier/dataplane/send.py
@@ -38,6 +38,7 @@
     stream: ports.BackendStream | None = None
     connection: Connection | None = None
     not_run: bool = False  # the backend says so
+    suspected: bool = False  # its silence was held against the backend
 
     @property
     def left(self) -> bool:
--- a/tests/tier/test_dataplane_streams.py
+++ b/tests/tier/test_dataplane_streams.py
@@ -128,6 +128,18 @@
         got = self.world.run(self.world.ask("/turns/x"))
         self.assertEqual((200, b"", True), (got.status, got.body, got.complete))
 
+    def test_a_stream_that_falls_silent_midway_is_resumed(self):
+        self.backend.answers(events([1, 2], ending="silence"), events(range(3, 10)))
+        got = self.world.run(self.world.ask("/turns/x", fields={"x-kestrelbend-deadline-ms": "4000"}))
+        self.assertEqual((NINE, True, 2), (got.body, got.complete, len(self.backend.asked)))
+        self.assertTrue(got.at - 100 < 1.5, got.at)
+        self.assertTrue(self.backend.connections[0].gateway_closed)
+
+    def test_the_silence_of_a_stream_that_may_not_be_resumed_is_borne(self):
+        self.backend.answers(events([1, 2], pause=1.3))
+        got = self.world.run(self.world.ask("/once/x", fields={"x-kestrelbend-deadline-ms": "4000"}))
+        self.assertEqual((event(1), 1), (got.body, len(self.backend.asked)))
+
     def test_the_deadline_breaks_a_stream_that_was_begun(self):
         self.backend.answers(events([1], ending="silence"))
         got = self.world.run(self.world.ask("/turns/x", fields={"x-kestrelbend-deadline-ms": "900"}))
