--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -85,6 +85,10 @@
         self._learn(exchange, sending.backend.identity, outcome, begun)
         return outcome
 
+    def broke_midway(self, identity: str) -> None:
+        """An answer that was opened ended early."""
+        self._health.failed(identity, asyncio.get_running_loop().time())
+
     def _silent(self, sending: Sending) -> None:
         if sending.left:
             sending.suspected = True
--- a/kestrelbend/tier/dataplane/forward.py
+++ b/kestrelbend/tier/dataplane/forward.py
@@ -141,9 +141,12 @@
         try:
             if self._to_be_repeated(exchange, course, opened, client):
                 return Failure.BROKEN
-            return await self._pass_on(exchange, course, opened, client)
+            failure = await self._pass_on(exchange, course, opened, client)
         finally:
             opened.close()
+        if failure is not None:
+            self._attempter.broke_midway(backend.identity)
+        return failure
 
     def _to_be_repeated(self, exchange: Exchange, course: _Course, opened: Opened, client: Client) -> bool:
         """A failure of the backend's own that a repeat may mend, or no continuation of what was begun."""
