--- a/kestrelbend/tier/fleet/command.py
+++ b/kestrelbend/tier/fleet/command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import multiprocessing
 import os
 import time
@@ -10,11 +11,13 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from ..roles.command import COLLECT_AFTER
 from .day import Day, Result, play_day, shrink
 
 
 def _play_line(line: str) -> Result:
     logbook.NullHandler().push_application()
+    gc.set_threshold(COLLECT_AFTER)
     return play_day(Day.read(line))
 
 
@@ -25,6 +28,7 @@
         option("seeds", None, "How many days to play.", flag=False, default="200"),
         option("first", None, "The first seed.", flag=False, default="1"),
         option("day", None, "Play this day alone (SEED:PLACES, as a failing one is told).", flag=False),
+        option("kinds", None, "Draw from these kinds of trouble alone, with commas between.", flag=False),
         option("jobs", None, "Processes to play in.", flag=False, default=str(os.cpu_count() or 1)),
         option("shrink", None, "Leave out what a failing day doesn't need."),
     ]
@@ -37,7 +41,8 @@
 
     def _search(self, first: int, count: int, jobs: int) -> int:
         begun = time.monotonic()
-        lines = [str(seed) for seed in range(first, first + count)]
+        kinds = f"/{self.option('kinds')}" if self.option("kinds") else ""
+        lines = [f"{seed}{kinds}" for seed in range(first, first + count)]
         failed = turns = orders = 0
         with multiprocessing.get_context("fork").Pool(jobs) as pool:
             for result in pool.imap(_play_line, lines):
--- a/kestrelbend/tier/fleet/day.py
+++ b/kestrelbend/tier/fleet/day.py
@@ -1,6 +1,7 @@
 """A day of mixed troubles, drawn by a seed; played, and shrunk where it breaks a rule.
 
-A day is told by one line, `seed:places`: the seed and the places of the troubles that are left of it.
+A day is told by one line, `seed:places/kinds`: the seed, the places of the troubles that are left of it, and
+the kinds that it was drawn from (none: all).
 """
 
 from __future__ import annotations
@@ -14,9 +15,9 @@
 from .troubles import KINDS, acknowledged, start_all
 from .world import World, play
 
-LENGTH_S = 12.0  # troubles begin within this
+LENGTH_S = 8.0  # troubles begin within this
 LEAST_APART_S = 4.5  # CatchupS and a little, between troubles of machines that count
-MOST_TROUBLES = 6
+MOST_TROUBLES = 4
 CLOSINGS = ("none", "none", "power_off_all", "kill_all", "wipe_after_ack")
 
 
@@ -36,33 +37,37 @@
     seed: int
     troubles: tuple[Trouble, ...]
     closing: str
+    kinds: tuple[str, ...] = ()  # that it was drawn from; none: all
 
     @classmethod
-    def draw(cls, seed: int) -> Day:
-        """The whole day of a seed."""
+    def draw(cls, seed: int, kinds: tuple[str, ...] = ()) -> Day:
+        """The whole day of a seed, out of all kinds of trouble or some."""
         rng = random.Random(f"day {seed}")
-        names = sorted(KINDS)
-        kinds = [rng.choice(names) for _ in range(rng.randint(1, MOST_TROUBLES))]
-        times = sorted(rng.uniform(0.0, LENGTH_S) for _ in kinds)
-        troubles = tuple(
-            Trouble(place, at, kind) for place, (at, kind) in enumerate(zip(times, kinds, strict=True))
-        )
-        return cls(seed, troubles, rng.choice(CLOSINGS))
+        names = sorted(kinds or KINDS)
+        drawn = [rng.choice(names) for _ in range(rng.randint(1, MOST_TROUBLES))]
+        times = sorted(rng.uniform(0.0, LENGTH_S) for _ in drawn)
+        pairs = enumerate(zip(times, drawn, strict=True))
+        troubles = tuple(Trouble(place, at, kind) for place, (at, kind) in pairs)
+        return cls(seed, troubles, rng.choice(CLOSINGS), tuple(kinds))
 
     @classmethod
     def read(cls, line: str) -> Day:
         """The day that `str` told."""
-        seed, _, places = line.partition(":")
-        whole = cls.draw(int(seed))
+        head, _, names = line.partition("/")
+        seed, _, places = head.partition(":")
+        whole = cls.draw(int(seed), tuple(names.split(",")) if names else ())
         if not places:
             return whole
         kept = places.split(",")
         troubles = tuple(trouble for trouble in whole.troubles if str(trouble.place) in kept)
-        return cls(whole.seed, troubles, whole.closing if "end" in kept else "none")
+        closing = whole.closing if "end" in kept else "none"
+        return attrs.evolve(whole, troubles=troubles, closing=closing)
 
     def __str__(self) -> str:
         places = [str(trouble.place) for trouble in self.troubles]
-        return f"{self.seed}:{','.join([*places, *(['end'] if self.closing != 'none' else [])])}"
+        places += ["end"] if self.closing != "none" else [] if places else ["none"]
+        names = f"/{','.join(self.kinds)}" if self.kinds else ""
+        return f"{self.seed}:{','.join(places)}{names}"
 
     def tell(self) -> str:
         """The troubles in words."""
@@ -88,6 +93,7 @@
         self._world = world
         self._day = day
         self._counted = asyncio.Lock()
+        self._counted_after = 0.0
 
     async def play(self) -> None:
         began = self._world.fleet.now()
@@ -104,8 +110,9 @@
             await self._run(kind, rng)
             return
         async with self._counted:
+            await asyncio.sleep(self._counted_after - self._world.fleet.now())
             await self._run(kind, rng)
-            await asyncio.sleep(LEAST_APART_S)
+            self._counted_after = self._world.fleet.now() + LEAST_APART_S
 
     async def _run(self, kind, rng: random.Random) -> None:
         self._world.fleet.note(f"-- {kind.name}")
@@ -116,6 +123,7 @@
         closing, fleet = self._day.closing, self._world.fleet
         if closing == "none":
             return
+        await asyncio.sleep(self._counted_after - fleet.now())
         machine = await acknowledged(self._world)
         fleet.note(f"-- closing {closing}")
         everybody = list(fleet.machines.values())
--- a/kestrelbend/tier/fleet/disks.py
+++ b/kestrelbend/tier/fleet/disks.py
@@ -19,6 +19,8 @@
 
 STALL_CHECK_S = 0.01
 UPKEEP_SYNCS = 1
+LATE_SHARE = 0.1  # of the syncs take this many times as long
+LATE_FACTOR = 5.0
 
 
 class CutShort(Exception):
@@ -29,6 +31,7 @@
 class _File:
     content: bytes = b""
     synced: bytes = b""
+    lasts: bool = False  # under some name
 
 
 class MemoryDisk:
@@ -77,7 +80,8 @@
         self._step()
         file = self._files[path]
         file.synced = file.content
-        if file not in self._lasting.values():
+        if not file.lasts:
+            file.lasts = True
             self._lasting[path] = file
 
     def rename(self, old: str, new: str) -> None:
@@ -93,6 +97,8 @@
         start = f"{path}/"
         kept = {name: file for name, file in self._lasting.items() if not name.startswith(start)}
         kept.update((name, file) for name, file in self._files.items() if name.startswith(start))
+        for file in kept.values():
+            file.lasts = True
         self._lasting = kept
 
     # Troubles
@@ -107,7 +113,7 @@
             file = current if keeps_new else lasting
             if file is not None:
                 content = file.synced if all_gone else self._left_of(file)
-                left[name] = _File(content, content)
+                left[name] = _File(content, content, True)
         self._files = left
         self._lasting = dict(left)
 
@@ -127,7 +133,8 @@
 
     async def wait_for(self, syncs: int) -> None:
         """Returns once the disk has had the time for so many syncs."""
-        await asyncio.sleep(self.sync_s * self.slowness * syncs * self._random.uniform(0.8, 1.6))
+        factor = LATE_FACTOR if self._random.random() < LATE_SHARE else self._random.uniform(0.8, 1.6)
+        await asyncio.sleep(self.sync_s * self.slowness * syncs * factor)
         while self.stalled:
             await asyncio.sleep(STALL_CHECK_S)
 
--- a/kestrelbend/tier/fleet/programs.py
+++ b/kestrelbend/tier/fleet/programs.py
@@ -20,6 +20,7 @@
 RESERVE_BOUND_S = 1.0  # in touch, a reservation is answered within this
 AGAIN_S = (0.1, 0.4)
 TRIES = 5
+MOST_TURNS = 8
 SETTLE_S = 1.0  # SettleMs
 POLL_S = 0.02
 
@@ -167,11 +168,11 @@
         """Gateways that clients are sent to."""
         return [gateway for gateway in self.fleet.processes("gateway") if gateway.instance.life.ready]
 
-    def begin(self) -> asyncio.Task:
+    def begin(self, most_turns: int = MOST_TURNS) -> asyncio.Task:
         """One more program."""
         name = f"program-{len(self.all) + 1}"
         budget = STRIDE * self._random.randint(8, 60)
-        program = Program(self, name, budget, self._random.randint(2, 8))
+        program = Program(self, name, budget, self._random.randint(2, most_turns))
         self.all[name] = program
         return asyncio.create_task(program.run())
 
--- a/kestrelbend/tier/fleet/troubles.py
+++ b/kestrelbend/tier/fleet/troubles.py
@@ -147,8 +147,9 @@
 @trouble("wipe_and_power", counted=True)
 async def wipe_and_power(world: World, rng: random.Random) -> None:
     """A machine loses its disk while all others that count lose power."""
-    machine = await acknowledged(world)
-    if machine is None or rng.random() < 0.5:
+    machine = await (acknowledged(world) if rng.random() < 0.5 else taken(world, rng))
+    await asyncio.sleep(rng.choice((0.0, rng.uniform(0.0, 0.004))))
+    if machine is None or rng.random() < 0.7:
         machine = rng.choice(world.fleet.counted())
     others = [other for other in world.fleet.counted() if other is not machine and other.has_power]
     world.fleet.wipe(machine)
--- a/kestrelbend/tier/fleet/watch.py
+++ b/kestrelbend/tier/fleet/watch.py
@@ -6,7 +6,7 @@
 
 from ..budgets.messages import Verdict
 from ..budgets.shards import shard_of
-from ..membership.placement import BUDGET_PREFIX, CONFIGURATION_SHARD
+from ..membership.placement import BUDGET_SHARDS
 from .backends import DRAIN_S, Backends
 from .fleet import Fleet
 from .machines import Process
@@ -126,7 +126,7 @@
         self._check_counters()
 
     async def _check_reservations(self) -> None:
-        runs = [self._programs.begin() for _ in range(6)]
+        runs = [self._programs.begin(most_turns=2) for _ in range(6)]
         await asyncio.wait(runs)
         for program in list(self._programs.all.values())[-6:]:
             if any(turn.verdict not in (Verdict.ADMITTED, Verdict.SPENT) for turn in program.tries):
@@ -158,15 +158,11 @@
     def _check_counters(self) -> None:
         """The owners' counters hold all that was handed out, and know each turn that was admitted."""
         owners = self._owners_now()
-        count = sum(shard.startswith(BUDGET_PREFIX) for shard in owners)
-        if CONFIGURATION_SHARD not in owners or not count:
+        if len(owners) != BUDGET_SHARDS + 1:
             self._fleet.broken(f"shards without an owner at the end; owned are {sorted(owners)}")
             return
         for program in self._programs.all.values():
-            shard = shard_of(program.name, count)
-            if shard not in owners:
-                self._fleet.broken(f"{shard} has no owner at the end")
-                continue
+            shard = shard_of(program.name, BUDGET_SHARDS)
             table = owners[shard].instance.host.machine(shard).table
             self._check_program(program, table._use(program.name))
 
