A gateway on a machine with a disk holds no replicas

Cause: it opened its DataDir as all processes do and told a replica's identity, so it was a candidate for budget shards; as one it raised NotImplementedError at each message of the shard's owner (story: no store, a control process away for 9 s). Change: gateways leave their disk alone.

--- a/kestrelbend/tier/fleet/fleet.py
+++ b/kestrelbend/tier/fleet/fleet.py
@@ -186,11 +186,11 @@
         if not machine.removed:
             self.remove(machine)
 
-    def kill(self, machine: Machine) -> None:
-        """SIGKILL to all of a machine's processes."""
-        self.note(f"{machine.name} is killed")
+    def kill(self, machine: Machine, role: str | None = None) -> None:
+        """SIGKILL to all of a machine's processes, or to that of one role."""
+        self.note(f"{machine.name} is killed{f' ({role})' if role else ''}")
         self.contact.begin(machine.name)
-        machine.kill()
+        machine.kill(role)
 
     def lose_power(self, machine: Machine) -> None:
         """A machine goes dark."""
--- a/kestrelbend/tier/fleet/machines.py
+++ b/kestrelbend/tier/fleet/machines.py
@@ -177,17 +177,19 @@
         return WALL_CLOCK_S + self.fleet.loop.time() + self._skew_s + self.clock_step_s
 
     def start(self, bootstrap: bool = False) -> None:
-        """Starts all processes, with power."""
+        """Starts all processes that don't run, with power."""
         self.has_power = True
         self.fleet.network.lighten(self.place.ip)
         for process in self.processes.values():
-            process.start(bootstrap)
+            if not process.wanted:
+                process.start(bootstrap)
 
-    def kill(self) -> None:
-        """SIGKILL to all processes."""
+    def kill(self, role: str | None = None) -> None:
+        """SIGKILL to all processes, or that of one role."""
         for process in self.processes.values():
-            process.wanted = False
-            process.end(told=True)
+            if role in (None, process.role):
+                process.wanted = False
+                process.end(told=True)
 
     def lose_power(self) -> None:
         """All is gone that was not synced; nobody is told."""
--- a/kestrelbend/tier/fleet/programs.py
+++ b/kestrelbend/tier/fleet/programs.py
@@ -71,17 +71,17 @@
         """Tokens that its clients have received."""
         return sum(turn.handed for turn in self.tries)
 
-    async def run(self) -> None:
-        """All turns; each is tried anew a few times."""
+    async def run(self, session: str = "main") -> None:
+        """All turns of a session; each is tried anew a few times."""
         for number in range(self.turns):
             most = STRIDE * self._random.randint(2, 9)
-            if not await self._take_turn(number, most):
+            if not await self._take_turn(session, number, most):
                 return
             await asyncio.sleep(self._random.uniform(0.02, 0.2))
 
-    async def _take_turn(self, number: int, most: int) -> bool:
+    async def _take_turn(self, session: str, number: int, most: int) -> bool:
         for attempt in range(TRIES):
-            turn = await self._try(number, attempt, most)
+            turn = await self._try(session, number, f"{session}-{number}-{attempt}", most)
             if turn is not None and turn.ended_whole_at is not None:
                 return True
             if turn is not None and turn.verdict == Verdict.SPENT:
@@ -90,14 +90,14 @@
         self.failed = True
         return False
 
-    async def _try(self, number: int, attempt: int, most: int) -> Turn | None:
+    async def _try(self, session: str, number: int, name: str, most: int) -> Turn | None:
         gateways = self._programs.gateways()
         if not gateways:
             return None
         gateway = self._random.choice(gateways)
-        turn = Turn(f"{self.name}-{number}-{attempt}", most, gateway.machine.name, asked_at=self._fleet.now())
+        turn = Turn(f"{self.name}-{name}", most, gateway.machine.name, asked_at=self._fleet.now())
         self.tries.append(turn)
-        reserve = Reserve(self.name, "main", turn.reservation, number, most, self.budget, True)
+        reserve = Reserve(self.name, session, turn.reservation, number, most, self.budget, True)
         life = gateway.execution
         coroutine = self._serve(gateway.instance, turn, reserve)
         self._fleet.loop.call_soon(_begin, self._fleet.loop, coroutine, context=life.context)
@@ -176,6 +176,12 @@
         self.all[name] = program
         return asyncio.create_task(program.run())
 
+    async def begin_twice(self) -> None:
+        """One program whose turns go through two gateways at once."""
+        program = Program(self, f"program-{len(self.all) + 1}", STRIDE * 40, MOST_TURNS)
+        self.all[program.name] = program
+        await asyncio.gather(program.run("a"), program.run("b"))
+
     def check_silent(self, gateway: Process, turn: Turn) -> None:
         """In touch, a reservation is answered within a second."""
         if turn.answered_at is not None or turn.reservation in self._silent_told:
--- a/kestrelbend/tier/fleet/troubles.py
+++ b/kestrelbend/tier/fleet/troubles.py
@@ -20,6 +20,7 @@
 ACK_WAIT_S = 3.0  # for an acknowledgement to strike after
 REPLACED_AFTER_S = 1.0
 RETIRE_S = 20.0
+LONG_S = 9.0  # long enough for others to take the place of what is gone
 
 Play = Callable[[World, random.Random], Awaitable[None]]
 
@@ -93,10 +94,10 @@
 
 @trouble("kill", counted=True)
 async def kill(world: World, rng: random.Random) -> None:
-    """SIGKILL, and back after a while."""
+    """SIGKILL to a machine's processes or one of them, and back after a while, a long one at times."""
     machine = pick_counted(world, rng)
-    world.fleet.kill(machine)
-    await asyncio.sleep(rng.uniform(0.3, 4.0))
+    world.fleet.kill(machine, rng.choice((None, *machine.processes)))
+    await asyncio.sleep(rng.uniform(0.3, 4.0) if rng.random() < 0.8 else LONG_S)
     world.fleet.start(machine)
 
 
--- a/kestrelbend/tier/fleet/world.py
+++ b/kestrelbend/tier/fleet/world.py
@@ -13,7 +13,7 @@
 from .watch import Watch
 
 READY_S = 12.0  # from the start of the machines to the start of traffic
-CALM_S = 3.2  # ContactMs and a little
+OWNERS_S = 0.5  # until the shards that were just placed have owners
 
 
 class World:
@@ -41,6 +41,7 @@
                 self.fleet.broken("not all gateways are ready when traffic begins")
                 return
             await asyncio.sleep(0.1)
+        await asyncio.sleep(OWNERS_S)
 
     def begin_traffic(self, programs_a_second: float = 4.0) -> None:
         """Programs begin one after the other from now on."""
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -53,6 +53,8 @@
 
     role = ""
     port_offset = 0
+    holds_replicas = True
+    holds_replicas = False  # whether the role uses the machine's disk
 
     def __init__(self, settings: Settings, settings_path: str, environment: Environment | None = None):
         self.settings = settings
@@ -72,7 +74,7 @@
         self.journal = None
         self.replica_id = ""
         self.host: ShardHost | None = None
-        if settings.data_dir:
+        if settings.data_dir and self.holds_replicas:
             self._open_disk()
         self.member = self._member()
         self.links = Links(
--- /dev/null
+++ b/tests/tier/test_fleet_stories.py
@@ -0,0 +1,226 @@
+"""Stories of the whole tier in memory: each begins with a running system and ends in a calm in which all is
+served.  The rules are watched throughout, see `kestrelbend/tier/fleet/watch.py`.
+"""
+
+import asyncio
+import random
+
+import logbook
+import testtools
+
+from kestrelbend.tier.fleet.fleet import Size
+from kestrelbend.tier.fleet.troubles import KINDS, owner_machine, pick_counted, start_all
+from kestrelbend.tier.fleet.world import play
+
+
+class FleetStory(testtools.TestCase):
+    """Plays a story for some seeds; no rule may be broken."""
+
+    def setUp(self):
+        super().setUp()
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+
+    def tell(self, story, seeds=(1,), size=None):
+        for seed in seeds:
+            world = play(story, seed, size)
+            self.assertEqual([], world.fleet.failures, "\n".join(world.fleet.notes[-40:]))
+
+    def tell_kind(self, name, seeds=(1, 2)):
+        async def story(world):
+            await KINDS[name].play(world, random.Random(f"{name} {world.fleet.seed}"))
+
+        self.tell(story, seeds)
+
+
+class TestBeginning(FleetStory):
+    def test_all_machines_start_within_a_moment_in_any_order(self):
+        async def nothing_happens(world):
+            await asyncio.sleep(0.5)
+
+        self.tell(nothing_happens, seeds=range(3))
+
+    def test_core_machines_keep_the_budgets_where_there_is_no_store(self):
+        async def a_control_process_stays_away(world):
+            machine = owner_machine(world)
+            world.fleet.kill(machine, "control")
+            await asyncio.sleep(9.0)
+            world.fleet.start(machine)
+
+        self.tell(a_control_process_stays_away, size=Size(control=3, stores=0, gateways=1))
+
+
+class TestAcknowledged(FleetStory):
+    """What was acknowledged outlives the machine that did it."""
+
+    def test_the_machine_that_acknowledged_loses_power(self):
+        self.tell_kind("after_ack_kill")
+
+    def test_the_machine_that_acknowledged_loses_its_disk(self):
+        self.tell_kind("after_ack_wipe")
+
+    def test_the_owner_goes_down_while_a_change_is_under_way(self):
+        self.tell_kind("owner_killed_midway")
+
+    def test_a_disk_is_lost_while_all_others_lose_power(self):
+        self.tell_kind("wipe_and_power", seeds=(1, 2, 3))
+
+    def test_a_store_goes_down_right_after_a_reservation(self):
+        self.tell_kind("store_taken_power", seeds=(1, 2, 3))
+
+    def test_the_core_is_killed_at_once(self):
+        async def story(world):
+            machines = world.fleet.core()
+            for machine in machines:
+                world.fleet.kill(machine)
+            await start_all(world, random.Random(1), machines, 0.5)
+
+        self.tell(story)
+
+    def test_everything_loses_power_at_once(self):
+        async def story(world):
+            machines = list(world.fleet.machines.values())
+            for machine in machines:
+                world.fleet.lose_power(machine)
+            await start_all(world, random.Random(2), machines, 1.0)
+
+        self.tell(story)
+
+
+class TestCutsAndPauses(FleetStory):
+    def cut_the_owner(self, one_way):
+        async def story(world):
+            owner = owner_machine(world)
+            others = [machine for machine in world.fleet.counted() if machine is not owner]
+            world.fleet.cut(owner, others, one_way)
+            race = asyncio.create_task(world.operator.race())
+            await asyncio.sleep(4.0)
+            world.fleet.join(owner, others)
+            await race
+
+        return story
+
+    def test_the_owner_is_cut_off_while_two_changes_race(self):
+        self.tell(self.cut_the_owner(one_way=False))
+
+    def test_the_owner_hears_the_others_and_is_not_heard(self):
+        self.tell(self.cut_the_owner(one_way=True))
+
+    def test_a_store_is_cut_off_while_two_gateways_reserve_for_one_program(self):
+        async def story(world):
+            owner = owner_machine(world, "budget-0")
+            others = [machine for machine in world.fleet.counted() if machine is not owner]
+            world.fleet.cut(owner, others)
+            await asyncio.gather(*(world.programs.begin_twice() for _ in range(6)))
+            world.fleet.join(owner, others)
+
+        self.tell(story)
+
+    def freeze_the_owner(self, shard, silent):
+        async def story(world):
+            owner = owner_machine(world, shard)
+            world.fleet.freeze(owner, silent)
+            change = asyncio.create_task(world.operator.change())
+            await asyncio.sleep(2.5)
+            world.fleet.thaw(owner)
+            await change
+
+        return story
+
+    def test_the_owner_of_the_configuration_stands_still_and_wakes(self):
+        self.tell(self.freeze_the_owner("configuration", silent=False))
+
+    def test_the_owner_of_a_budget_falls_silent_and_wakes(self):
+        self.tell(self.freeze_the_owner("budget-1", silent=True))
+
+
+class TestMachinesComeAndGo(FleetStory):
+    def replace(self, planned):
+        async def story(world):
+            old = owner_machine(world)
+            if planned:
+                world.fleet.add_machine("front", old.place.zone, True, tuple(old.processes))
+                await asyncio.sleep(1.0)
+                world.fleet.terminate_and_remove(old)
+                await asyncio.sleep(8.5)
+                return
+            world.fleet.remove(old)
+            await asyncio.sleep(1.0)
+            world.fleet.add_machine("front", old.place.zone, True, tuple(old.processes))
+
+        return story
+
+    def test_the_owner_of_the_configuration_is_replaced_as_planned(self):
+        self.tell(self.replace(planned=True))
+
+    def test_the_owner_of_the_configuration_is_gone_for_good(self):
+        self.tell(self.replace(planned=False))
+
+    def test_a_store_is_replaced(self):
+        async def story(world):
+            old = world.fleet.stores()[0]
+            world.fleet.remove(old)
+            await asyncio.sleep(1.0)
+            world.fleet.add_machine("storage", old.place.zone, True, ("store",))
+
+        self.tell(story)
+
+    def test_a_store_is_added(self):
+        self.tell_kind("add_store", seeds=(1,))
+
+    def test_a_store_is_emptied_and_another_one_loses_its_disk_right_after(self):
+        self.tell_kind("retire", seeds=(1, 2, 3))
+
+    def test_a_machine_that_counts_is_restarted(self):
+        self.tell_kind("core_term")
+
+    def test_seeds_change_to_some_that_begin_with_one_that_is_cut_off(self):
+        self.tell_kind("seed_turnover")
+
+    def test_gateways_are_restarted_in_turn(self):
+        self.tell_kind("gateway_term", seeds=(1,))
+
+
+class TestDisksAndClocks(FleetStory):
+    def harm(self, how):
+        async def story(world):
+            machine = pick_counted(world, random.Random(world.fleet.seed))
+            world.fleet.harm_disk(machine, how)
+            await world.operator.change()
+            await asyncio.sleep(3.0)
+            world.fleet.mend_disk(machine)
+
+        return story
+
+    def test_a_disk_answers_nothing_for_a_while(self):
+        self.tell(self.harm("stall"), seeds=(1, 2))
+
+    def test_a_disk_is_slow(self):
+        self.tell(self.harm("slow"))
+
+    def test_a_disk_takes_no_more_bytes(self):
+        self.tell(self.harm("full"))
+
+    def test_the_time_of_day_jumps_and_a_machine_restarts_meanwhile(self):
+        self.tell_kind("clock_step", seeds=(1, 2, 3))
+
+
+class TestOperatorAndBackends(FleetStory):
+    def test_acknowledgements_are_lost_on_their_way(self):
+        self.tell_kind("ack_lost")
+
+    def test_pairs_of_changes_race(self):
+        self.tell_kind("config_race")
+
+    def test_invalid_configurations_are_refused(self):
+        self.tell_kind("bad_config")
+
+    def test_backends_are_replaced_while_the_owner_is_killed(self):
+        async def story(world):
+            replacing = asyncio.create_task(KINDS["release"].play(world, random.Random(3)))
+            await asyncio.sleep(0.2)
+            await KINDS["kill"].play(world, random.Random(world.fleet.seed))
+            await replacing
+
+        self.tell(story, seeds=(1, 2))
