--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -49,6 +49,7 @@
 
     role = "control"
     port_offset = CONTROL_PORT
+    holds_replicas = True
 
     def __init__(self, settings, settings_path, environment=None):
         self.budgets = BudgetShards()
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -53,7 +53,6 @@
 
     role = ""
     port_offset = 0
-    holds_replicas = True
     holds_replicas = False  # whether the role uses the machine's disk
 
     def __init__(self, settings: Settings, settings_path: str, environment: Environment | None = None):
--- a/kestrelbend/tier/roles/store.py
+++ b/kestrelbend/tier/roles/store.py
@@ -14,6 +14,7 @@
 
     role = "store"
     port_offset = STORE_PORT
+    holds_replicas = True
 
     def __init__(self, settings, settings_path, environment=None):
         self.budgets = BudgetShards()
