A lost replica gives way to a spare within CatchupS; all due placements go out at once

Change: a spare of the preferred class takes the place after 1.5 s, one that leaves gives way at once, due placements are ordered together, a replica never heard of counts as away only since this node owns, and a group left with four voters loses the one that is away.

--- a/kestrelbend/tier/fleet/contact.py
+++ b/kestrelbend/tier/fleet/contact.py
@@ -42,11 +42,15 @@
         self.touched(machine)
         self._under_way.pop(machine, None)
 
-    def core_stable_since(self) -> float:
-        """Since when the core has been stable; infinite while it is not."""
+    def core_quiet_since(self) -> float:
+        """When the last trouble of the core was over; infinite while there is one."""
         if any(self._under_way.get(machine) for machine in self._core):
             return float("inf")
-        return max((self._last[machine] for machine in self._core), default=NEVER) + CONTACT_S
+        return max((self._last[machine] for machine in self._core), default=NEVER)
+
+    def core_stable_since(self) -> float:
+        """Since when the core has been stable; infinite while it is not."""
+        return self.core_quiet_since() + CONTACT_S
 
     def in_touch_since(self, machine: str) -> float:
         """Since when the machine has been in touch; infinite while it is not."""
--- a/kestrelbend/tier/fleet/machines.py
+++ b/kestrelbend/tier/fleet/machines.py
@@ -18,7 +18,7 @@
 from .settings import Place
 
 RESTART_S = 0.3
-STARTING_S = (0.05, 0.3)  # a process needs this long to load
+STARTING_S = (0.05, 0.5)  # a process needs this long to load
 WALL_CLOCK_S = 1_700_000_000.0
 
 
--- a/kestrelbend/tier/fleet/watch.py
+++ b/kestrelbend/tier/fleet/watch.py
@@ -14,6 +14,8 @@
 from .programs import Programs
 
 CHECK_S = 0.05
+CATCH_UP_S = 4.0  # CatchupS
+GROUP = 3  # voters where the loss of one machine is to be borne
 CONFIG_S = 2.0  # ConfigMs
 SETTLED_S = 1.5  # allowed from being in touch to being ready
 BACKEND_KNOWN_S = 4.0
@@ -50,6 +52,7 @@
         for role in ("control", "store"):
             for process in self._fleet.processes(role):
                 self._look_at_owners(process)
+        self._look_at_groups()
         draining = self._drained_backends()
         for gateway in self._fleet.processes("gateway"):
             self._look_at_configuration(gateway)
@@ -67,6 +70,25 @@
                 key = f"owners {shard} {replica.epoch}"
                 self._broken_once(key, f"{owner} and {replica.identity} own {shard} in epoch {replica.epoch}")
 
+    def _look_at_groups(self) -> None:
+        """After `CatchupS` the next machine may be lost: by then each group is whole again."""
+        if self._fleet.now() < self._fleet.contact.core_quiet_since() + CATCH_UP_S:
+            return
+        live = {process.instance.replica_id for process in self._holders()}
+        for process in self._holders():
+            host = process.instance.host
+            for shard in host.shards():
+                replica = host.replica(shard)
+                gone = [voter for voter in replica.voters if voter not in live]
+                if replica.is_owner and (gone or len(replica.voters) < GROUP):
+                    key = f"group {shard} {replica.voters}"
+                    self._broken_once(
+                        key, f"{shard} is held by {replica.voters} after CatchupS, lost are {gone}"
+                    )
+
+    def _holders(self) -> list[Process]:
+        return [*self._fleet.processes("control"), *self._fleet.processes("store")]
+
     def _look_at_configuration(self, gateway: Process) -> None:
         table = gateway.instance.routing.current()
         version = 0 if table is None else table.version
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -1,8 +1,9 @@
 """Which replicas should hold a shard: pure functions of who is there.
 
 A replica stays where it is while it is live or was so lately.  One is replaced when its process stayed away,
-when its node came back with an emptied disk (another identity), or when its node is to be emptied.  A group
-never shrinks below what is live: where nobody can take a place, the lost replica keeps it.
+when its node came back with an emptied disk (another identity), or when its node is to be emptied.  A spare
+of the preferred class takes a place soon, as it was added for that; another one only after a long silence.
+A group never shrinks below what is live: where nobody can take a place, the lost replica keeps it.
 """
 
 from __future__ import annotations
@@ -13,7 +14,8 @@
 
 from .messages import Member, ShardPlacement
 
-LOST_S = 5.0  # a silent replica is replaced after this
+SPARE_S = 1.5  # a silent replica is replaced after this where a spare of the preferred class is there
+LOST_S = 5.0  # and by another one after this
 BUDGET_SHARDS = 6
 BUDGET_PREFIX = "budget-"
 CONFIGURATION_SHARD = "configuration"
@@ -75,19 +77,28 @@
         if reborn is not None and reborn.replica not in voters:
             voters[place] = reborn.replica  # the same machine with an emptied disk
             continue
-        if replica in leaving or silence(replica) > LOST_S:
-            substitute = _best(available, voters, by_replica, place)
-            if substitute is not None:
-                voters[place] = substitute.replica
+        substitute = _best(available, voters, by_replica, place)
+        if substitute is None:
+            continue
+        patience = SPARE_S if substitute.preference == 0 else LOST_S
+        if replica in leaving or silence(replica) > patience:
+            voters[place] = substitute.replica
     while len(voters) < size:
         added = _best(available, voters, by_replica, len(voters))
         if added is None:
             break
         voters.append(added.replica)
+    while len(voters) > size:
+        voters.remove(_superfluous(voters, by_replica))
     _prefer(voters, available, by_replica)
     return tuple(voters)
 
 
+def _superfluous(voters: list[str], by_replica: dict[str, Candidate]) -> str:
+    """The voter that a group which is too large needs least: one that is away, or else the last."""
+    return next((voter for voter in voters if voter not in by_replica), voters[-1])
+
+
 def _best(available, voters, by_replica, place) -> Candidate | None:
     """The candidate to take a place: preferred class, a zone of its own, then spread by the place."""
     zones = {
--- a/kestrelbend/tier/membership/placement_changes.py
+++ b/kestrelbend/tier/membership/placement_changes.py
@@ -1,7 +1,9 @@
-"""The next change of placement, if one is due: one shard at a time."""
+"""The changes of placement that are due."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .messages import ShardPlacement
 from .placement import Candidate, next_voters
 from .table import MemberTable
@@ -9,27 +11,21 @@
 KNOWN_S = 600.0
 
 
-def next_placement(
+def due_placements(
     placements: tuple[ShardPlacement, ...],
     size: int,
     available: list[Candidate],
     members: MemberTable,
     retiring: tuple[str, ...],
     now: float,
-) -> ShardPlacement | None:
-    """The first shard that should be held by others than today, with its new voters."""
+    silence: Callable[[str], float],
+) -> list[ShardPlacement]:
+    """The shards that should be held by others than today, with their new voters."""
     emptied = set(retiring)
-    leaving = [
-        member.replica for member in members.members(now, KNOWN_S) if member.node in emptied
-    ]
+    leaving = [member.replica for member in members.members(now, KNOWN_S) if member.node in emptied]
+    due = []
     for placed in placements:
-        voters = next_voters(
-            placed.voters,
-            size,
-            available,
-            lambda replica: members.silence(replica, now),
-            leaving,
-        )
+        voters = next_voters(placed.voters, size, available, silence, leaving)
         if voters != placed.voters:
-            return ShardPlacement(placed.shard, placed.founders, voters)
-    return None
+            due.append(ShardPlacement(placed.shard, placed.founders, voters))
+    return due
--- a/kestrelbend/tier/membership/table.py
+++ b/kestrelbend/tier/membership/table.py
@@ -51,6 +51,15 @@
         """As `live`, the members alone."""
         return [heartbeat.member for heartbeat in self.live(now, within)]
 
+    def staying(self, now: float) -> list[Member]:
+        """The members that are live and have not said that they leave."""
+        return [heartbeat.member for heartbeat in self.live(now) if not heartbeat.leaving]
+
+    def is_leaving(self, replica: str) -> bool:
+        """Whether the process with this disk has said that it leaves."""
+        rows = self._rows.values()
+        return any(row.heartbeat.leaving for row in rows if row.heartbeat.member.replica == replica)
+
     def heard_since(self, since: float) -> list[Heartbeat]:
         """What has come since then, to tell other monitors."""
         return [row.heartbeat for row in self._rows.values() if row.heard > since]
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -21,21 +21,31 @@
 from ..discovery.exchange import BackendExchange
 from ..discovery.messages import Backend, BackendAck, BackendState, BackendUpdate
 from ..discovery.registry import BackendRegistry, BeatRejected
-from ..membership.messages import ConfigAck, Directory, Heartbeat, MemberSummary, ShardReport, Subscribe
+from ..membership.messages import (
+    ConfigAck,
+    Directory,
+    Heartbeat,
+    MemberSummary,
+    ShardPlacement,
+    ShardReport,
+    Subscribe,
+)
 from ..membership.placement import (
     CONFIGURATION_SHARD,
+    SPARE_S,
     budget_shards,
     candidates,
     found_budget_shards,
     group_size,
     next_voters,
 )
-from ..membership.placement_changes import next_placement
+from ..membership.placement_changes import due_placements
 from ..membership.table import MemberTable, merge
 from ..protocol.links import Link
 from .process import CONTROL_PORT, TierProcess
 
 HAND_OVER_S = 1.0
+LEAVING_S = SPARE_S + 0.1  # a process that leaves counts as silent for this long
 FOUNDING_WAIT_S = 2.5  # for stores to come before budgets are founded on what is there
 NOT_FOUND = 404
 TOO_FEW = 409
@@ -242,52 +252,58 @@
         self._place_configuration(now)
         if self._proposing or now - self._owner_since < 0.5:
             return
-        order = self._next_placement(now)
-        if order is not None:
+        orders = [self._placement_order(placed) for placed in self._due_placements(now)]
+        if orders:
             self._proposing = True
-            self.spawn(self._order_placement(order))
+            self.spawn(self._order_placements(orders))
 
     def _place_configuration(self, now: float) -> None:
         replica = self.configuration.replica
-        available = candidates(self.members.members(now), (), stores_first=False)
+        available = candidates(self.members.staying(now), (), stores_first=False)
         replica.set_learners([candidate.replica for candidate in available])
         voters = next_voters(
             tuple(replica.voters),
             group_size(self.settings.tolerate_nodes),
             available,
-            lambda voter: self.members.silence(voter, now),
+            lambda voter: self._silence(voter, now),
         )
         replica.set_target(voters)
 
-    def _next_placement(self, now: float):
+    def _silence(self, replica_id: str, now: float) -> float:
+        """For how long a replica has been away.
+
+        One that was never heard of here may still be starting, as may this process; one that leaves may come
+        back, but a spare need not wait for that.
+        """
+        silence = min(self.members.silence(replica_id, now), now - self._owner_since)
+        return max(silence, LEAVING_S) if self.members.is_leaving(replica_id) else silence
+
+    def _due_placements(self, now: float) -> list[ShardPlacement]:
         state = self.configuration.state
-        live = self.members.members(now)
-        available = candidates(live, state.retiring, stores_first=True)
+        available = candidates(self.members.staying(now), state.retiring, stores_first=True)
         size = group_size(self.settings.tolerate_nodes)
         placed_shards = {placed.shard for placed in state.placements}
         if not placed_shards.issuperset(budget_shards()):
             stores = [candidate for candidate in available if candidate.preference == 0]
-            if len(stores) < size and now - self._owner_since < FOUNDING_WAIT_S:
-                return None
-            if not available:
-                return None
-            founded = found_budget_shards(placed_shards, size, available)
-            return [self._placement_order(placed) for placed in founded]
-        placed = next_placement(
+            too_early = len(stores) < size and now - self._owner_since < FOUNDING_WAIT_S
+            if too_early or not available:
+                return []
+            return found_budget_shards(placed_shards, size, available)
+        return due_placements(
             state.placements,
             size,
             available,
             self.members,
             state.retiring,
             now,
+            lambda replica_id: self._silence(replica_id, now),
         )
-        return None if placed is None else [self._placement_order(placed)]
 
     @staticmethod
     def _placement_order(placed) -> ConfigOrder:
         return ConfigOrder(OrderKind.PLACEMENT, 0, encode_placement(placed))
 
-    async def _order_placement(self, orders) -> None:
+    async def _order_placements(self, orders) -> None:
         try:
             for order in orders:
                 await self.configuration.decide(order)
