--- a/kestrelbend/tier/budgets/route.py
+++ b/kestrelbend/tier/budgets/route.py
@@ -16,10 +16,12 @@
 class ClientSettings:
     """Times in seconds."""
 
-    reserve_s: float = 1.2  # until a reservation without an answer is given up
+    reserve_s: float = 1.8  # until a reservation without an answer is given up
     attempt_s: float = 0.3  # until a request without a reply goes to the next replica
     silent_s: float = 0.5  # for which a replica that did not reply is left out
     pause_first_s: float = 0.02  # before the replicas are asked anew; doubles up to the most
+    pause_quick_s: float = 0.08  # the most while the search is young: an election takes half a second
+    quick_rounds: int = 20
     pause_most_s: float = 0.3
     settle_linger_s: float = 0.02  # settlements wait this long for others, unless a reservation goes
     settlements_most: int = 4_000  # for each shard; beyond it the oldest go: their tokens stay reserved
@@ -50,8 +52,10 @@
 
     def pause(self) -> float:
         """Seconds to wait between rounds."""
-        doubled = self._settings.pause_first_s * 2 ** min(self._rounds - 1, 6)
-        return min(self._settings.pause_most_s, doubled)
+        settings = self._settings
+        if self._rounds > settings.quick_rounds:
+            return settings.pause_most_s
+        return min(settings.pause_quick_s, settings.pause_first_s * 2 ** min(self._rounds - 1, 6))
 
     def owner(self, replica: str) -> None:
         """The replica has replied as the owner."""
--- a/kestrelbend/tier/dataplane/life.py
+++ b/kestrelbend/tier/dataplane/life.py
@@ -19,6 +19,7 @@
         self._equipped = False
         self._idle = asyncio.Event()
         self._idle.set()
+        self._ready = asyncio.Event()
 
     @property
     def ready(self) -> bool:
@@ -27,8 +28,21 @@
     def set_ready(self, ready: bool) -> None:
         """Whether the gateway has what it needs to serve."""
         self._equipped = ready
+        if ready:
+            self._ready.set()
+
+    async def equipped(self, within: float) -> None:
+        """Until the gateway has once had what it needs, or for so many seconds."""
+        if self._ready.is_set():
+            return
+        try:
+            async with asyncio.timeout(within):
+                await self._ready.wait()
+        except TimeoutError:
+            pass
 
     def drain(self) -> None:
+        """Takes no new connections from now on."""
         self.draining = True
 
     def enter(self) -> None:
--- a/kestrelbend/tier/protocol/links.py
+++ b/kestrelbend/tier/protocol/links.py
@@ -20,10 +20,10 @@
 LENGTH = struct.Struct("!I")
 MOST_FRAME_BYTES = 32 << 20
 MOST_WAITING_BYTES = 24 << 20  # a peer that reads nothing loses its connection beyond
-UNACKNOWLEDGED_MS = 1500  # a connection to a silent machine ends after this
-CONNECT_TIMEOUT_S = 1.0
+UNACKNOWLEDGED_MS = 600  # a connection to a silent machine ends after this
+CONNECT_TIMEOUT_S = 0.3
 FIRST_PAUSE_S = 0.03
-LONGEST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 0.12
 
 
 def prepare(sock: socket.socket) -> None:
@@ -49,6 +49,7 @@
         self._waiting: dict[int, asyncio.Future] = {}
         self._sequence = 0
         self.closed = False
+        self.heard_at = 0.0  # by the loop's clock
 
     def connection_made(self, transport):
         """Greets the peer."""
@@ -60,6 +61,7 @@
 
     def data_received(self, data):
         """Takes whole frames off what has come."""
+        self.heard_at = asyncio.get_running_loop().time()
         buffer = self._buffer
         buffer += data
         position = 0
@@ -120,7 +122,9 @@
         """The reply, or None where none came in time or the connection ended."""
         self._sequence += 1
         sequence = self._sequence
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        future = loop.create_future()
         self._waiting[sequence] = future
         try:
             if not self.send(message, sequence):
@@ -128,6 +132,8 @@
             async with asyncio.timeout(timeout):
                 return await future
         except TimeoutError:
+            if self.heard_at < asked_at:
+                self.close()  # nothing at all came: a new connection finds a machine that has come back
             return None
         finally:
             self._waiting.pop(sequence, None)
--- a/kestrelbend/tier/replication/election.py
+++ b/kestrelbend/tier/replication/election.py
@@ -52,7 +52,7 @@
         self._timing = state.timing
         self._trial: Campaign | None = None
         self._candidacy: Campaign | None = None
-        self._quiet_since = now
+        self._quiet_since = now - self._timing.election_timeout + self._timing.first_trial
         self.heard_at = NEVER
         self._trial_at = NEVER
         self._held_back_until = NEVER
--- a/kestrelbend/tier/replication/timing.py
+++ b/kestrelbend/tier/replication/timing.py
@@ -15,6 +15,7 @@
 
     heartbeat: float = 0.1  # between two rounds of the owner
     election_timeout: float = 0.45  # without contact, until the first voter campaigns or an owner gives up
+    first_trial: float = 0.1  # from the start of a process until its first trial: it heard nobody yet
     rank_step: float = 0.12  # later for each place in the group
     jitter: float = 0.03  # at most, so that no two voters campaign at one moment for ever
     sticky: float = 0.3  # a voter that heard an owner this recently refuses a trial
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -330,6 +330,7 @@
         self.table: RoutingTable | None = RoutingTable(1, ROUTES, SERVICES, Limits())
         self.budget = FakeBudget()
         self.life = Life()
+        self.life.set_ready(True)
         self.scripted: dict[str, ScriptedBackend] = {}
         self.live: dict[str, Backend] = {}
         self.gone: list[str] = []
