--- a/benchmarks/checks.py
+++ b/benchmarks/checks.py
@@ -15,14 +15,12 @@
 from pathlib import Path
 
 import grpc
-import typer
 import uvloop
 from hdrh.histogram import HdrHistogram
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 from kestrelbend.lab.grpc_stands import StandAuthoriser, StandProxy  # noqa: E402
 
-app = typer.Typer(no_args_is_help=True)
 GATEWAY = """
 name = "bench"
 listen = "127.0.0.1:{http}"
@@ -134,7 +132,6 @@
 """
 
 
-@app.command()
 def answering(seconds: float = 8.0, workers: int = 32):
     async def measure(name, port, cpu):
         proxy = StandProxy(port)
@@ -161,7 +158,6 @@
         plain.process.wait()
 
 
-@app.command("open")
 def opened():
     """Checks that wait: the gateway has no room for them."""
     async def measure(gateway):
@@ -186,7 +182,6 @@
         print(f"front off: {gateway.status('VmRSS'):.1f} MB, {gateway.descriptors()} descriptors")
 
 
-@app.command()
 def frozen(rate: float = 100.0):
     """Thirty seconds of clients at a gateway whose authoriser stands still from 10 s to 20 s."""
     from aiohttp import ClientSession, web
@@ -258,4 +253,7 @@
 
 
 if __name__ == "__main__":
-    app()
+    verbs = {"answering": answering, "open": opened, "frozen": frozen}
+    if len(sys.argv) != 2 or sys.argv[1] not in verbs:
+        sys.exit(__doc__)
+    verbs[sys.argv[1]]()
--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -1,9 +1,14 @@
-"""`python -m kestrelbend`: without arguments, one gateway told by the platform's environment; with them, the
-command of `kestrelbend.cli`."""
+"""`python -m kestrelbend`: without arguments, one gateway told by the platform's environment; with a role of
+the tier, that role; with others, the command line of `kestrelbend.command`.
+
+Whatever starts a process here is imported by itself: neither the gateway in service nor a role loads the
+command line's libraries."""
 import gc
 import os
 import sys
 
+TIER_ROLES = ("gateway", "control", "store")
+
 
 def serve(path=None):
     """Serve until SIGTERM, told by a TOML file or by the platform's environment."""
@@ -18,16 +23,22 @@
 
 
 def main():
-    if len(sys.argv) == 1:
+    """Carries out what the command line says; returns the exit code, or None for 0."""
+    arguments = sys.argv[1:]
+    if not arguments:
         return serve()
-    if sys.argv[1] == "serve" and len(sys.argv) < 4 and not sys.argv[-1].startswith("-"):
-        return serve(*sys.argv[2:])             # the way of services: without the command's libraries
+    if arguments[0] == "serve" and len(arguments) < 3 and not arguments[-1].startswith("-"):
+        return serve(*arguments[1:])
+    if len(arguments) == 1 and arguments[0] in TIER_ROLES:
+        from .tier.roles.start import serve_role
+        return serve_role(arguments[0])
     try:
-        from .cli import app
+        from .command.application import run
     except ImportError as missing:
-        sys.exit(f"kestrelbend: this verb needs more libraries: pip install 'kestrelbend[lab]' ({missing})")
-    return app(prog_name="kestrelbend")
+        more = "pip install 'kestrelbend[lab,tier]'"
+        sys.exit(f"kestrelbend: this verb needs more libraries: {more} ({missing})")
+    return run(arguments, serve)
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- /dev/null
+++ b/kestrelbend/command/checking.py
@@ -0,0 +1,114 @@
+"""The verb `check`: everything that is wrong with a file, each fault with its place."""
+
+from __future__ import annotations
+
+import enum
+from pathlib import Path
+
+from cleo.helpers import option
+
+from .outcome import DONE, wrong
+from .reading import read
+from .verb import Verb, file_argument
+
+
+class Kind(enum.Enum):
+    """What a file to check states."""
+
+    INSTALLATION = "installation"
+    PLATFORM = "platform"
+    SCENARIO = "scenario"
+    LOAD = "load"
+    EXPERIMENT = "experiment"
+
+
+KINDS = ", ".join(kind.value for kind in Kind)
+
+
+class CheckVerb(Verb):
+    """Checks one file."""
+
+    name = "check"
+    description = "Say everything that is wrong with a file, each fault with its place."
+    arguments = [file_argument("The file to check.")]
+    options = [option("kind", None, f"What the file states: {KINDS}.", flag=False)]
+
+    def handle(self) -> int:
+        path = self.existing_path()
+        kind = self._kind() or guess(path)
+        CHECKS[kind](path)
+        self.say(f"{path}: a usable {kind.value} file")
+        return DONE
+
+    def _kind(self) -> Kind | None:
+        named = self.option("kind")
+        if named is None:
+            return None
+        try:
+            return Kind(named)
+        except ValueError:
+            raise wrong(f"--kind: '{named}' is not one of {KINDS}") from None
+
+
+def guess(path: Path) -> Kind:
+    """By what only one kind of file has."""
+    if path.suffix == ".json":
+        return Kind.PLATFORM
+    text = path.read_text(encoding="utf-8", errors="replace")
+    if "[[variants]]" in text or "\nscenarios" in f"\n{text}":
+        return Kind.EXPERIMENT
+    if "[[phases]]" in text:
+        return Kind.LOAD
+    return Kind.INSTALLATION if "\nlisten" in f"\n{text}" else Kind.SCENARIO
+
+
+def check_installation(path: Path) -> None:
+    """What a gateway outside the platform is told."""
+    from kestrelbend.config.installation import Installation
+
+    read(path, Installation)
+
+
+def check_platform(path: Path) -> None:
+    """What the platform tells a gateway."""
+    from kestrelbend.config.platform import Malformed
+    from kestrelbend.net.configuration import read as read_platform
+
+    try:
+        read_platform({"ROUTER_CONFIG": str(path)})
+    except Malformed as trouble:
+        raise wrong(f"{path}: {trouble}") from None
+
+
+def check_scenario(path: Path) -> None:
+    """A world of the laboratory."""
+    from kestrelbend.lab.scenario import Scenario
+
+    read(path, Scenario)
+
+
+def check_load(path: Path) -> None:
+    """What the load tool sends."""
+    from kestrelbend.lab.load import Load
+
+    read(path, Load)
+
+
+def check_experiment(path: Path) -> None:
+    """Scenarios, seeds and variants."""
+    from kestrelbend.config.reading import Wrong
+    from kestrelbend.lab import experiment
+
+    try:
+        experiment.load(path)
+    except Wrong as faults:
+        raise wrong(faults) from None
+
+
+CHECKS = {
+    Kind.INSTALLATION: check_installation,
+    Kind.PLATFORM: check_platform,
+    Kind.SCENARIO: check_scenario,
+    Kind.LOAD: check_load,
+    Kind.EXPERIMENT: check_experiment,
+}
--- /dev/null
+++ b/kestrelbend/command/reading.py
@@ -0,0 +1,18 @@
+"""Reading TOML files for verbs: their faults end the command."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from .outcome import wrong
+
+
+def read(path: Path, model: type) -> Any:
+    """The model that a TOML file states; ends the command with all faults of one that cannot be used."""
+    from kestrelbend.config.reading import Wrong, toml
+
+    try:
+        return toml(str(path), model)
+    except Wrong as faults:
+        raise wrong(faults) from None
--- a/kestrelbend/tier/roles/command.py
+++ b/kestrelbend/tier/roles/start.py
@@ -1,4 +1,4 @@
-"""The command line of the tier's processes."""
+"""Starting one role of the tier; imports nothing that the role does not need."""
 
 from __future__ import annotations
 
@@ -8,8 +8,6 @@
 import sys
 
 import logbook
-from cleo.application import Application
-from cleo.commands.command import Command
 
 from .settings import Settings, SettingsError
 
@@ -23,8 +21,8 @@
     return os.environ.get(SETTINGS_VARIABLE, "/etc/kestrelbend/boot.yaml")
 
 
-def serve(process_class_name: str) -> int:
-    """Runs one role until SIGTERM."""
+def serve_role(role: str) -> int:
+    """Runs one role until SIGTERM; returns the exit code."""
     handler = logbook.StreamHandler(sys.stderr, level=os.environ.get("KESTRELBEND_LOG", "INFO"))
     handler.format_string = "{record.level_name} {record.channel}: {record.message}"
     handler.push_application()
@@ -34,7 +32,7 @@
     except SettingsError as fault:
         print(fault, file=sys.stderr)
         return WRONG_SETTINGS
-    asyncio.run(_run(process_class_name, settings, path))
+    asyncio.run(_run(role, settings, path))
     return 0
 
 
@@ -58,33 +56,3 @@
     from .store import StoreProcess
 
     return StoreProcess
-
-
-class _RoleCommand(Command):
-    """Serves one role of the tier until SIGTERM."""
-
-    def handle(self) -> int:
-        return serve(self.name)
-
-
-class GatewayCommand(_RoleCommand):
-    name = "gateway"
-    description = "Serve clients: the data plane of the tier."
-
-
-class ControlCommand(_RoleCommand):
-    name = "control"
-    description = "Keep the configuration and the list of backends; serve the operator."
-
-
-class StoreCommand(_RoleCommand):
-    name = "store"
-    description = "Keep programs' budgets."
-
-
-def main() -> int:
-    """The entry point of `python -m kestrelbend.tier`."""
-    application = Application("kestrelbend")
-    for command in (GatewayCommand, ControlCommand, StoreCommand):
-        application.add(command())
-    return application.run()
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -1,4 +1,6 @@
 """The laboratory on sockets, its experiments, its load tool and its reports; killed runs and broken files."""
+import contextlib
+import io
 import json
 import os
 import signal
@@ -9,9 +11,9 @@
 
 import pytest
 from aiohttp import web
-from typer.testing import CliRunner
 
-from kestrelbend.cli import app
+from kestrelbend.__main__ import TIER_ROLES, serve
+from kestrelbend.command.application import run
 from kestrelbend.config import reading
 from kestrelbend.lab import emulate, experiment, load, loopback, results
 from kestrelbend.lab.clock import NotOnSockets
@@ -23,8 +25,10 @@
 
 
 def called(*args):
-    got = CliRunner().invoke(app, [str(arg) for arg in args])
-    return got.exit_code, got.output
+    said = io.StringIO()
+    with contextlib.redirect_stdout(said), contextlib.redirect_stderr(said):
+        code = run([str(arg) for arg in args], serve)
+    return code, said.getvalue()
 
 
 def children():
@@ -309,11 +313,26 @@
 
 
 def test_every_verb_has_help_and_wrong_words_end_with_2():
-    for verb in (["serve"], ["check"], ["version"], ["lab"], ["lab", "emulate"], ["lab", "load"],
-                 ["lab", "experiment"], ["lab", "compare"], ["lab", "report"]):
+    for verb in (["serve"], ["check"], ["members"], ["version"], ["gateway"], ["control"], ["store"], ["lab"],
+                 ["lab", "emulate"], ["lab", "gossip"], ["lab", "load"], ["lab", "experiment"],
+                 ["lab", "compare"], ["lab", "report"]):
         code, said = called(*verb, "--help")
-        assert code == 0 and "Usage" in said
+        assert code == 0 and "Usage" in said and " ".join(verb) in said
     assert called("lab", "emulate", "no-such-file.toml")[0] == 2 and called("nothing")[0] == 2
+    storm = EXAMPLES / "storm.toml"
+    for words in (["lab"], ["lab", "nothing"], ["check"], ["check", EXAMPLES], ["check", storm, storm],
+                  ["check", storm, "--kind", "poem"], ["lab", "emulate", storm, "--seed", "five"],
+                  ["lab", "gossip", "1"], ["lab", "gossip", "4", "--loss", "1"], ["lab", "load", "x"],
+                  ["lab", "experiment", EXAMPLES / "fleet.toml"], ["version", "--loud"]):
+        code, said = called(*words)
+        assert code == 2 and said.strip() and "Traceback" not in said, words
+
+
+def test_words_without_a_verb_name_all_verbs():
+    for words in (["--help"], ["-h"], ["list"]):
+        code, said = called(*words)
+        assert code == 0 and all(verb in said for verb in ("serve", "check", "gateway", "control", "store",
+                                                           "lab emulate", "lab report"))
 
 
 def test_a_broken_rule_ends_the_command_with_1_and_its_trace(tmp_path, monkeypatch):
@@ -326,11 +345,35 @@
     assert json.loads((tmp_path / "one.jsonl").read_text())["figures"]["rules_broken"]
 
 
+def loaded(code):
+    """The top-level packages and our own modules that are loaded after some code in a process of its own."""
+    got = subprocess.run([sys.executable, "-O", "-c", f"import sys\n{code}\nprint(*sys.modules)"], cwd=REPO,
+                         capture_output=True, text=True, env={**os.environ}, check=True)
+    names = got.stdout.split()
+    return {name.split(".")[0] for name in names} | {name for name in names if name.startswith("kestrelbend")}
+
+
+LABORATORY = {"rich", "cleo", "numpy", "scipy", "matplotlib", "hdrh", "kestrelbend.lab",
+              "kestrelbend.command"}
+
+
 def test_serving_loads_nothing_of_the_laboratory():
-    code = ("import sys, kestrelbend.__main__, kestrelbend.net.gateway, kestrelbend.net.lines as l;"
-            "import logging; l.Lines().format(logging.makeLogRecord({'msg': 'x'}));"
-            "print([m for m in sys.modules if m.split('.')[0] in ('rich', 'typer', 'numpy', 'scipy',"
-            " 'matplotlib', 'hdrh', 'tomllib') or 'kestrelbend.lab' in m or 'kestrelbend.cli' in m])")
-    got = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, cwd=REPO,
-                         env={**os.environ}, check=True)
-    assert got.stdout.strip() == "[]"
+    names = loaded("import kestrelbend.__main__, kestrelbend.net.gateway, kestrelbend.net.lines as l\n"
+                   "import logging; l.Lines().format(logging.makeLogRecord({'msg': 'x'}))")
+    assert "kestrelbend.net.gateway" in names and not names & (
+        LABORATORY | {"tomllib", "kestrelbend.tier"})
+
+
+@pytest.mark.parametrize("role", TIER_ROLES)
+def test_a_role_of_the_tier_loads_neither_the_laboratory_nor_the_gateway_in_service(role):
+    names = loaded("import kestrelbend.__main__\nfrom kestrelbend.tier.roles.start import load_role\n"
+                   f"load_role({role!r})")
+    in_service = {"aiohttp", "hiredis", "msgspec", "structlog", "uvloop", "kestrelbend.net"}
+    assert f"kestrelbend.tier.roles.{role}" in names and not names & (LABORATORY | in_service)
+
+
+@pytest.mark.parametrize("role", TIER_ROLES)
+def test_a_role_without_usable_settings_ends_with_2_and_one_line(role, tmp_path):
+    got = subprocess.run([sys.executable, "-m", "kestrelbend", role], cwd=REPO, capture_output=True,
+                         text=True, env={**os.environ, "KESTRELBEND_SETTINGS": str(tmp_path / "none.yaml")})
+    assert got.returncode == 2 and got.stderr == "none.yaml: No such file or directory\n" and not got.stdout
