kestrelbend status: what a control process knows of the tier

GET /api/Status tells processes with versions and silence, shards with epoch, owner, voters and lag, and backends by service; the verb prints it and what is not as it should be.

--- a/kestrelbend/command/application.py
+++ b/kestrelbend/command/application.py
@@ -16,6 +16,7 @@
 from .members import MembersVerb
 from .outcome import DONE, FAILED, WRONG, CommandFailed
 from .serving import ROLE_VERBS, ServeVerb
+from .status import StatusVerb
 from .verb import Verb
 
 PROGRAM = "kestrelbend"
@@ -76,7 +77,7 @@
     """All verbs; `serve` starts the gateway in service."""
     made = KestrelbendApplication()
     made.add(ServeVerb(serve))
-    for verb in (CheckVerb, MembersVerb, VersionVerb, *ROLE_VERBS, LabVerb, *LAB_VERBS):
+    for verb in (CheckVerb, MembersVerb, StatusVerb, VersionVerb, *ROLE_VERBS, LabVerb, *LAB_VERBS):
         made.add(verb())
     return made
 
--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -26,7 +26,7 @@
 RETRY_AFTER_S = "0.2"
 MOST_NAME = 256
 BASE_VERSION = b"x-kestrelbend-base-version"
-CALL = re.compile(r"/api/(?P<call>[A-Za-z]+\.[A-Za-z]+)(?:/(?P<name>[^/]+))?")
+CALL = re.compile(r"/api/(?P<call>[A-Za-z]+(?:\.[A-Za-z]+)?)(?:/(?P<name>[^/]+))?")
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -75,6 +75,7 @@
             "Instances.Leave": _Handler("POST", True, MOST_REPORT_BYTES, self._leave),
             "Retire.Start": _Handler("POST", True, MOST_REPORT_BYTES, self._retire_start),
             "Retire.Get": _Handler("GET", True, 0, self._retire_get),
+            "Status": _Handler("GET", False, 0, self._status),
         }
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
@@ -173,6 +174,9 @@
             return _refusal(404, "nobody asked for the node to be emptied")
         return _json(200, {"State": state})
 
+    async def _status(self, call: Call) -> Answer:
+        return _json(200, self._port.status())
+
 
 def _base_version(value: bytes | None) -> int | None:
     if value is None or not value.isdigit() or len(value) > len(str(MOST_VERSION)):
--- a/kestrelbend/tier/configuration/ports.py
+++ b/kestrelbend/tier/configuration/ports.py
@@ -28,6 +28,9 @@
     async def retire_state(self, node: str) -> str | None:
         """`running` or `complete`; None: nobody asked for it; raises `Unavailable` if it isn't known."""
 
+    def status(self) -> dict[str, Any]:
+        """What is known here of the whole tier, see `membership.status`."""
+
     def beat_url(self) -> str | None:
         """An address for a backend's later heartbeats, or None to leave the choice to the backend."""
 
--- a/kestrelbend/tier/membership/table.py
+++ b/kestrelbend/tier/membership/table.py
@@ -51,6 +51,10 @@
         """As `live`, the members alone."""
         return [heartbeat.member for heartbeat in self.live(now, within)]
 
+    def silences(self, now: float) -> list[tuple[Heartbeat, float]]:
+        """The latest heartbeat of all that are remembered, live or not, and the seconds since it came."""
+        return [(row.heartbeat, now - row.heard) for _, row in sorted(self._rows.items())]
+
     def heard_since(self, since: float) -> list[Heartbeat]:
         """What has come since then, to tell other monitors."""
         return [row.heartbeat for row in self._rows.values() if row.heard > since]
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -30,6 +30,7 @@
     next_voters,
 )
 from ..membership.placement_changes import next_placement
+from ..membership.status import ShardsWanted, status
 from ..membership.table import MemberTable, merge
 from ..protocol.links import Link
 from .process import CONTROL_PORT, TierProcess
@@ -348,6 +349,20 @@
                 return "running"
         return "complete"
 
+    def status(self) -> dict:
+        """What is known here of the whole tier."""
+        now = self.now()
+        state = self.configuration.state
+        return status(
+            self.member,
+            self.configuration.replica.in_touch(now),
+            state.version,
+            self.members,
+            ShardsWanted(state.placements, state.retiring),
+            self.registry.all(),
+            now,
+        )
+
     def beat_url(self) -> str | None:
         """Backends go on calling whom they called."""
         return None
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -313,7 +313,8 @@
 
 
 def test_every_verb_has_help_and_wrong_words_end_with_2():
-    for verb in (["serve"], ["check"], ["members"], ["version"], ["gateway"], ["control"], ["store"], ["lab"],
+    for verb in (["serve"], ["check"], ["members"], ["status"], ["version"], ["gateway"], ["control"],
+                 ["store"], ["lab"],
                  ["lab", "emulate"], ["lab", "gossip"], ["lab", "load"], ["lab", "experiment"],
                  ["lab", "compare"], ["lab", "report"]):
         code, said = called(*verb, "--help")
--- a/tests/tier/test_configuration_operator_api.py
+++ b/tests/tier/test_configuration_operator_api.py
@@ -18,9 +18,13 @@
         self.calls = []
         self.outcome = ConfigOutcome(200, 7, "")
         self.reply = ReadReply(True, 7, b'{"Ver": 7}')
-        self.status = 200
+        self.code = 200
         self.state = "running"
         self.url = None
+        self.told = {"Node": "front-1", "InTouch": True}
+
+    def status(self):
+        return self.told
 
     async def order(self, order):
         self.calls.append(order)
@@ -31,15 +35,15 @@
 
     async def beat(self, identity, report):
         self.calls.append((identity, report))
-        return self.status
+        return self.code
 
     async def leave(self, identity):
         self.calls.append(identity)
-        return self.status
+        return self.code
 
     async def retire_start(self, node, deadline_s):
         self.calls.append((node, deadline_s))
-        return self.status
+        return self.code
 
     async def retire_state(self, node):
         if self.state == "unknown here":
@@ -127,7 +131,7 @@
         )
         self.assertEqual([("i-1", {"Seq": 1}), ("i-1", {})], self.port.calls)
         for status, expected in ((0, 503), (400, 400)):
-            self.port.status = status
+            self.port.code = status
             self.assertEqual(expected, self.call("POST", "/api/Instances.Heartbeat/i-1", b"{}")[0])
 
     def test_given_a_heartbeat_that_is_no_object_then_the_port_is_not_asked(self):
@@ -145,7 +149,7 @@
         self.assertEqual(200, self.call("POST", "/api/Retire.Start/store-1", b'{"DeadlineS":10}')[0])
         self.assertEqual([("store-1", 10.0)], self.port.calls)
         for status, expected in ((404, 404), (409, 409), (0, 503)):
-            self.port.status = status
+            self.port.code = status
             self.assertEqual(expected, self.call("POST", "/api/Retire.Start/n", b'{"DeadlineS":0.5}')[0])
         for data in (b"", b"{}", b'{"DeadlineS":0}', b'{"DeadlineS":"1"}', b'{"DeadlineS":NaN}'):
             self.assertEqual(400, self.call("POST", "/api/Retire.Start/n", data)[0])
@@ -154,6 +158,11 @@
             self.port.state = state
             self.assertEqual(expected, self.call("GET", "/api/Retire.Get/store-1")[0])
 
+    def test_given_the_question_of_status_then_it_is_what_the_port_tells(self):
+        self.assertEqual((200, self.port.told), self.call("GET", "/api/Status"))
+        self.assertEqual(405, self.call("POST", "/api/Status")[0])
+        self.assertEqual(404, self.call("GET", "/api/Status/x")[0])
+
     def test_given_another_path_or_method_then_it_is_refused_and_its_body_read(self):
         unknown = (
             "/",
