--- a/kestrelbend/command/application.py
+++ b/kestrelbend/command/application.py
@@ -11,6 +11,7 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from .checking import CheckVerb
+from .lab_fleet import FleetVerb
 from .lab_results import CompareVerb, ReportVerb
 from .lab_runs import EmulateVerb, ExperimentVerb, GossipVerb, LoadVerb
 from .members import MembersVerb
@@ -21,7 +22,7 @@
 
 PROGRAM = "kestrelbend"
 HELP_WORDS = ("--help", "-h")
-LAB_VERBS = (EmulateVerb, GossipVerb, LoadVerb, ExperimentVerb, CompareVerb, ReportVerb)
+LAB_VERBS = (EmulateVerb, GossipVerb, LoadVerb, ExperimentVerb, CompareVerb, ReportVerb, FleetVerb)
 
 
 def version_line() -> str:
--- /dev/null
+++ b/kestrelbend/command/lab_fleet.py
@@ -0,0 +1,87 @@
+"""The laboratory's verb `lab fleet`: a search for days of the whole tier, in memory, that break a rule."""
+
+from __future__ import annotations
+
+import gc
+import multiprocessing
+import os
+import time
+from typing import TYPE_CHECKING
+
+from cleo.helpers import option
+
+from .outcome import DONE, FAILED, wrong
+from .verb import Verb
+
+if TYPE_CHECKING:
+    from kestrelbend.tier.fleet.day import Result
+
+MOST_FAILURES_TOLD = 5  # of one day
+
+
+def _play_line(line: str) -> Result:
+    import logbook
+
+    from kestrelbend.tier.fleet.day import Day, play_day
+    from kestrelbend.tier.roles.start import COLLECT_AFTER
+
+    logbook.NullHandler().push_application()
+    gc.set_threshold(COLLECT_AFTER)
+    return play_day(Day.read(line))
+
+
+class FleetVerb(Verb):
+    """Plays days drawn by seeds, in several processes."""
+
+    name = "lab fleet"
+    description = "Play days of mixed troubles on the whole tier in memory, and find those that break a rule."
+    options = [
+        option("seeds", None, "How many days to play.", flag=False, default="200"),
+        option("first", None, "The first seed.", flag=False, default="1"),
+        option("day", None, "Play this day alone (SEED:PLACES, as a failing one is told).", flag=False),
+        option("jobs", None, "Processes to play in.", flag=False, default=str(os.cpu_count() or 1)),
+        option("shrink", None, "Leave out what a failing day doesn't need."),
+    ]
+
+    def handle(self) -> int:
+        first = self.whole_option("first")
+        seeds = self.whole_option("seeds", least=1)
+        jobs = self.whole_option("jobs", least=1)
+        if self.option("day"):
+            return self._play_one(self.option("day"))
+        return self._search(first, seeds, jobs)
+
+    def _play_one(self, line: str) -> int:
+        try:
+            result = _play_line(line)
+        except ValueError:
+            raise wrong(f"--day: '{line}' names no day") from None
+        self.say(result.day.tell())
+        for note in result.notes:
+            self.say(note)
+        return FAILED if result.failures else DONE
+
+    def _search(self, first: int, count: int, jobs: int) -> int:
+        begun = time.monotonic()
+        lines = [str(seed) for seed in range(first, first + count)]
+        failed = turns = orders = 0
+        with multiprocessing.get_context("fork").Pool(jobs) as pool:
+            for result in pool.imap(_play_line, lines):
+                turns += result.turns
+                orders += result.orders
+                if result.failures:
+                    failed += 1
+                    self._tell_failure(result)
+        self.say(
+            f"{count} days from seed {first}: {failed} broke a rule; {turns} tries of turns, {orders} orders,"
+            f" {time.monotonic() - begun:.0f} s"
+        )
+        return FAILED if failed else DONE
+
+    def _tell_failure(self, result: Result) -> None:
+        from kestrelbend.tier.fleet.day import shrink
+
+        day = shrink(result.day) if self.option("shrink") else result.day
+        self.say(f"--day {day}  ({day.tell()})")
+        for failure in result.failures[:MOST_FAILURES_TOLD]:
+            self.say(f"    {failure}")
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -12,11 +12,11 @@
 from ..dataplane.life import Life
 from ..dataplane.network import TcpNetwork
 from ..dataplane.ready import ReadyApplication
-from ..dataplane.server import Listener, serve_all
+from ..dataplane.server import Listener
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.view import BackendView
 from ..membership.messages import ConfigAck, ConfigUpdate
-from ..membership.placement import BUDGET_PREFIX, address_of
+from ..membership.placement import BUDGET_SHARDS, address_of, budget_shards
 from .process import GATEWAY_PORT, TierProcess
 
 BUDGET_REPLY_S = 0.35
@@ -54,13 +54,12 @@
     role = "gateway"
     port_offset = GATEWAY_PORT
 
-    def __init__(self, settings, settings_path):
-        super().__init__(settings, settings_path)
+    def __init__(self, settings, settings_path, environment=None):
+        super().__init__(settings, settings_path, environment)
         self.routing = RoutingHolder()
         self.view = BackendView()
         self.life = Life()
         self.budget_client: BudgetClient | None = None
-        self._shard_count = 0
         self._current = False
         self._told_backends_at: float | None = None
         self._heard_at = self.now()
@@ -107,12 +106,13 @@
         link.send(BackendAck(update.sender, update.number))
 
     def on_directory(self):
-        """The number of budget shards is known with the first placements."""
+        """Budgets can be asked for once every shard is placed: a program always meets the same one."""
         super().on_directory()
-        count = sum(shard.startswith(BUDGET_PREFIX) for shard in self.directory.placements)
-        if count and self.budget_client is None:
-            self._shard_count = count
-            self.budget_client = BudgetClient(self._send_budget, self._budget_addresses, count)
+        placed = self.directory.placements
+        if self.budget_client is None and all(shard in placed for shard in budget_shards()):
+            self.budget_client = BudgetClient(
+                self._send_budget, self._budget_addresses, BUDGET_SHARDS
+            )
 
     def wanted_links(self):
         """Control nodes, and all that may own a budget shard."""
@@ -188,7 +188,7 @@
     async def start(self):
         """Serves clients and the platform's question of readiness."""
         self._serving = self.spawn(
-            serve_all(
+            self.environment.serve(
                 [
                     Listener(self.data_plane, self.settings.listen_front, self._served),
                     Listener(ReadyApplication(self.life), self.settings.listen_ready, self._served),
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -316,7 +316,7 @@
     for verb in (["serve"], ["check"], ["members"], ["status"], ["version"], ["gateway"], ["control"],
                  ["store"], ["lab"],
                  ["lab", "emulate"], ["lab", "gossip"], ["lab", "load"], ["lab", "experiment"],
-                 ["lab", "compare"], ["lab", "report"]):
+                 ["lab", "compare"], ["lab", "report"], ["lab", "fleet"]):
         code, said = called(*verb, "--help")
         assert code == 0 and "Usage" in said and " ".join(verb) in said
     assert called("lab", "emulate", "no-such-file.toml")[0] == 2 and called("nothing")[0] == 2
