kestrelbend check reads settings of the tier and the operator's configurations

A configuration's checks stopped at the first fault, as an answer needs no more. They are generators now (checks.py, split from document.py): taking a document still stops at the first, check tells all; a search over changed fields holds the first told to be the one that rejects.

--- a/kestrelbend/command/checking.py
+++ b/kestrelbend/command/checking.py
@@ -20,6 +20,8 @@
     SCENARIO = "scenario"
     LOAD = "load"
     EXPERIMENT = "experiment"
+    BOOT = "boot"
+    DOCUMENT = "document"
 
 
 KINDS = ", ".join(kind.value for kind in Kind)
@@ -52,9 +54,11 @@
 
 def guess(path: Path) -> Kind:
     """By what only one kind of file has."""
-    if path.suffix == ".json":
-        return Kind.PLATFORM
+    if path.suffix in (".yaml", ".yml"):
+        return Kind.BOOT
     text = path.read_text(encoding="utf-8", errors="replace")
+    if path.suffix == ".json":
+        return Kind.DOCUMENT if '"Routes"' in text or '"Services"' in text else Kind.PLATFORM
     if "[[variants]]" in text or "\nscenarios" in f"\n{text}":
         return Kind.EXPERIMENT
     if "[[phases]]" in text:
@@ -105,10 +109,31 @@
         raise wrong(faults) from None
 
 
+def check_boot(path: Path) -> None:
+    """The settings file of a process of the tier."""
+    from kestrelbend.tier.roles.settings import Settings, SettingsError
+
+    try:
+        Settings.read(path)
+    except SettingsError as faults:
+        raise wrong(faults) from None
+
+
+def check_document(path: Path) -> None:
+    """A whole configuration, as an operator puts it to the tier."""
+    from kestrelbend.tier.configuration.checks import document_faults
+
+    faults = document_faults(path.read_bytes())
+    if faults:
+        raise wrong("\n".join(f"{path}: {fault.reason}" for fault in faults))
+
+
 CHECKS = {
     Kind.INSTALLATION: check_installation,
     Kind.PLATFORM: check_platform,
     Kind.SCENARIO: check_scenario,
     Kind.LOAD: check_load,
     Kind.EXPERIMENT: check_experiment,
+    Kind.BOOT: check_boot,
+    Kind.DOCUMENT: check_document,
 }
--- /dev/null
+++ b/kestrelbend/tier/configuration/checks.py
@@ -0,0 +1,195 @@
+"""Whether an operator's document may be taken: its bytes, its form, and what only shows when its parts are
+looked at together.
+
+Invariant: `document_faults` is empty for exactly the documents that `check_document` lets pass, and begins
+with the rejection that it raises; `check_document` stops there, as it stands in the way of an answer.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import schema
+
+from kestrelbend.tier.configuration import forms
+from kestrelbend.tier.configuration.fields import shown
+
+MOST_DEPTH = 32  # of objects and lists in one another
+
+
+@attrs.frozen
+class ConfigRejected:
+    """Why a document isn't taken; `code` is one word for counting, `reason` a sentence for the operator."""
+
+    code: str
+    reason: str
+
+
+class Invalid(Exception):
+    """Carries a rejection from a check to the public functions of `document`; never leaves that module."""
+
+    def __init__(self, rejected: ConfigRejected) -> None:
+        super().__init__(rejected.reason)
+        self.rejected = rejected
+
+
+def invalid(code: str, reason: str) -> Invalid:
+    """The exception of a new rejection."""
+    return Invalid(ConfigRejected(code, reason))
+
+
+def host_key(host: str) -> str:
+    """A host as it is compared: without its port and in lower case."""
+    if host.startswith("["):
+        return host.partition("]")[0].lower() + "]"
+    return host.partition(":")[0].lower()
+
+
+def decode(body: bytes) -> dict[str, Any]:
+    """The body as an object; fails if it is cut short, names a key twice or holds what is no JSON number."""
+    try:
+        values = json.loads(
+            bytes(body).decode("utf-8"),
+            object_pairs_hook=_unique,
+            parse_constant=_finite,
+            parse_float=_finite,
+        )
+    except (ValueError, RecursionError) as error:
+        raise invalid("unreadable", f"cannot be read whole: {ascii(str(error))[:120]}") from None
+    if not isinstance(values, dict):
+        raise invalid("unreadable", "is not an object")
+    _check_depth(values)
+    return values
+
+
+def validate(form: schema.Schema, values: Any, what: str) -> None:
+    """Raises `Invalid` with the first fault of the form."""
+    try:
+        form.validate(values)
+    except schema.SchemaError as error:
+        raise _wrong_form(what, error.code) from None
+
+
+def check_document(values: dict[str, Any]) -> None:
+    """Raises `Invalid` for a configuration that is not valid as a whole."""
+    validate(forms.DOCUMENT, values, "configuration")
+    for fault in _faults_between(values):
+        raise Invalid(fault)
+
+
+def check_names(kind: str, items: list[Any]) -> None:
+    """Raises `Invalid` where two items of a list share a name."""
+    for fault in _name_faults(kind, items):
+        raise Invalid(fault)
+
+
+def document_faults(body: bytes) -> tuple[ConfigRejected, ...]:
+    """Everything that is wrong with a whole configuration; routes of a wrong form end there."""
+    try:
+        values = decode(body)
+    except Invalid as fault:
+        return (fault.rejected,)
+    faults = [_wrong_form("configuration", text).rejected for text in forms.CONFIGURATION.faults(values)]
+    return (*faults, *_faults_between(_usable_parts(values) if faults else values))
+
+
+def _usable_parts(values: dict[str, Any]) -> dict[str, Any]:
+    """What of a document with a wrong form can be looked at together."""
+    parts = {kind: items for kind, items in values.items() if isinstance(items, list)}
+    routes = parts.get("Routes", [])
+    parts["Routes"] = [route for route in routes if not any(forms.ROUTE.faults(route))]
+    if "Services" not in parts:
+        parts.update(Routes=[], Services=[])
+    return parts
+
+
+def _faults_between(values: dict[str, Any]) -> Iterator[ConfigRejected]:
+    """The faults of parts that are right by themselves."""
+    for kind, items in values.items():
+        if isinstance(items, list):
+            yield from _name_faults(kind, items)
+    services = {name_of(service) for service in values["Services"]}
+    yield from _route_faults(values["Routes"], services)
+
+
+def _name_faults(kind: str, items: list[Any]) -> Iterator[ConfigRejected]:
+    """Two items of a list never share a name."""
+    seen: set[str] = set()
+    for item in items:
+        name = name_of(item)
+        if name is None:
+            continue
+        if name in seen:
+            yield ConfigRejected("same_name", f"{shown(kind)}: two items share the name {shown(name)}")
+        seen.add(name)
+
+
+def _route_faults(routes: list[dict[str, Any]], services: set[str | None]) -> Iterator[ConfigRejected]:
+    places: set[tuple[str, str]] = set()
+    for route in routes:
+        place = (host_key(route["Hostname"]), route["PathPrefix"])
+        if place in places:
+            name = shown(route["Name"])
+            yield ConfigRejected("same_place", f"route {name}: another route has its host and prefix")
+        places.add(place)
+        yield from _target_faults(route, services)
+
+
+def _target_faults(route: dict[str, Any], services: set[str | None]) -> Iterator[ConfigRejected]:
+    """A route names services that exist, one at least, and its weights add up to more than 0."""
+    name = shown(route["Name"])
+    split = route.get("Split")
+    upstream = route.get("Upstream")
+    named = [target["Upstream"] for target in split or ()]
+    if upstream is not None:
+        named.append(upstream)
+    for service in named:
+        if service not in services:
+            yield ConfigRejected("unknown_service", f"route {name}: service {shown(service)} is unknown")
+    if split is not None and math.fsum(target["Weight"] for target in split) <= 0:
+        yield ConfigRejected("no_weight", f"route {name}: its weights add up to 0")
+    if not named:
+        yield ConfigRejected("no_service", f"route {name}: names no service")
+
+
+def name_of(item: Any) -> str | None:
+    """The name of an item, None where it has none."""
+    name = item.get("Name") if isinstance(item, dict) else None
+    return name if isinstance(name, str) else None
+
+
+def _wrong_form(what: str, text: str) -> Invalid:
+    return invalid("wrong_form", f"{what}: {text}")
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    values = dict(pairs)
+    if len(values) != len(pairs):
+        raise ValueError("an object names a key twice")
+    return values
+
+
+def _finite(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"{text[:20]} is not a finite number")
+    return value
+
+
+def _check_depth(values: dict[str, Any]) -> None:
+    """A bound of its own, as the interpreter's depends on the depth of the caller."""
+    level: list[Any] = [values]
+    for _ in range(MOST_DEPTH):
+        level = [inner for outer in level for inner in _containers(outer)]
+        if not level:
+            return
+    raise invalid("too_deep", f"objects lie more than {MOST_DEPTH} deep in one another")
+
+
+def _containers(outer: dict[str, Any] | list[Any]) -> list[Any]:
+    parts = outer.values() if isinstance(outer, dict) else outer
+    return [part for part in parts if isinstance(part, (dict, list))]
--- a/kestrelbend/tier/configuration/fields.py
+++ b/kestrelbend/tier/configuration/fields.py
@@ -9,6 +9,7 @@
 
 import ipaddress
 import functools
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -54,6 +55,20 @@
                 _check_field(field.name, field.check, value)
         return data
 
+    def faults(self, data: Any) -> Iterator[str]:
+        """All that is wrong; the first is what `validate` raises."""
+        if not isinstance(data, dict):
+            yield "is not an object"
+            return
+        for field in self._required:
+            if field.name not in data:
+                yield f"{field.name} is missing"
+            else:
+                yield from _field_faults(field.name, field.check, data[field.name])
+        for field in self._optional:
+            if data.get(field.name) is not None:
+                yield from _field_faults(field.name, field.check, data[field.name])
+
 
 class ListOf:
     """Checks that the data is a list, and each of its items."""
@@ -69,6 +84,14 @@
             _check_field(str(index), self._item, item)
         return data
 
+    def faults(self, data: Any) -> Iterator[str]:
+        """All that is wrong; the first is what `validate` raises."""
+        if not isinstance(data, list):
+            yield "is not a list"
+            return
+        for index, item in enumerate(data):
+            yield from _field_faults(str(index), self._item, item)
+
 
 class MapOf:
     """Checks that the data is an object, and each of its values."""
@@ -96,6 +119,14 @@
         raise schema.SchemaError(f"{name}: {error.code}") from None
 
 
+def _field_faults(name: str, check: Any, value: Any) -> Iterator[str]:
+    if hasattr(check, "faults"):
+        for fault in check.faults(value):
+            yield f"{name}: {fault}"
+    elif not check(value):
+        yield f"{name}: {shown(value)} is not allowed"
+
+
 def shown(value: Any) -> str:
     """A few ASCII characters that tell a value; containers are named only."""
     if isinstance(value, (dict, list)):
--- a/kestrelbend/tier/configuration/forms.py
+++ b/kestrelbend/tier/configuration/forms.py
@@ -79,12 +79,11 @@
         "IdleTimeoutMs": is_positive,
     },
 )
-DOCUMENT = schema.Schema(
-    Fields(
-        required={"Ver": is_version, "Routes": ListOf(ROUTE), "Services": ListOf(SERVICE)},
-        optional={"Limits": LIMITS},
-    )
+CONFIGURATION = Fields(
+    required={"Ver": is_version, "Routes": ListOf(ROUTE), "Services": ListOf(SERVICE)},
+    optional={"Limits": LIMITS},
 )
+DOCUMENT = schema.Schema(CONFIGURATION)
 
 _NAMED_ITEMS = ListOf(Fields(required={"Name": is_text}, optional={}))
 
--- a/kestrelbend/tier/configuration/routing.py
+++ b/kestrelbend/tier/configuration/routing.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from kestrelbend.tier.configuration.document import host_key
+from kestrelbend.tier.configuration.checks import host_key
 
 DEFAULT_MAX_HEADER_BYTES = 16384
 DEFAULT_MAX_BODY_BYTES = 4194304
--- a/tests/tier/test_configuration_document.py
+++ b/tests/tier/test_configuration_document.py
@@ -7,6 +7,7 @@
 import testtools
 from hypothesis import strategies
 
+from kestrelbend.tier.configuration.checks import document_faults
 from kestrelbend.tier.configuration.document import (
     ConfigRejected,
     Document,
@@ -156,6 +157,7 @@
         for parse in (parse_put, parse_patch):
             result = parse(data)
             self.assertIsInstance(result, (ConfigRejected, Document, Patch))
+        self.assertEqual((parse_put(data),), document_faults(data))
 
     @hypothesis.settings(REPEATABLE, max_examples=300)
     @hypothesis.given(strategies.data())
@@ -171,9 +173,49 @@
         for name, parse in (("put", parse_put), ("patch", lambda data: apply_patch(base(), data))):
             sent = values if name == "put" else {"Ver": values.get("Ver"), "Upsert": without_version(values)}
             result = parse(body(sent))
+            if name == "put":
+                self.assertEqual(document_faults(body(sent))[:1], (result,) if code(result) else ())
             if not isinstance(result, ConfigRejected):
                 assert_valid(self, json.loads(result.body))
 
+    def test_given_several_faults_then_all_are_told_at_once_and_the_first_one_rejects(self):
+        routes = [
+            route("one", "/one/", Upstream="red", TimeoutMs=5),
+            route("one", "/one/"),
+            split("three", "/three/", ("blue", 0), ("grey", 0)),
+            route("four", "four", TimeoutMs="soon"),
+            route("five", "/five/", Split=[{"Upstream": "blue"}]),
+            {"Name": "six"},
+        ]
+        sent = body(document(version=0, Routes=routes, Limits={"MaxBodyBytes": -1}))
+        faults = document_faults(sent)
+        self.assertEqual(
+            [
+                "configuration: Ver: 0 is not allowed",
+                "configuration: Routes: 3: PathPrefix: 'four' is not allowed",
+                "configuration: Routes: 3: TimeoutMs: 'soon' is not allowed",
+                "configuration: Routes: 4: Split: 0: Weight is missing",
+                "configuration: Routes: 5: Hostname is missing",
+                "configuration: Routes: 5: PathPrefix is missing",
+                "configuration: Routes: 5: RouteType is missing",
+                "configuration: Routes: 5: TimeoutMs is missing",
+                "configuration: Limits: MaxBodyBytes: -1 is not allowed",
+                "'Routes': two items share the name 'one'",
+                "route 'one': service 'red' is unknown",
+                "route 'one': another route has its host and prefix",
+                "route 'three': service 'grey' is unknown",
+                "route 'three': its weights add up to 0",
+            ],
+            [fault.reason for fault in faults],
+        )
+        self.assertEqual(parse_put(sent), faults[0])
+
+    def test_given_parts_of_another_kind_then_their_faults_are_told_and_nothing_fails(self):
+        for values in ({}, {"Ver": 1, "Routes": 5, "Services": [1]}, {"Routes": [route("a", "/a/"), 7]}):
+            faults = document_faults(body(values))
+            self.assertEqual({"wrong_form"}, {fault.code for fault in faults})
+            self.assertEqual(parse_put(body(values)), faults[0])
+
 
 def base():
     """A document to be patched."""
