--- a/kestrelbend/tier/__init__.py
+++ b/kestrelbend/tier/__init__.py
@@ -1,1 +1,1 @@
-"""The serving tier: membership, configuration, discovery, budgets and the data plane (docs/design/tier.md)."""
+"""The serving tier: membership, configuration, discovery, budgets, data plane (docs/design/tier.md)."""
--- a/kestrelbend/tier/protocol/links.py
+++ b/kestrelbend/tier/protocol/links.py
@@ -162,8 +162,8 @@
 class Links:
     """All connections of a process.
 
-    `on_message(link, message, sequence)` gets what comes in; `on_peer(link)` tells of a peer that greeted on an
-    outgoing connection, `on_lost(link)` of any connection's end.
+    `on_message(link, message, sequence)` gets what comes in; `on_peer(link)` tells of a peer that greeted on
+    an outgoing connection, `on_lost(link)` of any connection's end.
     """
 
     def __init__(self, hello: Hello, log, on_message: Callable, on_peer: Callable, on_lost: Callable):
--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -68,8 +68,8 @@
 class ShardHost:
     """All replicas of a process.
 
-    `send(replica_id, message)` hands a message to the process of another replica; `machine_for(shard)` makes an
-    empty state machine; `on_applied(shard)` is called after commands were applied.
+    `send(replica_id, message)` hands a message to the process of another replica; `machine_for(shard)` makes
+    an empty state machine; `on_applied(shard)` is called after commands were applied.
     """
 
     def __init__(
@@ -175,7 +175,7 @@
     # What is asked
 
     def propose(self, shard: ShardId, command: bytes, outcome: Outcome, now: float) -> bool:
-        """Proposes a command; `outcome` gets the state machine's, or None where it is not known whether it counts."""
+        """Proposes a command; `outcome` gets the state machine's, or None where it may not count."""
         hosted = self._hosted.get(shard)
         if hosted is None:
             return False
