--- a/kestrelbend/tier/fleet/command.py
+++ b/kestrelbend/command/lab_fleet.py
@@ -1,4 +1,4 @@
-"""`python -m kestrelbend.tier fleet`: a search for days that break a rule."""
+"""The laboratory's verb `lab fleet`: a search for days of the whole tier, in memory, that break a rule."""
 
 from __future__ import annotations
 
@@ -6,23 +6,34 @@
 import multiprocessing
 import os
 import time
+from typing import TYPE_CHECKING
 
-import logbook
-from cleo.commands.command import Command
 from cleo.helpers import option
 
-from ..roles.command import COLLECT_AFTER
-from .day import Day, Result, play_day, shrink
+from .outcome import DONE, FAILED, wrong
+from .verb import Verb
+
+if TYPE_CHECKING:
+    from kestrelbend.tier.fleet.day import Result
+
+MOST_FAILURES_TOLD = 5  # of one day
 
 
 def _play_line(line: str) -> Result:
+    import logbook
+
+    from kestrelbend.tier.fleet.day import Day, play_day
+    from kestrelbend.tier.roles.start import COLLECT_AFTER
+
     logbook.NullHandler().push_application()
     gc.set_threshold(COLLECT_AFTER)
     return play_day(Day.read(line))
 
 
-class FleetCommand(Command):
-    name = "fleet"
+class FleetVerb(Verb):
+    """Plays days drawn by seeds, in several processes."""
+
+    name = "lab fleet"
     description = "Play days of mixed troubles on the whole tier in memory, and find those that break a rule."
     options = [
         option("seeds", None, "How many days to play.", flag=False, default="200"),
@@ -34,10 +45,22 @@
     ]
 
     def handle(self) -> int:
-        logbook.NullHandler().push_application()
+        first = self.whole_option("first")
+        seeds = self.whole_option("seeds", least=1)
+        jobs = self.whole_option("jobs", least=1)
         if self.option("day"):
-            return self._tell(_play_line(self.option("day")), self.io.is_verbose() or True)
-        return self._search(int(self.option("first")), int(self.option("seeds")), int(self.option("jobs")))
+            return self._play_one(self.option("day"))
+        return self._search(first, seeds, jobs)
+
+    def _play_one(self, line: str) -> int:
+        try:
+            result = _play_line(line)
+        except ValueError:
+            raise wrong(f"--day: '{line}' names no day") from None
+        self.say(result.day.tell())
+        for note in result.notes:
+            self.say(note)
+        return FAILED if result.failures else DONE
 
     def _search(self, first: int, count: int, jobs: int) -> int:
         begun = time.monotonic()
@@ -51,20 +74,16 @@
                 if result.failures:
                     failed += 1
                     self._tell_failure(result)
-        self.line(
+        self.say(
             f"{count} days from seed {first}: {failed} broke a rule; {turns} tries of turns, {orders} orders,"
             f" {time.monotonic() - begun:.0f} s"
         )
-        return 1 if failed else 0
+        return FAILED if failed else DONE
 
     def _tell_failure(self, result: Result) -> None:
+        from kestrelbend.tier.fleet.day import shrink
+
         day = shrink(result.day) if self.option("shrink") else result.day
-        self.line(f"--day {day}  ({day.tell()})")
-        for failure in result.failures[:5]:
-            self.line(f"    {failure}")
-
-    def _tell(self, result: Result, whole: bool) -> int:
-        self.line(result.day.tell())
-        for note in result.notes if whole else result.failures:
-            self.line(note)
-        return 1 if result.failures else 0
+        self.say(f"--day {day}  ({day.tell()})")
+        for failure in result.failures[:MOST_FAILURES_TOLD]:
+            self.say(f"    {failure}")
--- a/kestrelbend/tier/fleet/machines.py
+++ b/kestrelbend/tier/fleet/machines.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from ..roles.command import load_role
+from ..roles.start import load_role
 from ..roles.settings import Settings
 from .disks import MemoryDisk, SteppedJournal
 from .loop import Execution
