--- a/kestrelbend/tier/dataplane/admission.py
+++ b/kestrelbend/tier/dataplane/admission.py
@@ -1,4 +1,4 @@
-"""The order in which requests try again when the backends of their service were full.
+"""The order in which requests wait: for the limit of their service, or for backends that were full.
 
 Invariants: while requests wait, no request that is not more urgent overtakes them; each wait ends by the time
 that its caller gives, and what waits gets its tries in the order of rank.
@@ -19,8 +19,9 @@
 
 @attrs.frozen(order=True)
 class Rank:
-    """Lower is more urgent: the route's priority, then the time by which the whole should be over."""
+    """Lower is more urgent: the standing, the route's priority, when the whole should be over."""
 
+    standing: int
     priority: int
     finish_at: float
 
--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -21,9 +21,11 @@
 from .connections import Connections
 from .exchange import REQUEST_ID, Exchange
 from .forward import Forwarder
+from .gate import Gate
 from .health import Health
 from .hedge import Hedger
 from .life import Life
+from .limit import Limits
 from .pace import Pace
 from .reading import ClientGone, Receive, build_exchange, check_head, read_body
 from .send import Sender
@@ -33,6 +35,7 @@
 log = logbook.Logger("dataplane")
 Send = Callable[[dict], Awaitable[None]]
 TEND_S = 1.0
+START_WAIT_S = 1.5  # that a request waits for a gateway which has just been started
 NOT_EQUIPPED_RETRY_S = 0.5
 LEAVING_RETRY_S = 0.05
 TIME_OVER_RETRY_S = 0.1
@@ -48,6 +51,7 @@
     chooser: Chooser
     health: Health
     pace: Pace
+    gate: Gate
     forwarder: Forwarder
     turns: Turns
     split: Split
@@ -68,6 +72,7 @@
         begun = asyncio.get_running_loop().time()
         request_id = next((value for name, value in scope["headers"] if name == REQUEST_ID), None)
         client = Client(send, lambda: self.life.draining, request_id)
+        await self.life.equipped(START_WAIT_S)
         table = self.routing.current()
         if table is None:
             await client.answer(OwnAnswer(503, "no configuration yet", NOT_EQUIPPED_RETRY_S))
@@ -114,12 +119,23 @@
             return _own_failure(client, progress)
 
     async def _carry(self, exchange: Exchange, client: Client, progress: Progress) -> OwnAnswer | None:
+        refusal = await self.gate.enter(exchange)
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._check_budget(exchange, client, progress)
+        finally:
+            self.gate.leave(exchange)
+
+    async def _check_budget(self, exchange: Exchange, client: Client, progress: Progress) -> OwnAnswer | None:
         turn = turn_of(exchange)
         if turn is None:
             return await self.forwarder.forward(exchange, client, progress)
         live = self.backends.of(exchange.service.name)
         now = asyncio.get_running_loop().time()
-        spare = any(self.chooser.has_room(backend, exchange.service, now) for backend in live)
+        spare = not self.gate.limited(exchange.service.name) and any(
+            self.chooser.has_room(backend, exchange.service, now) for backend in live
+        )
         return await self.turns.carry(
             turn,
             exchange,
@@ -199,9 +215,20 @@
     health, pace = Health(), Pace()
     connections = Connections(network, gateways)
     chooser = Chooser(zone, health, pace, connections, external_load, rng)
-    attempter = Attempter(Sender(backends, connections), health, pace)
-    forwarder = Forwarder(backends, attempter, chooser, Hedger(pace), Admission(), rng)
-    split = Split(backends, rng)
+    admission = Admission()
+    gate = Gate(Limits(), admission, backends, gateways, rng)
+    attempter = Attempter(Sender(backends, connections), health, pace, gate)
+    forwarder = Forwarder(backends, attempter, chooser, Hedger(pace), admission, gate)
     return DataPlane(
-        routing, backends, connections, chooser, health, pace, forwarder, Turns(budget), split, life
+        routing=routing,
+        backends=backends,
+        connections=connections,
+        chooser=chooser,
+        health=health,
+        pace=pace,
+        gate=gate,
+        forwarder=forwarder,
+        turns=Turns(budget),
+        split=Split(backends, rng),
+        life=life,
     )
--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -13,6 +13,7 @@
 from .errors import DataPlaneError
 from .events import Events, EventSplitter
 from .exchange import Exchange, Failure
+from .gate import Gate
 from .health import Health
 from .pace import Pace
 from .send import Answer, Sender, Sending
@@ -62,8 +63,9 @@
 class Attempter:
     """Makes attempts and keeps what they tell of the backends."""
 
-    def __init__(self, sender: Sender, health: Health, pace: Pace) -> None:
+    def __init__(self, sender: Sender, health: Health, pace: Pace, gate: Gate) -> None:
         self._sender = sender
+        self._gate = gate
         self._health = health
         self._pace = pace
 
@@ -115,6 +117,7 @@
                 self._health.failed(identity, now)
                 return
             self._health.answered(identity, now)
+            self._gate.answered(exchange, now - begun)
             self._pace.note(exchange.route.name, identity, now - begun, now)
         elif outcome is Failure.NOT_EXECUTED:
             self._health.turned_away(identity, now)
--- a/kestrelbend/tier/dataplane/forward.py
+++ b/kestrelbend/tier/dataplane/forward.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import attrs
 
@@ -19,7 +18,8 @@
 from .choice import Chooser
 from .client import Client, OwnAnswer
 from .errors import DataPlaneError
-from .exchange import FINISH_MS, LAST_EVENT_ID, PROGRAM, Exchange, Failure
+from .exchange import LAST_EVENT_ID, PROGRAM, Exchange, Failure
+from .gate import Gate
 from .hedge import Hedger
 from .send import Sending
 
@@ -32,8 +32,6 @@
 SILENCE_S = 1.0  # of a stream that was begun; clients give up at twice this, or at twice the next two
 SILENCE_AIMS = 2.0  # in relation to the objective
 SILENCE_GAPS = 4.0  # in relation to the longest pause in time
-RETRY_AFTER_S = 0.12
-RETRY_SPREAD_S = 0.2
 
 
 @attrs.define
@@ -61,21 +59,18 @@
         chooser: Chooser,
         hedger: Hedger,
         admission: Admission,
-        rng: random.Random,
+        gate: Gate,
     ) -> None:
         self._backends = backends
         self._attempter = attempter
         self._chooser = chooser
         self._hedger = hedger
         self._admission = admission
-        self._rng = rng
+        self._gate = gate
 
     async def forward(self, exchange: Exchange, client: Client, progress: Progress) -> OwnAnswer | None:
         """The own answer to give; None when the client has its answer, or must see its connection break."""
-        course = _course(exchange)
-        service = exchange.service.name
-        if self._admission.must_wait(service, course.rank):
-            await self._admission.wait(service, course.rank, course.hold_until)
+        course = _course(exchange, self._gate.rank(exchange))
         while True:
             backend = self._pick(exchange, course)
             if backend is None:
@@ -87,8 +82,6 @@
                 failure = await self._try(exchange, course, backend, client, progress)
             finally:
                 self._chooser.end(backend.identity)
-            if failure is None or not failure.certainly_not_run:
-                self._admission.freed(service)
             if failure is None:
                 return None
             self._take_in(course, backend, failure)
@@ -111,6 +104,7 @@
         """Whether the backends that were full may be tried again."""
         if not course.full or course.sends >= SENDS_AT_MOST:
             return False
+        self._gate.full(exchange)
         until = exchange.deadline if client.started else course.hold_until
         if not await self._admission.wait(exchange.service.name, course.rank, until):
             return False
@@ -209,8 +203,7 @@
             return None
         if progress.may_have_run:
             return OwnAnswer(502, "the backend's answer was lost")
-        retry_after_s = RETRY_AFTER_S + self._rng.random() * RETRY_SPREAD_S
-        return OwnAnswer(503, "no backend could take the request", retry_after_s)
+        return self._gate.refusal()
 
 
 async def _next_part(opened: Opened) -> tuple[bytes | None, int]:
@@ -232,13 +225,10 @@
     return max(SILENCE_S, route.slo_ms / 1000 * SILENCE_AIMS, route.gap_aim_ms / 1000 * SILENCE_GAPS)
 
 
-def _course(exchange: Exchange) -> _Course:
+def _course(exchange: Exchange, rank: Rank) -> _Course:
     fields = exchange.fields
-    finish = _number(fields.get(FINISH_MS))
-    finish_at = exchange.deadline if finish is None else exchange.begun + finish / 1000
     share = PROGRAM_HOLD_SHARE if PROGRAM in fields else HOLD_SHARE
     hold_until = min(exchange.deadline, exchange.begun + exchange.route.slo_ms / 1000 * share)
-    rank = Rank(exchange.route.priority, finish_at)
     return _Course(rank, hold_until, _number(fields.get(LAST_EVENT_ID)))
 
 
