--- a/kestrelbend/tier/fleet/day.py
+++ b/kestrelbend/tier/fleet/day.py
@@ -15,9 +15,9 @@
 from .troubles import KINDS, acknowledged, start_all
 from .world import World, play
 
-LENGTH_S = 8.0  # troubles begin within this
+LENGTH_S = 5.0  # troubles begin within this
 LEAST_APART_S = 4.5  # CatchupS and a little, between troubles of machines that count
-MOST_TROUBLES = 4
+MOST_TROUBLES = 3
 CLOSINGS = ("none", "none", "power_off_all", "kill_all", "wipe_after_ack")
 
 
--- a/kestrelbend/tier/fleet/programs.py
+++ b/kestrelbend/tier/fleet/programs.py
@@ -22,7 +22,7 @@
 TRIES = 5
 MOST_TURNS = 8
 SETTLE_S = 1.0  # SettleMs
-POLL_S = 0.02
+POLL_S = 0.25
 
 
 @attrs.define(eq=False)
@@ -38,6 +38,7 @@
     handed: int = 0
     ended_whole_at: float | None = None
     given_up: bool = False
+    over: asyncio.Event = attrs.field(factory=asyncio.Event)  # its client has a whole answer
 
     @property
     def refused(self) -> bool:
@@ -102,11 +103,9 @@
         coroutine = self._serve(gateway.instance, turn, reserve)
         self._fleet.loop.call_soon(_begin, self._fleet.loop, coroutine, context=life.context)
         ends = self._fleet.now() + DEADLINE_S
-        while not life.ended and self._fleet.now() < ends:
-            if turn.ended_whole_at is not None or turn.refused:
-                break
+        while not life.ended and not turn.over.is_set() and self._fleet.now() < ends:
             self._programs.check_silent(gateway, turn)
-            await asyncio.sleep(POLL_S)
+            await _wait(turn.over, POLL_S)
         turn.given_up = turn.ended_whole_at is None and not turn.refused
         return turn
 
@@ -123,6 +122,7 @@
         if verdict == Verdict.SPENT:
             self._check_refusal(turn)
         if verdict != Verdict.ADMITTED:
+            turn.over.set()
             return
         while turn.handed < turn.most and not turn.given_up:
             await asyncio.sleep(EVENT_S)
@@ -136,6 +136,7 @@
         whole = not turn.given_up
         if whole:
             turn.ended_whole_at = self._fleet.now()
+            turn.over.set()
         end = TurnEnd.COMPLETE if whole else TurnEnd.BROKEN_OFF
         gateway.settle("model", Settle(self.name, turn.reservation, turn.handed, int(end)))
 
@@ -149,6 +150,14 @@
             )
 
 
+async def _wait(event: asyncio.Event, within: float) -> None:
+    try:
+        async with asyncio.timeout(within):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
 def _begin(loop, coroutine) -> None:
     loop.create_task(coroutine)
 
