--- a/benchmarks/tier_hollow.py
+++ b/benchmarks/tier_hollow.py
@@ -13,54 +13,35 @@
 
 import asyncio
 import functools
-import gc
 import resource
-import socket
-import subprocess
-import sys
 import time
-import tracemalloc
 from collections.abc import Callable
 
 import attrs
-import logbook
 
 from benchmarks.hollow_budgets import BudgetWorld
 from benchmarks.hollow_control import (
     SAMPLE,
     STORES,
     ControlWorld,
-    HollowGateway,
     configuration,
-    member,
     report_of,
 )
+from benchmarks.hollow_process import frame_us, memory_figures, process_memory, table_of
 from benchmarks.hollow_target import print_target
-from kestrelbend.tier.budgets.messages import Reserve, Settle
 from kestrelbend.tier.budgets.table import IDLE_PROGRAMS, RECENT_PROGRAMS, BudgetTable
-from kestrelbend.tier.configuration.document import read_accepted
-from kestrelbend.tier.configuration.routing import RoutingTable
-from kestrelbend.tier.discovery.messages import BackendUpdate
-from kestrelbend.tier.discovery.registry import BackendRegistry
-from kestrelbend.tier.discovery.view import BackendView
-from kestrelbend.tier.membership.messages import Heartbeat, Hello
-from kestrelbend.tier.membership.table import MemberTable
-from kestrelbend.tier.protocol.codec import decode, encode
-from kestrelbend.tier.protocol.links import Links
 
 SIZES = (10, 50, 200)  # gateways
 TARGET_GATEWAYS = 390
 BACKENDS_PER_GATEWAY = 1000 / 390
 ROUTES_PER_GATEWAY = 5300 / 390  # one for each tenant: the largest configuration to reckon with
 PROGRAMS_A_SHARD = (2_000, 10_667, 30_000)  # 10,667: 64,000 over six shards
-TURNS_A_PROGRAM = 20
 BEAT_S = 1.2
 TURN_S = 0.25
 TURNS = 8
 TICKS = 100
 BUDGET_WARM_UP_S = 1.0
 BUDGET_RUN_S = 2.0
-FRAMES = 3_000
 BURST = 10
 REPEATS = 3
 BY_PAIRS = ("directory built and compared, unchanged: ms", "directory changed, sent to all gateways: ms")
@@ -254,18 +235,6 @@
     }
 
 
-def table_of(programs: int) -> BudgetTable:
-    """A shard's table after some turns of each program."""
-    table = BudgetTable()
-    for number in range(programs):
-        name = f"{number:08x}"
-        for turn in range(TURNS_A_PROGRAM):
-            reservation = f"{name}-{turn}"
-            table.apply(Reserve(name, "77d20b", reservation, turn, 600, 680_000, False))
-            table.apply(Settle(name, reservation, 236, 0))
-    return table
-
-
 def snapshot_figures(programs: int) -> dict[str, float]:
     """A snapshot's time and size; a process does it between other work, so the least is a lower bound."""
     table = table_of(programs)
@@ -287,105 +256,6 @@
     return min(times) * MILLI
 
 
-def memory_of(make: Callable[[], object]) -> int:
-    """Bytes that stay allocated for what `make` returns."""
-    gc.collect()
-    tracemalloc.start()
-    before = tracemalloc.get_traced_memory()[0]
-    kept = make()
-    gc.collect()
-    used = tracemalloc.get_traced_memory()[0] - before
-    tracemalloc.stop()
-    del kept
-    return used
-
-
-def _member_table(count: int) -> MemberTable:
-    table = MemberTable()
-    for number in range(count):
-        table.heard(decode(encode(Heartbeat(member(number), 1, 1, False, ()))), 0.0)
-    return table
-
-
-def _registry(count: int) -> BackendRegistry:
-    registry = BackendRegistry()
-    for number in range(count):
-        registry.beat(f"backend-{number:05d}", report_of(number, 1), 0.0)
-    return registry
-
-
-def _view(count: int) -> BackendView:
-    view = BackendView()
-    update = BackendUpdate("control", 1, True, _registry(count).all())
-    view.take(decode(encode(update)), 0.0)
-    return view
-
-
-def _gateway_with_configuration(count: int) -> HollowGateway:
-    gateway = HollowGateway(1)
-    gateway.table = RoutingTable.from_document(1, read_accepted(configuration(1, count)).values)
-    return gateway
-
-
-def memory_figures() -> dict[str, float]:
-    """Bytes for each thing, between two sizes of its table."""
-    makers = {
-        "member in a table or directory": (_member_table, 100, 500),
-        "backend in a control node's registry": (_registry, 200, 1_000),
-        "backend in a gateway's view": (_view, 200, 1_000),
-        "route in a gateway's table": (_gateway_with_configuration, 200, 1_000),
-        f"program in use, {TURNS_A_PROGRAM} turns": (table_of, 500, 1_500),
-        "program laid aside": (table_of, 4_000, 8_000),
-    }
-    return {
-        name: (memory_of(functools.partial(make, more)) - memory_of(functools.partial(make, few)))
-        / (more - few)
-        for name, (make, few, more) in makers.items()
-    }
-
-
-def process_memory(role: str) -> float:
-    """Megabytes of a process that has imported a role's modules and done nothing."""
-    module = f"import kestrelbend.tier.roles.{role}, resource; "
-    program = module + "print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)"
-    done = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True, text=True)
-    return int(done.stdout) / 1024
-
-
-async def _frames(burst: int) -> float:
-    """Microseconds of both ends for a heartbeat over the loopback, so many sent together; coding included."""
-    log = logbook.Logger("bench")
-    ready, taken = asyncio.Event(), asyncio.Event()
-    with socket.socket() as probe, socket.socket() as other:
-        probe.bind(("127.0.0.1", 0))
-        other.bind(("127.0.0.1", 0))
-        here, there = (f"127.0.0.1:{sock.getsockname()[1]}" for sock in (probe, other))
-    count = 0
-
-    def take(link, message, sequence) -> None:
-        nonlocal count
-        count += 1
-        if count % burst == 0:
-            taken.set()
-
-    far = Links(Hello(there, "", 1), log, take, lambda _: None, lambda _: None)
-    near = Links(Hello(here, "", 1), log, lambda *_: None, lambda _: ready.set(), lambda _: None)
-    await far.listen()
-    near.keep([there])
-    await ready.wait()
-    beat = Heartbeat(member(1), 1, 1, False, ())
-    begun = time.process_time()
-    for _ in range(FRAMES // burst):
-        taken.clear()
-        for _ in range(burst):
-            near.to(there).send(beat)
-        await taken.wait()
-    used = time.process_time() - begun
-    await near.close()
-    await far.close()
-    return used / FRAMES * MICRO
-
-
 def rows(figures: list[dict[str, float]], x: tuple[float, ...], target_x: float) -> list[Row]:
     """The figures of all sizes as rows."""
     found = []
@@ -408,9 +278,9 @@
 def main() -> None:
     """Runs all parts one after another."""
     begun = time.monotonic()
-    frame = asyncio.run(_frames(1))
+    frame = asyncio.run(frame_us(1))
     print(f"a heartbeat over the loopback, both ends: {frame:.1f} us alone, ", end="")
-    print(f"{asyncio.run(_frames(BURST)):.1f} us of {BURST} sent together")
+    print(f"{asyncio.run(frame_us(BURST)):.1f} us of {BURST} sent together")
     for role in ("gateway", "control", "store"):
         print(f"memory of an idle process, {role}: {process_memory(role):.1f} MB")
     for name, used in memory_figures().items():
