Control: a directory is built and encoded once for all; every control node meets every other

Change: the last directory is kept as one object, seeds come first, others by the ring, control nodes keep links to all.

--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -42,6 +42,7 @@
 from ..membership.placement_changes import due_placements
 from ..membership.status import ShardsWanted, status
 from ..membership.table import MemberTable, merge
+from ..protocol.codec import encode
 from ..protocol.links import Link
 from .process import CONTROL_PORT, TierProcess
 
@@ -61,6 +62,7 @@
     role = "control"
     port_offset = CONTROL_PORT
     holds_replicas = True
+    most_control_links = None  # the registry must reach every other control node
 
     def __init__(self, settings, settings_path, environment=None):
         self.budgets = BudgetShards()
@@ -73,6 +75,7 @@
         self.config_stream = ConfigStream()
         self.configuration: ConfigurationService | None = None
         self._directory_links: dict[Link, Directory | None] = {}
+        self._told: Directory | None = None
         self._summary_at = self.now()
         self._owner_since = 0.0
         self._in_touch_since = self.now()
@@ -179,7 +182,7 @@
             self.config_stream.subscribe(link, message.config_version)
             self.exchange.subscribe(link)
             self._stream_configuration()
-        self._send_directory(self.now())
+        self._send_directory()
 
     def _merge_backends(self, backends) -> None:
         now = self.now()
@@ -209,8 +212,8 @@
             summary = MemberSummary(self.address, tuple(beats))
             for link in self._peer_links():
                 link.send(summary)
-        self._take_own_directory(now)
-        self._send_directory(now)
+        self._refresh_directory(now)
+        self._send_directory()
         self._place_shards(now)
         self._presume_silent_gone(now)
 
@@ -232,16 +235,24 @@
             retiring=state.retiring,
         )
 
-    def _take_own_directory(self, now: float) -> None:
-        self.directory.take(self.address, self._own_directory(now))
+    def _refresh_directory(self, now: float) -> None:
+        """Keeps the directory that was told last for as long as it says the same."""
+        directory = self._own_directory(now)
+        if directory != self._told:
+            self._told = directory
+            self.directory.take(self.address, directory)
         self.on_directory()
 
-    def _send_directory(self, now: float) -> None:
-        directory = self._own_directory(now)
+    def _send_directory(self) -> None:
+        """Brings all subscribers to the directory; one encoding serves all."""
+        if self._told is None:
+            return
+        encoded = None
         for link, sent in list(self._directory_links.items()):
-            if sent != directory:
-                link.send(directory)
-                self._directory_links[link] = directory
+            if sent is not self._told:
+                encoded = encoded or encode(self._told)
+                link.send_encoded(encoded)
+                self._directory_links[link] = self._told
 
     # Placement, by the owner of the configuration's shard
 
@@ -358,12 +369,8 @@
         if node not in self.configuration.state.retiring:
             return None
         now = self.now()
-        holders = {
-            voter for report in self.members.reports().values() for voter in report.voters
-        }
-        wanted = {
-            voter for placed in self.configuration.state.placements for voter in placed.voters
-        }
+        holders = {voter for report in self.members.reports().values() for voter in report.voters}
+        wanted = {voter for placed in self.configuration.state.placements for voter in placed.voters}
         for member in self.members.members(now, within=60.0):
             if member.node == node and member.replica in holders | wanted:
                 return "running"
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -53,6 +53,7 @@
 
     role = ""
     port_offset = 0
+    most_control_links: int | None = MOST_CONTROL_LINKS  # None: all
     holds_replicas = False  # whether the role uses the machine's disk
 
     def __init__(self, settings: Settings, settings_path: str, environment: Environment | None = None):
@@ -182,9 +183,10 @@
     # Links
 
     def control_addresses(self) -> list[str]:
-        """Control nodes by the directory and by the settings' seeds."""
-        known = list(dict.fromkeys(self.directory.control_addresses() + self.seed_addresses()))
-        return known[:MOST_CONTROL_LINKS]
+        """The settings' seeds, and the directory's control nodes in the order of this process's ring."""
+        told = self.directory.control_addresses()
+        known = dict.fromkeys(self.seed_addresses() + monitors(self.address, told, len(told)))
+        return list(known)[: self.most_control_links]
 
     def wanted_links(self) -> set[str]:
         """Addresses to keep connections to."""
@@ -281,9 +283,7 @@
     def heartbeat(self) -> Heartbeat:
         """What this process tells its monitors now."""
         self._beat += 1
-        return Heartbeat(
-            self.member, self._beat, self.config_version(), self.leaving, self.shard_reports()
-        )
+        return Heartbeat(self.member, self._beat, self.config_version(), self.leaving, self.shard_reports())
 
     def _send_heartbeat(self) -> None:
         heartbeat = self.heartbeat()
