A process that restarts by a clock set back is taken for live

Cause: incarnations are numbered by the time of day; one that restarted while the clock was ahead, and again after it was set back, had the lower number, and its heartbeats were refused for ten minutes: control nodes took it for gone and gave its places away. The fleet checks in the calm that every control node knows every process; the story fails without the change.

--- a/kestrelbend/tier/fleet/watch.py
+++ b/kestrelbend/tier/fleet/watch.py
@@ -12,6 +12,7 @@
 from .machines import Process
 from .operator import MARKER, Operator
 from .programs import Programs
+from .settings import ROLES_SERVE
 
 CHECK_S = 0.05
 CATCH_UP_S = 4.0  # CatchupS
@@ -139,6 +140,7 @@
                 old = now - backend.began_at > BACKEND_KNOWN_S
                 if old and all(one.identity != backend.identity for one in known):
                     self._fleet.broken(f"{gateway.name} does not know {backend.identity}")
+        self._check_members()
         order = await self._operator.change()
         if order.acknowledged_at is None and not self._operator._rivals(order):
             self._fleet.broken(f"{order} is not taken in a calm time")
@@ -147,6 +149,15 @@
         self._check_replicas()
         self._check_counters()
 
+    def _check_members(self) -> None:
+        """Every control node knows every process that runs."""
+        running = [process for role in ROLES_SERVE for process in self._fleet.processes(role)]
+        for control in self._fleet.processes("control"):
+            known = {member.address for member in control.instance.members.members(self._fleet.now())}
+            for process in running:
+                if process.instance.address not in known:
+                    self._fleet.broken(f"{control.name} takes {process.name} for gone")
+
     async def _check_reservations(self) -> None:
         runs = [self._programs.begin(most_turns=2) for _ in range(6)]
         await asyncio.wait(runs)
--- a/kestrelbend/tier/membership/table.py
+++ b/kestrelbend/tier/membership/table.py
@@ -1,6 +1,7 @@
 """Who is alive, by heartbeats heard here or told by other monitors.
 
-Invariant: for one address only the latest incarnation is held, and of it only the latest beat.
+Invariant: for one address only the latest incarnation is held, and of it only the latest beat.  Incarnations
+are numbered by the time of day, which may step: a lower number counts as later once the known one is silent.
 """
 
 from __future__ import annotations
@@ -32,7 +33,9 @@
         address = heartbeat.member.address
         row = self._rows.get(address)
         if row is not None and not _is_later(heartbeat, row.heartbeat):
-            return False
+            same_life = heartbeat.member.incarnation == row.heartbeat.member.incarnation
+            if same_life or now - row.heard <= LIVE_S:
+                return False
         self._rows[address] = _Row(heartbeat, now)
         return True
 
--- a/tests/tier/test_fleet_stories.py
+++ b/tests/tier/test_fleet_stories.py
@@ -202,6 +202,19 @@
     def test_a_disk_takes_no_more_bytes(self):
         self.tell(self.harm("full"))
 
+    def test_a_machine_that_restarted_by_a_clock_ahead_restarts_by_the_true_one(self):
+        async def story(world):
+            machine = world.fleet.stores()[0]
+            for step in (3.0, -3.0):
+                world.fleet.step_clock(machine, step)
+                world.fleet.kill(machine)
+                await asyncio.sleep(0.3)
+                world.fleet.start(machine)
+                await asyncio.sleep(0.8)
+            await asyncio.sleep(5.0)
+
+        self.tell(story)
+
     def test_the_time_of_day_jumps_and_a_machine_restarts_meanwhile(self):
         self.tell_kind("clock_step", seeds=(1, 2, 3))
 
