--- a/benchmarks/checks.py
+++ b/benchmarks/checks.py
@@ -1,9 +1,10 @@
 """External authorisation, measured side by side on one machine, real processes on loopback.
 
-    python benchmarks/checks.py answering      checks a second of CPU, latency; beside one that allows all
-    python benchmarks/checks.py open           memory and descriptors with 1, 100 and 5,000 calls open
-    python benchmarks/checks.py frozen         an authoriser frozen for 10 s, with and without its breaker
+python benchmarks/checks.py answering      checks a second of CPU, latency; beside one that allows all
+python benchmarks/checks.py open           memory and descriptors with 1, 100 and 5,000 calls open
+python benchmarks/checks.py frozen         an authoriser frozen for 10 s, with and without its breaker
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -56,6 +57,7 @@
 
 def free_port():
     import socket
+
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
         return free.getsockname()[1]
@@ -69,8 +71,11 @@
         self.file.write_text(text)
 
     def __enter__(self):
-        self.process = subprocess.Popen([sys.executable, "-O", "-m", "kestrelbend", "serve", str(self.file)],
-                                        stderr=subprocess.DEVNULL, cwd=Path(__file__).parent.parent)
+        self.process = subprocess.Popen(
+            [sys.executable, "-O", "-m", "kestrelbend", "serve", str(self.file)],
+            stderr=subprocess.DEVNULL,
+            cwd=Path(__file__).parent.parent,
+        )
         return self
 
     def __exit__(self, *_):
@@ -110,6 +115,7 @@
             await proxy.ask("/op", x_customer=f"{n}-{count[0]}", timeout=10.0)
             latencies.record_value(max(1, (time.monotonic_ns() - began) // 1000))
             count[0] += 1
+
     await asyncio.gather(*(caller(n) for n in range(workers)))
     return count[0], latencies
 
@@ -141,16 +147,19 @@
             count, latencies = await drive(proxy, seconds, callers)
             spent = cpu() - began
             median, high = (latencies.get_value_at_percentile(q) / 1000 for q in (50, 99))
-            print(f"{name}, {callers} callers: {count / seconds:.0f} checks a second, "
-                  f"{count / spent:.0f} a second of CPU, median {median:.2f} ms, 99th {high:.2f} ms")
+            print(
+                f"{name}, {callers} callers: {count / seconds:.0f} checks a second, "
+                f"{count / spent:.0f} a second of CPU, median {median:.2f} ms, 99th {high:.2f} ms"
+            )
         await proxy.close()
 
     with Gateway(CHECKS, settle=0.02) as gateway:
         uvloop.run(measure("gateway", gateway.ports["checks"], gateway.cpu))
     port = free_port()
     plain = Gateway()
-    plain.process = subprocess.Popen([sys.executable, "-O", "-c", ALLOWS_ALL.format(
-        root=str(Path(__file__).parent.parent), port=port)])
+    plain.process = subprocess.Popen(
+        [sys.executable, "-O", "-c", ALLOWS_ALL.format(root=str(Path(__file__).parent.parent), port=port)]
+    )
     try:
         uvloop.run(measure("allows all", port, plain.cpu))
     finally:
@@ -160,6 +169,7 @@
 
 def opened():
     """Checks that wait: the gateway has no room for them."""
+
     async def measure(gateway):
         proxy = StandProxy(gateway.ports["checks"])
         await ready(proxy)
@@ -195,10 +205,26 @@
             if request.path.startswith("/catalog"):
                 if "since" in request.query:
                     await asyncio.sleep(1.9)
-                return web.json_response({"rev": 1, "all": True, "targets": [
-                    {"uid": "s0", "endpoint": f"127.0.0.1:{port}", "az": "a", "model": "m", "pod_group": 1,
-                     "state": "ready", "capacity_hint": 1.0, "boot_ms": 0}]})
+                return web.json_response(
+                    {
+                        "rev": 1,
+                        "all": True,
+                        "targets": [
+                            {
+                                "uid": "s0",
+                                "endpoint": f"127.0.0.1:{port}",
+                                "az": "a",
+                                "model": "m",
+                                "pod_group": 1,
+                                "state": "ready",
+                                "capacity_hint": 1.0,
+                                "boot_ms": 0,
+                            }
+                        ],
+                    }
+                )
             return web.Response(text="ok")
+
         runner = web.ServerRunner(web.Server(backend))
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -208,25 +234,32 @@
         from kestrelbend.fronts.grpc.authorisers import Authorisers
         from kestrelbend.net.configuration import Told
         from kestrelbend.net.gateway import start
+
         http = free_port()
         stated = parsed(GATEWAY.format(http=http, discovery=port, timeout="3s"), Installation)
         told = Told("bench", ("127.0.0.1", http), f"127.0.0.1:{port}", None, 7, 4000, None, stated.settings())
         owner, serving = await start(told)
-        owner.authorisers = Authorisers([asking.Authoriser("a", f"127.0.0.1:{stand.port}", budget=0.25,
-                                                           when_silent="allow", repeats=0)],
-                                        owner.queue, owner.clock)
+        owner.authorisers = Authorisers(
+            [asking.Authoriser("a", f"127.0.0.1:{stand.port}", budget=0.25, when_silent="allow", repeats=0)],
+            owner.queue,
+            owner.clock,
+        )
         await asyncio.sleep(0.5)
         good, late, other, began = [0] * 3, [0] * 3, [0] * 3, time.monotonic()
         took = [HdrHistogram(1, 60_000_000, 3) for _ in range(3)]
         async with ClientSession() as session:
+
             async def one(n):
                 third, sent = min(2, int((time.monotonic() - began) / 10)), time.monotonic()
-                async with session.get(f"http://127.0.0.1:{http}/op/{n % 500:016x}", headers={
-                        "X-Request-ID": str(n), "Api-Plan": "plan", "X-Timeout": "3"}) as answer:
+                async with session.get(
+                    f"http://127.0.0.1:{http}/op/{n % 500:016x}",
+                    headers={"X-Request-ID": str(n), "Api-Plan": "plan", "X-Timeout": "3"},
+                ) as answer:
                     await answer.read()
                 spent = time.monotonic() - sent
                 took[third].record_value(max(1, int(spent * 1e6)))
                 (other if answer.status != 200 else late if spent > 1 else good)[third] += 1
+
             tasks = []
             for n in range(int(30 * rate)):
                 await asyncio.sleep(max(0.0, began + n / rate - time.monotonic()))
@@ -236,8 +269,10 @@
         for third, text in enumerate(("before", "frozen", "after")):
             whole = good[third] + late[third] + other[third]
             median, high = (took[third].get_value_at_percentile(q) / 1000 for q in (50, 99))
-            print(f"{name}, {text}: served in time {good[third] / whole:.3f}, "
-                  f"refused {other[third] / whole:.3f}, median {median:.1f} ms, 99th {high:.1f} ms")
+            print(
+                f"{name}, {text}: served in time {good[third] / whole:.3f}, "
+                f"refused {other[third] / whole:.3f}, median {median:.1f} ms, 99th {high:.1f} ms"
+            )
         serving.cancel()
         await owner.roster.session.close()
         for target in list(owner.backend_peer.links):
--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -3,6 +3,7 @@
 
 Whatever starts a process here is imported by itself: neither the gateway in service nor a role loads the
 command line's libraries."""
+
 import gc
 import os
 import sys
@@ -17,8 +18,10 @@
     gc.disable()
     from .net.accept_queue import AcceptQueue
     from .net.signals import Early
+
     early, accept_queue = Early(), AcceptQueue.open(os.environ, path)
     from .net.gateway import serve as serving
+
     serving(early, accept_queue, path)
 
 
@@ -31,6 +34,7 @@
         return serve(*arguments[1:])
     if len(arguments) == 1 and arguments[0] in TIER_ROLES:
         from .tier.roles.start import serve_role
+
         return serve_role(arguments[0])
     try:
         from .command.application import run
--- a/kestrelbend/benchlink/codec.py
+++ b/kestrelbend/benchlink/codec.py
@@ -1,4 +1,5 @@
 """Wire lines to values and back.  The wire's names, milliseconds and number formats are known only here."""
+
 from __future__ import annotations
 
 import base64
@@ -6,9 +7,16 @@
 from ..interface import Result, State
 from ..config.platform import Malformed, micros, number, one_of
 
-RESULTS = {"success": Result.SUCCEEDED, "failure": Result.ERRORED, "overloaded": Result.REJECTED,
-           "timed_out": Result.TIMED_OUT, "unreachable": Result.UNREACHABLE, "broken": Result.BROKEN,
-           "withdrawn": Result.CANCELLED, "void": Result.VOID}
+RESULTS = {
+    "success": Result.SUCCEEDED,
+    "failure": Result.ERRORED,
+    "overloaded": Result.REJECTED,
+    "timed_out": Result.TIMED_OUT,
+    "unreachable": Result.UNREACHABLE,
+    "broken": Result.BROKEN,
+    "withdrawn": Result.CANCELLED,
+    "void": Result.VOID,
+}
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 LISTS = ("patch", "whole", "stale_copy", "broken")
 RETRY_FLAG = 2
@@ -31,7 +39,7 @@
     try:
         return base64.b64decode(text, validate=True)
     except ValueError:
-        return b""          # an unreadable peer message is harmless
+        return b""  # an unreadable peer message is harmless
 
 
 def _pairs(text):
@@ -51,8 +59,17 @@
     "init": (whole, _pairs),
     "roster_change": (_or(whole, 0), one_of({name: name for name in LISTS}, "kind of list"), _or(whole, 0)),
     "accept": (whole, str, str, str, micros, _or(number, 1.0), _or(whole, 0), _or(whole, 0), _or(whole, 0)),
-    "returned": (whole, whole, _or(whole, None), result, _or(micros, 0), _or(flag, False), _or(whole, 0),
-                 _or(whole, 0), _or(_row, None)),
+    "returned": (
+        whole,
+        whole,
+        _or(whole, None),
+        result,
+        _or(micros, 0),
+        _or(flag, False),
+        _or(whole, 0),
+        _or(whole, 0),
+        _or(_row, None),
+    ),
     "reminder": (whole,),
     "destroy": (),
     "peer": (_or(whole, 0), _or(_payload, b"")),
@@ -77,6 +94,7 @@
 
 def batches(stream):
     """Yield (clock, events); an event is (message, instance, values, entries)."""
+
     def read():
         raw = stream.readline()
         if not raw:
--- a/kestrelbend/benchlink/host.py
+++ b/kestrelbend/benchlink/host.py
@@ -1,4 +1,5 @@
 """Hosts instances on the simulator's wire: its ids become objects here, and effects become its lines."""
+
 from __future__ import annotations
 
 import sys
@@ -70,8 +71,14 @@
         op = self.operations.get(operation)
         if op is None or plan not in self.plans:
             raise Malformed(f"'accept': unknown operation or plan: {operation!r}, {plan!r}")
-        inv = i.Invocation(op, self.account(plan, name, spread), self.gateway.now, until, units,
-                           bool(flags & codec.RETRY_FLAG))
+        inv = i.Invocation(
+            op,
+            self.account(plan, name, spread),
+            self.gateway.now,
+            until,
+            units,
+            bool(flags & codec.RETRY_FLAG),
+        )
         self.invs[number], self.inv_ids[inv] = inv, number
         self.take(inv)
 
@@ -79,7 +86,7 @@
         inv = self.invs.get(number)
         if inv is None or trial >= len(inv.deliveries) or inv.deliveries[trial].result is not None:
             return
-        used = (used - 1) / 100 if used else None       # 1 more than the percent, so that 0 is none told
+        used = (used - 1) / 100 if used else None  # 1 more than the percent, so that 0 is none told
         self.ended(inv.deliveries[trial], result, took, ended, self.load(load), actual, used)
 
     def streaming(self, _, number, _backend, _took, _trial):
--- a/kestrelbend/config/installation.py
+++ b/kestrelbend/config/installation.py
@@ -1,4 +1,5 @@
 """A whole installation in one TOML file: a gateway's terms, where everything is, and its optional parts."""
+
 from __future__ import annotations
 
 from typing import Literal
@@ -17,19 +18,20 @@
 
 
 class Limits(Struct):
-    sockets: Some = 1024                # descriptors that the process may hold
-    memory: Octets = Octets(0)          # 0: not told
+    sockets: Some = 1024  # descriptors that the process may hold
+    memory: Octets = Octets(0)  # 0: not told
 
 
 class Members(Struct):
     """Where this gateway meets the others, by UDP."""
+
     listen: Address
-    seen_at: Address | None = None      # where others reach it, if that is another address
-    peers: list[Address] = field(default_factory=list)      # some of the others, or all with this one
-    keys: dict[str, str] = field(default_factory=dict)      # by number, 1 to 255: 16 bytes, hexadecimal
-    period: Micros = Micros(300 * MS)   # between pings
-    most_per_s: Positive = 40.0         # datagrams sent; never more
-    share_probes: bool = True           # cold backends are probed by one gateway for all
+    seen_at: Address | None = None  # where others reach it, if that is another address
+    peers: list[Address] = field(default_factory=list)  # some of the others, or all with this one
+    keys: dict[str, str] = field(default_factory=dict)  # by number, 1 to 255: 16 bytes, hexadecimal
+    period: Micros = Micros(300 * MS)  # between pings
+    most_per_s: Positive = 40.0  # datagrams sent; never more
+    share_probes: bool = True  # cold backends are probed by one gateway for all
 
     def faults(self):
         if not self.keys:
@@ -55,10 +57,16 @@
     def told(self, name):
         """What `net.peers` is made of."""
         listen = self.listen.pair
-        return MembersTold(name, listen, self.seen_at.pair if self.seen_at else listen,
-                           [address.pair for address in self.peers],
-                           {int(number): bytes.fromhex(text) for number, text in self.keys.items()},
-                           int(self.period), float(self.most_per_s), self.share_probes)
+        return MembersTold(
+            name,
+            listen,
+            self.seen_at.pair if self.seen_at else listen,
+            [address.pair for address in self.peers],
+            {int(number): bytes.fromhex(text) for number, text in self.keys.items()},
+            int(self.period),
+            float(self.most_per_s),
+            self.share_probes,
+        )
 
 
 class MembersTold(Struct):
@@ -79,16 +87,17 @@
 
 class Installation(Terms, kw_only=True):
     """One gateway: its terms, and where everything is."""
+
     name: str
     listen: Address
     discovery: Address
     counter_at: Address | None = None
-    seed: str = "0"                     # hexadecimal; chance is drawn from it
+    seed: str = "0"  # hexadecimal; chance is drawn from it
     limits: Limits = field(default_factory=Limits)
     logs: Logs = field(default_factory=Logs)
     members: Members | None = None
-    checks: Checks | None = None                # answering external authorisation over gRPC
-    authorisers: list[Authoriser] = field(default_factory=list)     # asked before the first delivery
+    checks: Checks | None = None  # answering external authorisation over gRPC
+    authorisers: list[Authoriser] = field(default_factory=list)  # asked before the first delivery
 
     def faults(self):
         try:
@@ -123,8 +132,10 @@
         for at, op in enumerate(self.operations):
             budget = sum(a.budget for a in self.authorisers if not a.operations or op.name in a.operations)
             if budget * S > op.objective / 2:
-                yield ("operations", at, "objective"), (
-                    f"its authorisers may take {budget:g} s of it together, more than half")
+                yield (
+                    ("operations", at, "objective"),
+                    (f"its authorisers may take {budget:g} s of it together, more than half"),
+                )
         if self.fleet.number >= self.fleet.gateways:
             yield ("fleet", "number"), f"there are {self.fleet.gateways} gateways, numbered from 0"
         if self.counter.allowed and self.counter_at is None:
--- a/kestrelbend/config/model.py
+++ b/kestrelbend/config/model.py
@@ -3,6 +3,7 @@
 There is one model.  A TOML file states it in these words; the platform's JSON and the simulator's wire state
 it in theirs, which `platform` turns into these.
 """
+
 from __future__ import annotations
 
 from typing import Annotated, Literal
@@ -17,41 +18,53 @@
 Amount = Annotated[float, Meta(ge=0)]
 Positive = Annotated[float, Meta(gt=0)]
 MS, S = 1000, 1_000_000
-EFFECTS = {"idempotent": i.Effect.IDEMPOTENT, "tokened": i.Effect.TOKENED,
-           "non-idempotent": i.Effect.NON_IDEMPOTENT}
+EFFECTS = {
+    "idempotent": i.Effect.IDEMPOTENT,
+    "tokened": i.Effect.TOKENED,
+    "non-idempotent": i.Effect.NON_IDEMPOTENT,
+}
 SCOPES = {"all": i.Scope.ALL, "zone": i.Scope.ZONE, "group": i.Scope.GROUP}
 
 
 class Operation(Struct):
     """An operation that clients invoke."""
+
     name: str
     effect: Literal["idempotent", "tokened", "non-idempotent"] = "non-idempotent"
-    scope: Literal["all", "zone", "group"] = "group"    # tokened: which backends drop its repeats
-    memory: Micros = Micros(0)                          # tokened: how long they know a token
-    objective: Micros = Micros(1 * S)                   # the latency objective
-    timeout: Micros = Micros(0)                         # the integration timeout
-    late_worth: Share = Share(0)                        # worth of an answer between the two
+    scope: Literal["all", "zone", "group"] = "group"  # tokened: which backends drop its repeats
+    memory: Micros = Micros(0)  # tokened: how long they know a token
+    objective: Micros = Micros(1 * S)  # the latency objective
+    timeout: Micros = Micros(0)  # the integration timeout
+    late_worth: Share = Share(0)  # worth of an answer between the two
     streamed: bool = False
-    worth: Amount = 1.0                                 # billed value, before the plan's price
+    worth: Amount = 1.0  # billed value, before the plan's price
 
     def module(self):
-        return i.Operation(name=self.name, effect=EFFECTS[self.effect], scope=SCOPES[self.scope],
-                           memory=int(self.memory), objective=max(1, int(self.objective)),
-                           timeout=int(self.timeout), late_worth=float(self.late_worth),
-                           streamed=self.streamed, worth=self.worth)
+        return i.Operation(
+            name=self.name,
+            effect=EFFECTS[self.effect],
+            scope=SCOPES[self.scope],
+            memory=int(self.memory),
+            objective=max(1, int(self.objective)),
+            timeout=int(self.timeout),
+            late_worth=float(self.late_worth),
+            streamed=self.streamed,
+            worth=self.worth,
+        )
 
 
 class Plan(Struct):
     """A plan: quotas that hold for each of its customers over all gateways together."""
+
     name: str
-    rate: Amount = 0.0                  # units a second; 0: no quota on the rate
-    burst: Amount = 0.0                 # units that may be used at once
-    most_out: Count = 0                 # deliveries out at once; 0: no cap
+    rate: Amount = 0.0  # units a second; 0: no quota on the rate
+    burst: Amount = 0.0  # units that may be used at once
+    most_out: Count = 0  # deliveries out at once; 0: no cap
     price: Amount = 1.0
     # parts of its value that an invocation beyond the quota earns and costs
     over_worth: Amount = 0.0
     over_cost: Amount = 0.0
-    ceiling_rate: Amount = 0.0          # units a second that are never passed; 0: no hard ceiling
+    ceiling_rate: Amount = 0.0  # units a second that are never passed; 0: no hard ceiling
     ceiling_burst: Amount = 0.0
     ceiling_slack: Amount = 0.0
 
@@ -61,28 +74,29 @@
 
 class Fleet(Struct):
     """The gateways that keep the quotas together."""
+
     gateways: Some = 1
-    number: Count = 0                   # of this one, from 0
+    number: Count = 0  # of this one, from 0
     zone: str = ""
-    discovery: Literal["pushed", "asked"] = "pushed"    # asked: changes come only to who asks for them
+    discovery: Literal["pushed", "asked"] = "pushed"  # asked: changes come only to who asks for them
     ask_within: Micros = Micros(10 * S)
-    tick: Micros = Micros(1 * MS)       # the finest step of its clock
-    answer_slack: Micros = Micros(0)    # after a client's time, within which an answer still counts
+    tick: Micros = Micros(1 * MS)  # the finest step of its clock
+    answer_slack: Micros = Micros(0)  # after a client's time, within which an answer still counts
 
 
 class Backends(Struct):
-    reports: Literal["none", "probe", "answers"] = "none"   # where load reports come from
+    reports: Literal["none", "probe", "answers"] = "none"  # where load reports come from
     report_fields: list[str] = field(default_factory=list)
     probing: bool = False
     cancelling: bool = False
-    second_copies: bool = False         # two deliveries of one invocation at once
-    most_deliveries: Some = 1           # of one invocation
-    most_open: Count = 0                # invocations open at a gateway; 0: no such limit
-    idle_close: Micros = Micros(0)      # after which its machine closes an idle connection
+    second_copies: bool = False  # two deliveries of one invocation at once
+    most_deliveries: Some = 1  # of one invocation
+    most_open: Count = 0  # invocations open at a gateway; 0: no such limit
+    idle_close: Micros = Micros(0)  # after which its machine closes an idle connection
     connect_timeout: Micros = Micros(250 * MS)
-    cold: Micros = Micros(0)            # warm so long after a start
-    cold_from: Share = Share(1)         # the part of its capacity that it starts with, at least
-    drain_grace: Micros = Micros(0)     # rule 3
+    cold: Micros = Micros(0)  # warm so long after a start
+    cold_from: Share = Share(1)  # the part of its capacity that it starts with, at least
+    drain_grace: Micros = Micros(0)  # rule 3
     # rule 4: sent fall_multiple of its capacity for so long, it falls over
     fall: Micros = Micros(0)
     fall_multiple: Positive = 1.0
@@ -94,16 +108,18 @@
 
 class Counter(Struct):
     """The counter service, where there is one."""
+
     allowed: bool = False
     timeout: Micros = Micros(50 * MS)
 
 
 class Use(Struct):
     """How use is told of."""
-    most_units: Amount = 0.0            # of one invocation; 0: no limit
-    metering: Micros = Micros(0)        # period of the use told in answers; 0: none is told
+
+    most_units: Amount = 0.0  # of one invocation; 0: no limit
+    metering: Micros = Micros(0)  # period of the use told in answers; 0: none is told
     longest_retry_after: Micros = Micros(0)
-    retry_after: bool = True            # whether a refusal may say when to come back
+    retry_after: bool = True  # whether a refusal may say when to come back
 
 
 class Terms(Struct):
@@ -120,15 +136,31 @@
         return {
             "operations": [op.module() for op in self.operations],
             "plans": [p.module(n) for n, p in enumerate(self.plans)],
-            "load_fields": b.report_fields, "load_reports": b.reports,
+            "load_fields": b.report_fields,
+            "load_reports": b.reports,
             "must_subscribe": f.discovery == "asked",
-            "may_count": self.counter.allowed, "counter_timeout": int(self.counter.timeout),
-            "most_units": self.use.most_units, "meter_period": int(self.use.metering),
-            "gateways": f.gateways, "gateway": f.number, "zone": f.zone,
-            "may_cancel": b.cancelling, "may_probe": b.probing, "second_copies": b.second_copies,
-            "most_deliveries": b.most_deliveries, "may_advise": self.use.retry_after,
+            "may_count": self.counter.allowed,
+            "counter_timeout": int(self.counter.timeout),
+            "most_units": self.use.most_units,
+            "meter_period": int(self.use.metering),
+            "gateways": f.gateways,
+            "gateway": f.number,
+            "zone": f.zone,
+            "may_cancel": b.cancelling,
+            "may_probe": b.probing,
+            "second_copies": b.second_copies,
+            "most_deliveries": b.most_deliveries,
+            "may_advise": self.use.retry_after,
             "longest_retry_after": int(self.use.longest_retry_after),
-            "idle_close": int(b.idle_close), "connect_timeout": int(b.connect_timeout),
-            "most_open": b.most_open, "tick": int(f.tick), "ask_within": int(f.ask_within),
-            "answer_slack": int(f.answer_slack), "cold": int(b.cold), "cold_from": float(b.cold_from),
-            "drain_grace": int(b.drain_grace), "fall": int(b.fall), "fall_multiple": b.fall_multiple}
+            "idle_close": int(b.idle_close),
+            "connect_timeout": int(b.connect_timeout),
+            "most_open": b.most_open,
+            "tick": int(f.tick),
+            "ask_within": int(f.ask_within),
+            "answer_slack": int(f.answer_slack),
+            "cold": int(b.cold),
+            "cold_from": float(b.cold_from),
+            "drain_grace": int(b.drain_grace),
+            "fall": int(b.fall),
+            "fall_multiple": b.fall_multiple,
+        }
--- a/kestrelbend/config/places.py
+++ b/kestrelbend/config/places.py
@@ -1,4 +1,5 @@
 """Where a key of a TOML file stands, so that what is wrong can be said with its line."""
+
 from __future__ import annotations
 
 import re
@@ -7,8 +8,11 @@
 TABLE = re.compile(r"\s*(\[\[|\[)\s*(.+?)\s*\]\]?\s*(?:#.*)?\Z")
 KEY = re.compile(rf"\s*({NAME}(?:\s*\.\s*{NAME})*)\s*=")
 PART = re.compile(r"""\s*(?:"([^"]*)"|'([^']*)'|([A-Za-z0-9_-]+))\s*(?:\.|\Z)""")
-STRINGS = re.compile(r"""(?P<long>\"{3}(?:\\.|[^\\])*?(?:\"{3}|\Z)|'{3}.*?(?:'{3}|\Z)|\#[^\n]*)"""
-                     r"""|"(?:\\.|[^"\\\n])*"|'[^'\n]*'""", re.DOTALL)
+STRINGS = re.compile(
+    r"""(?P<long>\"{3}(?:\\.|[^\\])*?(?:\"{3}|\Z)|'{3}.*?(?:'{3}|\Z)|\#[^\n]*)"""
+    r"""|"(?:\\.|[^"\\\n])*"|'[^'\n]*'""",
+    re.DOTALL,
+)
 
 
 def hide(match):
@@ -37,7 +41,7 @@
             for part in parts(key[1]):
                 path += (part,)
                 found.setdefault(path, number)
-            line = line[key.end():]
+            line = line[key.end() :]
         plain = re.sub(r'"(?:\\.|[^"\\])*"|\'[^\']*\'', "", line)
         depth = max(0, depth + sum(plain.count(c) for c in "[{") - sum(plain.count(c) for c in "]}"))
     return found
--- a/kestrelbend/config/platform.py
+++ b/kestrelbend/config/platform.py
@@ -4,6 +4,7 @@
 names, its milliseconds and its forms of numbers end here; what it names that is not known here is passed
 over.
 """
+
 from __future__ import annotations
 
 import math
@@ -14,11 +15,21 @@
 
 EFFECTS = {"idempotent": "idempotent", "deduplicated": "tokened", "at_most_once": "non-idempotent"}
 SCOPES = {"all": "all", "zone": "zone", "cell": "group"}
-LOADS = {"pending": "queued", "busy_reqs": "held", "cpu_share": "busy", "svc_ms": "service_ms",
-         "served_ps": "served_per_s", "failed_ps": "errored_per_s",
-         # as backends write them on sockets
-         "queue": "queued", "inflight": "held", "util": "busy", "latency_ms": "service_ms",
-         "qps": "served_per_s", "eps": "errored_per_s"}
+LOADS = {
+    "pending": "queued",
+    "busy_reqs": "held",
+    "cpu_share": "busy",
+    "svc_ms": "service_ms",
+    "served_ps": "served_per_s",
+    "failed_ps": "errored_per_s",
+    # as backends write them on sockets
+    "queue": "queued",
+    "inflight": "held",
+    "util": "busy",
+    "latency_ms": "service_ms",
+    "qps": "served_per_s",
+    "eps": "errored_per_s",
+}
 
 
 class Malformed(Exception):
@@ -31,6 +42,7 @@
             return table[text]
         except KeyError:
             raise ValueError(f"unknown {what} {text!r}") from None
+
     return read
 
 
@@ -72,11 +84,15 @@
 
 
 NAMES = {
-    ("fleet", "gateways"): ("instances", int), ("fleet", "number"): ("index", int),
-    ("fleet", "zone"): ("myZone", str), ("fleet", "discovery"): ("discovery", asked),
-    ("fleet", "ask_within"): ("rules.askWithin", span), ("fleet", "tick"): ("tick", span),
+    ("fleet", "gateways"): ("instances", int),
+    ("fleet", "number"): ("index", int),
+    ("fleet", "zone"): ("myZone", str),
+    ("fleet", "discovery"): ("discovery", asked),
+    ("fleet", "ask_within"): ("rules.askWithin", span),
+    ("fleet", "tick"): ("tick", span),
     ("fleet", "answer_slack"): ("rules.answerSlack", span),
-    ("backends", "reports"): ("feedback.how", how), ("backends", "report_fields"): ("feedback.fields", loads),
+    ("backends", "reports"): ("feedback.how", how),
+    ("backends", "report_fields"): ("feedback.fields", loads),
     ("backends", "probing"): ("policyLimits.probing", yes),
     ("backends", "cancelling"): ("policyLimits.cancelling", yes),
     ("backends", "second_copies"): ("policyLimits.mayDuplicate", yes),
@@ -84,8 +100,10 @@
     ("backends", "most_open"): ("policyLimits.maxOpen", int),
     ("backends", "idle_close"): ("policyLimits.idleClose", span),
     ("backends", "connect_timeout"): ("policyLimits.connectTimeout", span),
-    ("backends", "cold"): ("rules.cold", span), ("backends", "cold_from"): ("rules.coldFrom", share),
-    ("backends", "drain_grace"): ("rules.drainGrace", span), ("backends", "fall"): ("rules.fall", span),
+    ("backends", "cold"): ("rules.cold", span),
+    ("backends", "cold_from"): ("rules.coldFrom", share),
+    ("backends", "drain_grace"): ("rules.drainGrace", span),
+    ("backends", "fall"): ("rules.fall", span),
     ("backends", "fall_multiple"): ("rules.fallMultiple", number),
     ("counter", "allowed"): ("familyInfo.mayCount", yes),
     ("counter", "timeout"): ("familyInfo.countWait", span),
@@ -95,17 +113,35 @@
     ("use", "retry_after"): ("policyLimits.retryAfter", yes),
 }
 ROWS = {
-    "operations": ("classes", {
-        "name": ("name", str), "effect": ("effect", one_of(EFFECTS, "effect")),
-        "scope": ("keyScope", one_of(SCOPES, "scope")), "memory": ("keyTtl", span),
-        "objective": ("objective", span), "timeout": ("deadline", span), "late_worth": ("lateWorth", share),
-        "streamed": ("streaming", yes), "worth": ("worth", number)}),
-    "plans": ("contracts", {
-        "name": ("name", str), "rate": ("refill", number), "burst": ("storeSize", number),
-        "most_out": ("concurrency", int), "price": ("valueFactor", number),
-        "over_worth": ("overWorth", number),
-        "over_cost": ("excessCost", number), "ceiling_rate": ("ceilingRate", number),
-        "ceiling_burst": ("capDepth", number), "ceiling_slack": ("hardSlack", number)}),
+    "operations": (
+        "classes",
+        {
+            "name": ("name", str),
+            "effect": ("effect", one_of(EFFECTS, "effect")),
+            "scope": ("keyScope", one_of(SCOPES, "scope")),
+            "memory": ("keyTtl", span),
+            "objective": ("objective", span),
+            "timeout": ("deadline", span),
+            "late_worth": ("lateWorth", share),
+            "streamed": ("streaming", yes),
+            "worth": ("worth", number),
+        },
+    ),
+    "plans": (
+        "contracts",
+        {
+            "name": ("name", str),
+            "rate": ("refill", number),
+            "burst": ("storeSize", number),
+            "most_out": ("concurrency", int),
+            "price": ("valueFactor", number),
+            "over_worth": ("overWorth", number),
+            "over_cost": ("excessCost", number),
+            "ceiling_rate": ("ceilingRate", number),
+            "ceiling_burst": ("capDepth", number),
+            "ceiling_slack": ("hardSlack", number),
+        },
+    ),
 }
 
 
@@ -152,7 +188,7 @@
 
 def terms(pairs):
     made, paths = stated(pairs)
-    model, faults = convert(Terms, made, together=False)     # what the platform states, it answers for
+    model, faults = convert(Terms, made, together=False)  # what the platform states, it answers for
     if faults:
         first = faults[0]
         raise Malformed(f"settings: {paths.get(first.path, dotted(first.path))}: {first.text}")
--- a/kestrelbend/config/reading.py
+++ b/kestrelbend/config/reading.py
@@ -4,6 +4,7 @@
 who wrote a file sees everything in one go, each fault with its line and key.  A model may have
 `faults(self)`, which yields (key, text) for what only shows when its fields are looked at together.
 """
+
 from __future__ import annotations
 
 import types
@@ -51,9 +52,10 @@
 
 
 def parsed(text, model, name="configuration"):
-    import tomllib              # not at the top: a gateway told by JSON starts without them
+    import tomllib  # not at the top: a gateway told by JSON starts without them
 
     from . import places
+
     try:
         given = tomllib.loads(text)
     except tomllib.TOMLDecodeError as trouble:
@@ -146,15 +148,23 @@
 
 
 def kind(value):
-    return {dict: "a table", list: "a list", str: "text", bool: "true or false", int: "a number",
-            float: "a number"}.get(type(value), type(value).__name__)
+    return {
+        dict: "a table",
+        list: "a list",
+        str: "text",
+        bool: "true or false",
+        int: "a number",
+        float: "a number",
+    }.get(type(value), type(value).__name__)
 
 
 def unknown(what, given, known):
     import difflib
+
     near = difflib.get_close_matches(str(given), known, 1, 0.5)
-    return f"unknown {what} {given!r}" + (f"; did you mean {near[0]!r}?" if near else
-                                          f"; known are {', '.join(sorted(known))}")
+    return f"unknown {what} {given!r}" + (
+        f"; did you mean {near[0]!r}?" if near else f"; known are {', '.join(sorted(known))}"
+    )
 
 
 def plain(trouble):
--- a/kestrelbend/config/units.py
+++ b/kestrelbend/config/units.py
@@ -3,14 +3,23 @@
 Each is a type of its own, so that a model says which unit a number has; a value is parsed once, on the way
 in.
 """
+
 from __future__ import annotations
 
 import math
 import re
 
 TIMES = {"us": 1, "ms": 1000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
-SIZES = {"B": 1, "kB": 1000, "KB": 1000, "MB": 10**6, "GB": 10**9, "KiB": 1 << 10, "MiB": 1 << 20,
-         "GiB": 1 << 30}
+SIZES = {
+    "B": 1,
+    "kB": 1000,
+    "KB": 1000,
+    "MB": 10**6,
+    "GB": 10**9,
+    "KiB": 1 << 10,
+    "MiB": 1 << 20,
+    "GiB": 1 << 30,
+}
 QUANTITY = re.compile(r"\s*([0-9]+(?:\.[0-9]+)?)\s*([A-Za-z]*)\s*\Z")
 
 
--- a/kestrelbend/duties/deal.py
+++ b/kestrelbend/duties/deal.py
@@ -3,6 +3,7 @@
 Every member works out the same owner for a duty from the same list of members, and when one comes or goes
 only the duties that it has, or gets, move.
 """
+
 from __future__ import annotations
 
 import math
@@ -19,7 +20,7 @@
     """Duties by name, members by name with their weights; `owner` of each, kept up as both change."""
 
     def __init__(self):
-        self.members, self.best = {}, {}        # best: by duty, (score, member)
+        self.members, self.best = {}, {}  # best: by duty, (score, member)
 
     def choose(self, duty):
         self.best[duty] = max(((score(m, duty, w), m) for m, w in self.members.items()), default=(0.0, None))
--- a/kestrelbend/duties/leases.py
+++ b/kestrelbend/duties/leases.py
@@ -13,13 +13,14 @@
 
 Times are whole microseconds of a clock that never steps (a monotonic one), `stamp` is Unix milliseconds.
 """
+
 from __future__ import annotations
 
 from .deal import score
 
 SECOND = 1_000_000
 LENGTH = 10 * SECOND
-DRIFT = 10              # a holder's lease is shorter by this part
+DRIFT = 10  # a holder's lease is shorter by this part
 VOTERS = 5
 
 
--- a/kestrelbend/duties/probing.py
+++ b/kestrelbend/duties/probing.py
@@ -3,6 +3,7 @@
 Two owners cost one probe, so a duty is taken over as soon as its owner is suspected.  A report is as good as
 it is fresh: what is older than `FRESH` tells nobody anything and is not told on.
 """
+
 from __future__ import annotations
 
 import msgspec
@@ -11,7 +12,7 @@
 from .deal import Deal
 
 MS = 1000
-EVERY = 500 * MS        # between probes of one backend, by all gateways together
+EVERY = 500 * MS  # between probes of one backend, by all gateways together
 FRESH = 2 * EVERY
 KIND = "probe"
 
@@ -23,7 +24,7 @@
         self.me, self.deal = me, Deal()
         self.deal.set_members({me: 1.0})
         self.backends, self.at, self.heard = {}, {}, {}
-        self.version = None             # of the view that the duties are dealt out by
+        self.version = None  # of the view that the duties are dealt out by
 
     def members(self, names):
         """Those that live and are not suspected; this one always counts itself."""
@@ -86,8 +87,12 @@
     def read(self, note, since, now):
         """(backend, load) of another's report, or None where it is too old or about nobody known here."""
         backend = self.backends.get(note.about)
-        if note.kind != KIND or backend is None or now - since > FRESH \
-                or since <= self.heard.get(note.about, 0):
+        if (
+            note.kind != KIND
+            or backend is None
+            or now - since > FRESH
+            or since <= self.heard.get(note.about, 0)
+        ):
             return None
         try:
             load = msgspec.msgpack.decode(note.body, type=dict[str, float])
--- a/kestrelbend/fronts/asking.py
+++ b/kestrelbend/fronts/asking.py
@@ -3,6 +3,7 @@
 In the design's spirit: repeats are held to a share of the recent calls, a sequential test tells a sick
 authoriser from a sound one, and who is given up is given up at once.
 """
+
 from __future__ import annotations
 
 import math
@@ -18,32 +19,35 @@
 from ..choice import RETRY_SHARE as SHARE
 from ..config.units import Address
 
-HALVE_AT = 256                                  # calls of late
-REMEMBERED = 10_000                             # verdicts kept
+HALVE_AT = 256  # calls of late
+REMEMBERED = 10_000  # verdicts kept
 
 
 class Authoriser(Struct):
     """One that is asked before the first delivery."""
+
     name: str
     target: Address
-    operations: list[str] = field(default_factory=list)     # for these; empty: all
+    operations: list[str] = field(default_factory=list)  # for these; empty: all
     plans: list[str] = field(default_factory=list)
     budget: Annotated[float, Meta(gt=0)] = 0.2  # seconds of the client's time, at most
-    part: Annotated[float, Meta(gt=0, le=1)] = 0.5          # and of what is left of it
+    part: Annotated[float, Meta(gt=0, le=1)] = 0.5  # and of what is left of it
     when_silent: Literal["allow", "deny"] = "deny"
     most_open: Annotated[int, Meta(ge=1)] = 100
-    repeats: Annotated[int, Meta(ge=0)] = 1     # of a call that could not be answered
-    remember: Annotated[float, Meta(ge=0)] = 0.0            # seconds; for marked retries alone
-    pass_on: list[str] = field(default_factory=list)        # headers of a denial that clients may see
-    longest: Annotated[int, Meta(ge=1024)] = 16_384         # bytes of an answer
+    repeats: Annotated[int, Meta(ge=0)] = 1  # of a call that could not be answered
+    remember: Annotated[float, Meta(ge=0)] = 0.0  # seconds; for marked retries alone
+    pass_on: list[str] = field(default_factory=list)  # headers of a denial that clients may see
+    longest: Annotated[int, Meta(ge=1024)] = 16_384  # bytes of an answer
 
     def concerns(self, operation, plan):
-        return ((not self.operations or operation in self.operations)
-                and (not self.plans or plan in self.plans))
+        return (not self.operations or operation in self.operations) and (
+            not self.plans or plan in self.plans
+        )
 
 
 class Verdict(Struct):
     """`allowed`; or the denial's status, headers and body; `why`: of one that nobody gave."""
+
     allowed: bool
     status: int = 403
     headers: list[tuple[str, str]] = field(default_factory=list)
@@ -92,7 +96,7 @@
 
     def begins(self):
         self.open += 1
-        self.trial = bool(self.benched)         # after a bench one call at a time, until one is answered
+        self.trial = bool(self.benched)  # after a bench one call at a time, until one is answered
         self.calls += 1
         if self.calls > HALVE_AT:
             self.calls, self.repeated = self.calls / 2, self.repeated / 2
@@ -126,7 +130,7 @@
         """A denial as stated, its headers within the list; a status that is none of a denial's is 403."""
         allowed = {name.lower() for name in self.stated.pass_on}
         kept = [(k, v) for k, v in headers if k.lower() in allowed and safe(k) and safe(v)][:64]
-        return Verdict(False, status if 400 <= status < 600 else 403, kept, body[:self.stated.longest])
+        return Verdict(False, status if 400 <= status < 600 else 403, kept, body[: self.stated.longest])
 
 
 def safe(text):
--- a/kestrelbend/fronts/attributes.py
+++ b/kestrelbend/fronts/attributes.py
@@ -3,6 +3,7 @@
 No I/O and no protocol: `Told` is a plain view of the attributes, `read` gives an `Asked` or says in few words
 what is wrong.
 """
+
 from __future__ import annotations
 
 import math
@@ -13,7 +14,7 @@
 
 from ..config.units import Address
 
-LONGEST = 256           # characters of a value
+LONGEST = 256  # characters of a value
 FIELDS = ("customer", "plan", "operation", "units", "spread", "retry", "wait")
 
 
@@ -27,18 +28,20 @@
 
 class Told(Struct):
     """Attributes of one request; header names in lower case."""
+
     method: str = ""
-    path: str = ""                      # with its query
+    path: str = ""  # with its query
     headers: dict[str, str] = field(default_factory=dict)
     principal: str = ""
     extensions: dict[str, str] = field(default_factory=dict)
-    metadata: dict[str, str] = field(default_factory=dict)      # "namespace.key": value
+    metadata: dict[str, str] = field(default_factory=dict)  # "namespace.key": value
 
 
 class Source(Struct):
     """Where a value stands.  `pattern`: its one group is the value; without a match the value is missing."""
+
     source: Literal["header", "path", "query", "principal", "extension", "metadata", "method", "constant"]
-    name: str = ""                      # of the header, the query's key, ...; a constant's value
+    name: str = ""  # of the header, the query's key, ...; a constant's value
     pattern: str = ""
 
     def faults(self):
@@ -77,13 +80,14 @@
 
 class Rules(Struct):
     """Of each field the places where it may stand: all that are there must agree."""
+
     customer: list[Source]
     plan: list[Source]
     operation: list[Source]
-    units: list[Source] = field(default_factory=list)       # 1 where none is told
-    spread: list[Source] = field(default_factory=list)      # all gateways
-    retry: list[Source] = field(default_factory=list)       # "1", "true": marked
-    wait: list[Source] = field(default_factory=list)        # the client's time, in `wait_unit`
+    units: list[Source] = field(default_factory=list)  # 1 where none is told
+    spread: list[Source] = field(default_factory=list)  # all gateways
+    retry: list[Source] = field(default_factory=list)  # "1", "true": marked
+    wait: list[Source] = field(default_factory=list)  # the client's time, in `wait_unit`
     wait_unit: Literal["s", "ms"] = "s"
 
     def faults(self):
@@ -99,7 +103,7 @@
     units: float
     spread: int
     retry: bool
-    wait: float | None                  # seconds
+    wait: float | None  # seconds
 
 
 def value(name, sources, told):
@@ -134,23 +138,29 @@
             raise Bad(name, "unknown")
     scale = 1.0 if rules.wait_unit == "s" else 0.001
     wait = number("wait", got["wait"], None, 1e-6 / scale, 1e6 / scale)
-    return Asked(got["customer"], got["plan"], got["operation"],
-                 number("units", got["units"], 1.0, 1e-6, most_units or 1e9),
-                 number("spread", got["spread"], gateways, 1, gateways, int),
-                 (got["retry"] or "").lower() in ("1", "true", "yes"), None if wait is None else wait * scale)
+    return Asked(
+        got["customer"],
+        got["plan"],
+        got["operation"],
+        number("units", got["units"], 1.0, 1e-6, most_units or 1e9),
+        number("spread", got["spread"], gateways, 1, gateways, int),
+        (got["retry"] or "").lower() in ("1", "true", "yes"),
+        None if wait is None else wait * scale,
+    )
 
 
 class Checks(Struct):
     """Answering `envoy.service.auth.v3.Authorization/Check`."""
+
     listen: Address
     rules: Rules
     on_bad: Literal["deny", "allow"] = "deny"
-    settle: Annotated[float, Meta(gt=0)] = 0.3      # seconds after which an admitted one counts as served
-    reports: bool = False                           # the proxy's access log tells of its end
-    report_wait: Annotated[float, Meta(gt=0)] = 10.0    # seconds in which a report may come
-    upstream: bool = False                          # there is no list of backends: what is let in goes to one
-    backend_header: str = ""                        # the chosen backend, for the proxy's routing
-    add: dict[str, str] = field(default_factory=dict)       # headers for the upstream
+    settle: Annotated[float, Meta(gt=0)] = 0.3  # seconds after which an admitted one counts as served
+    reports: bool = False  # the proxy's access log tells of its end
+    report_wait: Annotated[float, Meta(gt=0)] = 10.0  # seconds in which a report may come
+    upstream: bool = False  # there is no list of backends: what is let in goes to one
+    backend_header: str = ""  # the chosen backend, for the proxy's routing
+    add: dict[str, str] = field(default_factory=dict)  # headers for the upstream
     remove: list[str] = field(default_factory=list)
     most_open: Annotated[int, Meta(ge=1)] = 10_000
-    longest: Annotated[int, Meta(ge=1024)] = 65_536         # bytes of one message
+    longest: Annotated[int, Meta(ge=1024)] = 65_536  # bytes of one message
--- a/kestrelbend/fronts/grpc/authorisers.py
+++ b/kestrelbend/fronts/grpc/authorisers.py
@@ -1,4 +1,5 @@
 """Asking external authorisers before the first delivery, by gRPC; what to make of it is `fronts.asking`'s."""
+
 from __future__ import annotations
 
 import asyncio
@@ -12,11 +13,18 @@
 from ..asking import Asking, Verdict
 
 log = logging.getLogger(__name__)
-REMADE_AFTER = 8        # failed calls in a row after which a connection is made anew
+REMADE_AFTER = 8  # failed calls in a row after which a connection is made anew
 # Of the call itself; whatever else the service says is its own word and no failure of it.
-NO_ANSWER = {grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED, grpc.StatusCode.CANCELLED,
-             grpc.StatusCode.INTERNAL, grpc.StatusCode.UNKNOWN, grpc.StatusCode.RESOURCE_EXHAUSTED,
-             grpc.StatusCode.UNIMPLEMENTED, grpc.StatusCode.DATA_LOSS}
+NO_ANSWER = {
+    grpc.StatusCode.UNAVAILABLE,
+    grpc.StatusCode.DEADLINE_EXCEEDED,
+    grpc.StatusCode.CANCELLED,
+    grpc.StatusCode.INTERNAL,
+    grpc.StatusCode.UNKNOWN,
+    grpc.StatusCode.RESOURCE_EXHAUSTED,
+    grpc.StatusCode.UNIMPLEMENTED,
+    grpc.StatusCode.DATA_LOSS,
+}
 
 
 class Link:
@@ -28,12 +36,19 @@
 
     def stub(self):
         if self.channel is None:
-            self.channel = grpc.aio.insecure_channel(self.stated.target, options=[
-                ("grpc.max_receive_message_length", self.stated.longest),
-                ("grpc.max_metadata_size", self.stated.longest), ("grpc.enable_retries", 0),
-                ("grpc.initial_reconnect_backoff_ms", 100), ("grpc.max_reconnect_backoff_ms", 2000),
-                ("grpc.keepalive_time_ms", 20_000), ("grpc.keepalive_timeout_ms", 2_000),
-                ("grpc.use_local_subchannel_pool", 1)])
+            self.channel = grpc.aio.insecure_channel(
+                self.stated.target,
+                options=[
+                    ("grpc.max_receive_message_length", self.stated.longest),
+                    ("grpc.max_metadata_size", self.stated.longest),
+                    ("grpc.enable_retries", 0),
+                    ("grpc.initial_reconnect_backoff_ms", 100),
+                    ("grpc.max_reconnect_backoff_ms", 2000),
+                    ("grpc.keepalive_time_ms", 20_000),
+                    ("grpc.keepalive_timeout_ms", 2_000),
+                    ("grpc.use_local_subchannel_pool", 1),
+                ],
+            )
             self.made = external_auth_pb2_grpc.AuthorizationStub(self.channel)
         return self.made
 
@@ -127,7 +142,7 @@
             except grpc.aio.AioRpcError as trouble:
                 answered = trouble.code() not in NO_ANSWER
                 counters["authoriser_failed"] += 1
-                if answered:            # the service's own word, but no verdict
+                if answered:  # the service's own word, but no verdict
                     return asking.denied(403, (), b"")
             finally:
                 asking.ends(self.clock(), answered)
@@ -141,8 +156,10 @@
         if got.status.code == 0 and got.WhichOneof("http_response") != "denied_response":
             return Verdict(True)
         response = got.denied_response
-        headers = [(option.header.key, option.header.value or option.header.raw_value.decode("latin-1"))
-                   for option in response.headers]
+        headers = [
+            (option.header.key, option.header.value or option.header.raw_value.decode("latin-1"))
+            for option in response.headers
+        ]
         return asking.denied(int(response.status.code) or 403, headers, response.body.encode())
 
     def close(self, channel):
@@ -165,7 +182,13 @@
     for name, value in request.headers.items():
         low = name.lower()
         http.headers[low] = f"{http.headers[low]},{value}" if low in http.headers else value
-    message.attributes.context_extensions.update({
-        "operation": request.operation, "plan": request.plan, "customer": request.customer,
-        "units": f"{request.units:g}", "retry": "1" if request.retry else "0"})
+    message.attributes.context_extensions.update(
+        {
+            "operation": request.operation,
+            "plan": request.plan,
+            "customer": request.customer,
+            "units": f"{request.units:g}",
+            "retry": "1" if request.retry else "0",
+        }
+    )
     return message
--- a/kestrelbend/fronts/grpc/check.py
+++ b/kestrelbend/fronts/grpc/check.py
@@ -4,6 +4,7 @@
 the proxy has its answer.  What it took is given back when the proxy's access log tells of the end, or after
 a stated time.  What the five rules mean here is in docs/design/authorisation.md.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -22,13 +23,28 @@
 from .service import Service
 
 log = logging.getLogger(__name__)
-MARGIN = 0.005          # seconds before a check's own deadline by which it is answered
+MARGIN = 0.005  # seconds before a check's own deadline by which it is answered
 
 
 class Asked:
     """A check as the owner sees it: what a `net.clients.Request` has, less its body."""
-    __slots__ = ("operation", "plan", "customer", "wait", "units", "spread", "retry", "came", "answer", "inv",
-                 "front", "id", "delivery", "timer")
+
+    __slots__ = (
+        "operation",
+        "plan",
+        "customer",
+        "wait",
+        "units",
+        "spread",
+        "retry",
+        "came",
+        "answer",
+        "inv",
+        "front",
+        "id",
+        "delivery",
+        "timer",
+    )
 
     def __init__(self, front, asked, came, wait, number):
         self.operation, self.plan, self.customer = asked.operation, asked.plan, asked.customer
@@ -45,13 +61,19 @@
         self.stated, self.settings, self.queue, self.clock = stated, settings, queue, clock
         self.operations = {op.name: op for op in settings["operations"]}
         self.plans = {plan.name for plan in settings["plans"]}
-        self.numbers, self.out = itertools.count(), {}      # out: admitted and not settled, by request id
+        self.numbers, self.out = itertools.count(), {}  # out: admitted and not settled, by request id
         self.service = Service(stated.listen, stated.most_open, stated.longest)
-        self.service.add(external_auth_pb2_grpc.add_AuthorizationServicer_to_server, self,
-                         "envoy.service.auth.v3.Authorization")
+        self.service.add(
+            external_auth_pb2_grpc.add_AuthorizationServicer_to_server,
+            self,
+            "envoy.service.auth.v3.Authorization",
+        )
         if stated.reports:
-            self.service.add(als_pb2_grpc.add_AccessLogServiceServicer_to_server, Reports(self),
-                             "envoy.service.accesslog.v3.AccessLogService")
+            self.service.add(
+                als_pb2_grpc.add_AccessLogServiceServicer_to_server,
+                Reports(self),
+                "envoy.service.accesslog.v3.AccessLogService",
+            )
 
     # The proxy's side.
 
@@ -59,8 +81,14 @@
         counters["checks"] += 1
         told = view(request.attributes)
         try:
-            asked = read(told, self.stated.rules, self.operations, self.plans, self.settings["gateways"],
-                         self.settings["most_units"])
+            asked = read(
+                told,
+                self.stated.rules,
+                self.operations,
+                self.plans,
+                self.settings["gateways"],
+                self.settings["most_units"],
+            )
         except Bad as bad:
             counters["checks_unusable"] += 1
             if counters["checks_unusable"] <= 20:
@@ -71,8 +99,9 @@
             wait = self.operations[asked.operation].timeout / 1e6
         if deadline is not None:
             wait = min(wait, max(0.0, deadline - MARGIN))
-        number = told.headers.get("x-request-id") or request.attributes.request.http.id or str(
-            next(self.numbers))
+        number = (
+            told.headers.get("x-request-id") or request.attributes.request.http.id or str(next(self.numbers))
+        )
         one = Asked(self, asked, self.clock(), wait, number)
         self.queue.put_nowait(("taken", one))
         try:
@@ -163,8 +192,9 @@
                 result = Result.SUCCEEDED if 0 < code < 500 else Result.ERRORED
                 if not code:
                     result = Result.UNREACHABLE
-                self.checks.reported(entry.request.request_id, result,
-                                     took.seconds * 1_000_000 + took.nanos // 1000 or None)
+                self.checks.reported(
+                    entry.request.request_id, result, took.seconds * 1_000_000 + took.nanos // 1000 or None
+                )
         return als_pb2.StreamAccessLogsResponse()
 
 
@@ -183,8 +213,14 @@
             if kind in ("string_value", "number_value", "bool_value"):
                 got = getattr(value, kind)
                 metadata[f"{namespace}.{key}"] = f"{got:g}" if kind == "number_value" else str(got)
-    return Told(http.method, http.path, headers, attributes.source.principal,
-                dict(attributes.context_extensions), metadata)
+    return Told(
+        http.method,
+        http.path,
+        headers,
+        attributes.source.principal,
+        dict(attributes.context_extensions),
+        metadata,
+    )
 
 
 def header(name, value):
@@ -197,7 +233,8 @@
         headers.append(header(stated.backend_header, backend))
     return external_auth_pb2.CheckResponse(
         status=status_pb2.Status(code=code_pb2.OK),
-        ok_response=external_auth_pb2.OkHttpResponse(headers=headers, headers_to_remove=stated.remove))
+        ok_response=external_auth_pb2.OkHttpResponse(headers=headers, headers_to_remove=stated.remove),
+    )
 
 
 def denied(status, text, headers=()):
@@ -205,7 +242,8 @@
     return external_auth_pb2.CheckResponse(
         status=status_pb2.Status(code=code, message=text.strip()),
         denied_response=external_auth_pb2.DeniedHttpResponse(
-            status=http_status_pb2.HttpStatus(code=status), body=text,
-            headers=[header(k, v) for k, v in headers]))
-
-
+            status=http_status_pb2.HttpStatus(code=status),
+            body=text,
+            headers=[header(k, v) for k, v in headers],
+        ),
+    )
--- a/kestrelbend/fronts/grpc/service.py
+++ b/kestrelbend/fronts/grpc/service.py
@@ -1,4 +1,5 @@
 """What all gRPC fronts share: the server with its limits, health, reflection and drain."""
+
 from __future__ import annotations
 
 import logging
@@ -15,15 +16,24 @@
 
     def __init__(self, listen, most_open=10_000, longest=65_536):
         self.listen, self.names = listen, [health.SERVICE_NAME, reflection.SERVICE_NAME]
-        self.server = grpc.aio.server(maximum_concurrent_rpcs=most_open, options=[
-            ("grpc.max_receive_message_length", longest), ("grpc.max_send_message_length", longest),
-            ("grpc.max_metadata_size", min(longest, 32_768)), ("grpc.so_reuseport", 0),
-            ("grpc.keepalive_time_ms", 30_000), ("grpc.keepalive_timeout_ms", 5_000),
-            ("grpc.http2.min_ping_interval_without_data_ms", 10_000), ("grpc.http2.max_ping_strikes", 3),
-            ("grpc.max_concurrent_streams", most_open),
-            # By itself it ends calls at random where more than 1,000 wait to be begun: 229 of 2,000 at once.
-            ("grpc.server.max_pending_requests", most_open),
-            ("grpc.server.max_pending_requests_hard_limit", most_open)])
+        self.server = grpc.aio.server(
+            maximum_concurrent_rpcs=most_open,
+            options=[
+                ("grpc.max_receive_message_length", longest),
+                ("grpc.max_send_message_length", longest),
+                ("grpc.max_metadata_size", min(longest, 32_768)),
+                ("grpc.so_reuseport", 0),
+                ("grpc.keepalive_time_ms", 30_000),
+                ("grpc.keepalive_timeout_ms", 5_000),
+                ("grpc.http2.min_ping_interval_without_data_ms", 10_000),
+                ("grpc.http2.max_ping_strikes", 3),
+                ("grpc.max_concurrent_streams", most_open),
+                # By itself it ends calls at random where more than 1,000 wait to be begun: 229 of 2,000 at
+                # once.
+                ("grpc.server.max_pending_requests", most_open),
+                ("grpc.server.max_pending_requests_hard_limit", most_open),
+            ],
+        )
         self.health = health.aio.HealthServicer()
         health_pb2_grpc.add_HealthServicer_to_server(self.health, self.server)
 
--- a/kestrelbend/hosting.py
+++ b/kestrelbend/hosting.py
@@ -3,6 +3,7 @@
 A front end derives from `Host`, turns its protocol's ids into objects before it calls in here, and carries
 out each effect in the method of that name.
 """
+
 from __future__ import annotations
 
 from collections import defaultdict, deque
@@ -11,11 +12,12 @@
 from .choice import Account, Gateway, Target
 from .keys import stable_key
 
-SWEEP = 1024        # customers held before those that the module is done with are first looked for
+SWEEP = 1024  # customers held before those that the module is done with are first looked for
 
 
 class Task:
     """A running generator and what it waits for."""
+
     __slots__ = ("work", "inv", "alarm")
 
     def __init__(self, work, inv=None):
@@ -24,7 +26,8 @@
 
 class Host:
     """One gateway: its module, its objects by the ids of the other side, its running tasks."""
-    module = Gateway        # the laboratory puts baselines in its place
+
+    module = Gateway  # the laboratory puts baselines in its place
 
     def __init__(self, settings, seed, now):
         self.settings = settings
@@ -97,7 +100,7 @@
     def account(self, plan, name, spread):
         customer = self.customers.get((plan, name))
         if customer is None:
-            if len(self.customers) >= self.sweep_at:    # they would fill the memory in the end
+            if len(self.customers) >= self.sweep_at:  # they would fill the memory in the end
                 kept = {k: acc for k, acc in self.customers.items() if not self.gateway.past(acc)}
                 self.customers, self.sweep_at = kept, max(SWEEP, 2 * len(kept))
             spread = spread or self.settings["gateways"]
--- a/kestrelbend/keys.py
+++ b/kestrelbend/keys.py
@@ -1,4 +1,5 @@
 """Stable hashes: the same for the same text in every process, on every machine and after every restart."""
+
 from __future__ import annotations
 
 from hashlib import blake2b
--- a/kestrelbend/lab/backends.py
+++ b/kestrelbend/lab/backends.py
@@ -5,6 +5,7 @@
 of the wire in use.  Outcomes are words: "succeeded", "errored", "rejected" (unseen), "broken" (its connection
 ended, it may have run), "spoilt" (an answer that cannot be read), "silence".
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -16,16 +17,18 @@
 
 class Job:
     """One delivery at a backend."""
+
     __slots__ = ("about", "work", "answer", "begun", "timer", "over", "first")
 
     def __init__(self, about, work, answer, first=False):
         self.about, self.work, self.answer = about, work, answer
         self.begun, self.timer, self.over = None, None, False
-        self.first = first      # on a connection made for it
+        self.first = first  # on a connection made for it
 
 
 class Trouble:
     """What is wrong with one backend just now; parts are chances."""
+
     __slots__ = ("slow", "failing", "failing_takes", "lost", "lost_how", "resets", "spoilt")
 
     def __init__(self):
@@ -35,19 +38,23 @@
 
 class Backend:
     def __init__(self, world, number, uid, zone, size=1.0):
-        self.world, self.terms, self.clock, self.chance = (world, world.scenario.backends, world.clock,
-                                                           world.chance("backends"))
+        self.world, self.terms, self.clock, self.chance = (
+            world,
+            world.scenario.backends,
+            world.clock,
+            world.chance("backends"),
+        )
         self.number, self.uid, self.zone, self.group, self.weight = number, uid, zone, number // 4, size
         self.party = Party("backends", zone)
         self.cores = max(1, round(self.terms.cores * size))
         self.state, self.up, self.started, self.fallen = READY, True, 0, False
-        self.trouble, self.life = Trouble(), 0      # life: counts its starts; connections are of one life
-        self.open = 0                               # connections
+        self.trouble, self.life = Trouble(), 0  # life: counts its starts; connections are of one life
+        self.open = 0  # connections
         self.fresh()
 
     def fresh(self):
         self.working, self.waiting = set(), deque()
-        self.arrived, self.arrived_work = deque(), 0.0      # while cold, in the span of the rule
+        self.arrived, self.arrived_work = deque(), 0.0  # while cold, in the span of the rule
         self.reported, self.report_at = None, 0
         self.busy, self.busy_at, self.done = 0.0, self.clock.now, 0
 
@@ -171,8 +178,10 @@
         if self.reported is None or now - self.report_at >= self.terms.reports_every:
             self.account()
             span = max(1, now - self.report_at) if self.reported else 1
-            self.reported = {"queue": float(len(self.waiting)),
-                             "inflight": float(len(self.waiting) + len(self.working)),
-                             "util": min(1.0, self.busy / span) if self.reported else 0.0}
+            self.reported = {
+                "queue": float(len(self.waiting)),
+                "inflight": float(len(self.waiting) + len(self.working)),
+                "util": min(1.0, self.busy / span) if self.reported else 0.0,
+            }
             self.report_at, self.busy = now, 0.0
         return self.reported
--- a/kestrelbend/lab/baselines.py
+++ b/kestrelbend/lab/baselines.py
@@ -1,5 +1,6 @@
 """Other policies to compare with, each the module with one decision replaced.  They serve nobody: the rules
 hold in them only as far as the module's own gates keep them."""
+
 from __future__ import annotations
 
 from ..choice import Gateway
@@ -10,8 +11,11 @@
 
     def admit(self, inv):
         yield from ()
-        return self.after(inv) if inv.customer.plan.ceiling_rate and (
-            self.ceiling_share(inv.customer) < inv.units) else None
+        return (
+            self.after(inv)
+            if inv.customer.plan.ceiling_rate and (self.ceiling_share(inv.customer) < inv.units)
+            else None
+        )
 
 
 class FixedShares(Gateway):
@@ -64,5 +68,9 @@
         return min(pair, key=lambda t: t.out / t.weight, default=None)
 
 
-BASELINES = {"let-all-in": LetAllIn, "fixed-shares": FixedShares, "least-outstanding": LeastOutstanding,
-             "two-choices": TwoChoices}
+BASELINES = {
+    "let-all-in": LetAllIn,
+    "fixed-shares": FixedShares,
+    "least-outstanding": LeastOutstanding,
+    "two-choices": TwoChoices,
+}
--- a/kestrelbend/lab/clients.py
+++ b/kestrelbend/lab/clients.py
@@ -3,13 +3,14 @@
 A request is what a customer wants once; each time a client asks for it is a try.  The wire in use carries a
 try to a gateway and calls `answered` or `unreachable` with what came of it.
 """
+
 from __future__ import annotations
 
 from .customers import Group, people
 from .network import Party
 
-LONGEST_WAIT = 2_000_000    # microseconds that a client waits because it was told to
-SOON = 30_000           # microseconds before a client asks again when no gateway could be reached
+LONGEST_WAIT = 2_000_000  # microseconds that a client waits because it was told to
+SOON = 30_000  # microseconds before a client asks again when no gateway could be reached
 
 
 class Request:
@@ -23,8 +24,23 @@
 class Try:
     """One asking: `until` is when its client gives up, `gateway` whom it went to; `sends` of its
     deliveries."""
-    __slots__ = ("number", "request", "sent", "until", "leaves", "retry", "gateway", "over", "timer", "sends",
-                 "life", "beyond", "told", "handle")
+
+    __slots__ = (
+        "number",
+        "request",
+        "sent",
+        "until",
+        "leaves",
+        "retry",
+        "gateway",
+        "over",
+        "timer",
+        "sends",
+        "life",
+        "beyond",
+        "told",
+        "handle",
+    )
 
     def __init__(self, number, request, sent, until, retry):
         self.number, self.request, self.sent, self.until, self.retry = number, request, sent, until, retry
@@ -73,7 +89,7 @@
         for op in self.ops:
             self.parts.append((self.parts[-1] if self.parts else 0.0) + op.part / total)
         self.burst, self.storms, self.numbers, self.open = 1.0, {}, 0, 0
-        self.ends = None        # when the last request begins
+        self.ends = None  # when the last request begins
 
     def start(self, until):
         self.ends = until
--- a/kestrelbend/lab/clock.py
+++ b/kestrelbend/lab/clock.py
@@ -4,14 +4,15 @@
 The models of the world know nothing else of time, so that the same models run in simulated time and on
 sockets.
 """
+
 from __future__ import annotations
 
 import asyncio
 import heapq
 import time
 
-LATE = 25_000            # microseconds: a call in real time that comes later speaks of too little CPU
-STUCK = 200_000         # calls at one simulated instant before it is taken for a loop without end
+LATE = 25_000  # microseconds: a call in real time that comes later speaks of too little CPU
+STUCK = 200_000  # calls at one simulated instant before it is taken for a loop without end
 
 
 class Stuck(Exception):
--- a/kestrelbend/lab/counter.py
+++ b/kestrelbend/lab/counter.py
@@ -1,5 +1,6 @@
 """The emulated counter service: parts that serve calls in turn, names that are forgotten, and its
 failures."""
+
 from __future__ import annotations
 
 from .network import Party
@@ -13,8 +14,8 @@
     def __init__(self, world):
         self.world, self.terms, self.clock = world, world.scenario.counter, world.clock
         self.party = Party("counter", world.scenario.fleet.zones[0])
-        self.free_at = [0] * self.terms.parts               # when each part is done with its line
-        self.totals, self.split = {}, None                  # split: by zone, while zones count by themselves
+        self.free_at = [0] * self.terms.parts  # when each part is done with its line
+        self.totals, self.split = {}, None  # split: by zone, while zones count by themselves
         self.lost, self.factor, self.sweep_at = False, 1.0, 4096
 
     def call(self, name, add, life, answer, zone=""):
--- a/kestrelbend/lab/customers.py
+++ b/kestrelbend/lab/customers.py
@@ -2,6 +2,7 @@
 
 The stores kept here are those of one that sees everything at once; no gateway has them.
 """
+
 from __future__ import annotations
 
 from bisect import bisect_right
@@ -15,6 +16,7 @@
 class Store:
     """A quota: units that fill at a rate and may be used at once up to a burst.  A rate of 0 holds nothing
     back."""
+
     __slots__ = ("rate", "burst", "level", "at")
 
     def __init__(self, rate, burst, now):
@@ -37,13 +39,14 @@
 
 class Customer:
     """`asked` and `sent` are stores: what one gateway that sees all would let in, and what was sent on."""
+
     __slots__ = ("name", "plan", "first", "spread", "eager", "asked", "sent", "ceiling", "out", "shifts")
 
     def __init__(self, name, plan, first, spread, eager, now):
         self.name, self.plan, self.first, self.spread, self.eager = name, plan, first, spread, eager
         self.asked = Store(plan.rate, plan.burst, now)
         self.sent = Store(plan.rate, plan.burst, now)
-        self.ceiling = plan.ceiling_burst       # as of `sent.at` of the oracle's own reckoning
+        self.ceiling = plan.ceiling_burst  # as of `sent.at` of the oracle's own reckoning
         self.out, self.shifts = 0, 0
 
     def gateway(self, drawn, epoch, gateways):
@@ -58,7 +61,7 @@
 
     def __init__(self, customers, weights, pace):
         self.customers, self.sums = customers, list(accumulate(weights))
-        self.pace = pace                        # first tries a second of all together
+        self.pace = pace  # first tries a second of all together
 
     def draw(self, uniform):
         return self.customers[bisect_right(self.sums, uniform * self.sums[-1])]
@@ -72,8 +75,10 @@
         spread = plan.spread or scenario.fleet.gateways
         firsts = chance.integers(0, scenario.fleet.gateways, plan.customers)
         eager = round(plan.eager * plan.customers)
-        made = [Customer(f"{number << 24 | at:016x}", plan, int(firsts[at]), spread, at < eager, now)
-                for at in range(plan.customers)]
+        made = [
+            Customer(f"{number << 24 | at:016x}", plan, int(firsts[at]), spread, at < eager, now)
+            for at in range(plan.customers)
+        ]
         customers[plan.name] = made
         mean = sum(plan.units) / 2
         for members, asks in ((made[eager:], plan.asks), (made[:eager], plan.eager_asks)):
--- a/kestrelbend/lab/discovery.py
+++ b/kestrelbend/lab/discovery.py
@@ -1,11 +1,12 @@
 """Emulated discovery: one list of backends, and an agent on each gateway's machine that hears of changes
 late."""
+
 from __future__ import annotations
 
 from .backends import GONE, READY
 from .network import Party
 
-AGAIN = 200_000         # microseconds between attempts to reach an agent that is cut off
+AGAIN = 200_000  # microseconds between attempts to reach an agent that is cut off
 
 
 class Entry:
--- a/kestrelbend/lab/emulate.py
+++ b/kestrelbend/lab/emulate.py
@@ -1,4 +1,5 @@
 """Runs a scenario in simulated time and says what it came to."""
+
 from __future__ import annotations
 
 import gc
@@ -13,7 +14,7 @@
 from .plant import SimPlant
 from .world import World
 
-FROZEN_S = 20           # real seconds without one call of the clock: something neither pauses nor ends
+FROZEN_S = 20  # real seconds without one call of the clock: something neither pauses nor ends
 
 
 @contextmanager
@@ -28,11 +29,12 @@
             where = f"{frame.f_code.co_qualname}, line {frame.f_lineno}" if frame is not None else "?"
             raise Stuck(f"no pause for {FROZEN_S} s: {where}")
         last[0] = clock.calls
+
     usable = hasattr(signal, "setitimer")
     try:
         before = signal.signal(signal.SIGALRM, look)
         signal.setitimer(signal.ITIMER_REAL, FROZEN_S, FROZEN_S)
-    except ValueError:          # not the main thread: there the caller watches
+    except ValueError:  # not the main thread: there the caller watches
         usable = False
     try:
         yield
@@ -48,7 +50,7 @@
     clock = SimClock()
     world = World(scenario, clock, plant, seed)
     collects = gc.isenabled()
-    gc.disable()                # hundreds of thousands of objects that live for the run
+    gc.disable()  # hundreds of thousands of objects that live for the run
     try:
         with watched(clock):
             world.plant.begin()
@@ -67,8 +69,11 @@
             gc.enable()
     figures = world.figures()
     took = time.process_time() - spent
-    figures["run"] = {"wall_s": round(time.monotonic() - began, 2), "cpu_s": round(took, 2),
-                      "calls": clock.calls, "tries_per_core_s": round(world.tally.counts["tries"] / took, 1),
-                      "memory_mb": getrusage(RUSAGE_SELF).ru_maxrss // (1 << 20 if sys.platform == "darwin"
-                                                                          else 1 << 10)}
+    figures["run"] = {
+        "wall_s": round(time.monotonic() - began, 2),
+        "cpu_s": round(took, 2),
+        "calls": clock.calls,
+        "tries_per_core_s": round(world.tally.counts["tries"] / took, 1),
+        "memory_mb": getrusage(RUSAGE_SELF).ru_maxrss // (1 << 20 if sys.platform == "darwin" else 1 << 10),
+    }
     return world, figures
--- a/kestrelbend/lab/failures.py
+++ b/kestrelbend/lab/failures.py
@@ -1,5 +1,6 @@
 """The schedule of failures: each kind of a scenario file acts on the world at its start and is undone at its
 end."""
+
 from __future__ import annotations
 
 from functools import singledispatch
@@ -42,6 +43,7 @@
 
 # Gateways.
 
+
 @act.register
 def _(f: s.Kill, world):
     for index in some(world, world.plant.running(), f.share, f"kill {f.at}"):
@@ -53,7 +55,7 @@
 def _(f: s.Roll, world):
     indexes = some(world, world.plant.running(), f.share, f"roll {f.at}")
     for step in range(f.steps):
-        world.clock.after(f.lasts * step // f.steps, restart, world, indexes[step::f.steps])
+        world.clock.after(f.lasts * step // f.steps, restart, world, indexes[step :: f.steps])
 
 
 def restart(world, indexes):
@@ -70,6 +72,7 @@
     def undo():
         for index in indexes:
             world.plant.pause(index, False)
+
     return undo
 
 
@@ -81,6 +84,7 @@
 
 # Zones and the network.
 
+
 @act.register
 def _(f: s.ZoneLoss, world):
     lost = [b for b in world.backends if b.zone == f.zone and b.up]
@@ -97,6 +101,7 @@
             world.bring_up(backend)
         for index in gone:
             world.plant.start(index)
+
     return undo
 
 
@@ -109,6 +114,7 @@
     def undo():
         for backend in lost:
             world.bring_up(backend)
+
     return undo
 
 
@@ -125,11 +131,13 @@
 
     def undo():
         world.discovery.extra -= f.delay
+
     return undo
 
 
 # Backends.
 
+
 def troubled(world, share, name, **faults):
     """Set fields of the trouble of some backends; what undoes it."""
     hit = some(world, world.backends, share, name)
@@ -142,6 +150,7 @@
             usual = type(backend.trouble)()
             for field in faults:
                 setattr(backend.trouble, field, getattr(usual, field))
+
     return undo
 
 
@@ -174,7 +183,7 @@
 def _(f: s.Release, world):
     hit = some(world, world.backends, f.share, f"release {f.at}")
     for step in range(f.steps):
-        world.clock.after(f.lasts * step // f.steps, release, world, f, hit[step::f.steps])
+        world.clock.after(f.lasts * step // f.steps, release, world, f, hit[step :: f.steps])
 
 
 def release(world, f, batch):
@@ -191,6 +200,7 @@
 
 # The counter.
 
+
 @act.register
 def _(f: s.CounterTrouble, world):
     counter = world.counter
@@ -207,11 +217,13 @@
 
         def undo():
             counter.back(f.how == "emptied")
+
     return undo
 
 
 # Clients.
 
+
 @act.register
 def _(f: s.Storm, world):
     world.clients.storms[f.plan] = f
@@ -221,13 +233,14 @@
 @act.register
 def _(f: s.Flood, world):
     customers = world.clients.customers[f.plan]
-    hit = customers[:f.customers] if f.customers else customers
+    hit = customers[: f.customers] if f.customers else customers
     plan = customers[0].plan
     usual = world.scenario.load * (plan.asks or 1.0) * plan.asked() / (sum(plan.units) / 2)
     group = world.clients.flood(hit, (f.factor - 1) * usual * len(hit) + 1e-9)
 
     def undo():
         group.pace = 0.0
+
     return undo
 
 
@@ -237,6 +250,7 @@
 
     def undo():
         world.clients.burst /= f.factor
+
     return undo
 
 
--- a/kestrelbend/lab/gossip.py
+++ b/kestrelbend/lab/gossip.py
@@ -3,6 +3,7 @@
 For measurements and for tests; `choice.py` has no part here.  A member's clock may be off, and steps, since
 its core is handed whatever its machine says.
 """
+
 from __future__ import annotations
 
 import math
@@ -33,8 +34,9 @@
     def start(self, peers):
         self.up, self.still, self.inbox = True, False, []
         life = self.time() // 1000
-        self.core = Swim(self.name, self.address, life, self.fleet.terms, Random(self.fleet.random()),
-                         self.time(), peers)
+        self.core = Swim(
+            self.name, self.address, life, self.fleet.terms, Random(self.fleet.random()), self.time(), peers
+        )
         self.wake()
 
     def kill(self):
@@ -52,7 +54,7 @@
         if not self.up:
             return
         if self.still:
-            if len(self.inbox) < 200:               # what a socket holds
+            if len(self.inbox) < 200:  # what a socket holds
                 self.inbox.append((source, data))
             return
         try:
@@ -146,8 +148,11 @@
 
     def deaths(self, since=0):
         """(when, who saw it, of whom) of deaths seen from then on."""
-        return [(at, node, change.member.name) for at, node, change in self.changes
-                if at >= since and change.state == State.DEAD]
+        return [
+            (at, node, change.member.name)
+            for at, node, change in self.changes
+            if at >= since and change.state == State.DEAD
+        ]
 
 
 def measured(count, seed, loss, quiet=60, deaths=10):
@@ -161,8 +166,10 @@
     began, sent, size = fleet.clock.now, fleet.counts["datagrams"], fleet.counts["bytes"]
     fleet.run(quiet)
     wrong = len({(node.name, name) for _, node, name in fleet.deaths(began)})
-    rate = [(fleet.counts[what] - before) / quiet / count
-            for what, before in (("datagrams", sent), ("bytes", size))]
+    rate = [
+        (fleet.counts[what] - before) / quiet / count
+        for what, before in (("datagrams", sent), ("bytes", size))
+    ]
     suspected, dead, moved = [], [], []
     for number in range(min(deaths, count // 3)):
         victim = fleet.nodes[-1 - number]
@@ -172,21 +179,30 @@
         rest = fleet.live()
 
         def all_of(least, rest=rest, name=victim.name):
-            return all(node.core.members[name].state >= least for node in rest
-                       if name in node.core.members)
+            return all(node.core.members[name].state >= least for node in rest if name in node.core.members)
+
         suspected.append(fleet.until(lambda: all_of(State.SUSPECT), 60, 0.05))
         fleet.until(lambda: all_of(State.DEAD), 90, 0.25)
         dead.append((fleet.clock.now - at) / S)
-    return {"gateways": count, "loss": loss, "seed": seed, "agree_s": round(agreed, 1),
-            "datagrams_s": round(rate[0], 2), "bytes_s": round(rate[1]), "falsely_dead": wrong,
-            "member_hours": round(count * quiet / 3600, 2),
-            "suspected_s": sorted(round(x, 2) for x in suspected),
-            "dead_s": sorted(round(x, 1) for x in dead), "duties_moved": round(max(moved, default=0.0), 3)}
+    return {
+        "gateways": count,
+        "loss": loss,
+        "seed": seed,
+        "agree_s": round(agreed, 1),
+        "datagrams_s": round(rate[0], 2),
+        "bytes_s": round(rate[1]),
+        "falsely_dead": wrong,
+        "member_hours": round(count * quiet / 3600, 2),
+        "suspected_s": sorted(round(x, 2) for x in suspected),
+        "dead_s": sorted(round(x, 1) for x in dead),
+        "duties_moved": round(max(moved, default=0.0), 3),
+    }
 
 
 def share_moved(fleet, victim):
     """The part of 500 duties that its death moves, beside what it had."""
     from ..duties.deal import Deal
+
     deal, names = Deal(), [node.name for node in fleet.live()]
     deal.set_members(dict.fromkeys(names, 1.0))
     for duty in range(500):
--- a/kestrelbend/lab/grpc_stands.py
+++ b/kestrelbend/lab/grpc_stands.py
@@ -1,4 +1,5 @@
 """Stand-ins that speak external authorisation: a scripted authoriser, and a proxy that asks."""
+
 from __future__ import annotations
 
 import asyncio
@@ -52,24 +53,32 @@
         finally:
             self.open -= 1
         if what in ("deny", "own", "flood"):
-            headers = [option("x-reason", "closed account"), option("x-inner", "10.0.0.1"),
-                       option("x-split", "a\r\nset-cookie: b")]
+            headers = [
+                option("x-reason", "closed account"),
+                option("x-inner", "10.0.0.1"),
+                option("x-split", "a\r\nset-cookie: b"),
+            ]
             if what == "flood":
                 headers = [option(f"x-{n}", "y" * 1000) for n in range(1000)]
             return external_auth_pb2.CheckResponse(
                 status=status_pb2.Status(code=14 if what == "own" else 7),
                 denied_response=external_auth_pb2.DeniedHttpResponse(
-                    status=http_status_pb2.HttpStatus(code=402), headers=headers, body="not this one"))
-        return external_auth_pb2.CheckResponse(status=status_pb2.Status(code=0),
-                                               ok_response=external_auth_pb2.OkHttpResponse())
+                    status=http_status_pb2.HttpStatus(code=402), headers=headers, body="not this one"
+                ),
+            )
+        return external_auth_pb2.CheckResponse(
+            status=status_pb2.Status(code=0), ok_response=external_auth_pb2.OkHttpResponse()
+        )
 
 
 class StandProxy:
     """Asks before it passes a call on, and tells of the end by its access log."""
 
     def __init__(self, port):
-        self.channel = grpc.aio.insecure_channel(f"127.0.0.1:{port}", options=[
-            ("grpc.use_local_subchannel_pool", 1), ("grpc.max_send_message_length", 1 << 24)])
+        self.channel = grpc.aio.insecure_channel(
+            f"127.0.0.1:{port}",
+            options=[("grpc.use_local_subchannel_pool", 1), ("grpc.max_send_message_length", 1 << 24)],
+        )
         self.stub = external_auth_pb2_grpc.AuthorizationStub(self.channel)
         self.reports = als_pb2_grpc.AccessLogServiceStub(self.channel)
 
@@ -93,6 +102,7 @@
 
         async def one():
             yield message
+
         await self.reports.StreamAccessLogs(one())
 
     async def close(self):
--- a/kestrelbend/lab/loopback.py
+++ b/kestrelbend/lab/loopback.py
@@ -231,9 +231,11 @@
     def met(self, index, given):
         """Where the gateways meet; what is cut off between them by a scenario is not cut here."""
         terms, keys = self.world.scenario.members, self.folder / "members.toml"
-        keys.write_text(f'period = "{int(terms.period)}us"\nmost_per_s = {terms.most_per_s}\n'
-                        f"share_probes = {str(terms.share_probes).lower()}\n"
-                        f'keys = {{1 = "{self.world.streams.seed & (1 << 64) - 1:032x}"}}\n')
+        keys.write_text(
+            f'period = "{int(terms.period)}us"\nmost_per_s = {terms.most_per_s}\n'
+            f"share_probes = {str(terms.share_probes).lower()}\n"
+            f'keys = {{1 = "{self.world.streams.seed & (1 << 64) - 1:032x}"}}\n'
+        )
         given["peer_listen"] = "%s:%d" % self.datagrams[index]
         given["peers"] = ["%s:%d" % at for at in self.datagrams]
         given["settings"]["policyLimits"]["peers"] = True
--- a/kestrelbend/lab/members.py
+++ b/kestrelbend/lab/members.py
@@ -1,4 +1,5 @@
 """Membership within emulated gateways: the core and the duties of `net.peers`, on the emulator's wire."""
+
 from __future__ import annotations
 
 from random import Random
@@ -7,7 +8,7 @@
 from ..membership.messages import State, packed
 from ..membership.swim import Swim, Terms
 
-LOOK = 100_000          # microseconds between looks at which backends have to be probed
+LOOK = 100_000  # microseconds between looks at which backends have to be probed
 
 
 def address(index):
@@ -28,8 +29,15 @@
         terms = Terms(period=int(stated.period), most_per_s=stated.most_per_s)
         seed = life.plant.seed(life.index, -life.number)
         started = life.plant.time(life.index) // 1000
-        self.core = Swim(f"n{life.index}", address(life.index), started, terms, Random(seed), self.now(),
-                         [address(n) for n in range(count)])
+        self.core = Swim(
+            f"n{life.index}",
+            address(life.index),
+            started,
+            terms,
+            Random(seed),
+            self.now(),
+            [address(n) for n in range(count)],
+        )
         self.probing = probing.Probing(self.core.name) if life.shares else None
         self.timer = None
         self.after()
--- a/kestrelbend/lab/network.py
+++ b/kestrelbend/lab/network.py
@@ -1,9 +1,11 @@
 """Who can reach whom, and how long a message takes."""
+
 from __future__ import annotations
 
 
 class Party:
     """An end of the network: of one kind ("gateways", "backends", ...), in a zone or in none."""
+
     __slots__ = ("kind", "zone", "vanished")
 
     def __init__(self, kind, zone=""):
@@ -16,7 +18,7 @@
 class Network:
     def __init__(self, terms, clock, chance):
         self.terms, self.clock, self.chance = terms, clock, chance
-        self.cuts = []          # (one side, other side, whether both ways)
+        self.cuts = []  # (one side, other side, whether both ways)
 
     def delay(self, one, other):
         mean = self.terms.across if one.zone != other.zone and one.zone and other.zone else self.terms.within
--- a/kestrelbend/lab/oracle.py
+++ b/kestrelbend/lab/oracle.py
@@ -3,13 +3,14 @@
 Each event of an invocation is kept until it is over, so that the first one that broke a rule is named with
 the trace that led there.
 """
+
 from __future__ import annotations
 
 from collections import deque
 
-SLACK = 50_000          # microseconds allowed on sockets beyond each limit
+SLACK = 50_000  # microseconds allowed on sockets beyond each limit
 NEVER_RAN = {"rejected", "unreachable", "void"}
-KEPT = 40               # events of one trace
+KEPT = 40  # events of one trace
 REMEMBERED = 5_000_000  # microseconds that one that is over is still known
 
 
@@ -26,6 +27,7 @@
 
 class Case:
     """An invocation at one gateway: one try of a client."""
+
     __slots__ = ("asking", "gateway", "life", "until", "trace", "sends", "answer", "ran", "gone", "closed")
 
     def __init__(self, asking, gateway, life):
@@ -50,8 +52,8 @@
         self.cases, self.broken, self.told, self.ceilings = {}, [], {}, {}
         # By gateway: [since, until or None]; what ends then cannot be answered in time.
         self.pauses = {}
-        self.dead = {}          # those that died with their gateway; what it had written may yet arrive
-        self.closed = {}        # those that are over, a while longer: nothing may be done for them any more
+        self.dead = {}  # those that died with their gateway; what it had written may yet arrive
+        self.closed = {}  # those that are over, a while longer: nothing may be done for them any more
 
     def at(self):
         return self.clock.now - self.start
@@ -142,8 +144,10 @@
 
     def excused(self, case):
         """Its gateway stood still when its time ended, or went on only just before."""
-        return any(since <= case.until + self.slack and (until is None or case.until <= until + self.slack)
-                   for since, until in self.pauses.get(case.gateway, ()))
+        return any(
+            since <= case.until + self.slack and (until is None or case.until <= until + self.slack)
+            for since, until in self.pauses.get(case.gateway, ())
+        )
 
     def overdue(self):
         """Those whose time is up without an answer; called now and then and at the end."""
--- a/kestrelbend/lab/plant.py
+++ b/kestrelbend/lab/plant.py
@@ -3,6 +3,7 @@
 A gateway has a life from each start to its death.  All that happens to it passes its inbox (`post`), where it
 waits while the gateway stands still or its processor is busy.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -18,16 +19,22 @@
 from .settings import stated
 
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
-RESULTS = {"succeeded": Result.SUCCEEDED, "errored": Result.ERRORED, "rejected": Result.REJECTED,
-           "broken": Result.BROKEN, "spoilt": Result.BROKEN}
+RESULTS = {
+    "succeeded": Result.SUCCEEDED,
+    "errored": Result.ERRORED,
+    "rejected": Result.REJECTED,
+    "broken": Result.BROKEN,
+    "spoilt": Result.BROKEN,
+}
 LOADS = {"queue": "queued", "inflight": "held", "util": "busy"}
-PAUSES = 100_000        # effects of one generator without a pause before it is taken for stuck
-LINGER = 300_000        # microseconds in which a gateway told to leave still takes what comes
-SWEEP = 1_000_000       # between looks for idle connections
+PAUSES = 100_000  # effects of one generator without a pause before it is taken for stuck
+LINGER = 300_000  # microseconds in which a gateway told to leave still takes what comes
+SWEEP = 1_000_000  # between looks for idle connections
 
 
 class Pool:
     """The kept connections of one gateway to one backend."""
+
     __slots__ = ("life", "idle", "open")
 
     def __init__(self, life):
@@ -67,15 +74,16 @@
         op, customer = self.operations[asking.request.op.name], asking.request.customer
         acc = self.account(customer.plan.name, customer.name, customer.spread)
         until = self.plant.time(self.index) + asking.until - self.clock.now
-        inv = Invocation(op, acc, came + self.plant.offsets[self.index], until, asking.request.units,
-                         asking.retry)
+        inv = Invocation(
+            op, acc, came + self.plant.offsets[self.index], until, asking.request.units, asking.retry
+        )
         self.tries[inv], self.invs[asking.number] = asking, inv
         self.take(inv)
 
     def client_left(self, asking):
         inv = self.invs.get(asking.number)
         if inv is not None:
-            if self.clock.now < asking.until:           # else an answer was due by then
+            if self.clock.now < asking.until:  # else an answer was due by then
                 self.world.oracle.left(asking.number)
             self.left(inv)
 
@@ -144,8 +152,16 @@
         sending.ruined = outcome in ("broken", "spoilt")
         tells = self.world.scenario.backends.reports == "answers" and not sending.ruined
         load = loads(backend) if tells else None
-        self.world.network.send(backend.party, self.party, self.post, self.delivered, sending.d,
-                                RESULTS[outcome], self.clock.now - sending.at, load)
+        self.world.network.send(
+            backend.party,
+            self.party,
+            self.post,
+            self.delivered,
+            sending.d,
+            RESULTS[outcome],
+            self.clock.now - sending.at,
+            load,
+        )
 
     def expired(self, d):
         """Its time is up."""
@@ -218,8 +234,15 @@
         call = Call(name)
         call.timer = self.clock.after(self.gateway.counter_wait, self.uncounted, call)
         if counter is not None and network.open(self.party, counter.party):
-            self.clock.after(network.delay(self.party, counter.party), counter.call, name, add, life,
-                             lambda total: self.total(call, total), self.party.zone)
+            self.clock.after(
+                network.delay(self.party, counter.party),
+                counter.call,
+                name,
+                add,
+                life,
+                lambda total: self.total(call, total),
+                self.party.zone,
+            )
 
     def total(self, call, total):
         counter = self.world.counter
@@ -291,12 +314,17 @@
             self.taken(asking, came)
 
 
-RULED = {Result.SUCCEEDED: "succeeded", Result.REJECTED: "rejected", Result.UNREACHABLE: "unreachable",
-         Result.VOID: "void"}
+RULED = {
+    Result.SUCCEEDED: "succeeded",
+    Result.REJECTED: "rejected",
+    Result.UNREACHABLE: "unreachable",
+    Result.VOID: "void",
+}
 
 
 class Watched:
     """A generator of the module, counted between its pauses."""
+
     __slots__ = ("work", "steps")
 
     def __init__(self, work):
@@ -319,8 +347,21 @@
 
 class Sending:
     """A delivery on its way: whether it reached its backend, and what its connection has come to."""
-    __slots__ = ("d", "asking", "backend", "at", "send", "timer", "connecting", "pool", "job", "reached",
-                 "ruined", "over")
+
+    __slots__ = (
+        "d",
+        "asking",
+        "backend",
+        "at",
+        "send",
+        "timer",
+        "connecting",
+        "pool",
+        "job",
+        "reached",
+        "ruined",
+        "over",
+    )
 
     def __init__(self, d, asking, backend):
         self.d, self.asking, self.backend, self.at = d, asking, backend, backend.clock.now
@@ -333,8 +374,9 @@
     made = []
     for entry in entries:
         life.world.oracle.listed(life, entry.uid, entry.state)
-        made.append((entry.uid, entry.zone, "", entry.group, STATES[entry.state], entry.weight,
-                     entry.started))
+        made.append(
+            (entry.uid, entry.zone, "", entry.group, STATES[entry.state], entry.weight, entry.started)
+        )
     return made
 
 
@@ -345,7 +387,8 @@
 
 class SimPlant:
     """All gateways in simulated time."""
-    module = None           # a policy in place of the module
+
+    module = None  # a policy in place of the module
 
     def __init__(self, world):
         self.world, self.clock, self.fleet = world, world.clock, world.scenario.fleet
@@ -399,6 +442,7 @@
         life = self.lives[index] = Life(self, index, self.numbers[index], list(agent.entries.values()))
         if self.world.scenario.members is not None:
             from .members import Attached
+
             life.member = Attached(life)
         agent.told = life.told
         self.world.clients.front.serving(index)
@@ -424,7 +468,7 @@
             if pool.life == backend.life:
                 backend.open -= pool.open
         self.world.clients.front.died(index)
-        for asking in list(life.tries.values()):       # their connections are reset
+        for asking in list(life.tries.values()):  # their connections are reset
             self.clock.after(1, self.world.clients.unreachable, asking)
 
     def stop(self, index, after):
@@ -495,14 +539,14 @@
     def ask(self, asking):
         world = self.world
         if not world.network.send(world.clients.party, self.parties[asking.gateway], self.arrive, asking):
-            return                                      # lost on the way: its client waits for nothing
+            return  # lost on the way: its client waits for nothing
 
     def arrive(self, asking):
         index, life = asking.gateway, self.lives[asking.gateway]
         if asking.over:
             return
         if life is None:
-            if self.starting[index]:                    # its machine takes connections already
+            if self.starting[index]:  # its machine takes connections already
                 self.inboxes[index].append(("taken_early", (asking, self.clock.now)))
                 return
             trip = self.world.network.delay(self.parties[index], self.world.clients.party)
@@ -515,5 +559,11 @@
     def left(self, asking):
         life = asking.life
         if life is not None and self.lives[asking.gateway] is life:
-            self.world.network.send(self.world.clients.party, self.parties[asking.gateway], self.post, life,
-                                    life.client_left, asking)
+            self.world.network.send(
+                self.world.clients.party,
+                self.parties[asking.gateway],
+                self.post,
+                life,
+                life.client_left,
+                asking,
+            )
--- a/kestrelbend/lab/report.py
+++ b/kestrelbend/lab/report.py
@@ -1,4 +1,5 @@
 """Reports: one self-contained HTML file with plots of what runs came to."""
+
 from __future__ import annotations
 
 import base64
@@ -12,15 +13,20 @@
 import matplotlib.pyplot as plt  # noqa: E402  (after the choice of a back end that needs no screen)
 
 WIDE = (9.0, 2.6)
-MOST_RUNS = 12          # drawn one by one; more are summed up
+MOST_RUNS = 12  # drawn one by one; more are summed up
 STYLE = """body{font:15px/1.45 system-ui,sans-serif;max-width:960px;margin:2em auto;padding:0 1em;color:#222}
 h1{font-size:1.5em}h2{font-size:1.2em;margin-top:2em;border-bottom:1px solid #ccc}
 table{border-collapse:collapse;font-size:13px}
 td,th{padding:3px 9px;text-align:right;border-bottom:1px solid #e3e3e3}
 td:first-child,th:first-child{text-align:left}img{max-width:100%}pre{background:#f5f5f5;padding:8px;overflow:auto}
 .broken{color:#b00020;font-weight:600}"""
-REFUSED = ("beyond the quota", "near the quota", "with half the quota unused", "at the cap",
-           "after deliveries")
+REFUSED = (
+    "beyond the quota",
+    "near the quota",
+    "with half the quota unused",
+    "at the cap",
+    "after deliveries",
+)
 COLOURS = ("#4c72b0", "#dd8452", "#c44e52", "#8172b3", "#937860", "#55a868", "#da8bc3", "#8c8c8c")
 
 
@@ -74,9 +80,15 @@
         if per is not None:
             base = per + [0.0] * (len(values) - len(per))
             values = [v / b if b else float("nan") for v, b in zip(values, base, strict=False)]
-        wide = name in ("counter calls", "intended")        # mostly hidden behind another
-        ax.plot([at + 0.5 for at in range(len(values))], values, color=colour, label=label,
-                lw=4 if wide else 1.4, alpha=0.4 if wide else 1)
+        wide = name in ("counter calls", "intended")  # mostly hidden behind another
+        ax.plot(
+            [at + 0.5 for at in range(len(values))],
+            values,
+            color=colour,
+            label=label,
+            lw=4 if wide else 1.4,
+            alpha=0.4 if wide else 1,
+        )
 
 
 def stacked(ax, series, names):
@@ -86,8 +98,15 @@
         values = series.get(name)
         if values:
             values = values + [0.0] * (length - len(values))
-            ax.bar([at + 0.5 for at in range(length)], values, 1.0, base, color=colour,
-                   label=name.removeprefix("refused "), lw=0)
+            ax.bar(
+                [at + 0.5 for at in range(length)],
+                values,
+                1.0,
+                base,
+                color=colour,
+                label=name.removeprefix("refused "),
+                lw=0,
+            )
             base = [b + v for b, v in zip(base, values, strict=True)]
 
 
@@ -107,12 +126,15 @@
             key = name.removesuffix(", marked retry")
             before = series.get(key, [])
             length = max(len(before), len(values))
-            series[key] = [(before[at] if at < len(before) else 0) + (values[at] if at < len(values) else 0)
-                           for at in range(length)]
+            series[key] = [
+                (before[at] if at < len(before) else 0) + (values[at] if at < len(values) else 0)
+                for at in range(length)
+            ]
     if not series:
         return ""
-    figure, ax = axes("Refusals by what can be told from outside, by second (marked retries with their kind)",
-                      "tries")
+    figure, ax = axes(
+        "Refusals by what can be told from outside, by second (marked retries with their kind)", "tries"
+    )
     stacked(ax, series, [f"refused {name}" for name in REFUSED])
     marked(ax, row["marks"])
     legend(ax)
@@ -131,9 +153,12 @@
     if "counter calls" not in row["series"]:
         return ""
     figure, ax = axes("Calls to the counter, by second", "calls")
-    lines(ax, row["series"],
-          ("counter calls", "counter answered", "counter turned away", "counter unanswered"),
-          labels=("all", "answered", "turned away", "unanswered"))
+    lines(
+        ax,
+        row["series"],
+        ("counter calls", "counter answered", "counter turned away", "counter unanswered"),
+        labels=("all", "answered", "turned away", "unanswered"),
+    )
     ax.set_ylim(bottom=0)
     marked(ax, row["marks"])
     legend(ax)
@@ -157,8 +182,12 @@
     figure, ax = axes("Backends at the end: invocations done since their start, and times benched", "done")
     zones = sorted({b["zone"] for b in made})
     made = sorted(made, key=lambda b: (b["zone"], b["uid"]))
-    ax.bar(range(len(made)), [b["done"] for b in made], 0.85,
-           color=[COLOURS[zones.index(b["zone"]) % len(COLOURS)] for b in made])
+    ax.bar(
+        range(len(made)),
+        [b["done"] for b in made],
+        0.85,
+        color=[COLOURS[zones.index(b["zone"]) % len(COLOURS)] for b in made],
+    )
     for at, b in enumerate(made):
         if b["benched"]:
             ax.text(at, b["done"], str(b["benched"]), fontsize=6, ha="center", va="bottom", color="#b00020")
@@ -170,8 +199,15 @@
     figure, ax = axes("Time to a good answer, from the try's sending", "ms", (9.0, 2.8))
     names = list(rows[0]["figures"]["latency_ms"])
     for row, colour in zip(rows, COLOURS * 4, strict=False):
-        ax.plot(names, [row["figures"]["latency_ms"].get(n) for n in names], marker="o", ms=3.5, lw=1.2,
-                color=colour, label=f"{row['variant']}, seed {row['seed']}")
+        ax.plot(
+            names,
+            [row["figures"]["latency_ms"].get(n) for n in names],
+            marker="o",
+            ms=3.5,
+            lw=1.2,
+            color=colour,
+            label=f"{row['variant']}, seed {row['seed']}",
+        )
     ax.set_yscale("log")
     ax.yaxis.set_major_formatter("{x:g}")
     ax.yaxis.set_minor_formatter("{x:g}")
@@ -189,8 +225,10 @@
     names = [f"{g}x{b}" for g, b in sizes]
     base = [0.0] * len(sizes)
     for kind, colour in zip(rows[0]["figures"]["costs"], COLOURS, strict=False):
-        values = [mean(r["figures"]["costs"].get(kind, 0.0) for r in rows if tuple(r["size"]) == size)
-                  for size in sizes]
+        values = [
+            mean(r["figures"]["costs"].get(kind, 0.0) for r in rows if tuple(r["size"]) == size)
+            for size in sizes
+        ]
         ax.bar(names, values, 0.6, base, color=colour, label=kind)
         base = [b + v for b, v in zip(base, values, strict=True)]
     ax.set_xlabel("gateways x backends", fontsize=8)
@@ -231,17 +269,39 @@
 
 
 def table(rows):
-    head = ("run", "seed", "served", "net", "worst plan", "refused", "beyond", "calls/request", "p50 ms",
-            "p99 ms", "rules")
+    head = (
+        "run",
+        "seed",
+        "served",
+        "net",
+        "worst plan",
+        "refused",
+        "beyond",
+        "calls/request",
+        "p50 ms",
+        "p99 ms",
+        "rules",
+    )
     cells = []
     for row in rows:
         f = row["figures"]
         calls = f["counts"].get("counter calls", 0) / max(1, f["counts"].get("requests", 1))
         rules = '<span class="broken">broken</span>' if f["rules_broken"] else "kept"
-        cells.append((f"{html.escape(scene(row))}: {html.escape(row['variant'])}", row["seed"],
-                      f"{f['served']:.3f}", f"{f['net']:.3f}", f"{f['worst_plan']:.3f}",
-                      f"{f['refused_share']:.1%}", f"{f['beyond_share']:.1%}", f"{calls:.2f}",
-                      f"{f['latency_ms']['p50']:.0f}", f"{f['latency_ms']['p99']:.0f}", rules))
+        cells.append(
+            (
+                f"{html.escape(scene(row))}: {html.escape(row['variant'])}",
+                row["seed"],
+                f"{f['served']:.3f}",
+                f"{f['net']:.3f}",
+                f"{f['worst_plan']:.3f}",
+                f"{f['refused_share']:.1%}",
+                f"{f['beyond_share']:.1%}",
+                f"{calls:.2f}",
+                f"{f['latency_ms']['p50']:.0f}",
+                f"{f['latency_ms']['p99']:.0f}",
+                rules,
+            )
+        )
     body = "".join("<tr>" + "".join(f"<td>{cell}</td>" for cell in row) + "</tr>" for row in cells)
     return f"<table><tr>{''.join(f'<th>{h}</th>' for h in head)}</tr>{body}</table>"
 
@@ -290,10 +350,18 @@
     note = "" if drawn is rows else f"<p>Of {len(rows)} runs the worst of a kind are drawn.</p>"
     parts = [f"<h1>{html.escape(title)}</h1>", loads]
     if rows:
-        parts += [table(rows), by_variant(rows), by_size(rows), latencies(drawn[:MOST_RUNS]), note,
-                  *map(section, drawn)]
-    page = (f"<!doctype html><html lang=en><meta charset=utf-8><title>{html.escape(title)}</title>"
-            f"<style>{STYLE}</style>{''.join(parts)}</html>")
+        parts += [
+            table(rows),
+            by_variant(rows),
+            by_size(rows),
+            latencies(drawn[:MOST_RUNS]),
+            note,
+            *map(section, drawn),
+        ]
+    page = (
+        f"<!doctype html><html lang=en><meta charset=utf-8><title>{html.escape(title)}</title>"
+        f"<style>{STYLE}</style>{''.join(parts)}</html>"
+    )
     with open(path, "w", encoding="utf-8") as file:
         file.write(page)
 
--- a/kestrelbend/lab/results.py
+++ b/kestrelbend/lab/results.py
@@ -1,4 +1,5 @@
 """Results: one JSON line a run, which every other verb reads again."""
+
 from __future__ import annotations
 
 import hashlib
@@ -20,11 +21,21 @@
 
 
 def row(scenario, world, figures, clock, seed=None, variant="as it is", text=None):
-    return {"v": VERSION, "scenario": scenario.name, "digest": digest(scenario), "clock": clock,
-            "seed": world.streams.seed if seed is None else seed, "variant": variant, "text": text,
-            "size": [scenario.fleet.gateways, scenario.backends.count], "lasts_s": scenario.lasts / 1e6,
-            "figures": figures, "series": world.tally.rows(), "marks": world.tally.marks,
-            "backends": world.tally.backends(world)}
+    return {
+        "v": VERSION,
+        "scenario": scenario.name,
+        "digest": digest(scenario),
+        "clock": clock,
+        "seed": world.streams.seed if seed is None else seed,
+        "variant": variant,
+        "text": text,
+        "size": [scenario.fleet.gateways, scenario.backends.count],
+        "lasts_s": scenario.lasts / 1e6,
+        "figures": figures,
+        "series": world.tally.rows(),
+        "marks": world.tally.marks,
+        "backends": world.tally.backends(world),
+    }
 
 
 def write(path, rows):
@@ -32,7 +43,7 @@
     with open(path, "ab+") as file:
         if file.tell():
             file.seek(-1, 2)
-            if file.read(1) != b"\n":           # a killed run left half a line: the next must not join it
+            if file.read(1) != b"\n":  # a killed run left half a line: the next must not join it
                 file.write(b"\n")
         for each in rows:
             file.write(msgspec.json.encode(each) + b"\n")
@@ -60,15 +71,17 @@
     """What one run came to, for a terminal."""
     f = row["figures"]
     size = f"{row['size'][0]} gateways, {row['size'][1]} backends, {row['lasts_s']:.0f} s, seed {row['seed']}"
-    lines = [f"{row['scenario']} ({row['clock']}, {size})",
-             f"  served {f['served']:.3f} of the worth inside the quotas, net of costs {f['net']:.3f}; "
-             f"worst plan {f['worst_plan']:.3f}",
-             "  by plan: " + ", ".join(f"{name} {share:.3f}" for name, share in f["plans"].items()),
-             "  costs: " + ", ".join(f"{name} {cost:.4f}" for name, cost in f["costs"].items()),
-             f"  {f['counts'].get('requests', 0)} requests, {f['counts'].get('tries', 0)} tries, "
-             f"{f['counts'].get('deliveries', 0)} deliveries, {f['refused_share']:.0%} of the tries refused, "
-             f"{f['beyond_share']:.1%} of the units sent beyond quotas",
-             f"  to a good answer: {', '.join(f'{k} {v:.0f} ms' for k, v in f['latency_ms'].items())}"]
+    lines = [
+        f"{row['scenario']} ({row['clock']}, {size})",
+        f"  served {f['served']:.3f} of the worth inside the quotas, net of costs {f['net']:.3f}; "
+        f"worst plan {f['worst_plan']:.3f}",
+        "  by plan: " + ", ".join(f"{name} {share:.3f}" for name, share in f["plans"].items()),
+        "  costs: " + ", ".join(f"{name} {cost:.4f}" for name, cost in f["costs"].items()),
+        f"  {f['counts'].get('requests', 0)} requests, {f['counts'].get('tries', 0)} tries, "
+        f"{f['counts'].get('deliveries', 0)} deliveries, {f['refused_share']:.0%} of the tries refused, "
+        f"{f['beyond_share']:.1%} of the units sent beyond quotas",
+        f"  to a good answer: {', '.join(f'{k} {v:.0f} ms' for k, v in f['latency_ms'].items())}",
+    ]
     if f["refusals"]:
         top = sorted(f["refusals"].items(), key=lambda pair: -pair[1])[:5]
         lines.append("  refused: " + ", ".join(f"{name} {count}" for name, count in top))
@@ -76,6 +89,8 @@
     lines.append("  rules kept" if not f["rules_broken"] else f"  RULES BROKEN: {f['rules_broken']}")
     if "run" in f:
         r = f["run"]
-        lines.append(f"  took {r['wall_s']} s, {r['memory_mb']} MB, "
-                     f"{r['tries_per_core_s']:.0f} tries a second and core")
+        lines.append(
+            f"  took {r['wall_s']} s, {r['memory_mb']} MB, "
+            f"{r['tries_per_core_s']:.0f} tries a second and core"
+        )
     return "\n".join(lines)
--- a/kestrelbend/lab/scenario.py
+++ b/kestrelbend/lab/scenario.py
@@ -3,6 +3,7 @@
 The same file drives simulated time and loopback sockets.  Times have units; a fault in the file is said with
 its line and key (`kestrelbend.config.reading`).
 """
+
 from __future__ import annotations
 
 from typing import Annotated, ClassVar, Literal
@@ -16,7 +17,7 @@
 Some = Annotated[int, Meta(ge=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Amount = Annotated[float, Meta(ge=0)]
-Units = Annotated[list[Some], Meta(min_length=2, max_length=2)]             # from, to
+Units = Annotated[list[Some], Meta(min_length=2, max_length=2)]  # from, to
 Shares = Annotated[list[Share], Meta(min_length=2, max_length=2)]
 MS = 1000
 S = 1_000_000
@@ -29,11 +30,12 @@
 
 class Fleet(Struct, forbid_unknown_fields=True):
     """The gateways and the front that deals clients out to them."""
+
     gateways: Annotated[int, Meta(ge=1, le=500)] = 4
     zones: list[str] = default(["a", "b"])
-    cpu: Micros = Micros(0)                     # of one event at a gateway; 0: none is reckoned with
-    starts_in: Micros = Micros(400 * MS)        # from the start of a gateway to its serving
-    front_notices: Micros = Micros(2 * S)       # from the death of a gateway to the front's leaving it out
+    cpu: Micros = Micros(0)  # of one event at a gateway; 0: none is reckoned with
+    starts_in: Micros = Micros(400 * MS)  # from the start of a gateway to its serving
+    front_notices: Micros = Micros(2 * S)  # from the death of a gateway to the front's leaving it out
     descriptors: Some = 1024
 
     def faults(self):
@@ -44,42 +46,43 @@
 class Backends(Struct, forbid_unknown_fields=True):
     count: Annotated[int, Meta(ge=1, le=500)] = 8
     cores: Some = 2
-    work: Micros = Micros(120 * MS)             # core time of an invocation, at mean
-    work_spread: Amount = 0.5                   # of its logarithm
+    work: Micros = Micros(120 * MS)  # core time of an invocation, at mean
+    work_spread: Amount = 0.5  # of its logarithm
     # invocations at work and waiting; others are turned away unseen
     holds: Some = 32
-    connections: Some = 400                     # open at once; others are refused
-    handshake: Micros = Micros(1 * MS)          # core time of a new connection
-    cold: Micros = Micros(10 * S)               # after a start, until warm
-    cold_from: Share = Share(0.25)              # the part of its capacity that it comes up with
+    connections: Some = 400  # open at once; others are refused
+    handshake: Micros = Micros(1 * MS)  # core time of a new connection
+    cold: Micros = Micros(10 * S)  # after a start, until warm
+    cold_from: Share = Share(0.25)  # the part of its capacity that it comes up with
     # sent more than fall_multiple of its capacity for so long when
     fall: Micros = Micros(2 * S)
-    fall_multiple: Positive = 2.5               # cold, it falls over and stays down
+    fall_multiple: Positive = 2.5  # cold, it falls over and stays down
     reports: Literal["none", "probe", "answers"] = "none"
     reports_every: Micros = Micros(500 * MS)
-    probe: Micros = Micros(500)                 # core time of a probe
+    probe: Micros = Micros(500)  # core time of a probe
     idle_close: Micros = Micros(30 * S)
-    stops_cancelled: bool = False               # whether running work ends when nobody waits for it
+    stops_cancelled: bool = False  # whether running work ends when nobody waits for it
     # sizes, dealt out in turn
     weights: list[Positive] = default([1.0])
 
 
 class CounterService(Struct, forbid_unknown_fields=True):
     parts: Some = 2
-    call: Micros = Micros(800)                  # that a part needs for a call
-    line: Some = 64                             # calls that wait at a part; others are turned away
-    timeout: Micros = Micros(30 * MS)           # as the gateways are told
-    price: Amount = 0.02                        # of one call for each first try
+    call: Micros = Micros(800)  # that a part needs for a call
+    line: Some = 64  # calls that wait at a part; others are turned away
+    timeout: Micros = Micros(30 * MS)  # as the gateways are told
+    price: Amount = 0.02  # of one call for each first try
 
 
 class Discovery(Struct, forbid_unknown_fields=True):
-    delay: Micros = Micros(1 * S)               # of a change, at mean
+    delay: Micros = Micros(1 * S)  # of a change, at mean
     delay_spread: Share = Share(0.5)
-    lost: Share = Share(0)                      # changes that come only with the next one
+    lost: Share = Share(0)  # changes that come only with the next one
 
 
 class Network(Struct, forbid_unknown_fields=True):
     """One way, between machines of one zone and of two."""
+
     within: Micros = Micros(300)
     across: Micros = Micros(1 * MS)
     jitter: Share = Share(0.3)
@@ -95,13 +98,14 @@
     objective: Micros = Micros(1200 * MS)
     timeout: Micros = Micros(3 * S)
     late_worth: Share = Share(0)
-    part: Positive = 1.0                        # of the traffic, beside the others'
+    part: Positive = 1.0  # of the traffic, beside the others'
 
 
 class Plan(Struct, forbid_unknown_fields=True):
     """A plan and the customers that are on it."""
+
     name: str
-    rate: Amount = 2.0                          # units a second; 0: no quota on the rate
+    rate: Amount = 2.0  # units a second; 0: no quota on the rate
     burst: Amount = 8.0
     most_out: Count = 0
     price: Positive = 1.0
@@ -111,11 +115,11 @@
     ceiling_burst: Amount = 0.0
     ceiling_slack: Amount = 0.0
     customers: Some = 20
-    asks: Amount = 0.5                          # units a second of a usual customer, in parts of the rate
-    eager: Share = Share(0.1)                   # customers that ask for more than their quota, and how much
+    asks: Amount = 0.5  # units a second of a usual customer, in parts of the rate
+    eager: Share = Share(0.1)  # customers that ask for more than their quota, and how much
     eager_asks: Amount = 2.5
     units: Units = default([1, 1])
-    spread: Count = 0                           # gateways that its customers come in through; 0: all
+    spread: Count = 0  # gateways that its customers come in through; 0: all
 
     def faults(self):
         if not self.rate and not self.most_out:
@@ -135,11 +139,11 @@
 class Clients(Struct, forbid_unknown_fields=True):
     marks_retries: bool = True
     retries: Count = 2
-    wait: Micros = Micros(200 * MS)             # before a retry, at mean
-    heeds_retry_after: Share = Share(0.7)       # clients that wait as long as they are told
+    wait: Micros = Micros(200 * MS)  # before a retry, at mean
+    heeds_retry_after: Share = Share(0.7)  # clients that wait as long as they are told
     patience: Shares = default([Share(0.5), Share(1.0)])
-    leaves: Share = Share(0)                    # clients that leave before their time is up
-    moves_every: Micros = Micros(8 * S)         # between changes of a customer's busiest gateways
+    leaves: Share = Share(0)  # clients that leave before their time is up
+    moves_every: Micros = Micros(8 * S)  # between changes of a customer's busiest gateways
 
     def faults(self):
         if self.patience[0] > self.patience[1] or not self.patience[0]:
@@ -148,24 +152,27 @@
 
 class Members(Struct, forbid_unknown_fields=True):
     """Gateways meet one another by datagrams."""
+
     period: Micros = Micros(300 * MS)
     most_per_s: Positive = 40.0
     share_probes: bool = True
-    loss: Share = Share(0)                      # of datagrams
+    loss: Share = Share(0)  # of datagrams
 
 
 class Prices(Struct, forbid_unknown_fields=True):
     """Taken off the share served, each times its rate for one first try."""
+
     probe: Amount = 0.01
     handshake: Amount = 0.01
-    waste: Amount = 0.08                        # work that served nobody, beside the work asked for
+    waste: Amount = 0.08  # work that served nobody, beside the work asked for
 
 
 # Failures: each has its kind, its start and how long it lasts.
 
+
 class Failure(Struct, tag_field="kind", forbid_unknown_fields=True, kw_only=True):
     at: Micros
-    MOMENT: ClassVar[bool] = True               # it happens at once; else it lasts
+    MOMENT: ClassVar[bool] = True  # it happens at once; else it lasts
 
     def ends(self):
         return self.at
@@ -188,35 +195,41 @@
 
 class Kill(Failure, tag="kill", forbid_unknown_fields=True, kw_only=True):
     """Gateways die at once and start again."""
+
     share: Share = Share(1)
-    down: Micros = Micros(1 * S)                # until each is started again
+    down: Micros = Micros(1 * S)  # until each is started again
 
 
 class Roll(Lasting, tag="roll", forbid_unknown_fields=True, kw_only=True):
     """Gateways are restarted with SIGTERM, so many at a time."""
+
     share: Share = Share(1)
     steps: Some = 10
 
 
 class Pause(Lasting, tag="pause", forbid_unknown_fields=True, kw_only=True):
     """Gateways stand still and go on."""
+
     share: Share = Share(0.25)
 
 
 class ZoneLoss(Lasting, tag="zone-loss", forbid_unknown_fields=True, kw_only=True):
     """A zone's backends vanish, and its gateways if so said; they return cold."""
+
     zone: str
     gateways: bool = False
 
 
 class Lost(Lasting, tag="lost-backends", forbid_unknown_fields=True, kw_only=True):
     """Some backends vanish without a word; they return cold."""
+
     share: Share = Share(0.125)
 
 
 class Cut(Lasting, tag="cut", forbid_unknown_fields=True, kw_only=True):
     """What one side sends does not reach the other, and back if so said.  A side is "gateways", "backends",
     "counter", "discovery", "clients" or "zone:NAME"."""
+
     one: str
     other: str
     both_ways: bool = True
@@ -224,6 +237,7 @@
 
 class LostAnswers(Lasting, tag="lost-answers", forbid_unknown_fields=True, kw_only=True):
     """Some backends do the work and part of their answers never arrive."""
+
     share: Share = Share(0.5)
     part: Share = Share(0.2)
     how: Literal["silence", "reset"] = "silence"
@@ -231,11 +245,13 @@
 
 class Resets(Lasting, tag="resets", forbid_unknown_fields=True, kw_only=True):
     """Connections break under requests, before or after the work."""
+
     part: Share = Share(0.1)
 
 
 class Spoilt(Lasting, tag="spoilt", forbid_unknown_fields=True, kw_only=True):
     """Answers that cannot be read, from any backend."""
+
     part: Share = Share(0.1)
 
 
@@ -246,6 +262,7 @@
 
 class Failing(Lasting, tag="failing", forbid_unknown_fields=True, kw_only=True):
     """Some backends quickly answer with errors."""
+
     share: Share = Share(0.2)
     part: Share = Share(1)
     takes: Micros = Micros(5 * MS)
@@ -253,11 +270,12 @@
 
 class Release(Lasting, tag="release", forbid_unknown_fields=True, kw_only=True):
     """Backends drain, are down for a moment and come back cold, some at a time."""
+
     share: Share = Share(1)
     steps: Some = 5
     down: Micros = Micros(2 * S)
     drain: Micros = Micros(1 * S)
-    renewed: bool = False                       # they come back under new ids
+    renewed: bool = False  # they come back under new ids
 
 
 class LateLists(Lasting, tag="late-lists", forbid_unknown_fields=True, kw_only=True):
@@ -267,18 +285,21 @@
 class CounterTrouble(Lasting, tag="counter", forbid_unknown_fields=True, kw_only=True):
     """`slow`: each call takes `factor` times as long; `crowded`: so much foreign load; `lost`: silent;
     `emptied`: silent, then back with nothing; `split`: zones count by themselves, and one count is kept."""
+
     how: Literal["slow", "crowded", "lost", "emptied", "split"]
     factor: Positive = 4.0
 
 
 class Clocks(Failure, tag="clocks", forbid_unknown_fields=True, kw_only=True):
     """The clocks of some machines step; a gateway takes it on at its next start."""
+
     share: Share = Share(0.5)
     by: Micros
 
 
 class Storm(Lasting, tag="storm", forbid_unknown_fields=True, kw_only=True):
     """Clients of a plan (all, without one) repeat at once and often, whatever they are told."""
+
     plan: str = ""
     retries: Some = 8
     marked: bool = True
@@ -286,6 +307,7 @@
 
 class Flood(Lasting, tag="flood", forbid_unknown_fields=True, kw_only=True):
     """Customers ask many times what they usually do: so many of a plan, or all of it with 0."""
+
     plan: str
     customers: Count = 1
     factor: Positive = 10.0
@@ -293,16 +315,37 @@
 
 class Burst(Lasting, tag="burst", forbid_unknown_fields=True, kw_only=True):
     """All traffic grows."""
+
     factor: Positive = 2.0
 
 
 class Shift(Failure, tag="shift", forbid_unknown_fields=True, kw_only=True):
     """Some customers move to others of their gateways at one stroke."""
+
     share: Share = Share(0.5)
 
 
-AnyFailure = (Kill | Roll | Pause | ZoneLoss | Lost | Cut | LostAnswers | Resets | Spoilt | Slow | Failing |
-              Release | LateLists | CounterTrouble | Clocks | Storm | Flood | Burst | Shift)
+AnyFailure = (
+    Kill
+    | Roll
+    | Pause
+    | ZoneLoss
+    | Lost
+    | Cut
+    | LostAnswers
+    | Resets
+    | Spoilt
+    | Slow
+    | Failing
+    | Release
+    | LateLists
+    | CounterTrouble
+    | Clocks
+    | Storm
+    | Flood
+    | Burst
+    | Shift
+)
 SIDES = ("gateways", "backends", "counter", "discovery", "clients")
 
 
@@ -310,8 +353,8 @@
     name: str
     lasts: Micros = Micros(30 * S)
     seed: int = 1
-    load: Positive = 1.0                        # times what the plans' customers ask for
-    deliveries: Some = 3                        # at most for one invocation
+    load: Positive = 1.0  # times what the plans' customers ask for
+    deliveries: Some = 3  # at most for one invocation
     probing: bool = True
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     backends: Backends = msgspec.field(default_factory=Backends)
--- a/kestrelbend/lab/streams.py
+++ b/kestrelbend/lab/streams.py
@@ -3,6 +3,7 @@
 A change that draws once more somewhere leaves all other draws as they were, so that two runs with one seed
 meet the same arrivals and the same failures.
 """
+
 from __future__ import annotations
 
 import numpy
--- a/kestrelbend/lab/tally.py
+++ b/kestrelbend/lab/tally.py
@@ -3,6 +3,7 @@
 Worth is that of the first tries inside their quotas, as one gateway that sees all of them would let them in;
 a client's retries belong to its first try, and the latency objective counts from the try that was answered.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -20,11 +21,11 @@
 class Tally:
     def __init__(self, scenario, clock):
         self.scenario, self.clock, self.start = scenario, clock, clock.now
-        self.counts, self.series = Counter(), {}            # series: by name, sums by window
+        self.counts, self.series = Counter(), {}  # series: by name, sums by window
         self.plans = {p.name: Counter() for p in scenario.plans}
-        self.first, self.all = histogram(), histogram()     # to the good answer: of a try, of a request
+        self.first, self.all = histogram(), histogram()  # to the good answer: of a try, of a request
         self.refusals = Counter()
-        self.marks = []                                     # (when, text) of failures
+        self.marks = []  # (when, text) of failures
 
     def window(self):
         return (self.clock.now - self.start) // WINDOW
@@ -54,7 +55,8 @@
         if what == "succeeded":
             self.first.record_value(max(1, self.clock.now - asking.sent))
             asking.request.over or self.all.record_value(
-                max(1, min(60_000_000, self.clock.now - asking.request.began)))
+                max(1, min(60_000_000, self.clock.now - asking.request.began))
+            )
             op = asking.request.op
             worth = 1.0 if self.clock.now - asking.sent <= op.objective else op.late_worth
             asking.request.worth *= worth
@@ -136,21 +138,31 @@
         prices = self.scenario.prices
         useful = self.counts["answers succeeded"] * self.scenario.backends.work
         wasted = max(0.0, self.counts["core time"] - useful) / max(1.0, firsts * self.scenario.backends.work)
-        costs = {"beyond quotas": beyond / offered,
-                 "counter": (self.scenario.counter.price if self.scenario.counter else 0.0)
-                 * self.counts["counter calls"] / firsts,
-                 "probes": prices.probe * self.counts["probes"] / firsts,
-                 "handshakes": prices.handshake * self.counts["handshakes"] / firsts,
-                 "waste": prices.waste * wasted}
+        costs = {
+            "beyond quotas": beyond / offered,
+            "counter": (self.scenario.counter.price if self.scenario.counter else 0.0)
+            * self.counts["counter calls"]
+            / firsts,
+            "probes": prices.probe * self.counts["probes"] / firsts,
+            "handshakes": prices.handshake * self.counts["handshakes"] / firsts,
+            "waste": prices.waste * wasted,
+        }
         by_plan = {name: p["served"] / p["offered"] for name, p in self.plans.items() if p["offered"]}
-        return {"served": served / offered, "worst_plan": min(by_plan.values(), default=0.0),
-                "plans": by_plan, "costs": costs, "net": served / offered - sum(costs.values()),
-                "beyond_share": self.counts["units beyond"] / max(1.0, self.counts["units sent"]),
-                "refused_share": self.counts["answers throttled"] / max(1, self.counts["tries"]),
-                "refusals": dict(self.refusals), "counts": dict(self.counts),
-                "latency_ms": {f"p{q:g}": self.first.get_value_at_percentile(q) / 1000
-                               for q in (50, 90, 99, 99.9)},
-                "request_ms": {f"p{q:g}": self.all.get_value_at_percentile(q) / 1000 for q in (50, 99)}}
+        return {
+            "served": served / offered,
+            "worst_plan": min(by_plan.values(), default=0.0),
+            "plans": by_plan,
+            "costs": costs,
+            "net": served / offered - sum(costs.values()),
+            "beyond_share": self.counts["units beyond"] / max(1.0, self.counts["units sent"]),
+            "refused_share": self.counts["answers throttled"] / max(1, self.counts["tries"]),
+            "refusals": dict(self.refusals),
+            "counts": dict(self.counts),
+            "latency_ms": {
+                f"p{q:g}": self.first.get_value_at_percentile(q) / 1000 for q in (50, 90, 99, 99.9)
+            },
+            "request_ms": {f"p{q:g}": self.all.get_value_at_percentile(q) / 1000 for q in (50, 99)},
+        }
 
     @staticmethod
     def backends(world):
@@ -159,14 +171,22 @@
         lives = [life for life in getattr(world.plant, "lives", ()) if life is not None]
         for backend in world.backends:
             known = [life.backends[backend.uid] for life in lives if backend.uid in life.backends]
-            made.append({"uid": backend.uid, "zone": backend.zone, "done": backend.done,
-                         "room": round(sum(t.room for t in known), 2),
-                         "benched": sum(t.benched for t in known),
-                         "users": sum(getattr(t, "pooled", True) for t in known)})
+            made.append(
+                {
+                    "uid": backend.uid,
+                    "zone": backend.zone,
+                    "done": backend.done,
+                    "room": round(sum(t.room for t in known), 2),
+                    "benched": sum(t.benched for t in known),
+                    "users": sum(getattr(t, "pooled", True) for t in known),
+                }
+            )
         return made
 
     def rows(self):
         """The series by window, as lists."""
         last = max((max(row, default=0) for row in self.series.values()), default=0)
-        return {name: [round(row.get(at, 0.0), 3) for at in range(last + 1)]
-                for name, row in sorted(self.series.items())}
+        return {
+            name: [round(row.get(at, 0.0), 3) for at in range(last + 1)]
+            for name, row in sorted(self.series.items())
+        }
--- a/kestrelbend/lab/world.py
+++ b/kestrelbend/lab/world.py
@@ -1,4 +1,5 @@
 """The emulated world: everything the gateways meet, put together from a scenario on one clock."""
+
 from __future__ import annotations
 
 import math
@@ -13,7 +14,7 @@
 from .tally import Tally
 
 
-AFTER = 1_000_000       # microseconds that a run goes on after the last client's time
+AFTER = 1_000_000  # microseconds that a run goes on after the last client's time
 
 
 class World:
@@ -26,8 +27,10 @@
         self.tally, self.oracle = Tally(scenario, clock), Oracle(scenario, clock)
         self.network = Network(scenario.network, clock, self.chance("network"))
         zones, sizes = scenario.fleet.zones, scenario.backends.weights
-        self.backends = [Backend(self, n, f"s-{n:04x}", zones[n % len(zones)], sizes[n % len(sizes)])
-                         for n in range(scenario.backends.count)]
+        self.backends = [
+            Backend(self, n, f"s-{n:04x}", zones[n % len(zones)], sizes[n % len(sizes)])
+            for n in range(scenario.backends.count)
+        ]
         self.by_uid, self.made = {b.uid: b for b in self.backends}, len(self.backends)
         self.counter = CounterModel(self) if scenario.counter else None
         self.discovery = DiscoveryModel(self)
@@ -45,8 +48,10 @@
 
     def figures(self):
         """Those of the run, with what the oracle saw."""
-        return self.tally.figures() | {"broken": [str(each) for each in self.oracle.broken[:3]],
-                                       "rules_broken": len(self.oracle.broken)}
+        return self.tally.figures() | {
+            "broken": [str(each) for each in self.oracle.broken[:3]],
+            "rules_broken": len(self.oracle.broken),
+        }
 
     def chance(self, name):
         """Single draws by the name of what draws."""
--- a/kestrelbend/membership/swim.py
+++ b/kestrelbend/membership/swim.py
@@ -9,6 +9,7 @@
 Nothing here does I/O or reads a clock: `receive` and `tick` are called with the time in whole microseconds,
 `out` fills with (address, Message), `changes` with what became of members.
 """
+
 from __future__ import annotations
 
 import math
@@ -18,13 +19,13 @@
 from .messages import Kind, Lease, Message, Note, Rumour, State, size
 
 MS, SECOND = 1000, 1_000_000
-STRIKES = 2             # unanswered pings before a suspicion
+STRIKES = 2  # unanswered pings before a suspicion
 URGENT = {Kind.PING, Kind.ACK, Kind.REQUEST, Kind.NACK, Kind.LEASE}
-BUCKETS = 16            # of the view, compared by their sums
-WINDOW = 128            # messages that may come out of order
+BUCKETS = 16  # of the view, compared by their sums
+WINDOW = 128  # messages that may come out of order
 MASK = (1 << 32) - 1
-SAID = 32               # most rumours looked at for one datagram
-OVERHEAD = 60           # bytes of a message beside its name, rumours, notes and lists
+SAID = 32  # most rumours looked at for one datagram
+OVERHEAD = 60  # bytes of a message beside its name, rumours, notes and lists
 
 
 def bucket(name):
@@ -35,33 +36,49 @@
     """How often and how patient; times in microseconds."""
 
     def __init__(self, period=300 * MS, helpers=3, most_per_s=40.0, room=244, most_notes=512):
-        self.period, self.patience = period, period * 3 // 10   # a ping's, and the wait for its answer
-        self.helpers = helpers                              # others asked to ping for one
-        self.most_per_s = most_per_s                        # datagrams sent; never above
-        self.room = room                                    # bytes of a message
-        self.most_notes = most_notes                        # results kept
-        self.most_doubt = 8                                 # Lifeguard's limit of the local health multiplier
+        self.period, self.patience = period, period * 3 // 10  # a ping's, and the wait for its answer
+        self.helpers = helpers  # others asked to ping for one
+        self.most_per_s = most_per_s  # datagrams sent; never above
+        self.room = room  # bytes of a message
+        self.most_notes = most_notes  # results kept
+        self.most_doubt = 8  # Lifeguard's limit of the local health multiplier
         # In periods, times log10 of members; by how much fewer who have it stretch it.
         self.suspicion, self.suspicion_most = 5.0, 4.0
         self.confirmations = 3
-        self.spread = 2.0                                   # a rumour is sent so often, times log2 of members
-        self.sync_every = 2 * SECOND                        # digests to one whose view differs, at most
-        self.young = 10 * SECOND                            # one that began so lately compares more often
-        self.reach_every = 4 * SECOND                       # a ping to one dead or never heard of
-        self.forget = 120 * SECOND                          # the dead are known so long, unless listed
+        self.spread = 2.0  # a rumour is sent so often, times log2 of members
+        self.sync_every = 2 * SECOND  # digests to one whose view differs, at most
+        self.young = 10 * SECOND  # one that began so lately compares more often
+        self.reach_every = 4 * SECOND  # a ping to one dead or never heard of
+        self.forget = 120 * SECOND  # the dead are known so long, unless listed
 
 
 class Member:
     """What is known of one."""
-    __slots__ = ("name", "address", "life", "incarnation", "state", "since", "heard", "by", "until", "seen",
-                 "mask", "sum", "strikes", "pinged", "bucket")
+
+    __slots__ = (
+        "name",
+        "address",
+        "life",
+        "incarnation",
+        "state",
+        "since",
+        "heard",
+        "by",
+        "until",
+        "seen",
+        "mask",
+        "sum",
+        "strikes",
+        "pinged",
+        "bucket",
+    )
 
     def __init__(self, name, address, life, incarnation, state, now):
         self.name, self.address, self.life, self.incarnation = name, address, life, incarnation
         self.state, self.since, self.heard = state, now, 0
-        self.by, self.until = set(), 0          # a suspicion: who has it, and when it is over
-        self.seen, self.mask = 0, 0             # the highest `seq` of its life, and which before it came
-        self.sum, self.strikes, self.pinged = 0, 0, 0       # strikes: unanswered pings in a row
+        self.by, self.until = set(), 0  # a suspicion: who has it, and when it is over
+        self.seen, self.mask = 0, 0  # the highest `seq` of its life, and which before it came
+        self.sum, self.strikes, self.pinged = 0, 0, 0  # strikes: unanswered pings in a row
         self.bucket = bucket(name)
 
     def key(self):
@@ -85,17 +102,30 @@
 
 class Asked:
     """A ping that waits for its answer."""
-    __slots__ = ("nonce", "name", "address", "since", "due", "tries", "nacks", "asked", "over", "back",
-                 "back_nonce")
+
+    __slots__ = (
+        "nonce",
+        "name",
+        "address",
+        "since",
+        "due",
+        "tries",
+        "nacks",
+        "asked",
+        "over",
+        "back",
+        "back_nonce",
+    )
 
     def __init__(self, nonce, name, address, since, due, over):
         self.nonce, self.name, self.address, self.since = nonce, name, address, since
         self.due, self.over, self.tries, self.nacks, self.asked = due, over, 1, 0, 0
-        self.back, self.back_nonce = None, 0    # asked for another one: who, and by which nonce
+        self.back, self.back_nonce = None, 0  # asked for another one: who, and by which nonce
 
 
 class Change:
     """A member became alive, dead or left; `before` is None for one not known before."""
+
     __slots__ = ("member", "state", "before")
 
     def __init__(self, member, state, before):
@@ -110,18 +140,19 @@
         self.random, self.shuffle, self.sample = rng.random, rng.shuffle, rng.sample
         self.now, self.born, self.incarnation, self.doubt = now, now, 0, 0
         self.members, self.order, self.asked, self.turn, self.by_turn = {}, [], {}, 0, False
-        self.rumours, self.notes, self.told = {}, {}, {}    # told: times that each was sent
+        self.rumours, self.notes, self.told = {}, {}, {}  # told: times that each was sent
         self.peers = {at for at in peers if at != address}
         self.out, self.changes, self.heard_notes, self.leases = deque(), deque(), deque(), deque()
         self.seq = self.nonce = 0
         self.sums, self.left, self.conflict = [0] * BUCKETS, False, None
-        self.level, self.level_at = terms.most_per_s / 2, now       # what may be sent at once
+        self.level, self.level_at = terms.most_per_s / 2, now  # what may be sent at once
         self.period_at = now + int(self.random() * terms.period)
         self.reach_at, self.synced = now, {}
-        self.counts = dict.fromkeys(("sent", "held", "received", "replayed", "stale", "suspected", "died",
-                                     "refuted", "syncs"), 0)
+        self.counts = dict.fromkeys(
+            ("sent", "held", "received", "replayed", "stale", "suspected", "died", "refuted", "syncs"), 0
+        )
         self.own_sum, self.bucket = 0, bucket(name)
-        self.count, self.version = 1, 0         # of those that live, this one with them; of the view
+        self.count, self.version = 1, 0  # of those that live, this one with them; of the view
         self.resum()
 
     # The view.
@@ -194,19 +225,24 @@
         state, member = State(rumour.state), self.members.get(rumour.name)
         if member is None:
             if state >= State.DEAD:
-                return False                        # forgotten or never known: nothing to tell on
+                return False  # forgotten or never known: nothing to tell on
             member = Member(rumour.name, rumour.address, rumour.life, rumour.incarnation, state, self.now)
             self.set(member, state)
         elif (rumour.life, rumour.incarnation, state) > member.key():
-            if rumour.life > member.life:           # a new process under its name
+            if rumour.life > member.life:  # a new process under its name
                 member.seen = member.mask = 0
             member.address, member.life, member.incarnation = rumour.address, rumour.life, rumour.incarnation
             member.by.clear()
             self.set(member, state)
-        elif state == State.SUSPECT and (rumour.life, rumour.incarnation) == member.key()[:2] \
-                and member.state == State.SUSPECT and rumour.by and rumour.by not in member.by \
-                and len(member.by) <= self.terms.confirmations:
-            member.by.add(rumour.by)                # another one has the same suspicion: told on, too
+        elif (
+            state == State.SUSPECT
+            and (rumour.life, rumour.incarnation) == member.key()[:2]
+            and member.state == State.SUSPECT
+            and rumour.by
+            and rumour.by not in member.by
+            and len(member.by) <= self.terms.confirmations
+        ):
+            member.by.add(rumour.by)  # another one has the same suspicion: told on, too
             member.until = member.since + self.suspicion(len(member.by) - 1)
             self.spread(rumour)
             return True
@@ -223,22 +259,26 @@
         """What others believe of this one: a suspicion is refuted, another life under its name is a
         conflict unless it is over."""
         if rumour.life == self.life and rumour.address != self.address and rumour.state <= State.SUSPECT:
-            if rumour.address > self.address:       # two that began in one instant: one has to give way
+            if rumour.address > self.address:  # two that began in one instant: one has to give way
                 self.conflict = rumour
             return False
         if rumour.life > self.life:
             if rumour.state <= State.SUSPECT and rumour.address != self.address:
                 self.conflict = rumour
             elif not self.left:
-                self.life = rumour.life + 1         # its own former life, by a clock that stepped back since
+                self.life = rumour.life + 1  # its own former life, by a clock that stepped back since
                 self.incarnation = 0
                 self.refute()
             return False
-        if rumour.life < self.life or self.left or rumour.state == State.ALIVE \
-                or rumour.incarnation < self.incarnation:
+        if (
+            rumour.life < self.life
+            or self.left
+            or rumour.state == State.ALIVE
+            or rumour.incarnation < self.incarnation
+        ):
             return False
         self.incarnation = rumour.incarnation + 1
-        self.doubted(1)                             # others had a reason
+        self.doubted(1)  # others had a reason
         self.counts["refuted"] += 1
         self.refute()
         return True
@@ -262,8 +302,16 @@
     def suspect(self, member):
         if member.state == State.ALIVE:
             self.counts["suspected"] += 1
-            self.hear(Rumour(member.name, member.address, member.life, member.incarnation,
-                             int(State.SUSPECT), self.name))
+            self.hear(
+                Rumour(
+                    member.name,
+                    member.address,
+                    member.life,
+                    member.incarnation,
+                    int(State.SUSPECT),
+                    self.name,
+                )
+            )
             # Duties wait for it: not only with what goes anyway.
             able = [m for m in self.members.values() if m.state == State.ALIVE]
             for other in self.sample(able, min(self.terms.helpers, len(able))):
@@ -330,7 +378,7 @@
             return
         member = self.members.get(message.name)
         if member is not None and message.life < member.life:
-            self.counts["stale"] += 1               # a former life, or its replay
+            self.counts["stale"] += 1  # a former life, or its replay
             self.send(source, Kind.STALE, told=(member.rumour(),))
             return
         if member is None or message.life > member.life:
@@ -340,7 +388,7 @@
             self.counts["replayed"] += 1
             return
         if message.seq == member.seen:
-            member.address = source                 # its newest word: that is where it is now
+            member.address = source  # its newest word: that is where it is now
         self.counts["received"] += 1
         member.heard, member.strikes = now, 0
         for rumour in message.rumours:
@@ -352,7 +400,7 @@
             # Meant for who was at this address before: to answer would keep that one alive.
             self.send(source, Kind.NEWS, told=(self.myself(),))
         elif kind == Kind.PING:
-            told = (member.rumour(),) if member.state >= State.SUSPECT else ()     # it may refute that
+            told = (member.rumour(),) if member.state >= State.SUSPECT else ()  # it may refute that
             self.send(source, Kind.ACK, message.nonce, told=told)
         elif kind == Kind.ACK:
             self.answered(message.nonce)
@@ -379,8 +427,9 @@
         if not self.send(address, Kind.PING, nonce, name, told=told):
             return None
         over = self.now + (self.terms.period if back is None else self.terms.patience) * stretch
-        asked = self.asked[nonce] = Asked(nonce, name, address, self.now,
-                                          self.now + self.terms.patience * stretch, over)
+        asked = self.asked[nonce] = Asked(
+            nonce, name, address, self.now, self.now + self.terms.patience * stretch, over
+        )
         asked.back, asked.back_nonce = back, back_nonce
         return asked
 
@@ -454,7 +503,7 @@
         others at the second time."""
         member = self.members.get(asked.name)
         if member is None or member.state != State.ALIVE:
-            asked.due = asked.over                  # it was given up or never known: once will do
+            asked.due = asked.over  # it was given up or never known: once will do
             return
         asked.due += self.terms.patience * (1 + self.doubt)
         asked.tries += 1
@@ -463,8 +512,9 @@
             return
         able = [m for m in self.members.values() if m.state == State.ALIVE and m.name != asked.name]
         for helper in self.sample(able, min(self.terms.helpers, len(able))):
-            asked.asked += self.send(helper.address, Kind.REQUEST, asked.nonce, asked.name,
-                                     address=asked.address)
+            asked.asked += self.send(
+                helper.address, Kind.REQUEST, asked.nonce, asked.name, address=asked.address
+            )
 
     def unanswered(self, asked):
         if asked.back is not None:
@@ -472,12 +522,12 @@
             return
         member = self.members.get(asked.name)
         if member is None or member.address != asked.address or member.state != State.ALIVE:
-            return                                  # that a suspect is silent is nothing new
+            return  # that a suspect is silent is nothing new
         # Lifeguard: who hears not even from the helpers has reason to doubt itself.
         missing = asked.asked - asked.nacks
         if member.heard >= asked.since:
             self.doubted(missing)
-            return                                  # it spoke meanwhile: its answers were lost
+            return  # it spoke meanwhile: its answers were lost
         member.strikes += 1
         if member.strikes < STRIKES:
             self.ping(asked.name, asked.address)
@@ -490,7 +540,7 @@
         known = {m.address for m in self.members.values() if m.state <= State.SUSPECT}
         dead = [m.address for m in self.members.values() if m.state == State.DEAD]
         lost = sorted((self.peers | set(dead)) - known - {self.address})
-        tries = 1 if self.members else 3            # alone yet: sooner
+        tries = 1 if self.members else 3  # alone yet: sooner
         for address in self.sample(lost, min(tries, len(lost))):
             member = self.member_at(address)
             self.ping(member.name if member is not None else "", address)
@@ -583,6 +633,7 @@
 
 class Kept:
     """A note with since when it holds, and how often it was told."""
+
     __slots__ = ("note", "since", "sent")
 
     def __init__(self, note, since):
--- a/kestrelbend/net/accept_queue.py
+++ b/kestrelbend/net/accept_queue.py
@@ -6,6 +6,7 @@
 listens before anything heavy is imported, notes when each request came, refuses at once what cannot wait, and
 hands the rest over with the bytes read so far.  It imports nothing that takes time, and decides nothing else.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -18,15 +19,16 @@
 import threading
 import time
 
-MOST = 64               # connections held at most, and no more than a quarter of the descriptors that the
-SHARE = 4               # process may hold; others wait in the kernel's line
-SHORTEST_S = 0.5        # a client that waits no longer is refused at once
-PART = 0.4              # and any other once so much of its time has passed
+MOST = 64  # connections held at most, and no more than a quarter of the descriptors that the
+SHARE = 4  # process may hold; others wait in the kernel's line
+SHORTEST_S = 0.5  # a client that waits no longer is refused at once
+PART = 0.4  # and any other once so much of its time has passed
 TURN_MS = 20
-BOUND_S = 0.5           # one refused is closed when its client has read that, or after so long
+BOUND_S = 0.5  # one refused is closed when its client has read that, or after so long
 LONGEST_HEAD = 1 << 14
-REFUSAL = (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
-           b"Connection: close\r\n\r\n")
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 TIMEOUT = re.compile(rb"\r\nX-Timeout:[ \t]*([0-9.]{1,16})[ \t]*\r\n", re.IGNORECASE)
 
 
@@ -54,6 +56,7 @@
     with open(path, "rb") as file:
         if path.endswith(".toml"):
             import tomllib
+
             return tomllib.load(file)
         return json.load(file)
 
@@ -70,12 +73,13 @@
 
 class Held:
     """A connection whose request, as far as it has come, waits for the gateway."""
+
     __slots__ = ("socket", "data", "came", "wait", "refused")
 
     def __init__(self, connection):
         connection.setblocking(False)
         self.socket, self.data, self.came, self.wait = connection, b"", time.monotonic_ns(), None
-        self.refused = None             # monotonic nanoseconds
+        self.refused = None  # monotonic nanoseconds
 
     def read(self, looked):
         """False once its client has left.  What the machine tells no age of may have come at any time
@@ -86,14 +90,14 @@
             return True
         except OSError:
             return False
-        if self.refused is not None:    # a close over unread bytes would reset it, and the refusal with it
+        if self.refused is not None:  # a close over unread bytes would reset it, and the refusal with it
             return bool(more)
         waited = 1000 * age(self.socket)
         self.data, self.came = self.data + more, time.monotonic_ns() - waited if waited else looked
         if self.wait is None and b"\r\n\r\n" in self.data:
             told = TIMEOUT.search(self.data)
             try:
-                self.wait = float(told[1]) if told else 0.0     # 0: none told, it can wait
+                self.wait = float(told[1]) if told else 0.0  # 0: none told, it can wait
             except ValueError:
                 self.wait = 0.0
         return bool(more)
@@ -115,8 +119,8 @@
 class AcceptQueue:
     def __init__(self, listener, most=None):
         self.listener, self.held, self.refused, self.most = listener, {}, 0, MOST if most is None else most
-        self.ending = {}                        # those refused
-        self.empty = time.monotonic_ns()        # when no connection waited to be taken in, last
+        self.ending = {}  # those refused
+        self.empty = time.monotonic_ns()  # when no connection waited to be taken in, last
         self.wake_read, self.wake_write = os.pipe()
         self.poll = select.poll()
         listener.setblocking(False)
@@ -150,7 +154,7 @@
                 elif not self.held[fd].read(looked):
                     self.drop(fd)
                 elif len(self.held[fd].data) >= LONGEST_HEAD:
-                    self.poll.unregister(fd)            # the rest is for the gateway to read
+                    self.poll.unregister(fd)  # the rest is for the gateway to read
             looked = time.monotonic_ns()
             self.accept()
             for fd in [fd for fd, held in self.held.items() if held.over()]:
@@ -158,7 +162,7 @@
                 held.refuse()
                 self.refused += 1
             late = [fd for fd, held in self.ending.items() if looked - held.refused > BOUND_S * 1e9]
-            for fd in late or list(self.ending)[:max(0, len(self.ending) - self.most)]:
+            for fd in late or list(self.ending)[: max(0, len(self.ending) - self.most)]:
                 self.end(fd)
 
     def accept(self):
--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -1,4 +1,5 @@
 """Backends: carries deliveries and probes on aiohttp's client, and says what came of each."""
+
 from __future__ import annotations
 
 import asyncio
@@ -19,8 +20,18 @@
 from .counter import TURN
 from .tally import counters, must
 
-NOT_PASSED = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-              "content-length", "expect", "x-timeout"}
+NOT_PASSED = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "x-timeout",
+}
 AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 PASSED_BACK = ("Content-Type", "Content-Encoding")
 
@@ -38,16 +49,17 @@
     """Nothing is written: no connection can be made, and one rests for a moment after its answer."""
 
 
-SENDING = ContextVar("sending")     # of the running task
-TURNS = 4               # of the loop, in which what lies unread at either end is read
-REST_S = 0.03           # after an answer, in which a second one may come
-FIRST_RESTS = 3         # in which a backend has to be silent before its connections need none
-RESTS_AFTER_NOISE = 100     # the same, once it spoke out of its turn
+SENDING = ContextVar("sending")  # of the running task
+TURNS = 4  # of the loop, in which what lies unread at either end is read
+REST_S = 0.03  # after an answer, in which a second one may come
+FIRST_RESTS = 3  # in which a backend has to be silent before its connections need none
+RESTS_AFTER_NOISE = 100  # the same, once it spoke out of its turn
 
 
 class Sending:
     """What is known of one sending: to whom, on which connection, whether it makes one, and whether a byte of
     it may have been written; `d` and `request` are none for a probe."""
+
     __slots__ = ("backend", "peer", "d", "request", "link", "answers", "connects", "begun")
 
     def __init__(self, backend, peer, d=None, request=None):
@@ -68,8 +80,11 @@
         """Whether its first byte may be written now: rule 3 counts from then, a client may have gone or got
         its answer, its time or the window for repeats be over since the delivery was decided."""
         peer, d = self.peer, self.d
-        if (self.backend.state is not State.READY or self.backend in peer.barred
-                or self.link.endpoint != peer.endpoints.get(self.backend)):
+        if (
+            self.backend.state is not State.READY
+            or self.backend in peer.barred
+            or self.link.endpoint != peer.endpoints.get(self.backend)
+        ):
             return False
         return d is None or not (d.inv.done or self.request.left() or peer.clock() >= d.begin_by)
 
@@ -122,6 +137,7 @@
     Time alone tells a second answer that comes late from the next request's, and resting every connection
     after every answer costs handshakes: so a backend earns that its connections need no rest, and loses it by
     bytes out of its turn."""
+
     __slots__ = ("rests",)
 
     def __init__(self):
@@ -245,14 +261,21 @@
         # Closed here before the far side's machine does: what is written after that would be lost.
         must(hasattr(aiohttp.TCPConnector, "_release"), "client_keeps_connections_back")
         self.connector = connector = RestingConnector(
-            trust, limit=0, keepalive_timeout=max(0.0, idle), happy_eyeballs_delay=None)
+            trust, limit=0, keepalive_timeout=max(0.0, idle), happy_eyeballs_delay=None
+        )
         must(hasattr(connector, "_factory"), "client_reads_one_answer_a_request")
         connector._factory = partial(
-            Answers, asyncio.get_running_loop(), settings["connect_timeout"] / 1e6, trust)
+            Answers, asyncio.get_running_loop(), settings["connect_timeout"] / 1e6, trust
+        )
         self.session = aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
-            skip_auto_headers=AUTO_HEADERS, trace_configs=[trace()],
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=settings["connect_timeout"] / 1e6))
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            trust_env=False,
+            skip_auto_headers=AUTO_HEADERS,
+            trace_configs=[trace()],
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=settings["connect_timeout"] / 1e6),
+        )
         # It would send a GET again by itself when a kept connection breaks; each sending is a delivery.
         must(hasattr(self.session, "_retry_connection"), "client_resends_can_be_stopped")
         self.session._retry_connection = False
@@ -265,8 +288,8 @@
         self.sockets, self.connecting = sockets, 0
         # Where each backend is; the links to those that were ever sent to; by delivery: its task; probes.
         self.endpoints, self.links, self.running, self.tasks = {}, {}, {}, set()
-        self.trust = defaultdict(Trust)     # by backend, as long as it stays at its address
-        self.barred = {}        # backends that a list not yet taken in takes off or moves, by that list
+        self.trust = defaultdict(Trust)  # by backend, as long as it stays at its address
+        self.barred = {}  # backends that a list not yet taken in takes off or moves, by that list
 
     # Addresses.
 
@@ -339,7 +362,8 @@
             left = (d.until - self.clock()) / 1e6
             headers = [*passed_on(request.headers), ("X-Timeout", f"{max(0.0, left):.3f}")]
             status, answer, got = await self.exchange(
-                sending, request.method, request.target, left, headers=headers, data=request.body or None)
+                sending, request.method, request.target, left, headers=headers, data=request.body or None
+            )
             result, load = self.outcome(status, got), load_report(got.get("X-Server-Load"))
             answer = answer, {name: got[name] for name in PASSED_BACK if name in got}
             actual = told(got.get("Api-Charge"), self.settings["most_units"] or 1e9) or 0
@@ -371,7 +395,7 @@
                     try:
                         answer = await self.ask(link, sending, method, target, **more)
                         break
-                    except Stale:               # another connection, perhaps a new one
+                    except Stale:  # another connection, perhaps a new one
                         sending.over()
                     except Settling:
                         await asyncio.sleep(REST_S)
@@ -385,8 +409,12 @@
     @staticmethod
     async def ask(link, sending, method, target, **more):
         async with link.session.request(
-                method, URL(f"http://{link.endpoint}{target}", encoded=True), allow_redirects=False,
-                trace_request_ctx=sending, **more) as response:
+            method,
+            URL(f"http://{link.endpoint}{target}", encoded=True),
+            allow_redirects=False,
+            trace_request_ctx=sending,
+            **more,
+        ) as response:
             length = response.content_length
             if length is None and response.headers.get("Transfer-Encoding") != "chunked":
                 raise aiohttp.ClientPayloadError("nothing tells where it ends")
@@ -395,7 +423,7 @@
             body = bytearray()
             async for part in response.content.iter_any():
                 body += part
-                if len(body) > LONGEST_BODY:        # one that never ends would fill the memory
+                if len(body) > LONGEST_BODY:  # one that never ends would fill the memory
                     raise aiohttp.ClientPayloadError("longer than the protocol allows")
         return response.status, bytes(body), response.headers
 
@@ -425,8 +453,9 @@
         reports, sending = self.settings["load_reports"] != "none", Sending(backend, self)
         result, load, sent = Result.CANCELLED, None, self.clock()
         try:
-            status, body, _ = await self.exchange(sending, "GET", "/_load" if reports else "/ping",
-                                                  self.settings["connect_timeout"] / 1e6)
+            status, body, _ = await self.exchange(
+                sending, "GET", "/_load" if reports else "/ping", self.settings["connect_timeout"] / 1e6
+            )
             result = Result.SUCCEEDED if status == 200 else Result.ERRORED
             load = load_report(body) if reports and status == 200 else None
         except Exception as trouble:
--- a/kestrelbend/net/clients.py
+++ b/kestrelbend/net/clients.py
@@ -1,4 +1,5 @@
 """Clients: takes their requests in on aiohttp's low-level server and writes the answers."""
+
 from __future__ import annotations
 
 import asyncio
@@ -20,19 +21,36 @@
 log = logging.getLogger(__name__)
 READY, MEMBERS = "/_health", "/_members"
 LONGEST_BODY = 1 << 16  # bytes, by the protocol
-QUIET_S = 2.0           # a connection with no open request may end after that, by the protocol
-LOOK_S = 0.2            # between looks for such connections
-LAST_IN_S = 0.3         # to take in what waits to be accepted when it shuts
-SETTLE = 0.005          # seconds: some turns of the loop
-CUSTOMERS = 1 << 33     # their numbers stay below, by the protocol
+QUIET_S = 2.0  # a connection with no open request may end after that, by the protocol
+LOOK_S = 0.2  # between looks for such connections
+LAST_IN_S = 0.3  # to take in what waits to be accepted when it shuts
+SETTLE = 0.005  # seconds: some turns of the loop
+CUSTOMERS = 1 << 33  # their numbers stay below, by the protocol
 
 
 class Request:
     """One request as it came, and the fields that decisions need; `answer` is settled once.  What is not in
     the protocol's form is not guessed at: under a customer's name it would spoil what is known of it."""
-    __slots__ = ("method", "target", "headers", "body", "id", "operation", "plan", "customer", "wait",
-                 "units", "spread", "retry", "came", "answer", "inv", "connection")
-    front = None            # by another way than this listener
+
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "id",
+        "operation",
+        "plan",
+        "customer",
+        "wait",
+        "units",
+        "spread",
+        "retry",
+        "came",
+        "answer",
+        "inv",
+        "connection",
+    )
+    front = None  # by another way than this listener
 
     def __init__(self, method, target, headers, body, came, settings):
         self.method, self.target, self.headers, self.body = method, target, headers, body
@@ -83,12 +101,13 @@
 class Connection(web.RequestHandler):
     """aiohttp's handler of one connection, with since when no request is open on it, whether one has begun to
     come, and whether it ends with its present answer."""
+
     __slots__ = ("since", "begun", "ending", "came", "held", "closing")
 
     def __init__(self, server, held=None, **more):
         super().__init__(server, **more)
         self.since, self.begun, self.ending = self._loop.time(), False, False
-        self.came = None        # monotonic nanoseconds: when bytes came that were read before it was made
+        self.came = None  # monotonic nanoseconds: when bytes came that were read before it was made
         self.held, self.closing = held, None
 
     def connection_made(self, transport):
@@ -120,14 +139,14 @@
         self.close()
 
     def data_received(self, data):
-        if self.closing.ending:         # read after the shutdown: its client asks again elsewhere
+        if self.closing.ending:  # read after the shutdown: its client asks again elsewhere
             counters["bytes_after_the_shutdown"] += len(data)
             return
         if data and self in self._manager.busy:
             self.alone()
         elif not self.begun:
             self.begun = True
-            if self in self._manager.idle:      # it has its time anew: it may come in pieces
+            if self in self._manager.idle:  # it has its time anew: it may come in pieces
                 self.since = self._loop.time()
         super().data_received(data)
 
@@ -136,8 +155,14 @@
     """aiohttp's low-level server, which knows its connections and which of them wait for an answer."""
 
     def __init__(self, handle, sockets):
-        super().__init__(handle, request_factory=self.message, handler_cancellation=True, access_log=None,
-                         auto_decompress=False, lingering_time=0)
+        super().__init__(
+            handle,
+            request_factory=self.message,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            lingering_time=0,
+        )
         self.sockets, self.open = sockets, set()
         # Those with an open request; those that asked before, longest idle first; those that never did.
         self.busy, self.idle, self.fresh = set(), {}, {}
@@ -147,8 +172,9 @@
 
     @staticmethod
     def message(message, payload, protocol, writer, task):
-        return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
-                               client_max_size=LONGEST_BODY)
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, asyncio.get_running_loop(), client_max_size=LONGEST_BODY
+        )
 
     def connection_made(self, handler, transport):
         super().connection_made(handler, transport)
@@ -194,11 +220,11 @@
         silent, longest = (next(filter(self.rests, some), None) for some in (self.fresh, self.idle))
         ends = next((h for h in self.open if h.closing.ending), None)
         if ends is not None and self.sockets.too_many() < 0:
-            ends.closing.transport.close()      # there would be room but for it
+            ends.closing.transport.close()  # there would be room but for it
             return True
         if silent is not None and (now - silent.since > 4 * SETTLE or longest is None):
             self.fresh.pop(silent)
-            silent.closing.transport.close()    # no answer is on the way there: its descriptor goes at once
+            silent.closing.transport.close()  # no answer is on the way there: its descriptor goes at once
         elif longest is not None:
             self.idle.pop(longest)
             self.hang_up(longest)
@@ -219,25 +245,31 @@
         late += [h for h in self.idle if h.begun and h.since < before]
         for handler in late:
             # What lies unread, perhaps the rest of a request, is read first; a body may be half read.
-            if handler.transport is None or readable(handler.transport) or handler in self.busy \
-                    or handler.asked() and handler._current_request is None:
+            if (
+                handler.transport is None
+                or readable(handler.transport)
+                or handler in self.busy
+                or handler.asked()
+                and handler._current_request is None
+            ):
                 continue
             counters["requests_too_slow" if handler.begun else "connections_silent"] += 1
             if handler.begun:
-                handler.transport.write(b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
-                                        b"Connection: close\r\n\r\n")
+                handler.transport.write(
+                    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                )
             handler.force_close()
 
 
 class Clients:
     def __init__(self, queue, clock, settings, sockets, spare, longest):
         self.queue, self.clock, self.sockets, self.spare = queue, clock, sockets, spare
-        self.settings, self.ids = settings, {}              # open requests by their ids
+        self.settings, self.ids = settings, {}  # open requests by their ids
         self.operations = {op.name for op in settings["operations"]}
         self.plans = {plan.name for plan in settings["plans"]}
-        self.longest, self.leaving = longest, False         # seconds that an invocation may take
-        self.shut, self.waiting = False, None   # takes no new connection but those that wait; woken by one
-        self.behind = None      # monotonic nanoseconds: what waits to be accepted came after; None: nothing
+        self.longest, self.leaving = longest, False  # seconds that an invocation may take
+        self.shut, self.waiting = False, None  # takes no new connection but those that wait; woken by one
+        self.behind = None  # monotonic nanoseconds: what waits to be accepted came after; None: nothing
         self.server = self.listener = self.accepting = self.looking = self.view = None
 
     async def start(self, listen, accept_queue=None):
@@ -275,7 +307,7 @@
             await asyncio.sleep(LOOK_S)
             try:
                 self.server.end_silent()
-                for _ in range(self.sockets.too_many()):        # the limit was lowered meanwhile
+                for _ in range(self.sockets.too_many()):  # the limit was lowered meanwhile
                     self.server.make_room()
             except Exception:
                 self.fault("look")
@@ -301,7 +333,7 @@
                 if trouble.errno in (errno.EMFILE, errno.ENFILE):
                     self.server.make_room()
                 await asyncio.sleep(10 * SETTLE)
-            except Exception:           # of the program: it must not be the last connection taken
+            except Exception:  # of the program: it must not be the last connection taken
                 self.fault("accept")
                 await asyncio.sleep(10 * SETTLE)
 
@@ -342,16 +374,20 @@
         if self.behind is None:
             return connection, None
         held = Held(connection)
-        held.read(self.behind)          # one whose client left is noticed as any other
+        held.read(self.behind)  # one whose client left is noticed as any other
         return connection, held
 
     async def handle(self, message):
         if message.method == "GET" and message.path == READY:
             response = web.Response(status=503 if self.leaving else 200)
             self.server.answered(message.protocol)
-        elif self.view is not None and message.path == MEMBERS and message.method == "GET" \
-                and str(message.remote).startswith("127."):
-            response = web.json_response(self.view())       # staff on this machine: `kestrelbend members`
+        elif (
+            self.view is not None
+            and message.path == MEMBERS
+            and message.method == "GET"
+            and str(message.remote).startswith("127.")
+        ):
+            response = web.json_response(self.view())  # staff on this machine: `kestrelbend members`
             self.server.answered(message.protocol)
         else:
             response = await self.invocation(message)
@@ -367,10 +403,16 @@
                 raise web.HTTPRequestEntityTooLarge(LONGEST_BODY, message.content_length)
             if message.headers.get("Expect", "").lower() == "100-continue":
                 await message.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                message.writer.output_size = 0          # the answer itself has not begun
+                message.writer.output_size = 0  # the answer itself has not begun
             body = await message.read() if message.body_exists else b""
-            request = Request(message.method, message.raw_path, message.headers, body,
-                              self.clock() - self.waited(message), self.settings)
+            request = Request(
+                message.method,
+                message.raw_path,
+                message.headers,
+                body,
+                self.clock() - self.waited(message),
+                self.settings,
+            )
             if request.operation not in self.operations or request.plan not in self.plans:
                 raise ValueError("no such operation or plan")
             if request.id in self.ids:
@@ -449,6 +491,6 @@
                 self.server.hang_up(handler)
             await asyncio.sleep(4 * SETTLE)
         for request in [r for r in self.ids.values() if not r.answer.done()]:
-            self.errored(request)       # nobody is left without an answer, whatever holds it up
+            self.errored(request)  # nobody is left without an answer, whatever holds it up
             self.queue.put_nowait(("left", request))
         await asyncio.sleep(4 * SETTLE)
--- a/kestrelbend/net/closing.py
+++ b/kestrelbend/net/closing.py
@@ -4,11 +4,12 @@
 holds is lost with it.  So only the writing side is shut down; what comes meanwhile is read and dropped, never
 served, until the client has closed its own side or a short bound is over.
 """
+
 from __future__ import annotations
 
 import select
 
-BOUND_S = 0.5           # after the last byte is handed to the machine; then the rest is the client's loss
+BOUND_S = 0.5  # after the last byte is handed to the machine; then the rest is the client's loss
 
 
 def readable(transport):
@@ -41,7 +42,7 @@
         self.ending = True
         self.sockets.ending += 1
         try:
-            self.transport.resume_reading()     # its client's end is seen by reading alone
+            self.transport.resume_reading()  # its client's end is seen by reading alone
             self.transport.write_eof()
         except (OSError, RuntimeError):
             self.transport.close()
--- a/kestrelbend/net/configuration.py
+++ b/kestrelbend/net/configuration.py
@@ -1,4 +1,5 @@
 """What a gateway is told at its start: environment and configuration file, checked once."""
+
 from __future__ import annotations
 
 import json
@@ -13,26 +14,26 @@
 class Told:
     name: str
     listen: tuple[str, int]
-    discovery: str                      # host:port
+    discovery: str  # host:port
     counter: tuple[str, int] | None
     seed: int
-    sockets: int                        # descriptors that the process may hold
-    known: dict[str, Any] | None        # the list as this gateway last had it
+    sockets: int  # descriptors that the process may hold
+    known: dict[str, Any] | None  # the list as this gateway last had it
     settings: dict[str, Any]
-    again: Callable[[], Told] | None = None     # reads anew what may have been replaced since
+    again: Callable[[], Told] | None = None  # reads anew what may have been replaced since
     logs: tuple[str, str] = ("key-value", "info")
-    members: Any = None                 # config.installation.MembersTold, where gateways may speak
-    news: Any = None                    # NewsTold, where gateways tell each other of use
-    checks: Any = None                  # fronts.attributes.Checks
-    authorisers: Any = ()               # fronts.asking.Authoriser
+    members: Any = None  # config.installation.MembersTold, where gateways may speak
+    news: Any = None  # NewsTold, where gateways tell each other of use
+    checks: Any = None  # fronts.attributes.Checks
+    authorisers: Any = ()  # fronts.asking.Authoriser
 
 
 @dataclass(slots=True)
 class NewsTold:
     listen: tuple[str, int]
-    peers: list[tuple[str, int]]        # by the gateways' numbers
+    peers: list[tuple[str, int]]  # by the gateways' numbers
     all: tuple[str, int]
-    most_in: float                      # datagrams that a gateway takes a second
+    most_in: float  # datagrams that a gateway takes a second
 
 
 def address(text, what):
@@ -69,11 +70,18 @@
     discovery = need("ROUTER_DISCOVERY", "discovery")
     address(discovery, "discovery")
     return Told(
-        name=need("ROUTER_NAME", "name"), listen=address(need("ROUTER_LISTEN", "listen"), "listen"),
-        discovery=discovery, seed=seed, sockets=sockets, known=given.get("known"),
+        name=need("ROUTER_NAME", "name"),
+        listen=address(need("ROUTER_LISTEN", "listen"), "listen"),
+        discovery=discovery,
+        seed=seed,
+        sockets=sockets,
+        known=given.get("known"),
         counter=address(given["counter"], "counter") if given.get("counter") else None,
-        settings=settings(dict(flatten(given["settings"]))), again=lambda: read(os.environ, anew=True),
-        members=platform_members(env, given), news=platform_news(env, given))
+        settings=settings(dict(flatten(given["settings"]))),
+        again=lambda: read(os.environ, anew=True),
+        members=platform_members(env, given),
+        news=platform_news(env, given),
+    )
 
 
 def platform_news(env, given):
@@ -82,12 +90,19 @@
     stated, limits = given["settings"], given["settings"].get("policyLimits", {})
     most_in = stated.get("familyInfo", {}).get("peerInPerS", 0)
     off = env.get("KESTRELBEND_MEMBERS") or env.get("KESTRELBEND_NEWS") == "off"
-    if off or not limits.get("peers") or not most_in or not all(
-            given.get(name) for name in ("peer_listen", "peers", "peers_all")):
+    if (
+        off
+        or not limits.get("peers")
+        or not most_in
+        or not all(given.get(name) for name in ("peer_listen", "peers", "peers_all"))
+    ):
         return None
-    return NewsTold(listen=address(given["peer_listen"], "peer_listen"), most_in=float(most_in),
-                    peers=[address(peer, "peers") for peer in given["peers"]],
-                    all=address(given["peers_all"], "peers_all"))
+    return NewsTold(
+        listen=address(given["peer_listen"], "peer_listen"),
+        most_in=float(most_in),
+        peers=[address(peer, "peers") for peer in given["peers"]],
+        all=address(given["peers_all"], "peers_all"),
+    )
 
 
 def platform_members(env, given):
@@ -99,12 +114,16 @@
     from ..config.installation import Members
     from ..config.reading import Wrong, convert
     import tomllib
+
     try:
         with open(path, "rb") as file:
             stated = tomllib.load(file)
         number = int(given["settings"].get("index", 0))
-        stated |= {"listen": given["peer_listen"], "peers": list(given["peers"]),
-                   "seen_at": given["peers"][number]}
+        stated |= {
+            "listen": given["peer_listen"],
+            "peers": list(given["peers"]),
+            "seen_at": given["peers"][number],
+        }
         made, faults = convert(Members, stated)
         if faults:
             raise Wrong(path, faults)
@@ -117,13 +136,23 @@
     """An installation's own file (TOML); raises Malformed with all that is wrong with it."""
     from ..config.installation import Installation
     from ..config.reading import Wrong, toml
+
     try:
         stated = toml(path, Installation)
     except Wrong as wrong:
         raise Malformed(str(wrong)) from None
-    return Told(name=stated.name, listen=stated.listen.pair, discovery=str(stated.discovery),
-                counter=stated.counter_at.pair if stated.counter_at else None, seed=int(stated.seed, 16),
-                sockets=stated.limits.sockets, known=None, settings=stated.settings(),
-                again=lambda: read_file(path), logs=(stated.logs.form, stated.logs.level),
-                members=stated.members.told(stated.name) if stated.members else None,
-                checks=stated.checks, authorisers=stated.authorisers)
+    return Told(
+        name=stated.name,
+        listen=stated.listen.pair,
+        discovery=str(stated.discovery),
+        counter=stated.counter_at.pair if stated.counter_at else None,
+        seed=int(stated.seed, 16),
+        sockets=stated.limits.sockets,
+        known=None,
+        settings=stated.settings(),
+        again=lambda: read_file(path),
+        logs=(stated.logs.form, stated.logs.level),
+        members=stated.members.told(stated.name) if stated.members else None,
+        checks=stated.checks,
+        authorisers=stated.authorisers,
+    )
--- a/kestrelbend/net/counter.py
+++ b/kestrelbend/net/counter.py
@@ -1,4 +1,5 @@
 """The counter service: CNT.ADD over RESP2, on as many connections as calls are out beside one another."""
+
 from __future__ import annotations
 
 import asyncio
@@ -10,8 +11,8 @@
 from ..interface import Result
 from .tally import counters
 
-CONNECTIONS = 8     # at most
-TURN = 0.001        # seconds: the loop reads its sockets once before a timer so far off
+CONNECTIONS = 8  # at most
+TURN = 0.001  # seconds: the loop reads its sockets once before a timer so far off
 
 
 class Connection(asyncio.Protocol):
@@ -51,7 +52,7 @@
     def connection_lost(self, _=None):
         self.over = True
         for call in self.pending:
-            call.end(Result.TIMED_OUT)      # written whole: it may have been added
+            call.end(Result.TIMED_OUT)  # written whole: it may have been added
         for call in self.waiting:
             call.end(Result.UNREACHABLE)
         self.pending.clear()
--- a/kestrelbend/net/datagrams.py
+++ b/kestrelbend/net/datagrams.py
@@ -1,4 +1,5 @@
 """Datagrams between gateways: each becomes an event of the owner's queue."""
+
 from __future__ import annotations
 
 import asyncio
--- a/kestrelbend/net/gateway.py
+++ b/kestrelbend/net/gateway.py
@@ -1,4 +1,5 @@
 """One real gateway: puts its parts together, reloads at SIGHUP, drains at SIGTERM."""
+
 from __future__ import annotations
 
 import asyncio
@@ -22,7 +23,7 @@
 from .roster import Roster, entries
 from .tally import counters
 
-LINGER_S = 0.5          # new connections go on coming so long after SIGTERM
+LINGER_S = 0.5  # new connections go on coming so long after SIGTERM
 
 
 def make_clock():
@@ -42,8 +43,9 @@
     clock, queue = make_clock(), asyncio.Queue()
     shares = told.members is not None and probes_shared(told.settings, told.members.share_probes)
     # Probes that are a duty of one gateway are asked by `Owner`; the module then asks none of its own.
-    owner = Owner({**told.settings, "may_probe": told.settings["may_probe"] and not shares}, told.seed, clock,
-                  queue)
+    owner = Owner(
+        {**told.settings, "may_probe": told.settings["may_probe"] and not shares}, told.seed, clock, queue
+    )
     owner.gateway.born -= loading
     sockets = tally.Sockets(told.sockets)
     owner.backend_peer = Backends(queue, clock, told.settings, sockets)
@@ -64,11 +66,13 @@
     if told.checks is not None or told.authorisers:
         await grpc_fronts(told, owner, queue, clock)
     if told.news is not None:
-        from .news import NewsPeer              # optional, as is what follows
+        from .news import NewsPeer  # optional, as is what follows
+
         owner.news = NewsPeer(told.news, queue, owner)
         await owner.news.start(owner.gateway.rng.random())
     if told.members is not None:
-        from .peers import Peers                # optional: nothing of it is loaded where it is off
+        from .peers import Peers  # optional: nothing of it is loaded where it is off
+
         owner.peers = Peers(told.members, queue, owner, told.seed, shares)
         await owner.peers.start()
         owner.clients.view = owner.peers.view
@@ -82,9 +86,11 @@
     try:
         if told.authorisers:
             from ..fronts.grpc.authorisers import Authorisers
+
             owner.authorisers = Authorisers(told.authorisers, queue, clock)
         if told.checks is not None:
             from ..fronts.grpc.check import Checks
+
             owner.checks = Checks(told.checks, owner.settings, queue, clock)
             owner.checks.backend_name = lambda backend: str(owner.backend_ids.get(backend, ""))
             await owner.checks.start()
@@ -107,8 +113,10 @@
     owner.clients.sockets.most = new.sockets
     if repr(new.settings) != repr(told.settings):
         logging.warning("settings changed: they hold from the next start")
-    logging.info("configuration taken", extra={"discovery": new.discovery, "counter": "%s:%d" % new.counter
-                                               if new.counter else "none"})
+    logging.info(
+        "configuration taken",
+        extra={"discovery": new.discovery, "counter": "%s:%d" % new.counter if new.counter else "none"},
+    )
 
 
 def tell(owner):
--- a/kestrelbend/net/lines.py
+++ b/kestrelbend/net/lines.py
@@ -1,4 +1,5 @@
 """Logging: structlog renders what the logging module is given, as key=value lines or as JSON lines."""
+
 from __future__ import annotations
 
 import logging
@@ -26,12 +27,21 @@
 
 def formatter(form):
     structlog = plain_structlog()
-    last = (structlog.processors.JSONRenderer() if form == "json" else
-            structlog.processors.LogfmtRenderer(key_order=FIRST, bool_as_flag=False))
+    last = (
+        structlog.processors.JSONRenderer()
+        if form == "json"
+        else structlog.processors.LogfmtRenderer(key_order=FIRST, bool_as_flag=False)
+    )
     return structlog.stdlib.ProcessorFormatter(
-        foreign_pre_chain=[structlog.stdlib.add_log_level, structlog.stdlib.ExtraAdder(),
-                           dated, structlog.processors.format_exc_info, traced],
-        processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, stated, last])
+        foreign_pre_chain=[
+            structlog.stdlib.add_log_level,
+            structlog.stdlib.ExtraAdder(),
+            dated,
+            structlog.processors.format_exc_info,
+            traced,
+        ],
+        processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, stated, last],
+    )
 
 
 def plain_structlog():
@@ -66,8 +76,9 @@
     """Keys in one order, values as text or numbers."""
     ordered = {key: event.pop(key) for key in FIRST if key in event}
     ordered.update(event)
-    return {key: value if isinstance(value, (int, float, str)) else str(value)
-            for key, value in ordered.items()}
+    return {
+        key: value if isinstance(value, (int, float, str)) else str(value) for key, value in ordered.items()
+    }
 
 
 def no_bad_requests(record):
--- a/kestrelbend/net/news.py
+++ b/kestrelbend/net/news.py
@@ -1,4 +1,5 @@
 """The UDP side of the news of use between gateways: carries `shares.news`, in the owner's task."""
+
 from __future__ import annotations
 
 import asyncio
@@ -17,19 +18,22 @@
         self.told, self.queue, self.owner = told, queue, owner
         settings, gateway = owner.settings, owner.gateway
         self.numbers = {pair: number for number, pair in enumerate(told.peers)}
-        self.core = gateway.news = News(settings["gateways"], settings["gateway"], settings["plans"],
-                                        told.most_in, gateway.now)
+        self.core = gateway.news = News(
+            settings["gateways"], settings["gateway"], settings["plans"], told.most_in, gateway.now
+        )
 
     async def start(self, part):
         """`part`: of the first period, drawn, so that not all gateways speak at once."""
         loop = asyncio.get_running_loop()
-        _, self.carrier = await loop.create_datagram_endpoint(lambda: Carrier(self.queue),
-                                                              local_addr=self.told.listen)
+        _, self.carrier = await loop.create_datagram_endpoint(
+            lambda: Carrier(self.queue), local_addr=self.told.listen
+        )
         self.later(part)
 
     def later(self, part=1.0):
-        asyncio.get_running_loop().call_later(part * self.core.period / 1e6, self.queue.put_nowait,
-                                              ("news_due",))
+        asyncio.get_running_loop().call_later(
+            part * self.core.period / 1e6, self.queue.put_nowait, ("news_due",)
+        )
 
     def due(self):
         meter = self.core.meter
@@ -50,5 +54,6 @@
         except Unreadable as trouble:
             counters["news_unreadable"] += 1
             if counters["news_unreadable"] == 1:
-                log.warning("a datagram that cannot be read", extra={
-                    "why": str(trouble), "source": "%s:%d" % source})
+                log.warning(
+                    "a datagram that cannot be read", extra={"why": str(trouble), "source": "%s:%d" % source}
+                )
--- a/kestrelbend/net/owner.py
+++ b/kestrelbend/net/owner.py
@@ -1,4 +1,5 @@
 """The one task that owns the module: events come in by its queue, effects go out to the peers."""
+
 from __future__ import annotations
 
 import asyncio
@@ -10,15 +11,15 @@
 
 log = logging.getLogger(__name__)
 FAULTS_LOGGED = 20
-PROBES_S = 0.1          # between looks at which backends this gateway has to probe
+PROBES_S = 0.1  # between looks at which backends this gateway has to probe
 
 
 class Owner(Host):
     def __init__(self, settings, seed, clock, queue):
         super().__init__(settings, seed, clock())
         self.clock, self.queue, self.requests = clock, queue, {}
-        self.gone = {}                  # backends off the list, and since when
-        self.late = 0                   # how late alarms came of late: the gateway is short of CPU
+        self.gone = {}  # backends off the list, and since when
+        self.late = 0  # how late alarms came of late: the gateway is short of CPU
         self.clients = self.backend_peer = self.roster = self.counter = self.peers = self.news = None
         self.checks = self.authorisers = None
 
@@ -63,9 +64,8 @@
         op = self.operations[request.operation]
         customer = self.account(request.plan, request.customer, request.spread)
         wait = op.timeout if request.wait is None else round(request.wait * 1e6)
-        until = request.came + wait - min(self.late, wait // 4)     # its last alarm will be late, too
-        inv = request.inv = Invocation(op, customer, request.came, until, request.units,
-                                        request.retry)
+        until = request.came + wait - min(self.late, wait // 4)  # its last alarm will be late, too
+        inv = request.inv = Invocation(op, customer, request.came, until, request.units, request.retry)
         self.requests[inv] = request
         if request.answer.cancelled():
             inv.done = True
@@ -78,7 +78,7 @@
     def on_ended(self, d, result, took, answer, load, actual, used=None):
         request = self.requests.get(d.inv)
         if request is not None and request.front is not None:
-            d.inv.done = True           # its answer was that it was let in
+            d.inv.done = True  # its answer was that it was let in
         final = result is Result.SUCCEEDED and not d.inv.done
         if final:
             self.clients.succeeded(self.requests[d.inv], *answer)
@@ -89,7 +89,7 @@
         if d.inv.done or d.inv not in self.requests:
             self.ended(d, Result.VOID, 0, False, None, 0)
         else:
-            d.sent = self.gateway.now           # their time is not the backend's
+            d.sent = self.gateway.now  # their time is not the backend's
             self.backend_peer.deliver(d, self.requests[d.inv])
 
     def on_refused(self, d, result, denial):
@@ -110,7 +110,7 @@
     def on_probed(self, backend, result, took, load):
         self.probed(backend, result, took, load)
         if self.peers is not None and self.peers.probing is not None:
-            self.gateway.heed(backend, load)        # asked as a duty: no generator of the module waits for it
+            self.gateway.heed(backend, load)  # asked as a duty: no generator of the module waits for it
             self.peers.probed(backend, load)
 
     def on_datagram(self, source, data):
