--- a/kestrelbend/net/peers.py
+++ b/kestrelbend/net/peers.py
@@ -1,4 +1,5 @@
 """The UDP side: carries membership between gateways and the duties that rest on it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -39,8 +40,9 @@
 
     async def start(self):
         loop = asyncio.get_running_loop()
-        _, self.carrier = await loop.create_datagram_endpoint(lambda: Carrier(self.queue),
-                                                              local_addr=self.told.listen)
+        _, self.carrier = await loop.create_datagram_endpoint(
+            lambda: Carrier(self.queue), local_addr=self.told.listen
+        )
         self.after()
 
     # Events, in the owner's task.
@@ -69,8 +71,14 @@
         core = self.core
         while core.changes:
             change = core.changes.popleft()
-            log.info("member", extra={"name_": change.member.name, "state": change.state.name.lower(),
-                                      "at": "%s:%d" % unpacked(change.member.address)})
+            log.info(
+                "member",
+                extra={
+                    "name_": change.member.name,
+                    "state": change.state.name.lower(),
+                    "at": "%s:%d" % unpacked(change.member.address),
+                },
+            )
         if core.conflict is not None:
             self.give_way(core.conflict)
         if self.probing is not None:
@@ -91,12 +99,21 @@
 
     def give_way(self, rumour):
         """Another one serves under this name: this one goes on under a name of its own."""
-        own = f"{self.told.name[:24]}~{self.core.life & 0xffffff:x}"
-        log.error("two gateways have one name; this one takes another", extra={
-            "name_": self.core.name, "other": "%s:%d" % unpacked(rumour.address), "now": own})
+        own = f"{self.told.name[:24]}~{self.core.life & 0xFFFFFF:x}"
+        log.error(
+            "two gateways have one name; this one takes another",
+            extra={"name_": self.core.name, "other": "%s:%d" % unpacked(rumour.address), "now": own},
+        )
         old = self.core
-        self.core = Swim(own, self.address, old.life + 1, old.terms, Random(old.life), self.now(),
-                         [packed(pair) for pair in self.told.peers])
+        self.core = Swim(
+            own,
+            self.address,
+            old.life + 1,
+            old.terms,
+            Random(old.life),
+            self.now(),
+            [packed(pair) for pair in self.told.peers],
+        )
         for member in old.members.values():
             if member.state <= State.SUSPECT:
                 self.core.hear(member.rumour(), tell=False)
@@ -147,16 +164,23 @@
         if lease.verdict in (GRANTED, DENIED):
             holder = self.holders.get(lease.duty)
             if holder is not None and holder.me == who:
-                self.answered(holder, member.address, lease.verdict == GRANTED, lease.fence,
-                              lease.wait_ms * MS, lease.asked)
+                self.answered(
+                    holder,
+                    member.address,
+                    lease.verdict == GRANTED,
+                    lease.fence,
+                    lease.wait_ms * MS,
+                    lease.asked,
+                )
         elif (lease.holder, lease.life) == (member.name, member.life):
             if lease.verdict == BACK:
                 self.voter.given_back(lease.duty, lease.fence, who)
                 return
             granted, fence, wait = self.voter.ask(now, lease.duty, lease.fence, who)
             verdict = GRANTED if granted else DENIED
-            self.core.ask_lease(member.address,
-                                Lease(lease.duty, fence, *who, verdict, wait // MS, lease.asked))
+            self.core.ask_lease(
+                member.address, Lease(lease.duty, fence, *who, verdict, wait // MS, lease.asked)
+            )
 
     def answered(self, holder, voter, granted, fence, wait, asked):
         if granted:
@@ -173,22 +197,44 @@
         if self.probing is not None:
             for duty, (_, owner) in self.probing.deal.best.items():
                 duties.setdefault(owner, []).append(duty)
-        rows = [{"name": core.name, "state": "left" if core.left else "alive", "life": core.life,
-                 "incarnation": core.incarnation, "address": "%s:%d" % unpacked(core.address),
-                 "since_s": None, "duties": sorted(duties.get(core.name, ())),
-                 "self": True, "doubt": core.doubt,
-                 "leases": {d: h.fence for d, h in self.holders.items() if h.holds(now)}}]
+        rows = [
+            {
+                "name": core.name,
+                "state": "left" if core.left else "alive",
+                "life": core.life,
+                "incarnation": core.incarnation,
+                "address": "%s:%d" % unpacked(core.address),
+                "since_s": None,
+                "duties": sorted(duties.get(core.name, ())),
+                "self": True,
+                "doubt": core.doubt,
+                "leases": {d: h.fence for d, h in self.holders.items() if h.holds(now)},
+            }
+        ]
         for m in sorted(core.members.values(), key=lambda m: m.name):
-            rows.append({"name": m.name, "state": m.state.name.lower(), "life": m.life,
-                         "incarnation": m.incarnation, "address": "%s:%d" % unpacked(m.address),
-                         "since_s": round((now - m.since) / 1e6, 1),
-                         "duties": sorted(duties.get(m.name, ()))})
+            rows.append(
+                {
+                    "name": m.name,
+                    "state": m.state.name.lower(),
+                    "life": m.life,
+                    "incarnation": m.incarnation,
+                    "address": "%s:%d" % unpacked(m.address),
+                    "since_s": round((now - m.since) / 1e6, 1),
+                    "duties": sorted(duties.get(m.name, ())),
+                }
+            )
         return rows
 
     def report(self):
         for row in self.view():
-            log.info("member", extra={"name_": row["name"], **{k: v for k, v in row.items() if k != "name"},
-                                      "duties": len(row["duties"])})
+            log.info(
+                "member",
+                extra={
+                    "name_": row["name"],
+                    **{k: v for k, v in row.items() if k != "name"},
+                    "duties": len(row["duties"]),
+                },
+            )
 
     def leave(self):
         for holder in self.holders.values():
--- a/kestrelbend/net/roster.py
+++ b/kestrelbend/net/roster.py
@@ -1,4 +1,5 @@
 """Discovery: asks for the whole list, then watches it for changes."""
+
 from __future__ import annotations
 
 import asyncio
@@ -14,13 +15,13 @@
 
 log = logging.getLogger(__name__)
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
-WANTS = (State.GONE, State.DRAINING, State.READY)       # least first
-WAIT_MS = 2000          # a watch waits so long at discovery
-PATIENCE_S = 0.75       # beyond that, until a call that says nothing is joined by another; then twice as long
-GIVEN_UP_S = 3.0        # a call, whatever it says by then
-AGAIN_S = 0.1           # between failed calls
-FIRST_S = 0.3           # a start waits so long for the first list
-WHOLE_AFTER_S = 4.0     # after a whole list, the next one is asked for, whatever the watch tells
+WANTS = (State.GONE, State.DRAINING, State.READY)  # least first
+WAIT_MS = 2000  # a watch waits so long at discovery
+PATIENCE_S = 0.75  # beyond that, until a call that says nothing is joined by another; then twice as long
+GIVEN_UP_S = 3.0  # a call, whatever it says by then
+AGAIN_S = 0.1  # between failed calls
+FIRST_S = 0.3  # a start waits so long for the first list
+WHOLE_AFTER_S = 4.0  # after a whole list, the next one is asked for, whatever the watch tells
 
 
 def entries(told):
@@ -53,8 +54,15 @@
             counters["doubled_rows"] += 1
             if WANTS.index(rows[uid][4]) <= WANTS.index(state):
                 continue
-        rows[uid] = (uid, str(row.get("az", "")), str(row.get("model", "")), row.get("pod_group", 0), state,
-                     weight, started)
+        rows[uid] = (
+            uid,
+            str(row.get("az", "")),
+            str(row.get("model", "")),
+            row.get("pod_group", 0),
+            state,
+            weight,
+            started,
+        )
         endpoints.update({uid: endpoint} if endpoint else {})
     return version, whole, list(rows.values()), endpoints
 
@@ -65,9 +73,9 @@
     def __init__(self, queue, address, heard=lambda told: None):
         self.queue, self.base, self.heard = queue, address, heard
         self.session = self.watching = None
-        self.asked = asyncio.Event()    # discovery has answered once, or does not
+        self.asked = asyncio.Event()  # discovery has answered once, or does not
         self.forget()
-        self.faults = {"unreadable_rows": 0, "doubled_rows": 0}     # as last logged
+        self.faults = {"unreadable_rows": 0, "doubled_rows": 0}  # as last logged
         self.empty = False
 
     def forget(self):
@@ -92,7 +100,7 @@
             self.base = address
             self.forget()
             if self.watching is not None:
-                self.watching.cancel()          # with its calls; what one of them answers now is not taken
+                self.watching.cancel()  # with its calls; what one of them answers now is not taken
                 self.watching = None
             self.watch()
 
@@ -106,13 +114,15 @@
         # What is kept idle beside the watch may have fallen silent with it: it goes soon.
         self.session = self.session or aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=PATIENCE_S, happy_eyeballs_delay=None),
-            trust_env=False, cookie_jar=aiohttp.DummyCookieJar())
+            trust_env=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
         failing, loop = False, asyncio.get_running_loop()
         while True:
             at = loop.time()
             try:
                 told = await self.answer()
-            except Exception as trouble:        # whatever discovery says, it is asked again
+            except Exception as trouble:  # whatever discovery says, it is asked again
                 counters["discovery_failed"] += 1
                 self.asked.set()
                 if not failing:
@@ -129,7 +139,7 @@
             new = self.take(told)
             self.asked.set()
             if not new and loop.time() - at < AGAIN_S:
-                await asyncio.sleep(AGAIN_S)    # an answer at once that says nothing, perhaps for ever
+                await asyncio.sleep(AGAIN_S)  # an answer at once that says nothing, perhaps for ever
 
     async def first(self):
         """Until discovery has told its list, or says nothing."""
@@ -162,16 +172,17 @@
                 else:
                     patience = 2 * PATIENCE_S
         finally:
-            for task in calls:                  # what is overtaken says nothing new
+            for task in calls:  # what is overtaken says nothing new
                 if not task.cancel() and not task.cancelled():
-                    task.exception()            # nor how it failed
+                    task.exception()  # nor how it failed
 
     async def call(self, wait):
         """One call, by which changes are waited for so many milliseconds."""
         query = "" if self.since is None else f"?since={self.since}&timeout_ms={wait}"
         async with asyncio.timeout(GIVEN_UP_S):
-            async with self.session.get(f"http://{self.base}/catalog/members{query}",
-                                        allow_redirects=False) as response:
+            async with self.session.get(
+                f"http://{self.base}/catalog/members{query}", allow_redirects=False
+            ) as response:
                 text = await response.read()
         if response.status != 200:
             raise Malformed(f"discovery: status {response.status}")
--- a/kestrelbend/net/signals.py
+++ b/kestrelbend/net/signals.py
@@ -1,5 +1,6 @@
 """Signals that come while the program is still being loaded: by default they would end it, and what the
 accept queue holds would be lost."""
+
 from __future__ import annotations
 
 import signal
--- a/kestrelbend/net/tally.py
+++ b/kestrelbend/net/tally.py
@@ -1,4 +1,5 @@
 """Counters of what the gateway took in, sent and answered; printed on request and at exit."""
+
 from __future__ import annotations
 
 import logging
@@ -16,7 +17,7 @@
     is free, but for the last eighth."""
 
     def __init__(self, most):
-        self.most, self.clients, self.ending = most, 0, 0       # ending: of the clients, those half closed
+        self.most, self.clients, self.ending = most, 0, 0  # ending: of the clients, those half closed
 
     @staticmethod
     def held():
@@ -27,8 +28,11 @@
             return sys.maxsize
 
     def room_for_client(self, coming=0):
-        return (self.too_many(coming) < 0 and self.clients + coming < self.most * 9 // 16
-                and self.held() + coming < self.most * 15 // 16)
+        return (
+            self.too_many(coming) < 0
+            and self.clients + coming < self.most * 9 // 16
+            and self.held() + coming < self.most * 15 // 16
+        )
 
     def too_many(self, coming=0):
         """Clients beyond their half."""
--- a/kestrelbend/routing/pool.py
+++ b/kestrelbend/routing/pool.py
@@ -10,16 +10,17 @@
 that it works out alone.  The places step by the golden section, so that any number of gateways cover the ring
 evenly and gateways with neighbouring numbers, which share customers, share few backends.
 """
+
 from __future__ import annotations
 
 import math
 
 SECOND = 1_000_000
 GOLDEN = (math.sqrt(5) - 1) / 2
-HEARD = 2 * SECOND          # a member should be sent to about so often
-LEAST = 8                   # members at least, so that a lost zone leaves some
-COMPARED = 24               # members looked at for one delivery
-MEMORY = 10 * SECOND        # sends are counted over about so long
+HEARD = 2 * SECOND  # a member should be sent to about so often
+LEAST = 8  # members at least, so that a lost zone leaves some
+COMPARED = 24  # members looked at for one delivery
+MEMORY = 10 * SECOND  # sends are counted over about so long
 GROWS, SHRINKS = 1.25, 0.6  # the pool follows its pace by such steps, or connections would come and go
 
 
@@ -31,8 +32,8 @@
     def __init__(self, gateways, gateway, now):
         self.gateways, self.gateway = gateways, gateway
         self.order, self.members, self.reach = [], [], 0
-        self.rooms, self.out = 0.0, 0                   # sums over the members
-        self.width, self.returns = LEAST, math.inf      # wanted members; when the next one benched is back
+        self.rooms, self.out = 0.0, 0  # sums over the members
+        self.width, self.returns = LEAST, math.inf  # wanted members; when the next one benched is back
         self.sends, self.since = 0, now
 
     def listed(self, targets):
@@ -69,7 +70,7 @@
 
     def reached(self):
         """The members and those that would be, were they not benched."""
-        return self.order[:self.reach]
+        return self.order[: self.reach]
 
     def sharers(self):
         """About how many gateways use each backend that this one uses."""
--- a/kestrelbend/shares/meter.py
+++ b/kestrelbend/shares/meter.py
@@ -1,20 +1,22 @@
 """The meter: one gateway that sums what all report, and works out what share of a customer's first tries
 there is room for.  No I/O, no clock and no chance of its own."""
+
 from __future__ import annotations
 
 from .messages import Share
 
 SECOND = 1_000_000
-HORIZON = 3.0               # seconds over which what is left of a burst is given out, or an excess paid back
-MOVES = 0.5                 # how far a period moves what is asked for
-RETRY_SHARE, RETRY_FLOOR = 0.20, 0.5   # marked retries over first tries; those count as so much of the rate
-LEAST = 0.02                # share of the one that asks most, so that it is heard of
-FORGOTTEN = 0.05            # units a second: who asks for less and has its burst back is forgotten
-MOST = 4096                 # customers held; beyond, those that ask least go
+HORIZON = 3.0  # seconds over which what is left of a burst is given out, or an excess paid back
+MOVES = 0.5  # how far a period moves what is asked for
+RETRY_SHARE, RETRY_FLOOR = 0.20, 0.5  # marked retries over first tries; those count as so much of the rate
+LEAST = 0.02  # share of the one that asks most, so that it is heard of
+FORGOTTEN = 0.05  # units a second: who asks for less and has its burst back is forgotten
+MOST = 4096  # customers held; beyond, those that ask least go
 
 
 class Metered:
     """One customer: what is left of its burst, and its tries a second of late."""
+
     __slots__ = ("plan", "left", "asked", "retries", "now_asked", "now_let_in", "now_retries")
 
     def __init__(self, plan, burst):
@@ -32,7 +34,7 @@
         """A report: Use by customer."""
         for key, use in uses.items():
             if use.plan >= len(self.plans) or not self.plans[use.plan].rate:
-                continue                    # not a plan of these settings: one of another release
+                continue  # not a plan of these settings: one of another release
             at = self.customers.get(key)
             if at is None:
                 at = self.customers[key] = Metered(self.plans[use.plan], self.plans[use.plan].burst)
--- a/kestrelbend/shares/news.py
+++ b/kestrelbend/shares/news.py
@@ -6,6 +6,7 @@
 never heard one reports to the first, which is asked to be the meter by that: a fleet that starts has news a
 period sooner.  While nobody is heard, no share is known, and the gateway decides as it would without news.
 """
+
 from __future__ import annotations
 
 from . import messages
@@ -14,12 +15,12 @@
 
 SECOND = 1_000_000
 SHORTEST = 4 * SECOND // 5  # a period, at least
-FILLED = 0.75               # the part of a gateway's datagrams a second that reports take
-STALE = 2.5                 # periods without news: the meter is gone, and its news with it
-LISTENS = 1.2               # periods after a start in which a meter that there is would be heard
-STEP = 0.1                  # periods that each next gateway waits longer before it takes over
-MOST_PARTS = 2              # datagrams of news in a period
-MOST_HELD = 512             # customers with use to tell
+FILLED = 0.75  # the part of a gateway's datagrams a second that reports take
+STALE = 2.5  # periods without news: the meter is gone, and its news with it
+LISTENS = 1.2  # periods after a start in which a meter that there is would be heard
+STEP = 0.1  # periods that each next gateway waits longer before it takes over
+MOST_PARTS = 2  # datagrams of news in a period
+MOST_HELD = 512  # customers with use to tell
 
 
 class News:
@@ -74,7 +75,7 @@
             return [(to, messages.report(self.count, self.taken()))]
         self.meter.add(self.taken(messages.USES * 4))
         self.shares, self.heard = self.meter.shares(now), now
-        most = list(self.shares.items())[:MOST_PARTS * messages.SHARES]
+        most = list(self.shares.items())[: MOST_PARTS * messages.SHARES]
         return [(None, data) for data in messages.news(self.count, dict(most))]
 
     def receive(self, number, data, now):
@@ -90,7 +91,7 @@
             return
         if self.meter is not None:
             if number > self.number:
-                return                      # it will hear this one
+                return  # it will hear this one
             self.meter = None
         if self.who not in (None, number) and self.who < number and now - self.heard < STALE * self.period:
             return
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -52,9 +52,7 @@
         if not stores_first and not member.serves_control:
             continue
         preference = 0 if member.serves_storage == stores_first else 1
-        found.append(
-            Candidate(member.replica, member.address, member.node, member.zone, preference)
-        )
+        found.append(Candidate(member.replica, member.address, member.node, member.zone, preference))
     return sorted(found, key=lambda candidate: (candidate.preference, candidate.address))
 
 
@@ -109,17 +107,13 @@
     free = [candidate for candidate in available if candidate.replica not in voters]
     if not free:
         return None
-    return min(
-        free, key=lambda candidate: (candidate.preference, candidate.zone in zones, candidate.address)
-    )
+    return min(free, key=lambda candidate: (candidate.preference, candidate.zone in zones, candidate.address))
 
 
 def _prefer(voters: list[str], available: list[Candidate], by_replica: dict[str, Candidate]) -> None:
     """Replaces one voter of a lesser class where one of the preferred class is free."""
     free = [
-        candidate
-        for candidate in available
-        if candidate.preference == 0 and candidate.replica not in voters
+        candidate for candidate in available if candidate.preference == 0 and candidate.replica not in voters
     ]
     for place, replica in enumerate(voters):
         held = by_replica.get(replica)
@@ -133,9 +127,7 @@
     return [f"{BUDGET_PREFIX}{number}" for number in range(BUDGET_SHARDS)]
 
 
-def found_budget_shards(
-    placed: Iterable[str], size: int, available: list[Candidate]
-) -> list[ShardPlacement]:
+def found_budget_shards(placed: Iterable[str], size: int, available: list[Candidate]) -> list[ShardPlacement]:
     """The first placement of the budget shards not placed yet, their owners spread over the replicas."""
     known = set(placed)
     chosen = next_voters((), size, available, lambda replica: 0.0)
--- a/kestrelbend/tier/membership/table.py
+++ b/kestrelbend/tier/membership/table.py
@@ -70,9 +70,7 @@
 
     def silence(self, replica: str, now: float) -> float:
         """Seconds since the process with this disk was heard of; infinite for one never heard of."""
-        heard = [
-            row.heard for row in self._rows.values() if row.heartbeat.member.replica == replica
-        ]
+        heard = [row.heard for row in self._rows.values() if row.heartbeat.member.replica == replica]
         return now - max(heard) if heard else float("inf")
 
     def reports(self) -> dict[str, ShardReport]:
--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -270,6 +270,4 @@
 
 def record_of(shard: ShardId, replica: ReplicaId, state: DurableState) -> DurableRecord:
     """All that the disk holds of a replica that is not open, in one record."""
-    return DurableRecord(
-        shard, replica, state.epoch, state.voted_for, tuple(state.entries), state.snapshot
-    )
+    return DurableRecord(shard, replica, state.epoch, state.voted_for, tuple(state.entries), state.snapshot)
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -358,12 +358,8 @@
         if node not in self.configuration.state.retiring:
             return None
         now = self.now()
-        holders = {
-            voter for report in self.members.reports().values() for voter in report.voters
-        }
-        wanted = {
-            voter for placed in self.configuration.state.placements for voter in placed.voters
-        }
+        holders = {voter for report in self.members.reports().values() for voter in report.voters}
+        wanted = {voter for placed in self.configuration.state.placements for voter in placed.voters}
         for member in self.members.members(now, within=60.0):
             if member.node == node and member.replica in holders | wanted:
                 return "running"
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -110,9 +110,7 @@
         super().on_directory()
         placed = self.directory.placements
         if self.budget_client is None and all(shard in placed for shard in budget_shards()):
-            self.budget_client = BudgetClient(
-                self._send_budget, self._budget_addresses, BUDGET_SHARDS
-            )
+            self.budget_client = BudgetClient(self._send_budget, self._budget_addresses, BUDGET_SHARDS)
 
     def wanted_links(self):
         """Control nodes, and all that may own a budget shard."""
@@ -148,9 +146,7 @@
 
     def spent_locally(self, program: str, most: int, budget: int) -> bool:
         """Whether the last total seen already refuses the turn."""
-        return self.budget_client is not None and self.budget_client.spent_locally(
-            program, most, budget
-        )
+        return self.budget_client is not None and self.budget_client.spent_locally(program, most, budget)
 
     # Backends
 
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -281,9 +281,7 @@
     def heartbeat(self) -> Heartbeat:
         """What this process tells its monitors now."""
         self._beat += 1
-        return Heartbeat(
-            self.member, self._beat, self.config_version(), self.leaving, self.shard_reports()
-        )
+        return Heartbeat(self.member, self._beat, self.config_version(), self.leaving, self.shard_reports())
 
     def _send_heartbeat(self) -> None:
         heartbeat = self.heartbeat()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Tests that are known to fail for a fault not yet mended: KNOWN-RED.txt at the root, a line each, as
 `test | cause | issue`.  Just these are expected to fail, strictly: one that passes fails the run, as does a
 line that names no test or is not in this form, or one line too many."""
+
 import pathlib
 
 import pytest
@@ -29,7 +30,7 @@
         found = [item for item in items if item.nodeid == test]
         for item in found:
             item.add_marker(pytest.mark.xfail(strict=True, reason=f"{cause} ({issue})"))
-        if not found and config.args == config.getini("testpaths"):     # of the whole suite
+        if not found and config.args == config.getini("testpaths"):  # of the whole suite
             raise pytest.UsageError(f"{FILE.name}: names no test: {test}")
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """Stand-ins: a front end on the wire's host, fed by hand; and what a real gateway speaks to on sockets."""
+
 import asyncio
 import itertools
 import json
@@ -18,13 +19,32 @@
 
 MS = 1000
 BASE = {
-    "classes.count": 1, "classes.0.name": "op", "classes.0.effect": "idempotent", "classes.0.keyScope": "all",
-    "classes.0.keyTtl": 2000, "classes.0.objective": 1000, "classes.0.deadline": 3000,
-    "contracts.count": 1, "contracts.0.name": "plan", "contracts.0.refill": 2, "contracts.0.storeSize": 6,
-    "familyInfo.mayCount": "true", "familyInfo.countWait": 30, "index": 0, "instances": 2, "myZone": "a",
-    "policyLimits.cancelling": "true", "policyLimits.mayDuplicate": "true", "policyLimits.tryLimit": 3,
-    "tick": 1, "rules.cold": 10000, "rules.coldFrom": 0.2, "rules.fall": 2000, "rules.fallMultiple": 2,
-    "rules.askWithin": 8000, "discovery": "automatic",
+    "classes.count": 1,
+    "classes.0.name": "op",
+    "classes.0.effect": "idempotent",
+    "classes.0.keyScope": "all",
+    "classes.0.keyTtl": 2000,
+    "classes.0.objective": 1000,
+    "classes.0.deadline": 3000,
+    "contracts.count": 1,
+    "contracts.0.name": "plan",
+    "contracts.0.refill": 2,
+    "contracts.0.storeSize": 6,
+    "familyInfo.mayCount": "true",
+    "familyInfo.countWait": 30,
+    "index": 0,
+    "instances": 2,
+    "myZone": "a",
+    "policyLimits.cancelling": "true",
+    "policyLimits.mayDuplicate": "true",
+    "policyLimits.tryLimit": 3,
+    "tick": 1,
+    "rules.cold": 10000,
+    "rules.coldFrom": 0.2,
+    "rules.fall": 2000,
+    "rules.fallMultiple": 2,
+    "rules.askWithin": 8000,
+    "discovery": "automatic",
 }
 
 
@@ -32,8 +52,9 @@
     def __init__(self, now=1_000_000 * MS, seed=7, **changes):
         pairs = {**BASE, **{key.replace("__", "."): value for key, value in changes.items()}}
         self.now, self.out = now, []
-        self.inst = Instance("g/0", seed, terms.settings({k: str(v) for k, v in pairs.items()}), now,
-                             self.out)
+        self.inst = Instance(
+            "g/0", seed, terms.settings({k: str(v) for k, v in pairs.items()}), now, self.out
+        )
         self.gateway = self.inst.gateway
 
     def tell(self, message, *values):
@@ -46,8 +67,19 @@
         self.tell("roster_change", rows, 1, kind, len(rows))
 
     def accept(self, number, left=3000, units=1.0, spread=2, retry=False, customer="c"):
-        self.tell("accept", [], number, "op", "plan", customer, self.now + left * MS, units, spread, 0,
-                  codec.RETRY_FLAG if retry else 0)
+        self.tell(
+            "accept",
+            [],
+            number,
+            "op",
+            "plan",
+            customer,
+            self.now + left * MS,
+            units,
+            spread,
+            0,
+            codec.RETRY_FLAG if retry else 0,
+        )
         return self.inst.invs.get(number)
 
     def returned(self, number, trial, result, took=100, ended=None, actual=0):
@@ -88,6 +120,7 @@
 
 # Stand-ins for what a real gateway speaks to, from the published protocols; `play` is what the next ones do.
 
+
 class Stand:
     """A TCP server on loopback with its connections; closed at the end of a test."""
 
@@ -145,7 +178,7 @@
                 await reader.read()
                 self.left += 1
                 return
-            if what.startswith(b"raw "):        # as it stands, on a connection that stays open
+            if what.startswith(b"raw "):  # as it stands, on a connection that stays open
                 for part in what[4:].split(b"<a moment later>"):
                     writer.write(part)
                     await asyncio.sleep(0.02)
@@ -193,7 +226,7 @@
                 if what is None:
                     total = self.totals[name] = self.totals.get(name, 0.0) + float(add)
                     what = b"$%d\r\n%s" % (len(b"%g" % total), b"%g" % total)
-                if what == "stall":             # the whole process stands still with the answer unread
+                if what == "stall":  # the whole process stands still with the answer unread
                     writer.write(b"$1\r\n9\r\n")
                     time.sleep(0.05)
                 elif what != "silent":
@@ -201,18 +234,30 @@
 
 
 def row(uid, stand, state="ready", started=0):
-    return {"uid": uid, "endpoint": stand.address, "az": "a", "model": "m", "pod_group": 1, "state": state,
-            "capacity_hint": 1.0, "boot_ms": started}
+    return {
+        "uid": uid,
+        "endpoint": stand.address,
+        "az": "a",
+        "model": "m",
+        "pod_group": 1,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": started,
+    }
 
 
 class World:
     """A gateway on loopback sockets between stand-ins."""
 
     def __init__(self, backends=1, **changes):
-        self.pairs = {**BASE, "policyLimits.connectTimeout": 100, "policyLimits.idleClose": 5000,
-                      **{key.replace("__", "."): value for key, value in changes.items()}}
+        self.pairs = {
+            **BASE,
+            "policyLimits.connectTimeout": 100,
+            "policyLimits.idleClose": 5000,
+            **{key.replace("__", "."): value for key, value in changes.items()},
+        }
         self.backends = [StandBackend() for _ in range(backends)]
-        self.numbers = itertools.count(0x9b1f)
+        self.numbers = itertools.count(0x9B1F)
 
     async def __aenter__(self):
         self.counter = await StandCounter().open()
@@ -221,9 +266,17 @@
         self.rows = [row(f"s{n}", backend) for n, backend in enumerate(self.backends)]
         self.discovery = await StandDiscovery(*self.rows).open()
         self.listen = free_address()
-        self.told = Told("n0", self.listen, self.discovery.address, ("127.0.0.1", self.counter.port), 7, 256,
-                         None, terms.settings({k: str(v) for k, v in self.pairs.items()}),
-                         again=lambda: configuration.read(os.environ, anew=True))
+        self.told = Told(
+            "n0",
+            self.listen,
+            self.discovery.address,
+            ("127.0.0.1", self.counter.port),
+            7,
+            256,
+            None,
+            terms.settings({k: str(v) for k, v in self.pairs.items()}),
+            again=lambda: configuration.read(os.environ, anew=True),
+        )
         self.owner, self.serving = await start(self.told)
         await self.until(lambda: len(self.owner.listed) == len(self.rows))
         return self
@@ -253,15 +306,29 @@
             while not held():
                 await asyncio.sleep(0.005)
 
-    async def ask(self, path="/op/00000000000000c1", method="GET", body=b"", wait="1.0", plan="plan",
-                  on=None, number=None, terms="units=1,spread=2,first=0", more="", listen=None):
+    async def ask(
+        self,
+        path="/op/00000000000000c1",
+        method="GET",
+        body=b"",
+        wait="1.0",
+        plan="plan",
+        on=None,
+        number=None,
+        terms="units=1,spread=2,first=0",
+        more="",
+        listen=None,
+    ):
         """(status, headers, body) of one request, on a connection of its own unless one is given."""
         reader, writer = on or await asyncio.open_connection(*(listen or self.listen))
         number = next(self.numbers) if number is None else number
-        writer.write(f"{method} {path} HTTP/1.1\r\nHost: api\r\n"
-                     f"X-Request-ID: {number}\r\nApi-Plan: {plan}\r\nX-Timeout: {wait}\r\n"
-                     f"Api-Terms: {terms}\r\nX-Odd: \u00e9 b\r\n{more}"
-                     f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        writer.write(
+            f"{method} {path} HTTP/1.1\r\nHost: api\r\n"
+            f"X-Request-ID: {number}\r\nApi-Plan: {plan}\r\nX-Timeout: {wait}\r\n"
+            f"Api-Terms: {terms}\r\nX-Odd: \u00e9 b\r\n{more}"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
         try:
             line, headers, answer = await asyncio.wait_for(read_request(reader), 5)
         finally:
--- a/tests/test_authorisation.py
+++ b/tests/test_authorisation.py
@@ -1,5 +1,6 @@
 """External authorisation over gRPC: asking authorisers that stall, break, restart and refuse; answering a
 proxy that cancels, floods and says too little."""
+
 import asyncio
 import json
 import os
@@ -45,8 +46,10 @@
         world = await self.world.__aenter__()
         for stand in self.stands:
             await stand.start()
-        rows = [Authoriser(**({"name": f"a{n}", "target": f"127.0.0.1:{stand.port}"} | self.stated))
-                for n, stand in enumerate(self.stands)]
+        rows = [
+            Authoriser(**({"name": f"a{n}", "target": f"127.0.0.1:{stand.port}"} | self.stated))
+            for n, stand in enumerate(self.stands)
+        ]
         world.owner.authorisers = Authorisers(rows, world.owner.queue, world.owner.clock)
         return world, *self.stands
 
@@ -71,6 +74,7 @@
             assert told.context_extensions["plan"] == "plan" and told.context_extensions["units"] == "1"
             assert len(second.seen) == 1 and len(world.backends[0].seen) == 1
             assert not world.owner.authorisers.running
+
     run(test())
 
 
@@ -81,6 +85,7 @@
             assert (status, headers["x-reason"], body) == (402, "closed account", b"not this one")
             assert "x-inner" not in headers and "set-cookie" not in headers and "x-split" not in headers
             assert not world.backends[0].seen and not world.owner.requests
+
     run(test())
 
 
@@ -90,9 +95,10 @@
     async def test():
         async with Guarded(what, when_silent=when_silent, budget=0.2) as (world, stand):
             answer, took = await timed(world.ask(wait="2"))
-            assert answer[0] == status and took < 0.5 and len(stand.seen) == 2      # asked again once
+            assert answer[0] == status and took < 0.5 and len(stand.seen) == 2  # asked again once
             assert status == 200 or "retry-after" in answer[1]
             assert len(world.backends[0].seen) == (status == 200)
+
     run(test())
 
 
@@ -103,6 +109,7 @@
             assert (await world.ask())[0] == 402 and (await world.ask())[0] == 403
             assert len(stand.seen) == 2 and not world.owner.authorisers.links[0].asking.sick
             assert not world.backends[0].seen
+
     run(test())
 
 
@@ -118,15 +125,19 @@
                 await asyncio.sleep(0.2)
                 status = (await world.ask(wait="2", path="/op/00000000000000c2"))[0]
             assert status == 200
+
     run(test())
 
 
 def test_a_frozen_authoriser_is_given_up_at_once_and_holds_nobody_elses_calls():
     """The breaker: the first calls cost their time, then nobody waits; a trial now and then finds it back."""
+
     async def test():
         async with Guarded("stall", budget=0.1, repeats=0, most_open=4) as (world, stand):
+
             async def ask(n):
                 return await timed(world.ask(f"/op/{n + 1:016x}", wait="2"))
+
             first = await asyncio.gather(*(ask(n) for n in range(8)))
             assert 503 in {answer[0] for answer, _ in first} <= {429, 503} and stand.most_open <= 4
             later = [await ask(20 + n) for n in range(10)]
@@ -139,6 +150,7 @@
                 status = (await ask(40))[0][0]
             assert status == 200
             assert not world.owner.authorisers.running and not world.owner.requests
+
     run(test())
 
 
@@ -152,6 +164,7 @@
             await world.until(lambda: not world.owner.authorisers.running and not world.owner.requests)
             assert not world.backends[0].seen
             asked.cancel()
+
     run(test())
 
 
@@ -166,9 +179,11 @@
             async def client(n):
                 answer, took = await timed(world.ask(f"/op/{n + 1:016x}", wait="0.8"))
                 assert answer[0] in (200, 402, 403, 429, 503) and took < 0.9
+
             await asyncio.gather(*(client(n) for n in range(50)))
             await world.until(lambda: not world.owner.requests and not world.owner.authorisers.running)
             assert not counters["faults"] and not any(name.startswith("broken_") for name in counters)
+
     run(test())
 
 
@@ -181,11 +196,13 @@
             assert (await world.ask(**marked))[0] in (200, 429) and len(stand.seen) == 2
             await asyncio.sleep(0.35)
             assert (await world.ask(**marked))[0] in (402, 429)
+
     run(test())
 
 
 # Without sockets.
 
+
 @given(st.lists(st.booleans(), max_size=80))
 def test_a_sound_authoriser_is_never_benched_and_a_dead_one_soon_is(outcomes):
     one, now = Asking(Authoriser("a", "h:1")), 0
@@ -215,10 +232,15 @@
     assert asking.FLOOR <= repeated <= 0.21 * 500
 
 
-RULES = Rules(customer=[Source("header", "x-customer"), Source("path", pattern="/([0-9a-f]{16})$")],
-              plan=[Source("header", "x-plan"), Source("metadata", "plans.plan")],
-              operation=[Source("path", pattern="^/([a-z]+)/")], units=[Source("header", "x-units")],
-              retry=[Source("header", "x-retried")], wait=[Source("header", "x-wait")], wait_unit="ms")
+RULES = Rules(
+    customer=[Source("header", "x-customer"), Source("path", pattern="/([0-9a-f]{16})$")],
+    plan=[Source("header", "x-plan"), Source("metadata", "plans.plan")],
+    operation=[Source("path", pattern="^/([a-z]+)/")],
+    units=[Source("header", "x-units")],
+    retry=[Source("header", "x-retried")],
+    wait=[Source("header", "x-wait")],
+    wait_unit="ms",
+)
 
 
 def read(told):
@@ -236,13 +258,22 @@
     assert read(told(x_customer="00000000000000c1")).customer == "00000000000000c1"
 
 
-@pytest.mark.parametrize("given, about, why", [
-    (told("/op/"), "customer", "missing"), (told(x_customer="other"), "customer", "contradictory"),
-    (told("/no/00000000000000c1"), "operation", "unknown"), (told(x_plan="gold"), "plan", "unknown"),
-    (told(x_units="-1"), "units", "out of range"), (told(x_units="nan"), "units", "out of range"),
-    (told(x_units="11"), "units", "out of range"), (told(x_units="many"), "units", "not a number"),
-    (told(x_wait="0"), "wait", "out of range"), (told(x_plan="a" * 1000), "plan", "not usable"),
-    (told(x_plan="pl\nan"), "plan", "not usable")])
+@pytest.mark.parametrize(
+    "given, about, why",
+    [
+        (told("/op/"), "customer", "missing"),
+        (told(x_customer="other"), "customer", "contradictory"),
+        (told("/no/00000000000000c1"), "operation", "unknown"),
+        (told(x_plan="gold"), "plan", "unknown"),
+        (told(x_units="-1"), "units", "out of range"),
+        (told(x_units="nan"), "units", "out of range"),
+        (told(x_units="11"), "units", "out of range"),
+        (told(x_units="many"), "units", "not a number"),
+        (told(x_wait="0"), "wait", "out of range"),
+        (told(x_plan="a" * 1000), "plan", "not usable"),
+        (told(x_plan="pl\nan"), "plan", "not usable"),
+    ],
+)
 def test_what_cannot_be_used_is_named(given, about, why):
     with pytest.raises(Bad) as caught:
         read(given)
@@ -250,8 +281,12 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.text(max_size=60), st.dictionaries(st.sampled_from(
-    ["x-customer", "x-plan", "x-units", "x-wait", "x-retried"]), st.text(max_size=30)))
+@given(
+    st.text(max_size=60),
+    st.dictionaries(
+        st.sampled_from(["x-customer", "x-plan", "x-units", "x-wait", "x-retried"]), st.text(max_size=30)
+    ),
+)
 def test_whatever_is_told_is_read_or_named(path, headers):
     try:
         asked = read(Told("GET", path, headers))
@@ -262,6 +297,7 @@
 
 # Answering checks.
 
+
 class Checked:
     """A gateway on loopback whose module also answers checks."""
 
@@ -271,8 +307,9 @@
     async def __aenter__(self):
         world = await self.world.__aenter__()
         stated = Checks(**({"listen": "127.0.0.1:0", "rules": RULES, "settle": 0.05} | self.stated))
-        self.front = world.owner.checks = Front(stated, world.owner.settings, world.owner.queue,
-                                                world.owner.clock)
+        self.front = world.owner.checks = Front(
+            stated, world.owner.settings, world.owner.queue, world.owner.clock
+        )
         self.front.backend_name = lambda backend: world.owner.backend_ids[backend]
         await self.front.start()
         self.proxy = StandProxy(self.front.service.port)
@@ -294,14 +331,18 @@
 
 def test_a_check_gets_the_decision_that_the_listener_gives():
     """The same requests by both ways, one after the other, to two gateways of one seed."""
+
     async def test():
-        async with Checked({"backend_header": "x-backend", "add": {"x-by": "kestrelbend"},
-                            "remove": ["x-plan"]}) as (world, front, proxy):
+        async with Checked(
+            {"backend_header": "x-backend", "add": {"x-by": "kestrelbend"}, "remove": ["x-plan"]}
+        ) as (world, front, proxy):
             checked = [await proxy.ask(path(1 + n % 3), x_plan="plan") for n in range(30)]
-            assert not world.backends[0].seen       # it only admits
+            assert not world.backends[0].seen  # it only admits
             ok = checked[0].ok_response
-            assert {o.header.key: o.header.value for o in ok.headers} == {"x-by": "kestrelbend",
-                                                                          "x-backend": "s0"}
+            assert {o.header.key: o.header.value for o in ok.headers} == {
+                "x-by": "kestrelbend",
+                "x-backend": "s0",
+            }
             assert list(ok.headers_to_remove) == ["x-plan"]
             await world.until(lambda: not world.owner.requests)
         async with World(**NEVER) as world:
@@ -310,6 +351,7 @@
         refused = next(r for r in checked if status(r) == 429)
         assert float(refused.denied_response.headers[0].header.value) > 0
         assert refused.denied_response.headers[0].header.key == "retry-after"
+
     run(test())
 
 
@@ -317,14 +359,19 @@
     async def test():
         for on_bad, wanted in (("deny", 400), ("allow", 200)):
             async with Checked({"on_bad": on_bad}) as (_, _, proxy):
-                for more in ({}, {"x_plan": "gold"}, {"x_plan": "plan", "x_units": "-2"},
-                             {"x_plan": "plan", "x_customer": "another"}):
+                for more in (
+                    {},
+                    {"x_plan": "gold"},
+                    {"x_plan": "plan", "x_units": "-2"},
+                    {"x_plan": "plan", "x_customer": "another"},
+                ):
                     got = await proxy.ask(path(1), **more)
                     assert status(got) == wanted and "Traceback" not in got.denied_response.body
                 with pytest.raises(grpc.aio.AioRpcError) as caught:
                     await proxy.ask(path(1), x_plan="plan", x_more="y" * (1 << 20))
                 assert caught.value.code() == grpc.StatusCode.RESOURCE_EXHAUSTED
                 assert status(await proxy.ask(path(1), x_plan="plan")) == 200
+
     run(test())
 
 
@@ -342,14 +389,15 @@
             assert not target.out and target.times.total == 2
             await asyncio.gather(*(proxy.ask(path(10 + n), f"e{n}", x_plan="plan") for n in range(8)))
             await proxy.report(*((f"e{n}", 503, 0.01) for n in range(8)))
-            await world.until(lambda: target.bench > 0)         # judged by what the proxy tells
+            await world.until(lambda: target.bench > 0)  # judged by what the proxy tells
+
     run(test())
 
 
 def test_a_proxy_that_cancels_leaves_nothing_behind():
     async def test():
         async with Checked(backends=1, policyLimits__maxOpen=50) as (world, front, proxy):
-            world.owner.backends["s0"].state = None             # nothing may be let in: checks wait
+            world.owner.backends["s0"].state = None  # nothing may be let in: checks wait
             before = counters["checks_left"]
             calls = [proxy.ask(path(1 + n), x_plan="plan") for n in range(20)]
             await world.until(lambda: world.owner.requests)
@@ -358,17 +406,20 @@
             await world.until(lambda: not world.owner.requests and not front.out)
             assert counters["checks_left"] > before
             await asyncio.gather(*calls, return_exceptions=True)
+
     run(test())
 
 
 def test_thousands_of_checks_on_one_connection_each_get_their_answer():
     async def test():
         async with Checked() as (world, front, proxy):
-            answers = await asyncio.gather(*(proxy.ask(path(1 + n), x_plan="plan", timeout=15.0)
-                                             for n in range(2000)))
+            answers = await asyncio.gather(
+                *(proxy.ask(path(1 + n), x_plan="plan", timeout=15.0) for n in range(2000))
+            )
             assert len(answers) == 2000 and {status(a) for a in answers} <= {200, 429, 503}
             await world.until(lambda: not world.owner.requests, 5)
             assert not counters["faults"]
+
     run(test())
 
 
@@ -388,8 +439,9 @@
                 await other.ask(path(2), x_plan="plan", timeout=0.5)
             assert caught.value.code() in (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
             await other.close()
-            assert status(await call) == 429            # given up: at once, and with its answer
+            assert status(await call) == 429  # given up: at once, and with its answer
             await leaving
+
     run(test())
 
 
@@ -415,16 +467,22 @@
     text = EXAMPLE.read_text() + FRONTS
     stated = reading.parsed(text, Installation)
     assert stated.checks.rules.plan[0].name == "starter" and stated.authorisers[0].budget == 0.2
-    wrong = (text.replace('pattern = "^/([a-z]+)"', 'pattern = "^/[a-z"')
-             .replace('target = "127.0.0.1:9002"', 'target = "nowhere"\nbudget = 3.0')
-             .replace('settle = 0.2', 'setle = 0.2'))
+    wrong = (
+        text.replace('pattern = "^/([a-z]+)"', 'pattern = "^/[a-z"')
+        .replace('target = "127.0.0.1:9002"', 'target = "nowhere"\nbudget = 3.0')
+        .replace("settle = 0.2", "setle = 0.2")
+    )
     with pytest.raises(reading.Wrong) as caught:
         reading.parsed(wrong, Installation)
     said = str(caught.value)
     assert "did you mean 'settle'" in said and "not a regular expression" in said and "'nowhere'" in said
     with pytest.raises(reading.Wrong) as caught:
-        reading.parsed(text.replace('["transfer"]', '["transfr"]').replace(
-            'name = "partner"', 'name = "partner"\nbudget = 3.0'), Installation)
+        reading.parsed(
+            text.replace('["transfer"]', '["transfr"]').replace(
+                'name = "partner"', 'name = "partner"\nbudget = 3.0'
+            ),
+            Installation,
+        )
     assert "none is named 'transfr'" in str(caught.value)
 
 
@@ -438,8 +496,15 @@
         file = tmp_path / "gateway.toml"
         file.write_text(text)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "kestrelbend", "serve", str(file), env=dict(os.environ),
-            stderr=subprocess.PIPE)
+            sys.executable,
+            "-O",
+            "-m",
+            "kestrelbend",
+            "serve",
+            str(file),
+            env=dict(os.environ),
+            stderr=subprocess.PIPE,
+        )
         channel = grpc.aio.insecure_channel("%s:%d" % checks)
         try:
             proxy = StandProxy(0)
@@ -464,11 +529,14 @@
             await channel.close()
             if process.returncode is None:
                 process.kill()
+
     run(test())
 
 
 def test_nothing_of_grpc_is_loaded_where_no_front_is_set():
-    code = ("import sys, kestrelbend.net.gateway; print([m for m in sys.modules if m.split('.')[0] in"
-            " ('grpc', 'envoy', 'google') or 'fronts' in m or 'peers' in m or 'membership' in m])")
+    code = (
+        "import sys, kestrelbend.net.gateway; print([m for m in sys.modules if m.split('.')[0] in"
+        " ('grpc', 'envoy', 'google') or 'fronts' in m or 'peers' in m or 'membership' in m])"
+    )
     got = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True)
     assert got.stdout.strip() == "[]"
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,5 @@
 """The one model of what a gateway is told, from a TOML file and from the platform's words; the log lines."""
+
 import asyncio
 import json
 import os
@@ -32,53 +33,95 @@
 def test_the_example_says_the_same_as_the_platforms_words():
     stated = reading.toml(str(EXAMPLE), Installation)
     given = {
-        "instances": 3, "index": 0, "myZone": "a",
-        "classes": [{"name": "lookup", "effect": "idempotent", "objective": 1200, "deadline": 3000},
-                    {"name": "transfer", "effect": "deduplicated", "keyScope": "zone", "keyTtl": 5000,
-                     "objective": 2000, "deadline": 8000, "lateWorth": 0.5}],
-        "contracts": [{"name": "starter", "refill": 2, "storeSize": 8, "valueFactor": 1, "excessCost": 0.6},
-                      {"name": "enterprise", "refill": 40, "storeSize": 120, "concurrency": 12,
-                       "valueFactor": 4, "excessCost": 1.0, "ceilingRate": 60, "capDepth": 180,
-                       "hardSlack": 4}],
+        "instances": 3,
+        "index": 0,
+        "myZone": "a",
+        "classes": [
+            {"name": "lookup", "effect": "idempotent", "objective": 1200, "deadline": 3000},
+            {
+                "name": "transfer",
+                "effect": "deduplicated",
+                "keyScope": "zone",
+                "keyTtl": 5000,
+                "objective": 2000,
+                "deadline": 8000,
+                "lateWorth": 0.5,
+            },
+        ],
+        "contracts": [
+            {"name": "starter", "refill": 2, "storeSize": 8, "valueFactor": 1, "excessCost": 0.6},
+            {
+                "name": "enterprise",
+                "refill": 40,
+                "storeSize": 120,
+                "concurrency": 12,
+                "valueFactor": 4,
+                "excessCost": 1.0,
+                "ceilingRate": 60,
+                "capDepth": 180,
+                "hardSlack": 4,
+            },
+        ],
         "familyInfo": {"mayCount": True, "countWait": 30, "mostUnits": 8},
         "feedback": {"how": "probe", "fields": ["queue", "inflight", "util"]},
-        "policyLimits": {"tryLimit": 3, "cancelling": True, "probing": True, "maxRetryAfter": 2000,
-                         "idleClose": 30000, "connectTimeout": 250, "maxOpen": 20000},
-        "rules": {"cold": 10000, "coldFrom": 0.25, "drainGrace": 1000, "fall": 2000, "fallMultiple": 2.5}}
+        "policyLimits": {
+            "tryLimit": 3,
+            "cancelling": True,
+            "probing": True,
+            "maxRetryAfter": 2000,
+            "idleClose": 30000,
+            "connectTimeout": 250,
+            "maxOpen": 20000,
+        },
+        "rules": {"cold": 10000, "coldFrom": 0.25, "drainGrace": 1000, "fall": 2000, "fallMultiple": 2.5},
+    }
     assert repr(platform.settings(dict(platform.flatten(given)))) == repr(stated.settings())
 
 
 def test_every_fault_is_said_at_once_with_its_line_and_the_nearest_name():
     text = EXAMPLE.read_text()
-    for old, new in (('most_open = 20000', 'most_opne = 20000'), ('timeout = "30ms"', 'timeout = 30'),
-                     ('memory = "256MiB"', 'memory = "256 miles"'), ('cold_from = "25%"', 'cold_from = 25'),
-                     ('scope = "zone"', 'scope = "hall"'),
-                     ('listen = "127.0.0.1:8080"', 'listen = "nowhere"'),
-                     ('gateways = 3 ', 'gateways = "three" ')):
+    for old, new in (
+        ("most_open = 20000", "most_opne = 20000"),
+        ('timeout = "30ms"', "timeout = 30"),
+        ('memory = "256MiB"', 'memory = "256 miles"'),
+        ('cold_from = "25%"', "cold_from = 25"),
+        ('scope = "zone"', 'scope = "hall"'),
+        ('listen = "127.0.0.1:8080"', 'listen = "nowhere"'),
+        ("gateways = 3 ", 'gateways = "three" '),
+    ):
         assert old in text
         text = text.replace(old, new, 1)
     said, lines = faults(text), text.splitlines()
     assert len(said) == 7
-    for key, part in (("backends.most_opne", "did you mean 'most_open'"), ("counter.timeout", "its unit"),
-                      ("limits.memory", "256 miles"), ("backends.cold_from", "share"),
-                      ("operations[1].scope", "hall"), ("listen", "host:port"), ("fleet.gateways", "int")):
+    for key, part in (
+        ("backends.most_opne", "did you mean 'most_open'"),
+        ("counter.timeout", "its unit"),
+        ("limits.memory", "256 miles"),
+        ("backends.cold_from", "share"),
+        ("operations[1].scope", "hall"),
+        ("listen", "host:port"),
+        ("fleet.gateways", "int"),
+    ):
         fault = next(line for line in said if f" {key}: " in line)
         assert part in fault
         number = int(fault.split("line ")[1].split(":")[0])
         assert key.split(".")[-1] in lines[number - 1]
 
 
-@pytest.mark.parametrize("old, new, part", [
-    ('number = 0 ', 'number = 3 ', "numbered from 0"),
-    ('name = "transfer"', 'name = "lookup"', "named twice"),
-    ('objective = "1.2s"', 'objective = "4s"', "shorter than the objective"),
-    ('counter_at = "127.0.0.1:6400"', '', "nothing says where"),
-    ('ceiling_burst = 180', '', "usable at once"),
-    ('probing = true', 'probing = false', "probing is not allowed"),
-    ('idle_close = "30s"', '', "has to be told"),
-    ('seed = "8c1f30d27a5be964"', 'seed = "dice"', "hexadecimal"),
-    ('[limits]', '[limits', "line 11"),
-])
+@pytest.mark.parametrize(
+    "old, new, part",
+    [
+        ("number = 0 ", "number = 3 ", "numbered from 0"),
+        ('name = "transfer"', 'name = "lookup"', "named twice"),
+        ('objective = "1.2s"', 'objective = "4s"', "shorter than the objective"),
+        ('counter_at = "127.0.0.1:6400"', "", "nothing says where"),
+        ("ceiling_burst = 180", "", "usable at once"),
+        ("probing = true", "probing = false", "probing is not allowed"),
+        ('idle_close = "30s"', "", "has to be told"),
+        ('seed = "8c1f30d27a5be964"', 'seed = "dice"', "hexadecimal"),
+        ("[limits]", "[limits", "line 11"),
+    ],
+)
 def test_what_does_not_fit_together_is_said(old, new, part):
     text = EXAMPLE.read_text()
     assert old in text
@@ -91,10 +134,16 @@
     assert units.micros(f"{number}{unit}") == number * units.TIMES[unit]
 
 
-@given(st.recursive(st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
-                    lambda inner: st.lists(inner, max_size=3)
-                    | st.dictionaries(st.sampled_from(["name", "fleet", "plans", "listen", "x"]),
-                                      inner, max_size=4), max_leaves=12))
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.sampled_from(["name", "fleet", "plans", "listen", "x"]), inner, max_size=4)
+        ),
+        max_leaves=12,
+    )
+)
 def test_whatever_is_given_either_is_taken_or_its_faults_are_said(given):
     made, wrong = reading.convert(Installation, given)
     assert (made is None) or not wrong
@@ -111,15 +160,27 @@
             for stand in (world.counter, world.discovery, world.backends[0]):
                 await stand.open(stand.port)
             text = EXAMPLE.read_text().replace('name = "lookup"', 'name = "op"')
-            for key, value in (("listen", "%s:%d" % world.listen), ("discovery", world.discovery.address),
-                               ("counter_at", world.counter.address)):
-                text = "\n".join(f'{key} = "{value}"' if line.startswith(f"{key} = ") else line
-                                 for line in text.splitlines())
+            for key, value in (
+                ("listen", "%s:%d" % world.listen),
+                ("discovery", world.discovery.address),
+                ("counter_at", world.counter.address),
+            ):
+                text = "\n".join(
+                    f'{key} = "{value}"' if line.startswith(f"{key} = ") else line
+                    for line in text.splitlines()
+                )
             path.write_text(text)
             assert place({}, str(path)) == tuple(world.listen)
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-O", "-m", "kestrelbend", "serve", str(path), env=dict(os.environ),
-                stderr=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-O",
+                "-m",
+                "kestrelbend",
+                "serve",
+                str(path),
+                env=dict(os.environ),
+                stderr=asyncio.subprocess.PIPE,
+            )
             try:
                 world.discovery.asked.clear()
                 await world.until(lambda: world.discovery.asked, 10)
@@ -137,6 +198,7 @@
             assert {"serving", "draining", "counters"} <= {r["event"] for r in rows}
             refused = next(r for r in rows if r["event"] == "configuration not taken")
             assert "sockets" in refused["why"] and refused["level"] == "error"
+
     run(test())
 
 
@@ -149,10 +211,15 @@
     assert msgspec.json.encode(str(caught.value))
 
 
-@pytest.mark.parametrize("path, value, plain", [
-    ("policyLimits.retryAfter", "maybe", "neither true nor false"),
-    ("classes.0.worth", "dear", "could not convert"),
-    ("classes.0.worth", "-1", ">= 0.0"), ("familyInfo.metering", "nan", "not a finite number")])
+@pytest.mark.parametrize(
+    "path, value, plain",
+    [
+        ("policyLimits.retryAfter", "maybe", "neither true nor false"),
+        ("classes.0.worth", "dear", "could not convert"),
+        ("classes.0.worth", "-1", ">= 0.0"),
+        ("familyInfo.metering", "nan", "not a finite number"),
+    ],
+)
 def test_what_the_module_newly_reads_is_checked_under_its_own_name(path, value, plain):
     pairs = {"classes.count": "1", "classes.0.name": "op", path: value}
     with pytest.raises(platform.Malformed) as caught:
@@ -164,7 +231,7 @@
     told = platform.settings({"classes.count": "1", "classes.0.name": "op"})
     assert told["may_advise"] is True and told["operations"][0].worth == 1.0 and told["meter_period"] == 0
     text = EXAMPLE.read_text()
-    new = text.replace("[use]", "[use]\nretry_after = false\nmetering = \"2s\"", 1)
+    new = text.replace("[use]", '[use]\nretry_after = false\nmetering = "2s"', 1)
     there = reading.parsed(new, Installation)
     assert there.settings()["may_advise"] is False and there.settings()["meter_period"] == 2_000_000
     assert any("retry_after" in fault for fault in faults(text.replace("[use]", "[use]\nretry_after = 3", 1)))
@@ -182,6 +249,10 @@
         names |= {row["name"] for kind in ("class", "tenant") for row in site[kind]}
     assert len(told) == 2 and len(names) > 20
     sources = [root / "deploy" / "balancer.toml", *(root / "kestrelbend").rglob("*.py")]
-    found = {name for name in names - {"state"} for path in sources
-             if re.search(rf"[\"'`]{re.escape(name)}[\"'`]", path.read_text())}
+    found = {
+        name
+        for name in names - {"state"}
+        for path in sources
+        if re.search(rf"[\"'`]{re.escape(name)}[\"'`]", path.read_text())
+    }
     assert found == set()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 The gateway and its stand-ins share one loop, so that what a test does without awaiting happens in one turn of
 the gateway's loop: what the kernel has by then is there, and nobody has read it.
 """
+
 import asyncio
 import contextlib
 import json
@@ -40,8 +41,10 @@
 
 
 def request(number, path=C1, wait="2", more=""):
-    return (f"GET {path} HTTP/1.1\r\nHost: x\r\nX-Request-ID: n{number}\r\nApi-Plan: plan\r\n"
-            f"X-Timeout: {wait}\r\n{more}\r\n").encode()
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: x\r\nX-Request-ID: n{number}\r\nApi-Plan: plan\r\n"
+        f"X-Timeout: {wait}\r\n{more}\r\n"
+    ).encode()
 
 
 async def answer(connection, seconds=3):
@@ -72,11 +75,13 @@
             await connected(session, context, params)
             self.reached.set()
             await self.open.wait()
+
         monkeypatch.setattr(backends, "_connected", held)
 
 
 # The list.
 
+
 class ScriptedDiscovery(StandDiscovery):
     """Each call meets the next of `play`; then the list as it is."""
 
@@ -93,7 +98,7 @@
             if what == "silent":
                 await reader.read()
                 return
-            if what == "trickle":           # bytes, and no end
+            if what == "trickle":  # bytes, and no end
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n")
                 while not reader.at_eof():
                     writer.write(b" ")
@@ -105,7 +110,7 @@
             if isinstance(what, bytes):
                 writer.write(what)
                 continue
-            if self.stuck and "since=" in line:         # nothing has changed, it says, at once
+            if self.stuck and "since=" in line:  # nothing has changed, it says, at once
                 what = self.told(False, [])
             await asyncio.sleep(self.slow)
             if what is None and "since=" in line:
@@ -140,34 +145,44 @@
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
 
-
 def changed(world):
     return [world.rows[0] | {"state": "draining"}, world.rows[1]]
 
 
-@pytest.mark.parametrize("calls", [
-    ["silent"] * 3, ["trickle"] * 3, ["silent", "trickle", "silent"], ["silent", "cut", "silent", BUSY],
-    ["cut", REDIRECT, BUSY, "silent", "silent"], ["trickle", "cut", "silent", BUSY, REDIRECT]])
+@pytest.mark.parametrize(
+    "calls",
+    [
+        ["silent"] * 3,
+        ["trickle"] * 3,
+        ["silent", "trickle", "silent"],
+        ["silent", "cut", "silent", BUSY],
+        ["cut", REDIRECT, BUSY, "silent", "silent"],
+        ["trickle", "cut", "silent", BUSY, REDIRECT],
+    ],
+)
 def test_a_change_is_told_within_six_seconds_whatever_calls_fail(calls):
     """Term 1.  A silent watch and a silent connect, one after the other, took 6.1 s."""
+
     async def test():
         async with Listed() as (world, discovery):
             discovery.play = [None, *calls]
             world.owner.roster.move(discovery.address)
-            await world.until(lambda: len(discovery.asked) == 2)        # the watch is open, and fails
+            await world.until(lambda: len(discovery.asked) == 2)  # the watch is open, and fails
             discovery.rev, discovery.rows, at = 7, changed(world), time.monotonic()
             await world.until(lambda: world.owner.backends["s0"].state is State.DRAINING, 6)
             assert time.monotonic() - at < 6 and world.owner.backends["s1"].state is State.READY
+
     run(test())
 
 
 def test_a_watch_that_answers_and_says_nothing_for_ever_does_not_hide_a_change():
     """Seen at other users': a list that stops returning entries without an error."""
+
     async def test():
         async with Listed() as (world, discovery):
             world.owner.roster.move(discovery.address)
             await world.until(lambda: len(discovery.asked) == 2)
-            discovery.rows, at = changed(world), time.monotonic()       # and its version stays
+            discovery.rows, at = changed(world), time.monotonic()  # and its version stays
             await world.until(lambda: world.owner.backends["s0"].state is State.DRAINING, 6)
             assert time.monotonic() - at < 6
             # Nor does one that answers at once, for ever; it is not asked without a pause either.
@@ -175,12 +190,14 @@
             asked, at = len(discovery.asked), time.monotonic()
             await world.until(lambda: world.owner.backends["s0"].state is State.READY, 6)
             assert len(discovery.asked) - asked < 5 + 12 * (time.monotonic() - at)
+
     run(test())
 
 
 @pytest.mark.parametrize("rev, whole, taken", [(2, False, False), (2, True, False), (9, False, True)])
 def test_changes_up_to_an_older_version_are_none(rev, whole, taken):
     """A part of discovery that lags must not call a draining backend ready again."""
+
     async def test():
         async with Listed() as (world, discovery):
             discovery.rev, discovery.rows = 7, changed(world)
@@ -189,7 +206,8 @@
             await world.until(lambda: len(discovery.asked) > 3, 5)
             state = world.owner.backends["s0"].state
             assert state is (State.READY if taken else State.DRAINING)
-            assert taken or "since" not in discovery.asked[2]           # the whole list settles it
+            assert taken or "since" not in discovery.asked[2]  # the whole list settles it
+
     run(test())
 
 
@@ -203,12 +221,22 @@
             discovery.play = [discovery.told(True, discovery.rows)]
             await world.until(lambda: world.owner.backends["s0"].state is State.DRAINING, 5)
             assert world.owner.roster.version == 2
+
     run(test())
 
 
-@pytest.mark.parametrize("odd", [
-    b'{"rev": 1e999, "all": true, "targets": []}', b"[]", b"3", b'{"rev": 3, "all": 1}',
-    b'{"rev": null, "all": true, "targets": [[]]}', b"\xff\xfe", b""])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b'{"rev": 1e999, "all": true, "targets": []}',
+        b"[]",
+        b"3",
+        b'{"rev": 3, "all": 1}',
+        b'{"rev": null, "all": true, "targets": [[]]}',
+        b"\xff\xfe",
+        b"",
+    ],
+)
 def test_no_odd_list_ends_the_watch(odd):
     async def test():
         async with Listed() as (world, discovery):
@@ -217,33 +245,42 @@
             await world.until(lambda: len(discovery.asked) == 2)
             discovery.rev, discovery.rows = 7, changed(world)
             await world.until(lambda: world.owner.backends["s0"].state is State.DRAINING, 5)
+
     run(test())
 
 
-@pytest.mark.parametrize("spoilt", [{"endpoint": "x"}, {"endpoint": None}, {"boot_ms": "soon"},
-                                    {"capacity_hint": []}])
+@pytest.mark.parametrize(
+    "spoilt", [{"endpoint": "x"}, {"endpoint": None}, {"boot_ms": "soon"}, {"capacity_hint": []}]
+)
 def test_that_a_backend_drains_holds_whatever_else_its_entry_lacks(spoilt):
-    told = {"rev": 3, "all": False, "targets": [
-        {"uid": "s1", "endpoint": "127.0.0.1:80", "state": "draining", **spoilt}]}
+    told = {
+        "rev": 3,
+        "all": False,
+        "targets": [{"uid": "s1", "endpoint": "127.0.0.1:80", "state": "draining", **spoilt}],
+    }
     assert [(entry[0], entry[4]) for entry in roster.entries(told)[2]] == [("s1", State.DRAINING)]
 
 
 @pytest.mark.parametrize("answer_first", [True, False])
 def test_the_list_of_an_address_left_is_not_applied_over_that_of_the_new_one(answer_first):
     """SIGHUP: its answer is there, unread or in the queue, when the watch moves."""
+
     async def test():
         async with Listed() as (world, discovery):
             owner, old = world.owner, world.discovery
             await world.until(lambda: len(old.asked) == 2 and old.writers)
             late = discovery.told(True, [world.rows[0] | {"state": "gone"}], 90)
             discovery.rev = 1
-            acts = [lambda: at_once(next(iter(old.writers)), lambda c: c.send(late)),
-                    lambda: owner.roster.move(discovery.address)]
+            acts = [
+                lambda: at_once(next(iter(old.writers)), lambda c: c.send(late)),
+                lambda: owner.roster.move(discovery.address),
+            ]
             for act in acts if answer_first else acts[::-1]:
                 act()
             await world.until(lambda: len(discovery.asked) == 2)
             assert len(owner.listed) == 2 and owner.roster.version == 1
             assert "since" not in discovery.asked[0]
+
     run(test())
 
 
@@ -263,9 +300,12 @@
         async with World(2) as world:
             owner, sent = world.owner, asyncio.Queue()
             target, entry = owner.backends["s0"], world.rows[0]
-            rows = {"draining": [entry | {"state": "draining"}], "gone": [entry | {"state": "gone"}],
-                    "left out": [world.rows[1]],
-                    "moved": [entry | {"endpoint": world.backends[1].address}]}[how]
+            rows = {
+                "draining": [entry | {"state": "draining"}],
+                "gone": [entry | {"state": "gone"}],
+                "left out": [world.rows[1]],
+                "moved": [entry | {"endpoint": world.backends[1].address}],
+            }[how]
             told = roster.entries({"rev": 90, "all": how == "left out", "targets": rows})
             owner.backend_peer.queue = sent
             owner.backend_peer.deliver(delivery(owner, target), asked_for(owner, "c1"))
@@ -276,11 +316,13 @@
             assert (await sent.get())[2] is Result.VOID
             assert not world.backends[0].seen and not world.backends[1].seen
             await world.until(lambda: not owner.backend_peer.barred)
+
     run(test())
 
 
 def test_a_start_asks_for_the_list_before_it_goes_by_the_old_one(monkeypatch):
     """What the agent has counts as told from the first moment; `known` may be old, and a request waits."""
+
     async def test():
         async with World(familyInfo__mayCount="false") as world:
             waits = AcceptQueue(socket.create_server(("127.0.0.1", 0)))
@@ -288,14 +330,16 @@
             client.send(request(1, wait="1.5"))
             discovery = await ScriptedDiscovery(world.rows[0] | {"state": "draining"}).open()
             discovery.slow = 0.1
-            told = replace(world.told, discovery=discovery.address,
-                           known={"rev": 1, "all": True, "targets": world.rows})
+            told = replace(
+                world.told, discovery=discovery.address, known={"rev": 1, "all": True, "targets": world.rows}
+            )
             owner, serving = await start(told, waits)
             assert b" 429 " in await asyncio.get_running_loop().sock_recv(client, 999)
             assert not world.backends[0].seen
             client.close()
             discovery.close()
             await world.end(owner, serving)
+
     run(test())
 
 
@@ -314,11 +358,13 @@
             assert time.monotonic() - at < 1
             client.close()
             await world.end(owner, serving)
+
     run(test())
 
 
 # Clients that leave.
 
+
 @pytest.mark.parametrize("how", ["closed", "reset", "half closed", "with bytes before the end"])
 @pytest.mark.parametrize("left_first", [True, False])
 def test_no_attempt_begins_for_a_client_whose_end_lies_unread(how, left_first, monkeypatch):
@@ -340,11 +386,13 @@
                     client.shutdown(socket.SHUT_WR)
                 else:
                     client.close()
+
             for act in (leave, gate.open.set) if left_first else (gate.open.set, leave):
                 act()
             await world.until(lambda: not world.owner.requests and not world.owner.backend_peer.running)
             assert not world.backends[0].seen
             client.close()
+
     run(test())
 
 
@@ -356,21 +404,27 @@
             for backend in world.backends:
                 backend.play = ["hang"]
             client.send(request(1))
-            await world.until(lambda: any(backend.writers for backend in world.backends)
-                              and sum(len(b.seen) for b in world.backends) == 1)
+            await world.until(
+                lambda: (
+                    any(backend.writers for backend in world.backends)
+                    and sum(len(b.seen) for b in world.backends) == 1
+                )
+            )
             writer = next(w for b in world.backends for w in b.writers if b.seen)
             at_once(writer, lambda c: c.shutdown(socket.SHUT_RDWR))
             client.close()
             await world.until(lambda: not world.owner.requests and not first.running)
             assert sum(len(b.seen) for b in world.backends) == 1
+
     run(test())
 
 
 def test_a_request_found_together_with_its_clients_end_is_not_sent_on():
     """After a stall of the gateway both lie there."""
+
     async def test():
         async with World() as world:
-            assert (await world.ask())[0] == 200                        # a kept connection waits
+            assert (await world.ask())[0] == 200  # a kept connection waits
             await asyncio.sleep(0.05)
             client = plain(world.listen)
             await world.until(lambda: world.owner.clients.server.fresh)
@@ -379,6 +433,7 @@
             await world.until(lambda: not world.owner.clients.server.open)
             await asyncio.sleep(0.05)
             assert len(world.backends[0].seen) == 1
+
     run(test())
 
 
@@ -392,15 +447,18 @@
             client.close()
             await world.until(lambda: not world.owner.requests)
             assert not world.backends[0].seen
+
     run(test())
 
 
 # Attempts.
 
+
 @pytest.mark.parametrize("said", [b"", b"half a li", b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd"])
 @pytest.mark.parametrize("effect", ["at_most_once", "idempotent"])
 def test_a_kept_connection_that_ends_or_speaks_as_a_request_would_be_written_is_not_used(
-        said, effect, monkeypatch):
+    said, effect, monkeypatch
+):
     """Nothing was written, so the delivery goes on another connection: what may not be repeated, too."""
     chosen, acts = backends.Answers.set_response_params, []
 
@@ -408,6 +466,7 @@
         chosen(answers, **more)
         while acts:
             acts.pop()()
+
     monkeypatch.setattr(backends.Answers, "set_response_params", choose)
 
     async def test():
@@ -418,13 +477,15 @@
             stale, sent = counters["kept_connections_stale"], asyncio.Queue()
             owner.backend_peer.queue = sent
             writer = next(iter(backend.writers))
-            acts.append(lambda: at_once(
-                writer, lambda c: c.send(said) if said else c.shutdown(socket.SHUT_RDWR)))
+            acts.append(
+                lambda: at_once(writer, lambda c: c.send(said) if said else c.shutdown(socket.SHUT_RDWR))
+            )
             target = owner.backends["s0"]
             owner.backend_peer.deliver(delivery(owner, target), asked_for(owner, "c1"))
             ended = await sent.get()
             assert ended[2] is Result.SUCCEEDED and ended[4][0] == b"fine"
             assert len(backend.seen) == 2 and counters["kept_connections_stale"] > stale
+
     run(test())
 
 
@@ -435,15 +496,16 @@
             world.backends[0].play = [b"raw " + good + b"good<a moment later>" + good + b"late"]
             on = await asyncio.open_connection(*world.listen)
             assert (await world.ask(on=on))[2] == b"good"
-            assert (await world.ask(on=on))[2] == b"fine"               # well within that moment
+            assert (await world.ask(on=on))[2] == b"fine"  # well within that moment
             assert (await world.ask(on=on))[2] == b"fine"
+
     run(test())
 
 
 async def trusted(world):
     """The backend has been silent after its answers as often as it takes; one connection is kept to it."""
     for n in range(backends.FIRST_RESTS):
-        assert (await world.ask(f"/op/{0xf0 + n:016x}"))[0] == 200
+        assert (await world.ask(f"/op/{0xF0 + n:016x}"))[0] == 200
         await asyncio.sleep(2 * backends.REST_S)
 
 
@@ -455,6 +517,7 @@
             for n in range(5):
                 assert (await world.ask(f"/op/{n:016x}", on=on))[2] == b"fine"
             assert world.backends[0].writers == kept and len(kept) == 1
+
     run(test())
 
 
@@ -464,14 +527,17 @@
         async with World() as world:
             await trusted(world)
             good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
-            world.backends[0].play = [b"raw " + good + b"good" + noise,
-                                      b"raw " + good + b"good<a moment later>" + good + b"late"]
+            world.backends[0].play = [
+                b"raw " + good + b"good" + noise,
+                b"raw " + good + b"good<a moment later>" + good + b"late",
+            ]
             on = await asyncio.open_connection(*world.listen)
             assert (await world.ask(on=on))[2] == b"good"
             await asyncio.sleep(2 * backends.REST_S)
             assert (await world.ask(on=on))[2] == b"good"
-            assert (await world.ask(on=on))[2] == b"fine"               # well within that moment
+            assert (await world.ask(on=on))[2] == b"fine"  # well within that moment
             assert (await world.ask(on=on))[2] == b"fine"
+
     run(test())
 
 
@@ -485,6 +551,7 @@
                 assert (await world.ask(f"/op/{n:016x}", on=on))[0] == 200
                 met.append(next(iter(backend.writers)))
             assert len(set(met)) == 1 and len(backend.writers) == 1
+
     run(test())
 
 
@@ -500,10 +567,11 @@
             gate.open.clear()
             gate.reached.clear()
             at_once(next(iter(world.backends[0].writers)), lambda c: c.shutdown(socket.SHUT_RDWR))
-            await gate.reached.wait()               # the second attempt waits for its connection
+            await gate.reached.wait()  # the second attempt waits for its connection
             await asyncio.sleep(0.35)
             gate.open.set()
             assert (await out)[0] == 429 and len(world.backends[0].seen) == 1
+
     run(test())
 
 
@@ -512,6 +580,7 @@
         async with World(classes__0__effect="deduplicated", classes__0__keyTtl=900) as world:
             world.backends[0].play = ["cut"]
             assert (await world.ask(method="POST", wait="2"))[0] == 200 and len(world.backends[0].seen) == 2
+
     run(test())
 
 
@@ -528,8 +597,11 @@
             await world.until(lambda: backend.seen)
             writer = next(iter(backend.writers))
             good = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-            cross = {"cancel": lambda: peer.cancel(d), "drain": lambda: peer.unlisted(target),
-                     "reset": lambda: at_once(writer, lambda c: c.shutdown(socket.SHUT_RDWR))}[crossing]
+            cross = {
+                "cancel": lambda: peer.cancel(d),
+                "drain": lambda: peer.unlisted(target),
+                "reset": lambda: at_once(writer, lambda c: c.shutdown(socket.SHUT_RDWR)),
+            }[crossing]
             acts = [lambda: at_once(writer, lambda c: c.send(good)), cross]
             if crossing == "reset" and not answer_first:
                 acts = [acts[1]]
@@ -540,19 +612,22 @@
             assert sent.empty() and not peer.running and not result.never_ran
             assert result is not Result.SUCCEEDED or (crossing, answer_first) != ("reset", False)
             if crossing == "drain":
-                assert result is Result.SUCCEEDED           # what is out may end
+                assert result is Result.SUCCEEDED  # what is out may end
+
     run(test())
 
 
 @pytest.mark.parametrize("turns", range(5))
 def test_a_connection_that_comes_up_as_its_delivery_is_given_up_is_closed_and_not_written_to(
-        turns, monkeypatch):
+    turns, monkeypatch
+):
     """The machine has it at once; the loop learns of it some turns later."""
     connects, acts = backends._connects, []
 
     async def connecting(session, context, params):
         await connects(session, context, params)
         acts.pop()()
+
     monkeypatch.setattr(backends, "_connects", connecting)
 
     async def test():
@@ -568,6 +643,7 @@
                     loop.call_soon(later, n - 1)
                 else:
                     peer.cancel(d)
+
             acts.append(later)
             peer.deliver(d, asked_for(owner, "c1"))
             result = (await sent.get())[2]
@@ -575,11 +651,13 @@
             await world.until(lambda: not backend.writers)
             await asyncio.sleep(0.02)
             assert not backend.writers and (turns > 2 or not backend.seen) and sent.empty()
+
     run(test())
 
 
 def test_a_delivery_given_up_before_its_first_turn_ends_too():
     """Its task runs nothing then; its credit was never earned back, and its invocation was kept for ever."""
+
     async def test():
         async with World() as world:
             owner, sent = world.owner, asyncio.Queue()
@@ -591,11 +669,13 @@
             assert ended[:3] == ("ended", d, Result.VOID) and not peer.running
             await asyncio.sleep(0.02)
             assert sent.empty() and not world.backends[0].seen
+
     run(test())
 
 
 # The closing of clients' connections.
 
+
 def test_small_writes_are_not_held_back_on_any_connection():
     async def test():
         async with World() as world:
@@ -609,6 +689,7 @@
             assert len(world.owner.clients.server.open) >= 2
             for end in (waits, ends[0]):
                 end.close()
+
     run(test())
 
 
@@ -626,18 +707,24 @@
             client.send(request(1))
             await world.until(lambda: server.idle)
             server.hang_up(next(iter(server.open)))
-            client.send(request(2))                 # crosses it
+            client.send(request(2))  # crosses it
             await asyncio.sleep(0.1)
             said = await answer(client)
             assert said.partition(b"\r\n\r\n")[2] == body and len(world.backends[0].seen) == 1
             client.close()
+
     run(test())
 
 
-@pytest.mark.parametrize("bad, status", [
-    (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", b" 400 "), (b"\x00\x01\r\n\r\n", b" 400 "),
-    (b"POST " + C1.encode() + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n", b" 413 "),
-    (b"GET / HTTP/1.1\r\nX-Long: " + b"x" * 9000 + b"\r\n\r\n", b" 400 ")])
+@pytest.mark.parametrize(
+    "bad, status",
+    [
+        (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", b" 400 "),
+        (b"\x00\x01\r\n\r\n", b" 400 "),
+        (b"POST " + C1.encode() + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n", b" 413 "),
+        (b"GET / HTTP/1.1\r\nX-Long: " + b"x" * 9000 + b"\r\n\r\n", b" 400 "),
+    ],
+)
 def test_a_client_that_goes_on_sending_still_gets_its_refusal(bad, status):
     async def test():
         async with World() as world:
@@ -650,6 +737,7 @@
             said = await answer(client)
             assert status in said.partition(b"\r\n")[0]
             client.close()
+
     run(test())
 
 
@@ -663,6 +751,7 @@
             await world.until(lambda: not server.open, 2)
             assert clients_.sockets.ending == clients_.sockets.clients == 0
             client.close()
+
     run(test())
 
 
@@ -688,6 +777,7 @@
                 assert await answer(other) == b""
             for each in ones:
                 each.close()
+
     run(test())
 
 
@@ -701,18 +791,21 @@
             def make(message, payload, handler, *more):
                 handler.since -= 60
                 act = partial(server.hang_up, handler) if how == "hang_up" else getattr(server, how)
-                asyncio.get_running_loop().call_soon(act)       # before its handler's first turn
+                asyncio.get_running_loop().call_soon(act)  # before its handler's first turn
                 return made(message, payload, handler, *more)
+
             server.request_factory = make
             client.send(request(1))
             said = await asyncio.get_running_loop().sock_recv(client, 999)
             assert b" 200 " in said and len(world.backends[0].seen) == 1
             client.close()
+
     run(test())
 
 
 def test_a_connection_told_to_end_again_and_again_ends_with_its_answer():
     """While draining each is told every 20 ms, busy or idle."""
+
     async def test():
         async with World() as world:
             server, client = world.owner.clients.server, plain(world.listen)
@@ -723,20 +816,23 @@
             for _ in range(5):
                 server.hang_up(handler)
                 await asyncio.sleep(0.02)
-            server.answered(handler)                # it is idle for a moment, and asks again
+            server.answered(handler)  # it is idle for a moment, and asks again
             server.hang_up(handler) if not handler.asked() else None
             server.asks(handler)
-            world.backends[0].writers and at_once(next(iter(world.backends[0].writers)),
-                                                  lambda c: c.shutdown(socket.SHUT_RDWR))
+            world.backends[0].writers and at_once(
+                next(iter(world.backends[0].writers)), lambda c: c.shutdown(socket.SHUT_RDWR)
+            )
             said = await answer(client)
             assert said.startswith(b"HTTP/1.1 ") and b"close" in said and said.count(b"HTTP/1.1") == 1
             client.close()
+
     run(test())
 
 
 @pytest.mark.parametrize("part", [b"", b"GET " + C1.encode(), None])
 def test_what_the_start_has_read_goes_before_what_still_comes(part):
     """The loop had begun to read before the first half was handed in."""
+
     async def test():
         async with World() as world:
             waits, whole = socket.create_server(("127.0.0.1", 0)), request(1)
@@ -745,11 +841,12 @@
             held = Held(waits.accept()[0])
             await asyncio.sleep(0.02)
             held.read(time.monotonic_ns())
-            client.send(whole[40:] if part is None else whole[len(part):])
+            client.send(whole[40:] if part is None else whole[len(part) :])
             await world.owner.clients.adopt(held.socket, held)
             assert b" 200 " in await asyncio.get_running_loop().sock_recv(client, 999)
             client.close()
             waits.close()
+
     run(test())
 
 
@@ -772,13 +869,16 @@
         listener, held = waits.hand_over()
         listener.close()
         assert not held
+
     run(test())
 
 
 # Shutdown.
 
+
 def test_connections_that_wait_to_be_accepted_when_the_gateway_shuts_are_served():
     """Closing the listener resets what stands in its line; a cancelled accept drops what it had taken."""
+
     async def test():
         async with World() as world:
             ones = [plain(world.listen) for _ in range(30)]
@@ -791,6 +891,7 @@
             await drained
             for one in ones:
                 one.close()
+
     run(test())
 
 
@@ -805,11 +906,13 @@
             assert await answer(rests) == b"" and not world.backends[0].seen
             rests.close()
             await drained
+
     run(test())
 
 
 def test_nobody_is_left_without_an_answer_when_the_gateway_ends():
     """Whatever holds the module up."""
+
     async def test():
         async with World() as world:
             world.owner.clients.longest = 0.2
@@ -820,11 +923,13 @@
             await world.owner.clients.drain(0)
             assert b" 502 " in await answer(client)
             client.close()
+
     run(test())
 
 
 # Descriptors.
 
+
 def test_a_limit_lowered_below_what_is_open_closes_idle_connections_alone():
     async def test():
         async with World() as world:
@@ -836,12 +941,13 @@
             client = plain(world.listen)
             client.send(request(1, wait="1"))
             await world.until(lambda: server.busy)
-            sockets.most = 8                        # as SIGHUP sets it
+            sockets.most = 8  # as SIGHUP sets it
             await world.until(lambda: len(server.open) <= 4, 4)
             assert server.busy
             client.close()
             for on in idle:
                 on[1].close()
+
     run(test())
 
 
@@ -858,11 +964,13 @@
             assert sockets.too_many() <= 0 and sockets.clients <= 24 * 9 // 16
             for one in ones:
                 one.close()
+
     run(test())
 
 
 # In a process of its own, as the operators start it.
 
+
 @contextlib.asynccontextmanager
 async def started(folder, sockets=1024, known=None, rows=None, **changes):
     """(world, process): the stand-ins of a world, and a gateway between them whose descriptors are limited by
@@ -872,16 +980,28 @@
         world.discovery.asked.clear()
         if rows is not None:
             world.discovery.rows = rows
-        told = {"name": "n0", "listen": "%s:%d" % world.listen, "discovery": world.discovery.address,
-                "counter": world.counter.address, "seed": "8c1f30d27a5be964",
-                "limits": {"sockets": sockets}, "settings": nested(world.pairs)}
+        told = {
+            "name": "n0",
+            "listen": "%s:%d" % world.listen,
+            "discovery": world.discovery.address,
+            "counter": world.counter.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": sockets},
+            "settings": nested(world.pairs),
+        }
         if known is not None:
             told["known"] = {"rev": 1, "all": True, "targets": known}
         (folder / "config.json").write_text(json.dumps(told))
         before_exec = partial(resource.setrlimit, resource.RLIMIT_NOFILE, (sockets, sockets))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "kestrelbend", stderr=subprocess.PIPE, preexec_fn=before_exec,
-            env={**os.environ, "ROUTER_CONFIG": str(folder / "config.json")})
+            sys.executable,
+            "-O",
+            "-m",
+            "kestrelbend",
+            stderr=subprocess.PIPE,
+            preexec_fn=before_exec,
+            env={**os.environ, "ROUTER_CONFIG": str(folder / "config.json")},
+        )
         log = asyncio.create_task(process.stderr.read())
         try:
             yield world, process, log
@@ -921,6 +1041,7 @@
 @pytest.mark.parametrize("say", [b"", b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"])
 def test_idle_clients_may_fill_the_descriptors_while_discovery_is_down(say, tmp_path):
     """Term 4: the list is still asked for, and deliveries still go out."""
+
     async def test():
         async with started(tmp_path, sockets=64) as (world, process, log):
             await ready(world)
@@ -939,6 +1060,7 @@
             process.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(process.wait(), 6) == 0
             assert "event=fault" not in (await log).decode()
+
     run(test())
 
 
@@ -955,12 +1077,14 @@
                 one.close()
             process.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(process.wait(), 6) == 0
+
     run(test())
 
 
 @pytest.mark.parametrize("discovery", ["answers", "silent", "gone"])
 def test_a_restarted_gateway_among_two_hundred_backends_is_ready_in_time(discovery, tmp_path):
     """Term 5, with clients that come meanwhile."""
+
     async def test():
         async with World() as world:
             rows = [{**world.rows[0], "uid": f"s{n}"} for n in range(200)]
@@ -973,6 +1097,7 @@
             assert time.monotonic() - at < 10
             for one in ones:
                 one.close()
+
     run(test())
 
 
@@ -997,11 +1122,13 @@
             assert await asyncio.wait_for(process.wait(), 6) == 0
             text = (await log).decode()
             assert "event=fault" not in text and "broken_" not in text
+
     run(test())
 
 
 # Many gateways.
 
+
 @contextlib.asynccontextmanager
 async def fleet(number, backends_=4, **changes):
     """Gateways on one loop between the same stand-ins, told their numbers."""
@@ -1010,8 +1137,16 @@
         world.owner.clients.sockets.most = 1 << 16
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 4096)), hard))
-        told = [replace(world.told, listen=free_address(), seed=n, sockets=1 << 16,
-                        settings={**world.told.settings, "gateway": n}) for n in range(1, number)]
+        told = [
+            replace(
+                world.told,
+                listen=free_address(),
+                seed=n,
+                sockets=1 << 16,
+                settings={**world.told.settings, "gateway": n},
+            )
+            for n in range(1, number)
+        ]
         started_ = await asyncio.gather(*(start(one) for one in told))
         others = [(one.listen, *rest) for one, rest in zip(told, started_, strict=True)]
         try:
@@ -1028,9 +1163,15 @@
     pace, cold, fall, multiple, cold_from = 60, 3.0, 1.0, 2.0, 0.2
 
     async def test():
-        async with fleet(gateways, rules__cold=3000, rules__fall=1000, rules__fallMultiple=2,
-                         contracts__0__storeSize=10**6, contracts__0__refill=10**5,
-                         familyInfo__mayCount="false") as (world, all_):
+        async with fleet(
+            gateways,
+            rules__cold=3000,
+            rules__fall=1000,
+            rules__fallMultiple=2,
+            contracts__0__storeSize=10**6,
+            contracts__0__refill=10**5,
+            familyInfo__mayCount="false",
+        ) as (world, all_):
             chance, fresh = random.Random(3), world.backends[0]
 
             async def ask():
@@ -1041,9 +1182,10 @@
                 for _ in range(int(pace * seconds)):
                     tasks.append(asyncio.create_task(ask()))
                     await asyncio.sleep(1 / pace)
+
             tasks, seen_at = [], []
             fresh.seen = Noted(seen_at)
-            world.discovery.tell(*world.rows[1:])       # it is away at first
+            world.discovery.tell(*world.rows[1:])  # it is away at first
             await world.until(lambda: all("s0" not in owner.listed for _, owner, _ in all_))
             await drive(2)
             assert not seen_at
@@ -1056,13 +1198,14 @@
             at = time.monotonic()
             await drive(cold)
             await asyncio.gather(*tasks)
-            warm = pace / len(world.backends)           # what each of the others answers, at least
+            warm = pace / len(world.backends)  # what each of the others answers, at least
             for end in seen_at:
                 within = sum(end - fall < when <= end for when in seen_at)
                 part = cold_from + (1 - cold_from) * (end - at) / cold
                 allowed = multiple * part * warm * fall
                 assert within <= allowed + 2 * math.sqrt(allowed) + 2, (within, allowed, end - at)
-            assert seen_at                              # and yet it is warmed
+            assert seen_at  # and yet it is warmed
+
     run(test(), 60)
 
 
@@ -1080,6 +1223,7 @@
 
 def test_quotas_hold_for_the_fleet_on_a_quiet_day():
     """Term 6: four gateways, a customer that asks for three times its rate over all of them."""
+
     async def test():
         async with fleet(4, contracts__0__refill=10, contracts__0__storeSize=10) as (world, all_):
             chance, at, served = random.Random(5), time.monotonic(), []
@@ -1087,6 +1231,7 @@
             async def ask():
                 status, _, _ = await world.ask(wait="1", listen=chance.choice(all_)[0])
                 served.extend([status == 200])
+
             tasks = []
             for _ in range(90):
                 tasks.append(asyncio.create_task(ask()))
@@ -1094,4 +1239,5 @@
             await asyncio.gather(*tasks)
             inside = 10 + 10 * (time.monotonic() - at)
             assert 0.8 * inside < sum(served) < 1.1 * inside + 1
+
     run(test(), 60)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,5 @@
 """One small test for each failure found in a run; the names tell the trouble."""
+
 import pytest
 
 from kestrelbend.interface import Invocation, Result, State
@@ -35,8 +36,8 @@
     f, store = front(), {}
     f.accept(1)
     assert kinds(f.answer_counts(store)) == ["pass_on"]
-    f.now += 6000 * MS              # still in the same window
-    for name in store:              # others used the rate all along: 12 units, more than the burst of 6
+    f.now += 6000 * MS  # still in the same window
+    for name in store:  # others used the rate all along: 12 units, more than the burst of 6
         store[name] += 12
     f.accept(2)
     assert kinds(f.answer_counts(store)) == ["pass_on"]
@@ -106,11 +107,11 @@
     f.accept(1)
     f.answer_counts(store)
     for name in store:
-        store[name] += 0.001        # one more is out at another gateway
+        store[name] += 0.001  # one more is out at another gateway
     f.accept(2)
     assert kinds(f.answer_counts(store)) == ["deny"] and list(store.values()) == [0.002]
     f.accept(3)
-    assert not f.take("pass_on", "deny", "incr")        # it waits for a place, and calls for one in time
+    assert not f.take("pass_on", "deny", "incr")  # it waits for a place, and calls for one in time
     f.pass_time(150)
     assert len(f.take("incr")) == 1
 
@@ -145,18 +146,26 @@
         f.accept(n)
         while f.take("pass_on"):
             f.returned(n, len(f.inst.invs[n].deliveries) - 1, Result.UNREACHABLE, took=0)
-    assert sum(t.bench > f.now for t in f.gateway.pool.order) == 4     # not a third at most, as by errors
-
-
-@pytest.mark.parametrize("changes", [
-    {"contracts__0__refill": 0, "contracts__0__storeSize": 0}, {"instances": 1},
-    {"policyLimits__tryLimit": 1},
-    {"familyInfo__mayCount": "false"}, {"policyLimits__cancelling": "false"}, {"rules__cold": 0},
-    {"classes__0__objective": 5, "classes__0__deadline": 5}, {"discovery": "subscribe"},
-    {"contracts__0__refill": 5000, "contracts__0__storeSize": 50000, "contracts__0__concurrency": 900}])
+    assert sum(t.bench > f.now for t in f.gateway.pool.order) == 4  # not a third at most, as by errors
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"contracts__0__refill": 0, "contracts__0__storeSize": 0},
+        {"instances": 1},
+        {"policyLimits__tryLimit": 1},
+        {"familyInfo__mayCount": "false"},
+        {"policyLimits__cancelling": "false"},
+        {"rules__cold": 0},
+        {"classes__0__objective": 5, "classes__0__deadline": 5},
+        {"discovery": "subscribe"},
+        {"contracts__0__refill": 5000, "contracts__0__storeSize": 50000, "contracts__0__concurrency": 900},
+    ],
+)
 def test_settings_that_no_site_has_are_decided(changes):
     f, store = front(**changes), {}
-    f.roster(*READY, (9, State.READY, f.now))       # one just started and never heard from
+    f.roster(*READY, (9, State.READY, f.now))  # one just started and never heard from
     for n in range(10):
         f.accept(n, left=3000 if n % 2 else 6)
         f.answer_counts(store)
@@ -168,10 +177,15 @@
 
 
 def test_a_cold_backend_is_asked_and_held_to_its_own_report():
-    f = Front(policyLimits__probing="true", feedback__how="probe", feedback__fields="pending,busy_reqs",
-              familyInfo__mayCount="false", contracts__0__storeSize=1000)
+    f = Front(
+        policyLimits__probing="true",
+        feedback__how="probe",
+        feedback__fields="pending,busy_reqs",
+        familyInfo__mayCount="false",
+        contracts__0__storeSize=1000,
+    )
     f.roster((1, State.READY), (2, State.READY, f.now))
-    for n in range(100):        # a warm neighbour's pace lets the cold one have several in the span
+    for n in range(100):  # a warm neighbour's pace lets the cold one have several in the span
         f.accept(n, spread=1)
         f.returned(n, 0, Result.SUCCEEDED, took=10)
         f.now += 10 * MS
@@ -184,10 +198,10 @@
             f.pass_time(500)
         f.tell("probe_result", [], 2, Result.SUCCEEDED, 1000, [queued, 1.0])
         fresh.out, inv.deliveries = 1, []
-        fresh.slot, fresh.sent = None, 0        # the least guard starts anew: only the report is in question
+        fresh.slot, fresh.sent = None, 0  # the least guard starts anew: only the report is in question
         assert f.gateway.may_send(inv, fresh) is allowed
     fresh.out, fresh.sent, fresh.drawn, fresh.luck = 0, 200, f.gateway.now, False
-    assert not f.gateway.may_send(inv, fresh)       # a full report opens no way past the least guard
+    assert not f.gateway.may_send(inv, fresh)  # a full report opens no way past the least guard
 
 
 @pytest.mark.parametrize("gateways", [2, 20, 220])
@@ -216,24 +230,24 @@
         within = sum(end - fall * 1000 < at <= end for at in sent)
         part = cold_from + (1 - cold_from) * (end - fall * 1000) / (cold * 1000)
         assert within <= multiple * part * pace * fall
-    assert len(sent) > pace * cold * cold_from      # and yet it is warmed
+    assert len(sent) > pace * cold * cold_from  # and yet it is warmed
 
 
 def test_a_crowded_counter_and_a_wide_set_leave_the_blameless_alone():
     f = front(instances=200, contracts__0__storeSize=6)
     f.gateway.called = 0.5
-    for n in range(20):         # each customer's first visit here, calls turned away
+    for n in range(20):  # each customer's first visit here, calls turned away
         f.accept(n, spread=200, customer=f"c{n}")
         assert kinds(f.answer_counts(result=Result.REJECTED)) == ["pass_on"]
         f.returned(n, 0, Result.SUCCEEDED)
-    f.accept(30, spread=200, customer="new", retry=True)      # the budget: no room known for a marked retry
+    f.accept(30, spread=200, customer="new", retry=True)  # the budget: no room known for a marked retry
     assert kinds(f.answer_counts(result=Result.REJECTED)) == ["deny"]
 
 
 def test_sampled_calls_count_for_all_and_thin_a_flood():
     store, sent = {}, 0
     fronts = [front(seed=n, instances=50) for n in range(50)]
-    for n in range(1000):       # ten times the rate, over fifty gateways, for fifty seconds
+    for n in range(1000):  # ten times the rate, over fifty gateways, for fifty seconds
         f = fronts[n * 7 % 50]
         f.now = 1_000_000 * MS + n * 50 * MS
         f.gateway.called = 0.3
@@ -241,8 +255,8 @@
         if kinds(f.answer_counts(store)) == ["pass_on"]:
             sent += 1
             f.returned(n, 0, Result.SUCCEEDED)
-    assert 700 < sum(store.values()) < 1300      # each call stood for those not called for
-    assert 106 / 3 < sent < 400                  # there was room for 106; letting all in would be 1000
+    assert 700 < sum(store.values()) < 1300  # each call stood for those not called for
+    assert 106 / 3 < sent < 400  # there was room for 106; letting all in would be 1000
 
 
 def test_a_first_total_that_comes_after_its_window_is_harmless():
@@ -300,7 +314,7 @@
 def test_a_late_total_is_taken_and_spares_the_counter():
     """Seen on sockets: one call in five came after the settings' time; its customer was guessed at."""
     f = front(classes__0__objective=500)
-    assert f.gateway.counter_wait == 75 * MS            # a real gateway's calls may take so long
+    assert f.gateway.counter_wait == 75 * MS  # a real gateway's calls may take so long
     f.accept(1, units=2)
     call = f.take("incr")[0]
     f.now += 60 * MS
@@ -322,8 +336,12 @@
 @pytest.mark.parametrize("every, sick", [(0, False), (12, False), (12, True)])
 def test_what_fails_at_all_backends_alike_benches_none_and_the_sick_one_is_told_from_it(every, sick):
     """Seen on sockets: one answer in thirty lost or spoilt, at all backends, kept a third of them benched."""
-    f = front(familyInfo__mayCount="false", contracts__0__storeSize=10**6, contracts__0__refill=10**5,
-              policyLimits__tryLimit=1)
+    f = front(
+        familyInfo__mayCount="false",
+        contracts__0__storeSize=10**6,
+        contracts__0__refill=10**5,
+        policyLimits__tryLimit=1,
+    )
     benched = 0
     for n in range(1200):
         inv, f.now = f.accept(n, spread=1), f.now + 10 * MS
@@ -338,9 +356,17 @@
 
 
 def two_kinds(**more):
-    f = Front(instances=12, familyInfo__mayCount="false", classes__count=2, classes__1__name="other",
-              classes__1__effect="at_most_once", classes__1__objective=1000, classes__1__deadline=3000,
-              contracts__0__storeSize=1e6, **more)
+    f = Front(
+        instances=12,
+        familyInfo__mayCount="false",
+        classes__count=2,
+        classes__1__name="other",
+        classes__1__effect="at_most_once",
+        classes__1__objective=1000,
+        classes__1__deadline=3000,
+        contracts__0__storeSize=1e6,
+        **more,
+    )
     f.roster(*[(n, State.READY) for n in range(1, 7)])
     return f
 
@@ -360,16 +386,16 @@
             served += op == "op" and int(line[3]) in sick
             f.returned(n, 0, Result.ERRORED if bad else Result.SUCCEEDED, took=50)
         f.now += 50 * MS
-    assert failed < 40 and late < 10                    # without: half of them, 66
+    assert failed < 40 and late < 10  # without: half of them, 66
     assert not any(t.bench > f.now for t in f.inst.backends.values()) and served > 80
 
 
 def test_no_advice_is_given_where_none_may_be():
     for allowed in ("true", "false"):
         f = Front(familyInfo__mayCount="false", policyLimits__retryAfter=allowed)
-        f.accept(1)                                     # no backend is listed
+        f.accept(1)  # no backend is listed
         f.pass_time(3000)
-        (_, _, _, wait), = f.take("deny")
+        ((_, _, _, wait),) = f.take("deny")
         assert (wait == "-") == (allowed == "false")
 
 
@@ -385,10 +411,10 @@
         f.tell("returned", [], n, 0, None, Result.SUCCEEDED, 100 * MS, True, used, 0, None)
         return 1
 
-    assert sum(play(n, 1 + 40) for n in range(50)) == 50            # 40% of its rate
+    assert sum(play(n, 1 + 40) for n in range(50)) == 50  # 40% of its rate
     for n in range(50, 150):
         play(n, 1 + 400)
-    assert sum(play(n, 1 + 100) for n in range(150, 250)) < 60      # what is left of four times its rate
+    assert sum(play(n, 1 + 100) for n in range(150, 250)) < 60  # what is left of four times its rate
     for n in range(250, 500):
         play(n, 1 + 20)
     assert sum(play(n, 1 + 20) for n in range(500, 550)) == 50
@@ -406,7 +432,7 @@
     """Seen at 369 gateways: each sent one delivery after another, four a core, until they timed out."""
     f = front(instances=400, familyInfo__mayCount="false", contracts__0__storeSize=1e6)
     sent = 0
-    for n in range(200):        # all answers slow; the next invocation is there at once
+    for n in range(200):  # all answers slow; the next invocation is there at once
         f.accept(n)
         if "pass_on" in kinds(f.take()):
             sent += 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 """What many gateways come to together: many modules in one process, and a herd of real ones on loopback."""
+
 import asyncio
 import json
 import os
@@ -21,17 +22,24 @@
     backends, pace, seconds, fronts = 60, 200, 6, []
     started = Front().now
     for n in range(gateways):
-        f = Front(seed=n, instances=gateways, index=n, contracts__0__storeSize=10**6,
-                  contracts__0__refill=10**5, familyInfo__mayCount="false",
-                  policyLimits__probing="true", feedback__how="probe",
-                  feedback__fields="pending,busy_reqs")
+        f = Front(
+            seed=n,
+            instances=gateways,
+            index=n,
+            contracts__0__storeSize=10**6,
+            contracts__0__refill=10**5,
+            familyInfo__mayCount="false",
+            policyLimits__probing="true",
+            feedback__how="probe",
+            feedback__fields="pending,busy_reqs",
+        )
         f.roster(*[(b, State.READY, started if b < 20 else 0) for b in range(backends)])
         fronts.append(f)
     chance, probes, sent, ends = random.Random(4), 0, [], []
     pairs = set()
     for step in range(pace * seconds):
         now = started + step * 1000 * MS // pace
-        for f in fronts[step % max(1, gateways // 20)::max(1, gateways // 20)]:     # their turn for alarms
+        for f in fronts[step % max(1, gateways // 20) :: max(1, gateways // 20)]:  # their turn for alarms
             f.now = f.gateway.now = now
             f.pass_time(0)
         f = chance.choice(fronts)
@@ -52,15 +60,16 @@
                     sent.append(int(line[3]))
                     pairs.add((f, sent[-1]))
     assert len(sent) > 0.9 * pace * seconds
-    assert 0.5 < probes / (20 * 2 * seconds) < 2                # each cold one twice a second, by all
+    assert 0.5 < probes / (20 * 2 * seconds) < 2  # each cold one twice a second, by all
     cold = sum(b < 20 for b in sent)
-    assert 0.02 * len(sent) < cold < 0.5 * len(sent)            # warmed, not overrun
-    assert len({b for b in sent if b >= 20}) > 30               # and all warm ones are of use
-    assert len(pairs) < 60 * 24                                 # a connection each
+    assert 0.02 * len(sent) < cold < 0.5 * len(sent)  # warmed, not overrun
+    assert len({b for b in sent if b >= 20}) > 30  # and all warm ones are of use
+    assert len(pairs) < 60 * 24  # a connection each
 
 
 def test_a_herd_of_real_gateways_killed_and_started_again_loses_nothing(tmp_path):
     """Three of four are killed at once under clients and come back; what a live one took is answered."""
+
     async def test():
         async with World(2) as world:
             await world.__aexit__()
@@ -69,20 +78,31 @@
             places, running, answers = [free_address(n) for n in range(4)], {}, []
 
             async def begin(n):
-                given = {"name": f"n{n}", "listen": "%s:%d" % places[n], "discovery": world.discovery.address,
-                         "counter": world.counter.address, "seed": str(n), "limits": {"sockets": 256},
-                         "settings": nested(world.pairs | {"instances": 4, "index": n}),
-                         "known": {"rev": 1, "all": True, "targets": world.rows}}
+                given = {
+                    "name": f"n{n}",
+                    "listen": "%s:%d" % places[n],
+                    "discovery": world.discovery.address,
+                    "counter": world.counter.address,
+                    "seed": str(n),
+                    "limits": {"sockets": 256},
+                    "settings": nested(world.pairs | {"instances": 4, "index": n}),
+                    "known": {"rev": 1, "all": True, "targets": world.rows},
+                }
                 path = tmp_path / f"{n}.json"
                 path.write_text(json.dumps(given))
                 running[n] = await asyncio.create_subprocess_exec(
-                    sys.executable, "-O", "-m", "kestrelbend", env={**os.environ, "ROUTER_CONFIG": str(path)},
-                    stderr=asyncio.subprocess.DEVNULL)
+                    sys.executable,
+                    "-O",
+                    "-m",
+                    "kestrelbend",
+                    env={**os.environ, "ROUTER_CONFIG": str(path)},
+                    stderr=asyncio.subprocess.DEVNULL,
+                )
 
             async def client(number, wait):
                 """Asks one gateway after the other; one that dies under a request is excused."""
                 at = 0
-                while len(answers) < 400 or answers.count(200) <= 60:   # a slow start refuses more
+                while len(answers) < 400 or answers.count(200) <= 60:  # a slow start refuses more
                     n, at = (number + at) % 4, at + 1
                     life, began = running[n], time.monotonic()
                     try:
@@ -117,9 +137,10 @@
                 await asyncio.gather(*clients)
                 assert before and answers.count(200) > 40
                 assert all(process.returncode is None for process in running.values())
-            finally:                # a test that fails must leave none behind
+            finally:  # a test that fails must leave none behind
                 for process in running.values():
                     if process.returncode is None:
                         process.kill()
                         await process.wait()
+
     run(test())
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,4 +1,5 @@
 """The laboratory: its files, its failures and its oracle, each rule broken once on purpose."""
+
 import json
 
 import pytest
@@ -74,12 +75,19 @@
         reading.parsed(text, Scenario, "small.toml")
     said = str(caught.value).splitlines()
     lines = text.splitlines()
-    for fault, what, line in zip(said, (
-            "fleet.gateways: expected int <= 500", "backends.wrok: unknown key 'wrok'; did you mean 'work'?",
-            "plans[1].odd: unknown key", "failures[0].kind: unknown kind 'kil'; did you mean 'kill'?",
-            "failures[1].share: a share lies between", "failures[3].at: a time needs its unit"), (
-            "gateways = 501", 'wrok = "60ms"', "odd = '''", 'kind = "kil"', "share = 1.5", "at = 3"),
-            strict=True):
+    for fault, what, line in zip(
+        said,
+        (
+            "fleet.gateways: expected int <= 500",
+            "backends.wrok: unknown key 'wrok'; did you mean 'work'?",
+            "plans[1].odd: unknown key",
+            "failures[0].kind: unknown kind 'kil'; did you mean 'kill'?",
+            "failures[1].share: a share lies between",
+            "failures[3].at: a time needs its unit",
+        ),
+        ("gateways = 501", 'wrok = "60ms"', "odd = '''", 'kind = "kil"', "share = 1.5", "at = 3"),
+        strict=True,
+    ):
         number = int(fault.split("line ")[1].split(":")[0])
         assert what in fault and lines[number - 1] == line
     text = SMALL + failure(kind="flood", at="1s", lasts="1s", plan="gold")
@@ -95,6 +103,7 @@
         got = run(scenario(more), seed)[1]
         del got["run"]
         return got
+
     first = figures()
     assert first == figures() and first != figures(seed=6)
     assert first["rules_broken"] == 0 and first["served"] > 0.9
@@ -104,16 +113,26 @@
 
 
 FAILURES = {
-    "kill": dict(share=0.5, down="500ms"), "roll": dict(lasts="3s", steps=4),
-    "pause": dict(lasts="1s"), "zone-loss": dict(lasts="1s", zone="a", gateways=True),
-    "lost-backends": dict(lasts="1s", share=0.25), "cut": dict(lasts="1s", one="zone:a", other="zone:b"),
-    "lost-answers": dict(lasts="2s", how="reset"), "resets": dict(lasts="2s", part=0.3),
-    "spoilt": dict(lasts="2s", part=0.3), "slow": dict(lasts="2s", factor=20.0),
-    "failing": dict(lasts="2s", share=0.4), "release": dict(lasts="3s", renewed=True),
-    "late-lists": dict(lasts="3s", delay="2s"), "counter": dict(lasts="2s", how="emptied"),
-    "clocks": dict(by="2s"), "storm": dict(lasts="3s", marked=False),
-    "flood": dict(lasts="3s", plan="dear", factor=20.0), "burst": dict(lasts="2s", factor=3.0),
-    "shift": {}}
+    "kill": dict(share=0.5, down="500ms"),
+    "roll": dict(lasts="3s", steps=4),
+    "pause": dict(lasts="1s"),
+    "zone-loss": dict(lasts="1s", zone="a", gateways=True),
+    "lost-backends": dict(lasts="1s", share=0.25),
+    "cut": dict(lasts="1s", one="zone:a", other="zone:b"),
+    "lost-answers": dict(lasts="2s", how="reset"),
+    "resets": dict(lasts="2s", part=0.3),
+    "spoilt": dict(lasts="2s", part=0.3),
+    "slow": dict(lasts="2s", factor=20.0),
+    "failing": dict(lasts="2s", share=0.4),
+    "release": dict(lasts="3s", renewed=True),
+    "late-lists": dict(lasts="3s", delay="2s"),
+    "counter": dict(lasts="2s", how="emptied"),
+    "clocks": dict(by="2s"),
+    "storm": dict(lasts="3s", marked=False),
+    "flood": dict(lasts="3s", plan="dear", factor=20.0),
+    "burst": dict(lasts="2s", factor=3.0),
+    "shift": {},
+}
 
 
 @pytest.mark.parametrize("kind", FAILURES)
@@ -121,12 +140,13 @@
     more = failure(kind=f"{kind}", at="1s", **FAILURES[kind])
     world, figures = run(scenario(more))
     assert figures["broken"] == [] and figures["served"] > 0.2
-    assert world.tally.marks and (len(world.tally.marks) == 2 or "lasts" not in FAILURES[kind]
-                                  or kind in ("roll", "release"))
+    assert world.tally.marks and (
+        len(world.tally.marks) == 2 or "lasts" not in FAILURES[kind] or kind in ("roll", "release")
+    )
     assert not world.clients.open and not world.network.cuts and world.clients.burst == 1
     assert all(life is not None for life in world.plant.lives) and all(b.up for b in world.backends)
     assert all(b.trouble.slow == 1 and not b.trouble.failing and not b.trouble.lost for b in world.backends)
-    if kind not in ("late-lists", "clocks"):        # which act with a change of the list, or at a start
+    if kind not in ("late-lists", "clocks"):  # which act with a change of the list, or at a start
         calm = run(scenario())[1]
         assert (figures["counts"], figures["latency_ms"]) != (calm["counts"], calm["latency_ms"])
 
@@ -139,22 +159,25 @@
 
 
 def test_failures_at_once_break_no_rule():
-    more = (failure(kind="kill", at="1s", share=0.7, down="300ms")
-            + failure(kind="release", at="1s", lasts="2s", steps=2)
-            + failure(kind="counter", at="1s", lasts="2s", how="lost")
-            + failure(kind="late-lists", at="0s", lasts="5s", delay="2s")
-            + failure(kind="storm", at="1s", lasts="3s")
-            + failure(kind="cut", at="2s", lasts="1s", one="gateways", other="backends",
-                      both_ways=False))
+    more = (
+        failure(kind="kill", at="1s", share=0.7, down="300ms")
+        + failure(kind="release", at="1s", lasts="2s", steps=2)
+        + failure(kind="counter", at="1s", lasts="2s", how="lost")
+        + failure(kind="late-lists", at="0s", lasts="5s", delay="2s")
+        + failure(kind="storm", at="1s", lasts="3s")
+        + failure(kind="cut", at="2s", lasts="1s", one="gateways", other="backends", both_ways=False)
+    )
     assert run(scenario(more))[1]["broken"] == []
 
 
 def test_gateways_that_share_probes_ask_less_and_keep_the_rules():
     """Backends return cold while gateways die: with and without membership, and with lost datagrams."""
-    more = (failure(kind="release", at="1s", lasts="2s", share=1.0, steps=2, down="300ms", drain="300ms")
-            + failure(kind="kill", at="2s", share=0.3, down="500ms")
-            + failure(kind="pause", at="3s", lasts="1s", share=0.2)
-            + failure(kind="cut", at="3s", lasts="1s", one="zone:a", other="zone:b"))
+    more = (
+        failure(kind="release", at="1s", lasts="2s", share=1.0, steps=2, down="300ms", drain="300ms")
+        + failure(kind="kill", at="2s", share=0.3, down="500ms")
+        + failure(kind="pause", at="3s", lasts="1s", share=0.2)
+        + failure(kind="cut", at="3s", lasts="1s", one="zone:a", other="zone:b")
+    )
     text = SMALL.replace("gateways = 4", "gateways = 12")
     alone = run(scenario(more, text))[1]
     for loss in (0.0, 0.2):
@@ -168,6 +191,7 @@
 
 # The oracle, against gateways that break each rule.
 
+
 def broken(figures, rule, what):
     assert figures["rules_broken"] and figures["broken"][0].startswith(f"rule {rule} broken at")
     assert what in figures["broken"][0]
@@ -177,6 +201,7 @@
 def test_the_oracle_sees_rule_1_broken(monkeypatch):
     def silent(life, inv, retry_after):
         life.tries[inv]
+
     with monkeypatch.context() as patch:
         patch.setattr(plant.Life, "throttle", silent)
         trace = broken(run(scenario())[1], 1, "got no answer in its time")
@@ -186,8 +211,10 @@
         patch.setattr(plant.Life, "answer", lambda *args: (answer(*args), answer(*args)))
         broken(run(scenario())[1], 1, "answered twice")
     with monkeypatch.context() as patch:
+
         def late(life, *args):
             life.clock.after(4_000_000, answer, life, *args)
+
         patch.setattr(plant.Life, "answer", late)
         broken(run(scenario())[1], 1, "")
 
@@ -208,6 +235,7 @@
 
     def deaf(life, entries, whole):
         listing(life, [(*e[:4], State.READY, *e[5:]) for e in entries], whole)
+
     monkeypatch.setattr(plant.Life, "listing", deaf)
     more = failure(kind="release", at="1s", lasts="1s", drain="3s", share=0.5)
     broken(run(scenario(more, discovery__delay=100_000))[1], 3, "after it was told off the list")
@@ -216,6 +244,7 @@
 def test_the_oracle_sees_rule_4_broken(monkeypatch):
     def latest(self, inv):
         return max(self.pool.order, key=lambda t: t.started or 0, default=None)
+
     monkeypatch.setattr(choice.Gateway, "cold", lambda self, t: False)
     monkeypatch.setattr(choice.Gateway, "pick", latest)
     more = failure(kind="release", at="1s", lasts="1s", share=0.3, steps=1, down="100ms")
@@ -232,10 +261,12 @@
 
 # What must not hang.
 
+
 def test_a_generator_that_never_pauses_ends_the_run_with_its_name(monkeypatch):
     def endless(self):
         while True:
             yield choice.Log("again")
+
     monkeypatch.setattr(choice.Gateway, "chores", lambda self: [endless(self)])
     with pytest.raises(Stuck, match="endless, line"):
         run(scenario())
@@ -243,6 +274,7 @@
 
     def again():
         clock.after(0, again)
+
     again()
     with pytest.raises(Stuck, match="again"):
         clock.run(clock.now + 1)
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -1,4 +1,5 @@
 """The laboratory on sockets, its experiments, its load tool and its reports; killed runs and broken files."""
+
 import contextlib
 import io
 import json
@@ -38,12 +39,14 @@
 
 def test_real_gateways_serve_a_scenario_through_failures_as_simulated_ones_do():
     """Kill, pause, a lost zone, a lost counter, broken connections and a flood, one after the other."""
-    more = (failure(kind="kill", at="300ms", share=0.25, down="200ms")
-            + failure(kind="pause", at="900ms", lasts="300ms", share=0.25)
-            + failure(kind="counter", at="1s", lasts="700ms", how="lost")
-            + failure(kind="zone-loss", at="1200ms", lasts="600ms", zone="a")
-            + failure(kind="resets", at="1500ms", lasts="500ms", part=0.2)
-            + failure(kind="flood", at="500ms", lasts="2s", plan="basic", customers=2, factor=8))
+    more = (
+        failure(kind="kill", at="300ms", share=0.25, down="200ms")
+        + failure(kind="pause", at="900ms", lasts="300ms", share=0.25)
+        + failure(kind="counter", at="1s", lasts="700ms", how="lost")
+        + failure(kind="zone-loss", at="1200ms", lasts="600ms", zone="a")
+        + failure(kind="resets", at="1500ms", lasts="500ms", part=0.2)
+        + failure(kind="flood", at="500ms", lasts="2s", plan="basic", customers=2, factor=8)
+    )
     stated = scenario(more, SHORT)
     simulated = emulate.run(stated)[1]
     before = len(children())
@@ -55,14 +58,26 @@
 
 
 def test_a_rolling_restart_and_a_release_of_backends_on_sockets_break_no_rule():
-    more = (failure(kind="roll", at="300ms", lasts="1s", steps=2, share=0.5)
-            + failure(kind="release", at="500ms", lasts="1s", share=0.5, steps=2, drain="500ms", down="300ms",
-                      renewed=True)
-            + failure(kind="cut", at="1500ms", lasts="500ms", one="zone:a", other="zone:b"))
+    more = (
+        failure(kind="roll", at="300ms", lasts="1s", steps=2, share=0.5)
+        + failure(
+            kind="release",
+            at="500ms",
+            lasts="1s",
+            share=0.5,
+            steps=2,
+            drain="500ms",
+            down="300ms",
+            renewed=True,
+        )
+        + failure(kind="cut", at="1500ms", lasts="500ms", one="zone:a", other="zone:b")
+    )
     world, figures = loopback.run(scenario(more, SHORT))
     assert figures["broken"] == [] and figures["served"] > 0.4
-    assert all(life.number == 1 + (n in world.plant.running() and life.number > 1)
-               for n, life in enumerate(world.plant.lives))
+    assert all(
+        life.number == 1 + (n in world.plant.running() and life.number > 1)
+        for n, life in enumerate(world.plant.lives)
+    )
     assert sum(life.number == 2 for life in world.plant.lives) == 2
 
 
@@ -74,6 +89,7 @@
     def struck(plant):
         began(plant)
         plant.clock.after(1_000_000, lambda: plant.lives[1].process.kill())
+
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(loopback.SocketPlant, "begin", struck)
         figures = loopback.run(stated)[1]
@@ -87,6 +103,7 @@
         began(plant)
         for n in range(30):
             plant.clock.after(100_000 * n, time.sleep, 0.06)
+
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(loopback.SocketPlant, "begin", slow)
         figures = loopback.run(scenario("", SHORT))[1]
@@ -105,8 +122,12 @@
 def test_a_killed_run_leaves_no_gateway_and_no_port_behind(tmp_path):
     path = tmp_path / "small.toml"
     path.write_text(SMALL)
-    run = subprocess.Popen([sys.executable, "-m", "kestrelbend", "lab", "emulate", "--sockets", str(path)],
-                           cwd=REPO, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    run = subprocess.Popen(
+        [sys.executable, "-m", "kestrelbend", "lab", "emulate", "--sockets", str(path)],
+        cwd=REPO,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     end = time.monotonic() + 20
     while time.monotonic() < end and sum(line.split()[0] == str(run.pid) for line in children()) < 4:
         time.sleep(0.05)
@@ -159,7 +180,7 @@
     assert len({(r["variant"], r["seed"]) for r in rows}) == 6
     by = {(r["variant"], r["seed"]): r["figures"] for r in rows}
     for seed in (1, 2):
-        assert (by["as it is", seed]["counts"]["requests"] == by["all in", seed]["counts"]["requests"])
+        assert by["as it is", seed]["counts"]["requests"] == by["all in", seed]["counts"]["requests"]
         assert by["all in", seed]["beyond_share"] > by["as it is", seed]["beyond_share"]
     code, said = called("lab", "compare", out)
     assert code == 0 and "against 'as it is'" in said and "2 pairs" in said
@@ -170,18 +191,25 @@
 
 
 def test_all_that_is_wrong_with_an_experiment_is_said_at_once(tmp_path):
-    path = few(tmp_path, EXPERIMENT + """
+    path = few(
+        tmp_path,
+        EXPERIMENT
+        + """
 [[variants]]
 name = "elsewhere"
 checkout = "nowhere"
 [[variants]]
 name = "typo"
 set = {"backends.cuont" = 4, "fleet.gateways" = 0}
-""")
+""",
+    )
     code, said = called("check", path)
     assert code == 2
-    for part in ("no checkout of this repository", "did you mean 'count'",
-                 "fleet.gateways: expected int >= 1"):
+    for part in (
+        "no checkout of this repository",
+        "did you mean 'count'",
+        "fleet.gateways: expected int >= 1",
+    ):
         assert part in said
     (tmp_path / "few.toml").write_text(EXPERIMENT.replace('"all in"', '"as it is"') + 'baseline = "all"\n')
     code, said = called("lab", "experiment", path, "-o", tmp_path / "none.jsonl")
@@ -196,11 +224,17 @@
         text = (REPO / "kestrelbend" / f"{name}.py").read_text()
         if name == "choice":
             assert "FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 1.5, 192.0" in text
-            text = text.replace("FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 1.5, 192.0",
-                                "FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 0.01, 0.01, 0.01")
+            text = text.replace(
+                "FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 6.0, 1.5, 192.0",
+                "FIRST_ROOM, LEAST_ROOM, MOST_ROOM = 0.01, 0.01, 0.01",
+            )
         (other / "kestrelbend" / f"{name}.py").write_text(text)
-    path = few(tmp_path, EXPERIMENT.replace('baseline = "let-all-in"', 'checkout = "other"')
-               .replace("seeds = [1, 2]", "seeds = [1]"))
+    path = few(
+        tmp_path,
+        EXPERIMENT.replace('baseline = "let-all-in"', 'checkout = "other"').replace(
+            "seeds = [1, 2]", "seeds = [1]"
+        ),
+    )
     out = tmp_path / "out.jsonl"
     assert called("lab", "experiment", path, "-o", out, "--cores", "2")[0] == 0
     by = {r["variant"]: r["figures"] for r in results.read(out)}
@@ -233,6 +267,7 @@
     """The server stands still for 0.3 s: what was due meanwhile waited, whatever was out."""
     import asyncio
     import threading
+
     ready, stop = threading.Event(), threading.Event()
 
     def serve():
@@ -244,6 +279,7 @@
                 if state["n"] == 50:
                     time.sleep(0.3)
                 return web.Response(text="ok")
+
             runner = web.ServerRunner(web.Server(answer))
             await runner.setup()
             site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -253,12 +289,14 @@
             while not stop.is_set():
                 await asyncio.sleep(0.02)
             await runner.cleanup()
+
         asyncio.run(main())
+
     thread = threading.Thread(target=serve)
     thread.start()
     assert ready.wait(5)
     path = tmp_path / "load.toml"
-    path.write_text(LOAD.replace('timeout', 'connections = 1\ntimeout'))
+    path.write_text(LOAD.replace("timeout", "connections = 1\ntimeout"))
     out = tmp_path / "load.jsonl"
     code, said = called("lab", "load", f"http://127.0.0.1:{serve.port}", path, "-o", out)
     stop.set()
@@ -275,16 +313,22 @@
     first, _ = load.plan(plan)
     assert first == load.plan(plan)[0] and first != load.plan(plan, 9)[0]
     assert 150 < len(first) < 250 and [r.at for r in first] == sorted(r.at for r in first)
-    longer = reading.parsed(LOAD + '[[phases]]\nkind = "steps"\nfirst = 10\nlast = 30\nsteps = 3\n'
-                            'lasts = "3s"\n[[phases]]\nkind = "bursts"\nsize = 7\nevery = "500ms"\n'
-                            'lasts = "1s"\n',
-                            load.Load, "load.toml")
+    longer = reading.parsed(
+        LOAD + '[[phases]]\nkind = "steps"\nfirst = 10\nlast = 30\nsteps = 3\n'
+        'lasts = "3s"\n[[phases]]\nkind = "bursts"\nsize = 7\nevery = "500ms"\n'
+        'lasts = "1s"\n',
+        load.Load,
+        "load.toml",
+    )
     more, _ = load.plan(longer)
-    assert more[:len(first)] == first and len(more) == len(first) + 10 + 20 + 30 + 14
+    assert more[: len(first)] == first and len(more) == len(first) + 10 + 20 + 30 + 14
     # A recorded trace is replayed at its times; lines that cannot be read are counted.
     (tmp_path / "trace.jsonl").write_text(load.trace_lines(more) + "{half a li\n")
-    trace = reading.parsed('name = "again"\n[[phases]]\nkind = "trace"\nfile = "trace.jsonl"\nspeed = 2\n',
-                           load.Load, "load.toml")
+    trace = reading.parsed(
+        'name = "again"\n[[phases]]\nkind = "trace"\nfile = "trace.jsonl"\nspeed = 2\n',
+        load.Load,
+        "load.toml",
+    )
     again, passed = load.plan(trace, folder=tmp_path)
     assert passed == 1 and [r.path for r in again] == [r.path for r in more]
     assert abs(again[-1].at - (more[-1].at - more[0].at) / 2) <= 1
@@ -292,11 +336,14 @@
 
 def test_load_that_cannot_be_sent_in_time_is_void_and_no_server_is_said(tmp_path):
     path = tmp_path / "load.toml"
-    path.write_text(LOAD.replace('rate = 200', 'rate = 20').replace('"1s"', '"300ms"'))
+    path.write_text(LOAD.replace("rate = 200", "rate = 20").replace('"1s"', '"300ms"'))
     code, said = called("lab", "load", "http://127.0.0.1:9", path)
     assert code == 0 and "no connection" in said
-    path.write_text(LOAD.replace('kind = "poisson"', 'kind = "trace"').replace("rate = 200", 'file = "none"')
-                    .replace('lasts = "1s"', ""))
+    path.write_text(
+        LOAD.replace('kind = "poisson"', 'kind = "trace"')
+        .replace("rate = 200", 'file = "none"')
+        .replace('lasts = "1s"', "")
+    )
     code, said = called("lab", "load", "http://127.0.0.1:9", path)
     assert code == 2 and "none" in said
     tool = load.Tool("x", reading.parsed(LOAD, load.Load, "load.toml"))
@@ -306,25 +353,51 @@
 
 # The command.
 
-@pytest.mark.parametrize("path", sorted(EXAMPLES.rglob("*.toml")) + [REPO / "deploy" / "gateway.toml"],
-                         ids=lambda path: path.stem)
+
+@pytest.mark.parametrize(
+    "path", sorted(EXAMPLES.rglob("*.toml")) + [REPO / "deploy" / "gateway.toml"], ids=lambda path: path.stem
+)
 def test_every_example_is_usable(path):
     assert called("check", path)[0] == 0
 
 
 def test_every_verb_has_help_and_wrong_words_end_with_2():
-    for verb in (["serve"], ["check"], ["members"], ["status"], ["version"], ["gateway"], ["control"],
-                 ["store"], ["lab"],
-                 ["lab", "emulate"], ["lab", "gossip"], ["lab", "load"], ["lab", "experiment"],
-                 ["lab", "compare"], ["lab", "report"], ["lab", "fleet"]):
+    for verb in (
+        ["serve"],
+        ["check"],
+        ["members"],
+        ["status"],
+        ["version"],
+        ["gateway"],
+        ["control"],
+        ["store"],
+        ["lab"],
+        ["lab", "emulate"],
+        ["lab", "gossip"],
+        ["lab", "load"],
+        ["lab", "experiment"],
+        ["lab", "compare"],
+        ["lab", "report"],
+        ["lab", "fleet"],
+    ):
         code, said = called(*verb, "--help")
         assert code == 0 and "Usage" in said and " ".join(verb) in said
     assert called("lab", "emulate", "no-such-file.toml")[0] == 2 and called("nothing")[0] == 2
     storm = EXAMPLES / "storm.toml"
-    for words in (["lab"], ["lab", "nothing"], ["check"], ["check", EXAMPLES], ["check", storm, storm],
-                  ["check", storm, "--kind", "poem"], ["lab", "emulate", storm, "--seed", "five"],
-                  ["lab", "gossip", "1"], ["lab", "gossip", "4", "--loss", "1"], ["lab", "load", "x"],
-                  ["lab", "experiment", EXAMPLES / "fleet.toml"], ["version", "--loud"]):
+    for words in (
+        ["lab"],
+        ["lab", "nothing"],
+        ["check"],
+        ["check", EXAMPLES],
+        ["check", storm, storm],
+        ["check", storm, "--kind", "poem"],
+        ["lab", "emulate", storm, "--seed", "five"],
+        ["lab", "gossip", "1"],
+        ["lab", "gossip", "4", "--loss", "1"],
+        ["lab", "load", "x"],
+        ["lab", "experiment", EXAMPLES / "fleet.toml"],
+        ["version", "--loud"],
+    ):
         code, said = called(*words)
         assert code == 2 and said.strip() and "Traceback" not in said, words
 
@@ -332,12 +405,15 @@
 def test_words_without_a_verb_name_all_verbs():
     for words in (["--help"], ["-h"], ["list"]):
         code, said = called(*words)
-        assert code == 0 and all(verb in said for verb in ("serve", "check", "gateway", "control", "store",
-                                                           "lab emulate", "lab report"))
+        assert code == 0 and all(
+            verb in said
+            for verb in ("serve", "check", "gateway", "control", "store", "lab emulate", "lab report")
+        )
 
 
 def test_a_broken_rule_ends_the_command_with_1_and_its_trace(tmp_path, monkeypatch):
     from kestrelbend.lab import plant
+
     path = tmp_path / "small.toml"
     path.write_text(SHORT)
     monkeypatch.setattr(plant.Life, "throttle", lambda life, inv, retry_after: None)
@@ -348,33 +424,55 @@
 
 def loaded(code):
     """The top-level packages and our own modules that are loaded after some code in a process of its own."""
-    got = subprocess.run([sys.executable, "-O", "-c", f"import sys\n{code}\nprint(*sys.modules)"], cwd=REPO,
-                         capture_output=True, text=True, env={**os.environ}, check=True)
+    got = subprocess.run(
+        [sys.executable, "-O", "-c", f"import sys\n{code}\nprint(*sys.modules)"],
+        cwd=REPO,
+        capture_output=True,
+        text=True,
+        env={**os.environ},
+        check=True,
+    )
     names = got.stdout.split()
     return {name.split(".")[0] for name in names} | {name for name in names if name.startswith("kestrelbend")}
 
 
-LABORATORY = {"rich", "cleo", "numpy", "scipy", "matplotlib", "hdrh", "kestrelbend.lab",
-              "kestrelbend.command"}
+LABORATORY = {
+    "rich",
+    "cleo",
+    "numpy",
+    "scipy",
+    "matplotlib",
+    "hdrh",
+    "kestrelbend.lab",
+    "kestrelbend.command",
+}
 
 
 def test_serving_loads_nothing_of_the_laboratory():
-    names = loaded("import kestrelbend.__main__, kestrelbend.net.gateway, kestrelbend.net.lines as l\n"
-                   "import logging; l.Lines().format(logging.makeLogRecord({'msg': 'x'}))")
-    assert "kestrelbend.net.gateway" in names and not names & (
-        LABORATORY | {"tomllib", "kestrelbend.tier"})
+    names = loaded(
+        "import kestrelbend.__main__, kestrelbend.net.gateway, kestrelbend.net.lines as l\n"
+        "import logging; l.Lines().format(logging.makeLogRecord({'msg': 'x'}))"
+    )
+    assert "kestrelbend.net.gateway" in names and not names & (LABORATORY | {"tomllib", "kestrelbend.tier"})
 
 
 @pytest.mark.parametrize("role", TIER_ROLES)
 def test_a_role_of_the_tier_loads_neither_the_laboratory_nor_the_gateway_in_service(role):
-    names = loaded("import kestrelbend.__main__\nfrom kestrelbend.tier.roles.start import load_role\n"
-                   f"load_role({role!r})")
+    names = loaded(
+        "import kestrelbend.__main__\nfrom kestrelbend.tier.roles.start import load_role\n"
+        f"load_role({role!r})"
+    )
     in_service = {"aiohttp", "hiredis", "msgspec", "structlog", "uvloop", "kestrelbend.net"}
     assert f"kestrelbend.tier.roles.{role}" in names and not names & (LABORATORY | in_service)
 
 
 @pytest.mark.parametrize("role", TIER_ROLES)
 def test_a_role_without_usable_settings_ends_with_2_and_one_line(role, tmp_path):
-    got = subprocess.run([sys.executable, "-m", "kestrelbend", role], cwd=REPO, capture_output=True,
-                         text=True, env={**os.environ, "KESTRELBEND_SETTINGS": str(tmp_path / "none.yaml")})
+    got = subprocess.run(
+        [sys.executable, "-m", "kestrelbend", role],
+        cwd=REPO,
+        capture_output=True,
+        text=True,
+        env={**os.environ, "KESTRELBEND_SETTINGS": str(tmp_path / "none.yaml")},
+    )
     assert got.returncode == 2 and got.stderr == "none.yaml: No such file or directory\n" and not got.stdout
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,5 +1,6 @@
 """Membership and duties: the core under losses, stops, cuts, restarts and forgeries, leases under an
 exhaustive exploration, and five real gateways on loopback."""
+
 import asyncio
 import copy
 import json
@@ -41,9 +42,19 @@
 
 # The wire.
 
+
 def message(**more):
-    return m.Message(int(m.Kind.PING), "n1", 1_700_000_000_000, 7, 3, "n2", 99,
-                     [m.Rumour("n3", b"\x0a\0\0\x01\x1f\x90", 5, 1, 1, "n1")], **more)
+    return m.Message(
+        int(m.Kind.PING),
+        "n1",
+        1_700_000_000_000,
+        7,
+        3,
+        "n2",
+        99,
+        [m.Rumour("n3", b"\x0a\0\0\x01\x1f\x90", 5, 1, 1, "n1")],
+        **more,
+    )
 
 
 def test_a_message_comes_back_as_it_went_and_a_changed_bit_is_seen():
@@ -74,9 +85,15 @@
 
 
 @settings(max_examples=int(os.environ.get("FUZZ", 400)), deadline=None)
-@given(st.binary(max_size=300) | st.recursive(
-    st.none() | st.integers(-2**63, 2**64 - 1) | st.text(max_size=9) | st.binary(max_size=9),
-    lambda inner: st.lists(inner, max_size=13), max_leaves=30).map(m.ENCODER.encode), st.booleans())
+@given(
+    st.binary(max_size=300)
+    | st.recursive(
+        st.none() | st.integers(-(2**63), 2**64 - 1) | st.text(max_size=9) | st.binary(max_size=9),
+        lambda inner: st.lists(inner, max_size=13),
+        max_leaves=30,
+    ).map(m.ENCODER.encode),
+    st.booleans(),
+)
 def test_whatever_comes_is_a_message_or_said_to_be_none(body, signed):
     """Also of one who has the key: nothing that was decoded can upset the core."""
     codec = m.Codec(KEYS)
@@ -94,6 +111,7 @@
 
 # The protocol.
 
+
 def test_a_dead_member_is_seen_by_all_and_nobody_else_is_called_dead():
     f = fleet(20)
     f.run(30)
@@ -135,6 +153,7 @@
 
     def cut(a, b):
         return (a.number in half) != (b.number in half)
+
     f.cuts.append(cut)
     names = [{f"n{n}" for n in range(5)}, {f"n{n}" for n in range(5, 10)}]
     assert f.until(lambda: all(set(n.core.alive()) == names[n.number >= 5] for n in f.nodes), 60) < 60
@@ -180,7 +199,7 @@
     assert f.until(f.agree, 30) < 30
     node = f.nodes[2]
     node.kill()
-    node.offset = -3600 * S         # its next life would be older than its last
+    node.offset = -3600 * S  # its next life would be older than its last
     node.start(f.seeds)
     f.run(1)
     assert f.until(f.agree, 30) < 20
@@ -200,14 +219,26 @@
 
 def test_no_second_sees_more_datagrams_of_one_than_allowed():
     """Whatever comes: a flood of pings, of digests, of news."""
-    core = swim.Swim("n0", b"\x0a\0\0\1\0\1", 5, swim.Terms(most_per_s=10), random.Random(1), 0,
-                     [m.packed(("10.0.1.1", n + 1)) for n in range(30)])
+    core = swim.Swim(
+        "n0",
+        b"\x0a\0\0\1\0\1",
+        5,
+        swim.Terms(most_per_s=10),
+        random.Random(1),
+        0,
+        [m.packed(("10.0.1.1", n + 1)) for n in range(30)],
+    )
     sent, now = [], 0
     for n in range(4000):
         now += 2500
         kind = (m.Kind.PING, m.Kind.DIGESTS, m.Kind.NEWS, m.Kind.REQUEST)[n % 4]
-        core.receive(now, m.packed(("10.0.2.2", 1 + n % 9)), m.Message(
-            int(kind), f"p{n % 9}", 9, n, n, "x", 0, sums=[n] * 16, address=m.packed(("10.0.3.3", 9))))
+        core.receive(
+            now,
+            m.packed(("10.0.2.2", 1 + n % 9)),
+            m.Message(
+                int(kind), f"p{n % 9}", 9, n, n, "x", 0, sums=[n] * 16, address=m.packed(("10.0.3.3", 9))
+            ),
+        )
         core.tick(now)
         sent += [now] * len(core.out)
         core.out.clear()
@@ -243,7 +274,7 @@
     double.name = "n0"
     double.start(f.seeds)
     f.run(10)
-    assert f.nodes[0].core.conflict is not None         # the older one learns that it has to give way
+    assert f.nodes[0].core.conflict is not None  # the older one learns that it has to give way
     assert f.nodes[0].core.conflict.address == double.address and double.core.conflict is None
 
 
@@ -291,8 +322,9 @@
 
     @rule(a=st.integers(0, 3), b=st.integers(0, 3), both=st.booleans())
     def cut(self, a, b, both):
-        self.fleet.cuts.append(lambda x, y: (x.number, y.number) == (a, b)
-                               or both and (x.number, y.number) == (b, a))
+        self.fleet.cuts.append(
+            lambda x, y: (x.number, y.number) == (a, b) or both and (x.number, y.number) == (b, a)
+        )
 
     @rule()
     def heal(self):
@@ -335,6 +367,7 @@
 
 # Duties.
 
+
 @given(st.sets(st.integers(0, 60), min_size=1, max_size=20), st.integers(0, 60))
 def test_a_death_moves_the_duties_of_the_dead_alone(numbers, dead):
     deal, names = Deal(), [f"n{n}" for n in numbers]
@@ -375,10 +408,11 @@
                 own.follow(cold)
                 probes.extend((f.clock.now, uid, node.name) for uid in own.due(f.clock.now))
         f.clock.after(100_000, look)
+
     look()
     f.run(20)
     assert len(probes) <= 6 * 41 and {uid for _, uid, _ in probes} == cold.keys()
-    for number in range(4):                     # one after the other; the last of all is stopped, not dead
+    for number in range(4):  # one after the other; the last of all is stopped, not dead
         f.nodes[number].kill() if number < 3 else f.nodes[number].stop(True)
         f.run(8)
     for uid in cold:
@@ -388,8 +422,10 @@
 
 # Leases: every order of asking, answering, losing, waiting and restarting in a small fleet.
 
+
 class Small:
     """Two that would hold, three voters; time in steps of a part of a lease."""
+
     LENGTH, STEP = 40, 11
 
     def __init__(self):
@@ -399,14 +435,14 @@
         self.mail, self.fence = [], leases.Fence()
 
     def moves(self):
-        yield "wait",
+        yield ("wait",)
         for n in range(2):
             if self.holders[n].due(self.now) and not any(x[0] == "ask" and x[2] == n for x in self.mail):
                 yield "ask", n
         for at in range(len(self.mail)):
             yield "deliver", at
         if len(self.mail) > 1:
-            yield "lose",
+            yield ("lose",)
         for v in range(3):
             yield "restart", v
 
@@ -435,13 +471,22 @@
     def state(self):
         def ahead(at):
             return max(0, at - self.now)
-        return (tuple((ahead(v.mute_until), v.highest.get("d", 0),
-                       (g.fence, g.holder, ahead(g.until)) if (g := v.grants.get("d")) else None)
-                      for v in self.voters),
-                tuple((h.fence, h.known, ahead(h.ask_at), tuple(sorted((v, ahead(t))
-                                                                       for v, t in h.grants.items())))
-                      for h in self.holders),
-                tuple((*each[:4], self.now - each[4]) for each in self.mail))
+
+        return (
+            tuple(
+                (
+                    ahead(v.mute_until),
+                    v.highest.get("d", 0),
+                    (g.fence, g.holder, ahead(g.until)) if (g := v.grants.get("d")) else None,
+                )
+                for v in self.voters
+            ),
+            tuple(
+                (h.fence, h.known, ahead(h.ask_at), tuple(sorted((v, ahead(t)) for v, t in h.grants.items())))
+                for h in self.holders
+            ),
+            tuple((*each[:4], self.now - each[4]) for each in self.mail),
+        )
 
     def two(self):
         return all(holder.holds(self.now) for holder in self.holders)
@@ -487,22 +532,27 @@
 
 @pytest.mark.parametrize("what", ["later question", "no mute", "no wait", "no majority"])
 def test_each_part_of_the_leases_is_needed(what, monkeypatch):
-    if what == "later question":        # counted from the newest question, which may have been lost
+    if what == "later question":  # counted from the newest question, which may have been lost
         asked, ask = {}, leases.Holder.ask
 
         def noted(self, now, stamp):
             asked[id(self)] = now
             return ask(self, now, stamp)
+
         granted = leases.Holder.granted
         monkeypatch.setattr(leases.Holder, "ask", noted)
-        monkeypatch.setattr(leases.Holder, "granted", lambda self, v, fence, at: granted(
-            self, v, fence, max(at, asked.get(id(self), 0))))
+        monkeypatch.setattr(
+            leases.Holder,
+            "granted",
+            lambda self, v, fence, at: granted(self, v, fence, max(at, asked.get(id(self), 0))),
+        )
     elif what == "no mute":
         made = leases.Voter.__init__
 
         def talkative(self, now, length=leases.LENGTH):
             made(self, now, length)
             self.mute_until = 0
+
         monkeypatch.setattr(leases.Voter, "__init__", talkative)
     elif what == "no wait":
         ask = leases.Voter.ask
@@ -511,6 +561,7 @@
             if duty in self.grants:
                 self.grants[duty].until = 0
             return ask(self, now, duty, fence, holder)
+
         monkeypatch.setattr(leases.Voter, "ask", careless)
     else:
         monkeypatch.setattr(leases.Holder, "majority", lambda self: 1)
@@ -531,6 +582,7 @@
             for at, voter in enumerate(voters):
                 granted, highest, wait = voter.ask(now, "renew", number, holder.me)
                 holder.granted(at, number, now) if granted else holder.denied(now, at, highest, wait)
+
     tick(first)
     assert first.holds(now) and fence.accepts(first.fence)
     while now < 3 * length and not second.holds(now):
@@ -554,8 +606,11 @@
     text = EXAMPLE.read_text()
     stated = reading.parsed(text + MEMBERS, Installation)
     assert stated.members.told("x").peers[1] == ("127.0.0.3", 7946)
-    wrong = (MEMBERS.replace("0e0f", "0e0g").replace('"127.0.0.3:7946"', '"host.example:7946", "nowhere"')
-             .replace('listen = "127.0.0.1:7946"', 'listen = "127.0.0.1:7946"\nperiod = "1ms"'))
+    wrong = (
+        MEMBERS.replace("0e0f", "0e0g")
+        .replace('"127.0.0.3:7946"', '"host.example:7946", "nowhere"')
+        .replace('listen = "127.0.0.1:7946"', 'listen = "127.0.0.1:7946"\nperiod = "1ms"')
+    )
     with pytest.raises(reading.Wrong) as caught:
         reading.parsed(text + wrong.replace(', "nowhere"', ""), Installation)
     said = str(caught.value)
@@ -567,10 +622,16 @@
 
 def test_on_the_platform_it_takes_a_file_and_the_settings_leave(tmp_path):
     pairs = World().pairs
-    given = {"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
-             "limits": {"sockets": 9}, "peer_listen": "127.0.0.1:7946",
-             "peers": ["127.0.9.1:7946", "127.0.9.2:7946"],
-             "settings": nested(pairs | {"index": 1, "policyLimits.peers": True})}
+    given = {
+        "name": "n1",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:2",
+        "seed": "1",
+        "limits": {"sockets": 9},
+        "peer_listen": "127.0.0.1:7946",
+        "peers": ["127.0.9.1:7946", "127.0.9.2:7946"],
+        "settings": nested(pairs | {"index": 1, "policyLimits.peers": True}),
+    }
     config, keys = tmp_path / "config.json", tmp_path / "members.toml"
     keys.write_text('keys = {1 = "000102030405060708090a0b0c0d0e0f"}\n')
     config.write_text(json.dumps(given))
@@ -585,6 +646,7 @@
 
 # Five real gateways.
 
+
 class Five:
     """Gateways in processes of their own, that probe two cold backends."""
 
@@ -592,8 +654,9 @@
         self.folder, self.running = folder, {}
 
     async def __aenter__(self):
-        self.world = world = await World(2, feedback__how="probe", policyLimits__probing="true",
-                                         feedback__fields="queue,inflight,util").__aenter__()
+        self.world = world = await World(
+            2, feedback__how="probe", policyLimits__probing="true", feedback__fields="queue,inflight,util"
+        ).__aenter__()
         await world.__aexit__()
         for stand in (world.counter, world.discovery, *world.backends):
             await stand.open(stand.port)
@@ -606,20 +669,38 @@
         return self
 
     async def begin(self, n, name=None, key="000102030405060708090a0b0c0d0e0f"):
-        given = {"name": name or f"n{n}", "listen": "%s:%d" % self.places[n], "seed": str(n),
-                 "discovery": self.world.discovery.address, "limits": {"sockets": 256},
-                 "known": {"rev": 1, "all": True, "targets": self.rows}, "peer_listen": "%s:%d" % self.udp[n],
-                 "peers": ["%s:%d" % at for at in self.udp],
-                 "settings": nested(self.world.pairs | {
-                     "instances": 5, "index": n, "policyLimits.peers": True, "rules.cold": 60000,
-                     "familyInfo.mayCount": "false"})}
+        given = {
+            "name": name or f"n{n}",
+            "listen": "%s:%d" % self.places[n],
+            "seed": str(n),
+            "discovery": self.world.discovery.address,
+            "limits": {"sockets": 256},
+            "known": {"rev": 1, "all": True, "targets": self.rows},
+            "peer_listen": "%s:%d" % self.udp[n],
+            "peers": ["%s:%d" % at for at in self.udp],
+            "settings": nested(
+                self.world.pairs
+                | {
+                    "instances": 5,
+                    "index": n,
+                    "policyLimits.peers": True,
+                    "rules.cold": 60000,
+                    "familyInfo.mayCount": "false",
+                }
+            ),
+        }
         path, keys = self.folder / f"{n}.json", self.folder / f"{n}.toml"
         path.write_text(json.dumps(given))
         keys.write_text(f'keys = {{1 = "{key}"}}\nperiod = "300ms"\n')
         with open(self.folder / f"{n}.log", "ab") as log:
             self.running[n] = await asyncio.create_subprocess_exec(
-                sys.executable, "-O", "-m", "kestrelbend", stderr=log,
-                env={**os.environ, "ROUTER_CONFIG": str(path), "KESTRELBEND_MEMBERS": str(keys)})
+                sys.executable,
+                "-O",
+                "-m",
+                "kestrelbend",
+                stderr=log,
+                env={**os.environ, "ROUTER_CONFIG": str(path), "KESTRELBEND_MEMBERS": str(keys)},
+            )
 
     async def __aexit__(self, *_):
         for process in self.running.values():
@@ -657,6 +738,7 @@
 def timed(monkeypatch):
     """The stand-in backends note when each request came, and answer a report."""
     from tests import helpers
+
     read = helpers.read_request
 
     async def noted(reader, heads=None):
@@ -666,6 +748,7 @@
                 if stand.raw is heads:
                     stand.times.append((time.monotonic(), got[0]))
         return got
+
     noted.stands = []
     made = helpers.StandBackend.__init__
 
@@ -673,6 +756,7 @@
         made(self)
         self.times = []
         noted.stands.append(self)
+
     monkeypatch.setattr(helpers, "read_request", noted)
     monkeypatch.setattr(helpers.StandBackend, "__init__", init)
 
@@ -687,9 +771,9 @@
             assert owners.keys() == {"s0", "s1"}
             await asyncio.sleep(1.5)
             before = sum(len([at for at in times if at > began]) for times in five.probes())
-            assert before <= 2 * 4                      # by all five together about as often as by one
+            assert before <= 2 * 4  # by all five together about as often as by one
             order = list(dict.fromkeys([int(name[1:]) for name in owners.values()] + list(range(5))))
-            for at, n in enumerate(order[:4]):          # those that have duties first; one is stopped
+            for at, n in enumerate(order[:4]):  # those that have duties first; one is stopped
                 if at == 1:
                     five.running[n].send_signal(signal.SIGSTOP)
                 else:
@@ -703,11 +787,13 @@
                 times = [began, *(at for at in times if at > began), end]
                 # Due every half a second: missed for less than two seconds.
                 assert max(b - a for a, b in zip(times, times[1:], strict=False)) < 2.5
+
     run_long(test())
 
 
 def run_long(test):
     import uvloop
+
     uvloop.run(asyncio.wait_for(test, 60))
 
 
@@ -724,12 +810,17 @@
             await five.begin(2)
             end, names = time.monotonic() + 25, []
             while time.monotonic() < end and [name.partition("~")[0] for name in names] != [
-                    "n0", "n0", "n1", "n2"]:            # without the one with a wrong key
+                "n0",
+                "n0",
+                "n1",
+                "n2",
+            ]:  # without the one with a wrong key
                 await asyncio.sleep(0.1)
                 names = sorted(row["name"] for row in await five.view(1) if row["state"] == "alive")
             assert names[0] == "n0" and names[1].startswith("n0~") and names[2:] == ["n1", "n2"]
             assert "two gateways have one name" in (tmp_path / "0.log").read_text()
             assert "why=forged" in (tmp_path / "1.log").read_text()
             answer = await five.world.ask(wait="2", on=await asyncio.open_connection(*five.places[0]))
-            assert answer[0] in (200, 429)              # both serve on: a cold backend takes little
+            assert answer[0] in (200, 429)  # both serve on: a cold backend takes little
+
     run_long(test())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,4 +1,5 @@
 """The real gateway between stand-ins on loopback sockets."""
+
 import asyncio
 import json
 import logging
@@ -52,6 +53,7 @@
             assert line == f"POST {path} HTTP/1.1" and came == body
             assert headers["x-request-id"] == "39711" and headers["x-odd"] == "\u00e9 b"
             assert 0.5 < float(headers["x-timeout"]) < 1.0 and len(world.counter.calls) == 1
+
     run(test())
 
 
@@ -59,34 +61,45 @@
     async def test():
         async with World() as world:
             reader, writer = await asyncio.open_connection(*world.listen)
-            writer.write(b"POST /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
-                         b"X-Request-ID: 1\r\nX-Timeout: 1\r\n"
-                         b"Twice: 1\r\nTwice: 2\r\nConnection: X-Own\r\nX-Own: 3\r\nExpect: 100-continue\r\n"
-                         b"Content-Length: 4\r\n\r\n")
+            writer.write(
+                b"POST /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
+                b"X-Request-ID: 1\r\nX-Timeout: 1\r\n"
+                b"Twice: 1\r\nTwice: 2\r\nConnection: X-Own\r\nX-Own: 3\r\nExpect: 100-continue\r\n"
+                b"Content-Length: 4\r\n\r\n"
+            )
             assert b" 100 " in await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1)
             writer.write(b"body")
             assert b" 200 " in await asyncio.wait_for(reader.readline(), 1)
             (_, headers, body), twice = world.backends[0].seen[0], world.backends[0].raw[0]
             assert body == b"body" and headers["host"] == "api" and not {"x-own", "expect"} & headers.keys()
             assert b"Twice: 1\r\nTwice: 2\r\n" in twice
+
     run(test())
 
 
-@pytest.mark.parametrize("first, effect, status, seen", [
-    (b"500 No\r\n\r\n", "at_most_once", 502, 1),
-    (b"503 Busy\r\n\r\n", "at_most_once", 502, 1),                    # not said that it never ran
-    (b"503 Busy\r\nX-Not-Processed: 1\r\n\r\n", "at_most_once", 200, 2),
-    (b"504 Late\r\nX-Not-Processed: 1\r\n\r\n", "at_most_once", 200, 2),
-    ("cut", "at_most_once", 502, 1), ("cut", "idempotent", 200, 2), ("hang", "at_most_once", 502, 1),
-    (b"200 OK\r\nX-Server-Load: {\"queue\":2}\r\nApi-Charge: 3\r\n\r\n", "at_most_once", 200, 1)])
+@pytest.mark.parametrize(
+    "first, effect, status, seen",
+    [
+        (b"500 No\r\n\r\n", "at_most_once", 502, 1),
+        (b"503 Busy\r\n\r\n", "at_most_once", 502, 1),  # not said that it never ran
+        (b"503 Busy\r\nX-Not-Processed: 1\r\n\r\n", "at_most_once", 200, 2),
+        (b"504 Late\r\nX-Not-Processed: 1\r\n\r\n", "at_most_once", 200, 2),
+        ("cut", "at_most_once", 502, 1),
+        ("cut", "idempotent", 200, 2),
+        ("hang", "at_most_once", 502, 1),
+        (b'200 OK\r\nX-Server-Load: {"queue":2}\r\nApi-Charge: 3\r\n\r\n', "at_most_once", 200, 1),
+    ],
+)
 def test_each_outcome_is_said_as_it_was_seen(first, effect, status, seen):
     """The client library would send a GET again by itself when a kept connection breaks."""
+
     async def test():
         async with World(classes__0__effect=effect) as world:
-            assert (await world.ask())[0] == 200                    # leaves a kept connection
+            assert (await world.ask())[0] == 200  # leaves a kept connection
             world.backends[0].play = [first]
             assert (await world.ask(wait="0.4"))[0] == status
             assert len(world.backends[0].seen) == 1 + seen
+
     run(test())
 
 
@@ -97,6 +110,7 @@
             for _ in range(6):
                 assert (await world.ask())[0] == 200
             assert len(world.backends[1].seen) == 6
+
     run(test())
 
 
@@ -111,6 +125,7 @@
             until = owner.clock() + 500_000
             peer.deliver(Delivery(inv, target, owner.clock(), until, 0, until), request)
             assert (await sent.get())[2] is Result.VOID and not world.backends[0].seen
+
     run(test())
 
 
@@ -119,11 +134,19 @@
 def test_rules_one_and_two_hold_on_sockets_whatever_backends_and_counter_do(data):
     """The plain model: what a backend has read whole and not turned away unseen has run."""
     refusals = b"503 Busy\r\nX-Not-Processed: 1\r\n\r\n"
-    done = [b"200 OK\r\n\r\nfine", b"500 No\r\n\r\n", b"503 No\r\n\r\n",
-            b"200 OK\r\nContent-Encoding: odd\r\n\r\n", "cut", "hang", "half"]
+    done = [
+        b"200 OK\r\n\r\nfine",
+        b"500 No\r\n\r\n",
+        b"503 No\r\n\r\n",
+        b"200 OK\r\nContent-Encoding: odd\r\n\r\n",
+        "cut",
+        "hang",
+        "half",
+    ]
     plays = [data.draw(st.lists(st.sampled_from([refusals, refusals, *done]), max_size=12)) for _ in range(3)]
-    counts = data.draw(st.lists(st.sampled_from([None, "silent", "cut", b"-BUSY", b"-ERR", b"$1\r\n9"]),
-                                max_size=9))
+    counts = data.draw(
+        st.lists(st.sampled_from([None, "silent", "cut", b"-BUSY", b"-ERR", b"$1\r\n9"]), max_size=9)
+    )
     waits = data.draw(st.lists(st.sampled_from(["0.05", "0.15", "0.3"]), min_size=1, max_size=9))
 
     async def test():
@@ -140,8 +163,10 @@
                 ran = [what for path, what in played if path == f"/op/{number:016}" and what != refusals]
                 assert len(ran) <= 1 and (status != 429 or not ran)
                 assert status != 200 or ran in ([done[0]], [done[3]])
+
             await asyncio.gather(*(ask(n, wait) for n, wait in enumerate(waits)))
             await world.until(lambda: not world.owner.requests)
+
     run(test())
 
 
@@ -154,6 +179,7 @@
             await world.until(lambda: world.backends[0].left == 1)
             await world.until(lambda: not world.owner.requests and not world.owner.tasks)
             assert len(world.backends[0].seen) == 1
+
     run(test())
 
 
@@ -166,14 +192,25 @@
             assert (await world.ask(wait="0.3"))[0] in (429, 502)
             await world.until(lambda: before.session.closed)
             assert world.owner.backend_peer.link(target) is not before
+
     run(test())
 
 
-@pytest.mark.parametrize("play, result", [
-    ([b"-BUSY"], Result.REJECTED), ([b"-ERR no"], Result.UNREACHABLE), (["silent"], Result.TIMED_OUT),
-    (["cut"], Result.TIMED_OUT), ([b"+?"], Result.TIMED_OUT), ([b"$3\r\ninf"], Result.TIMED_OUT),
-    ([b"-ODD"], Result.TIMED_OUT), ([b"*1\r\n:3"], Result.TIMED_OUT), ([b"!"], Result.TIMED_OUT),
-    ([], Result.SUCCEEDED)])
+@pytest.mark.parametrize(
+    "play, result",
+    [
+        ([b"-BUSY"], Result.REJECTED),
+        ([b"-ERR no"], Result.UNREACHABLE),
+        (["silent"], Result.TIMED_OUT),
+        (["cut"], Result.TIMED_OUT),
+        ([b"+?"], Result.TIMED_OUT),
+        ([b"$3\r\ninf"], Result.TIMED_OUT),
+        ([b"-ODD"], Result.TIMED_OUT),
+        ([b"*1\r\n:3"], Result.TIMED_OUT),
+        ([b"!"], Result.TIMED_OUT),
+        ([], Result.SUCCEEDED),
+    ],
+)
 def test_each_answer_of_the_counter_is_said_as_it_was_seen(play, result):
     async def test():
         async with World() as world:
@@ -183,22 +220,26 @@
             total = 1.5 if result is Result.SUCCEEDED else 0.0
             assert await service.queue.get() == ("counted", 5, result, total)
             if play and type(play[0]) is bytes and not play[0].startswith((b"-BUSY", b"-ERR")):
-                world.counter.play = []             # its connection is not used again
+                world.counter.play = []  # its connection is not used again
                 service.add(5, 1, 4_000_000)
                 assert (await service.queue.get())[2] is Result.SUCCEEDED and len(service.connections) == 1
+
     run(test())
 
 
 def test_a_gateway_short_of_cpu_counts_from_when_bytes_came_and_ends_earlier():
     """Seen at 0.15 of a core: answers later than the client's time, and counter answers taken as missing."""
+
     async def test():
         async with World(policyLimits__tryLimit=1) as world:
             world.backends[0].play = ["hang"] * 3
             out = asyncio.create_task(world.ask(wait="0.6"))
             await asyncio.sleep(0)
             reader, writer = await asyncio.open_connection(*world.listen)
-            writer.write(b"GET /op/00000000000000c2 HTTP/1.1\r\nHost: x\r\nApi-Plan: plan\r\n"
-                         b"X-Request-ID: 2\r\nX-Timeout: 1\r\n\r\n")
+            writer.write(
+                b"GET /op/00000000000000c2 HTTP/1.1\r\nHost: x\r\nApi-Plan: plan\r\n"
+                b"X-Request-ID: 2\r\nX-Timeout: 1\r\n\r\n"
+            )
             time.sleep(0.2)
             stalled = world.owner.clock()
             await world.until(lambda: len(world.owner.requests) == 2)
@@ -214,6 +255,7 @@
             service.queue = asyncio.Queue()
             service.add(5, 1, 4_000_000)
             assert (await service.queue.get())[2:] == (Result.SUCCEEDED, 9.0)
+
     run(test())
 
 
@@ -226,7 +268,7 @@
             for _ in range(2):
                 service.add(5, 1, 4_000_000)
             assert [(await service.queue.get())[2] for _ in range(2)] == [Result.TIMED_OUT] * 2
-            service.add(6, 1, 4_000_000)                # at once, on a line that is not in doubt
+            service.add(6, 1, 4_000_000)  # at once, on a line that is not in doubt
             assert (await service.queue.get())[2] is Result.SUCCEEDED and len(service.connections) == 2
             await asyncio.sleep(2 * service.wait)
             for _ in range(2):
@@ -235,6 +277,7 @@
             counter.close()
             service.add(6, 1, 4_000_000)
             assert (await service.queue.get())[2] in (Result.UNREACHABLE, Result.TIMED_OUT)
+
     run(test())
 
 
@@ -244,6 +287,7 @@
             world.counter.play, world.discovery.silent = ["silent"] * 9, True
             world.discovery.changed.set()
             assert [(await world.ask())[0] for _ in range(3)] == [200] * 3
+
     run(test())
 
 
@@ -256,22 +300,24 @@
             world.discovery.tell(rows[1] | {"boot_ms": 5})
             await world.until(lambda: owner.backends["s0"].state is State.GONE)
             assert owner.backends["s1"].started == 5000 and len(owner.backend_peer.endpoints) == 1
-            owner.gone["s0"] -= owner.settings["cold"]      # it went long ago: nothing of it is kept
+            owner.gone["s0"] -= owner.settings["cold"]  # it went long ago: nothing of it is kept
             world.discovery.tell(rows[1] | {"boot_ms": 5})
             await world.until(lambda: "s0" not in owner.backends)
             assert len(owner.backend_ids) == 1 and not owner.gone
             assert "since=2&" in world.discovery.asked[2]
-            world.discovery.close()                     # the agent is gone, then back
+            world.discovery.close()  # the agent is gone, then back
             await world.until(lambda: counters["discovery_failed"])
             world.discovery.rows = rows
             await world.discovery.open(world.discovery.port)
             world.discovery.tell(*rows)
             await world.until(lambda: len(owner.listed) == 2)
+
     run(test())
 
 
 def test_a_watch_that_fell_silent_is_asked_for_anew_before_its_news_count_as_told():
     """Its wait is 2 s: what it missed counts 6 s after it fell silent, or 2 s after that wait."""
+
     async def test():
         async with World(2) as world:
             owner, rows, loop = world.owner, world.rows, asyncio.get_running_loop()
@@ -279,30 +325,40 @@
             began, world.discovery.silent = loop.time(), True
             world.discovery.rows, world.discovery.rev = [rows[0] | {"state": "draining"}, rows[1]], 2
             await asyncio.sleep(2.5)
-            world.discovery.silent = False          # back before the watch is given up, on others' calls
+            world.discovery.silent = False  # back before the watch is given up, on others' calls
             await world.until(lambda: owner.backends["s0"].state is State.DRAINING, 4)
             assert loop.time() - began < 4
+
     run(test())
 
 
 def test_the_first_seconds_after_a_switch_go_by_the_known_list_and_start_afresh():
     """New settings hold from a new process: it has the last list and nothing else, least of all units."""
+
     async def test():
         async with World(2, contracts__0__ceilingRate=2, contracts__0__capDepth=8) as world:
             told, rows = world.told, world.rows
-            assert (await world.ask())[0] == 429            # its part of the ceiling starts empty
+            assert (await world.ask())[0] == 429  # its part of the ceiling starts empty
             await asyncio.sleep(1.6)
             assert (await world.ask())[0] == 200
-            world.discovery.silent = True                   # the new one hears nothing
+            world.discovery.silent = True  # the new one hears nothing
             known = {"rev": 1, "all": True, "targets": [rows[0] | {"state": "draining"}, rows[1]]}
-            settings = terms.settings({k: str(v) for k, v in {
-                **world.pairs, "policyLimits.retryAfter": "false", "familyInfo.metering": 1000}.items()})
+            settings = terms.settings(
+                {
+                    k: str(v)
+                    for k, v in {
+                        **world.pairs,
+                        "policyLimits.retryAfter": "false",
+                        "familyInfo.metering": 1000,
+                    }.items()
+                }
+            )
             listen = free_address()
             owner, serving = await start(replace(told, listen=listen, known=known, settings=settings))
-            owner.gateway.born = owner.clock() + 100_000    # its start took a while; none was dealt since
+            owner.gateway.born = owner.clock() + 100_000  # its start took a while; none was dealt since
             on = await asyncio.open_connection(*listen)
             status, headers, _ = await world.ask(on=on)
-            assert status == 429 and "retry-after" not in headers        # no unit of the ceiling comes along
+            assert status == 429 and "retry-after" not in headers  # no unit of the ceiling comes along
             owner.gateway.born -= 10_000_000
             for customer in owner.customers.values():
                 customer.share_dealt = None
@@ -312,6 +368,7 @@
             assert [len(b.seen) for b in world.backends] == [before[0], before[1] + 1]
             assert not owner.backends["s0"].times.total
             await world.end(owner, serving)
+
     run(test())
 
 
@@ -322,30 +379,63 @@
         async with World(familyInfo__metering=metering) as world:
             world.backends[0].play = [b"200 OK\r\nApi-Used: %s\r\n\r\n" % used.encode()]
             assert (await world.ask())[0] == 200
-            customer, = world.owner.customers.values()
+            (customer,) = world.owner.customers.values()
             assert bool(customer.asked) == (asked and metering > 0)
+
     run(test())
 
 
 C1 = "/op/00000000000000c1"
 
 
-@pytest.mark.parametrize("given", [
-    {"path": "/op"}, {"path": "http://x" + C1}, {"path": "/op/c1"}, {"path": "/op/00000002000000c1"},
-    {"path": "/nothing/00000000000000c1"}, {"plan": "other"}, {"number": ""}, {"number": "a b"},
-    *({"wait": wait} for wait in ("nan", "-1", "0", "soon", "", "1e30")),
-    *({"terms": terms} for terms in ("units=7", "units=0", "units=nan", "units=x", "spread=3",
-                                     "spread=0", "spread=1.5", "spread=2,first=2", "first=-1")),
-    *({"more": more} for more in ("X-Request-ID: 2\r\n", "Api-Plan: plan\r\n", "X-Priority-Class: other\r\n",
-                                  "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n"))])
+@pytest.mark.parametrize(
+    "given",
+    [
+        {"path": "/op"},
+        {"path": "http://x" + C1},
+        {"path": "/op/c1"},
+        {"path": "/op/00000002000000c1"},
+        {"path": "/nothing/00000000000000c1"},
+        {"plan": "other"},
+        {"number": ""},
+        {"number": "a b"},
+        *({"wait": wait} for wait in ("nan", "-1", "0", "soon", "", "1e30")),
+        *(
+            {"terms": terms}
+            for terms in (
+                "units=7",
+                "units=0",
+                "units=nan",
+                "units=x",
+                "spread=3",
+                "spread=0",
+                "spread=1.5",
+                "spread=2,first=2",
+                "first=-1",
+            )
+        ),
+        *(
+            {"more": more}
+            for more in (
+                "X-Request-ID: 2\r\n",
+                "Api-Plan: plan\r\n",
+                "X-Priority-Class: other\r\n",
+                "Content-Length: 3\r\n",
+                "Transfer-Encoding: chunked\r\n",
+            )
+        ),
+    ],
+)
 def test_requests_not_in_the_protocols_form_are_errored_at_once(given):
     """Seen: infinite and foreign units under a usual customer's name shut it out."""
+
     async def test():
         async with World(familyInfo__mostUnits=6) as world:
             on = await asyncio.open_connection(*world.listen)
             assert (await world.ask(**given, on=on))[0] == 400
-            assert await asyncio.wait_for(on[0].read(), 1) == b""       # and its connection ends
+            assert await asyncio.wait_for(on[0].read(), 1) == b""  # and its connection ends
             assert not world.backends[0].seen and not world.owner.customers
+
     run(test())
 
 
@@ -357,6 +447,7 @@
             await world.until(lambda: world.backends[0].seen)
             assert (await world.ask(number=5))[0] == 400 and (await first)[0] in (429, 502)
             assert len(world.backends[0].seen) == 1 and (await world.ask(number=5))[0] == 200
+
     run(test())
 
 
@@ -365,8 +456,10 @@
         async with World() as world:
             for later in (False, True):
                 reader, writer = await asyncio.open_connection(*world.listen)
-                asked = [f"GET {C1} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {n}{later}\r\nApi-Plan: plan\r\n\r\n"
-                         for n in range(9)]
+                asked = [
+                    f"GET {C1} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {n}{later}\r\nApi-Plan: plan\r\n\r\n"
+                    for n in range(9)
+                ]
                 world.backends[0].play = [b"raw <a moment later>" + GOOD]
                 writer.write(asked[0].encode())
                 if later:
@@ -375,6 +468,7 @@
                 head, _, body = (await asyncio.wait_for(reader.read(), 1)).partition(b"\r\n\r\n")
                 assert b" 200 " in head and b"close" in head and body == b"good"
             assert len(world.backends[0].seen) == 2
+
     run(test())
 
 
@@ -385,36 +479,49 @@
         async with World() as world:
             kept = await asyncio.open_connection(*world.listen)
             assert (await world.ask(on=kept))[0] == 200
-            for said in (b"", b"GET " + C1.encode() + b" HTTP/1.1\r\nX-Pad: ", b"POST " + C1.encode() +
-                         b" HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf"):
+            for said in (
+                b"",
+                b"GET " + C1.encode() + b" HTTP/1.1\r\nX-Pad: ",
+                b"POST " + C1.encode() + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf",
+            ):
                 reader, writer = await asyncio.open_connection(*world.listen)
                 writer.write(said)
                 came = await asyncio.wait_for(reader.read(), 1)
                 assert came.startswith(b"HTTP/1.1 408 ") if said else came == b""
             assert not world.owner.clients.server.busy and (await world.ask(on=kept))[0] == 200
-            await asyncio.sleep(0.3)                    # idle for longer than a request may take to come
+            await asyncio.sleep(0.3)  # idle for longer than a request may take to come
             reader, writer = kept
-            for part in (b"GET " + C1.encode() + b" HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\n",
-                         b"Api-Plan: plan\r\n\r\n"):
+            for part in (
+                b"GET " + C1.encode() + b" HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\n",
+                b"Api-Plan: plan\r\n\r\n",
+            ):
                 writer.write(part)
                 await asyncio.sleep(0.02)
                 world.owner.clients.server.end_silent()
             assert b" 200 " in await asyncio.wait_for(reader.readuntil(b"fine"), 1)
             kept[1].write(b"GET ")
             assert b" 408 " in await asyncio.wait_for(kept[0].read(), 1)
+
     run(test())
 
 
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"ICY 200 OK\r\nContent-Length: 4\r\n\r\nodd!", b"\x00\x01noise\r\n\r\n", b"HTTP/1.1 200 OK\r\nX-Pad: ",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nodd!", b"HTTP/1.1 200 OK\r\n\r\nodd!",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nodd!",
-    b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nodd!",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nodd!\r\nzz\r\n"])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"ICY 200 OK\r\nContent-Length: 4\r\n\r\nodd!",
+        b"\x00\x01noise\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Pad: ",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nodd!",
+        b"HTTP/1.1 200 OK\r\n\r\nodd!",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nodd!",
+        b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nodd!",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nodd!\r\nzz\r\n",
+    ],
+)
 def test_spoilt_answers_are_failed_deliveries_and_found_at_once(spoilt):
     async def test():
         async with World() as world:
@@ -424,15 +531,25 @@
                 assert (await world.ask())[::2] == (status, b"good" if status == 200 else b"")
                 assert time.monotonic() - at < 0.5
             assert len(world.backends[0].seen) == 3
+
     run(test())
 
 
-@pytest.mark.parametrize("answer", [
-    GOOD + GOOD, GOOD + b"noise\r\n\r\n", GOOD + b"<a moment later>" + GOOD, GOOD + b"<a moment later>noise",
-    GOOD[:30] + b"<a moment later>" + GOOD[30:] + GOOD, b"HTTP/1.1 102 Wait\r\n\r\n" + GOOD,
-    b"HTTP/1.1 103 Soon\r\nLink: x\r\n\r\n<a moment later>" + GOOD + b"n"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        GOOD + GOOD,
+        GOOD + b"noise\r\n\r\n",
+        GOOD + b"<a moment later>" + GOOD,
+        GOOD + b"<a moment later>noise",
+        GOOD[:30] + b"<a moment later>" + GOOD[30:] + GOOD,
+        b"HTTP/1.1 102 Wait\r\n\r\n" + GOOD,
+        b"HTTP/1.1 103 Soon\r\nLink: x\r\n\r\n<a moment later>" + GOOD + b"n",
+    ],
+)
 def test_what_comes_around_a_good_answer_is_nobodys(answer):
     """aiohttp's client would take what came behind it for the next request's answer."""
+
     async def test():
         async with World() as world:
             world.backends[0].play = [b"raw " + answer]
@@ -440,6 +557,7 @@
             await asyncio.sleep(0.05)
             assert [(await world.ask())[2] for _ in range(2)] == [b"fine"] * 2
             assert len(world.backends[0].seen) == 3
+
     run(test())
 
 
@@ -450,6 +568,7 @@
             world.backends[0].play = [b"200 OK\r\nApi-Charge: %s\r\n\r\n" % told.encode()]
             assert [(await world.ask())[0] for _ in range(2)] == [200] * 2
             assert next(iter(world.owner.customers.values())).owed == 0.0
+
     run(test())
 
 
@@ -464,6 +583,7 @@
                 reader, writer = await asyncio.open_connection(*world.listen)
                 writer.write(garbage)
                 assert b" 400 " in await asyncio.wait_for(reader.readline(), 1)
+
     before = counters["malformed"]
     run(test())
     assert counters["malformed"] > before and not [r for r in caplog.records if r.name == "aiohttp.server"]
@@ -472,16 +592,19 @@
 def test_a_fault_of_the_program_leaves_nobody_waiting(monkeypatch):
     async def test():
         async with World() as world:
+
             def broken(*_):
                 raise ZeroDivisionError
+
             monkeypatch.setattr(world.owner.gateway, "ended", broken)
             assert (await world.ask())[0] in (200, 502)
             monkeypatch.setattr(world.owner.gateway, "admit", broken)
             assert (await world.ask())[0] == 502
             await world.until(lambda: not world.owner.tasks)
             monkeypatch.undo()
-            monkeypatch.setattr(world.owner.gateway, "wake", broken)        # on behalf of one, by another
+            monkeypatch.setattr(world.owner.gateway, "wake", broken)  # on behalf of one, by another
             assert (await world.ask())[0] == 200 and counters["faults"] >= 3
+
     run(test())
 
 
@@ -495,12 +618,14 @@
             others = [await asyncio.open_connection(*world.listen) for _ in range(2)]
             assert await asyncio.wait_for(first[0].read(), 1) == b""
             assert [(await world.ask(on=other))[0] for other in others] == [200] * 2
+
     run(test())
 
 
 def test_what_crosses_the_closing_of_an_idle_connection_is_read_and_dropped():
     """Its client sees the end with nothing before it, and sends it again; a reset could take the answer
     before with it."""
+
     async def test():
         async with World() as world:
             on, server = await asyncio.open_connection(*world.listen), world.owner.clients.server
@@ -512,6 +637,7 @@
             assert counters["bytes_after_the_shutdown"]
             on[1].close()
             await world.until(lambda: not server.open and not world.owner.clients.sockets.ending)
+
     run(test())
 
 
@@ -524,16 +650,18 @@
             allowed, peer.sockets.most = peer.sockets.most, 40
             held, peer.sockets.held = peer.sockets.held, lambda: 39
             assert (await world.ask(wait="0.3", on=on))[0] == 429 and not world.backends[0].seen
-            assert not target.sick and not target.bench         # it is not the backend's doing
+            assert not target.sick and not target.bench  # it is not the backend's doing
             peer.sockets.most, peer.sockets.held = allowed, held
             assert (await world.ask(on=on))[0] == 200 and not peer.connecting
-            peer.sockets.most = 40                      # a kept connection still serves
+            peer.sockets.most = 40  # a kept connection still serves
             assert (await world.ask(on=on))[0] == 200
+
     run(test())
 
 
 def test_sigterm_serves_what_came_and_what_still_comes(tmp_path):
     """In a process of its own, as the operators start it."""
+
     async def test():
         async with Started(tmp_path) as (world, process, given):
             idle = await connected(world)
@@ -555,6 +683,7 @@
             assert (await out)[0] in (429, 502)
             log = (await process.communicate())[1].decode()
             assert process.returncode == 0 and "event=counters" in log and "taken=2" in log
+
     run(test())
 
 
@@ -570,15 +699,25 @@
         for stand in (world.counter, world.discovery, world.backends[0]):
             await stand.open(stand.port)
         world.discovery.asked.clear()
-        given = {"name": "n0", "listen": "%s:%d" % world.listen, "discovery": world.discovery.address,
-                 "counter": world.counter.address, "seed": "8c1f30d27a5be964",
-                 "limits": {"sockets": 1024}, "settings": nested(world.pairs),
-                 "known": {"rev": 1, "all": True, "targets": world.rows}}
+        given = {
+            "name": "n0",
+            "listen": "%s:%d" % world.listen,
+            "discovery": world.discovery.address,
+            "counter": world.counter.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": 1024},
+            "settings": nested(world.pairs),
+            "known": {"rev": 1, "all": True, "targets": world.rows},
+        }
         (self.folder / "config.json").write_text(json.dumps(given))
-        env = {**os.environ, "ROUTER_CONFIG": str(self.folder / "config.json"),
-               "ROUTER_DISCOVERY": world.discovery.address}
+        env = {
+            **os.environ,
+            "ROUTER_CONFIG": str(self.folder / "config.json"),
+            "ROUTER_DISCOVERY": world.discovery.address,
+        }
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "kestrelbend", env=env, stderr=subprocess.PIPE)
+            sys.executable, "-O", "-m", "kestrelbend", env=env, stderr=subprocess.PIPE
+        )
         return world, self.process, given
 
     async def __aexit__(self, *_):
@@ -598,27 +737,31 @@
 
 def test_what_comes_while_the_gateway_is_loaded_is_answered_in_its_time(tmp_path):
     """Seen: four lost at the return of 144 gateways at once; their time began while it was loaded."""
+
     async def test():
         async with Started(tmp_path) as (world, process, _):
             on = [await connected(world)]
             on += [await connected(world) for _ in range(3)]
-            assert not world.discovery.asked                # it is being loaded
+            assert not world.discovery.asked  # it is being loaded
             hasty, at = asyncio.create_task(world.ask(wait="0.05", on=on[0])), time.monotonic()
             patient = asyncio.create_task(world.ask(wait="9", on=on[1]))
             on[2][1].close()
-            process.send_signal(signal.SIGTERM)             # not before it has answered
+            process.send_signal(signal.SIGTERM)  # not before it has answered
             status, headers, _ = await hasty
             assert status == 503 and headers["retry-after"] and time.monotonic() - at < 0.1
             assert (await patient)[0] == 200 and (await world.ask(on=on[3]))[0] == 200
             log = (await process.communicate())[1].decode()
             assert process.returncode == 0 and "refused_while_loading=1" in log and "taken=2" in log
+
     run(test())
 
 
 def test_the_accept_queue_counts_a_clients_time_from_when_its_bytes_came():
     """Its thread may get no CPU while the rest is being loaded."""
-    with (socket.create_server(("127.0.0.1", 0)) as server,
-          socket.create_connection(server.getsockname()) as client):
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        socket.create_connection(server.getsockname()) as client,
+    ):
         held = Held(server.accept()[0])
         client.sendall(b"GET /")
         time.sleep(0.2)
@@ -630,13 +773,17 @@
     async def test():
         accept_queue = AcceptQueue(socket.create_server(("127.0.0.1", 0)))
         at, on = accept_queue.listener.getsockname(), []
-        for said in (b"GET / HTTP/1.1\r\n", b"GET / HTTP/1.1\r\nX-Timeout: 9\r\n\r\n",
-                     b"GET / HTTP/1.1\r\nX-Timeout: no.\r\n\r\n", b"a" * (1 << 15)):
+        for said in (
+            b"GET / HTTP/1.1\r\n",
+            b"GET / HTTP/1.1\r\nX-Timeout: 9\r\n\r\n",
+            b"GET / HTTP/1.1\r\nX-Timeout: no.\r\n\r\n",
+            b"a" * (1 << 15),
+        ):
             on.append(await asyncio.open_connection(*at))
             on[-1][1].write(said)
         refused = await asyncio.open_connection(*at)
         refused[1].write(b"GET / HTTP/1.1\r\nX-Timeout: 1.0\r\n\r\n")
-        assert b" 503 " in await asyncio.wait_for(refused[0].readline(), 1)     # well before its time is over
+        assert b" 503 " in await asyncio.wait_for(refused[0].readline(), 1)  # well before its time is over
         more = [await asyncio.open_connection(*at) for _ in range(100)]
         before = time.monotonic_ns()
         await asyncio.sleep(0.1)
@@ -646,6 +793,7 @@
         assert all(h.came < before for h in held[:4]) and len(held[3].data) <= 2 << 14
         for each in (*on, *more, refused):
             each[1].close()
+
     run(test())
 
 
@@ -667,16 +815,19 @@
 
             async def ask(n, connection=None):
                 on.append(connection or await asyncio.open_connection(*at))
-                on[-1][1].write(b"GET /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
-                                b"X-Request-ID: %d\r\nX-Timeout: 9\r\n\r\n" % n)
+                on[-1][1].write(
+                    b"GET /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
+                    b"X-Request-ID: %d\r\nX-Timeout: 9\r\n\r\n" % n
+                )
 
             for n in range(3):
                 await ask(n)
-            silent = await asyncio.open_connection(*at)     # waits as long, and asks later
+            silent = await asyncio.open_connection(*at)  # waits as long, and asks later
             await asyncio.sleep(0.3)
             owner, queue = world.owner, asyncio.Queue()
-            server = clients.Clients(queue, owner.clock, owner.settings, owner.clients.sockets,
-                                   lambda: None, 9)
+            server = clients.Clients(
+                queue, owner.clock, owner.settings, owner.clients.sockets, lambda: None, 9
+            )
             await server.start(None, waits)
             taken = [(await queue.get())[1] for _ in on]
             assert all(request.came <= before + 100_000 for request in taken)
@@ -689,6 +840,7 @@
             server.accepting.cancel()
             server.looking.cancel()
             server.listener.close()
+
     run(test())
 
 
@@ -697,19 +849,25 @@
         async with World() as world:
             path, owner = tmp_path / "config.json", world.owner
             monkeypatch.setenv("ROUTER_CONFIG", str(path))
-            monkeypatch.setenv("ROUTER_DISCOVERY", world.discovery.address)     # as at the start
+            monkeypatch.setenv("ROUTER_DISCOVERY", world.discovery.address)  # as at the start
             discovery, counter = await StandDiscovery().open(), await StandCounter().open()
             discovery.rows = [world.rows[0], row("s9", world.backends[0])]
-            given = {"name": "n0", "listen": "%s:%d" % world.listen, "discovery": discovery.address,
-                     "counter": counter.address, "limits": {"sockets": 99}, "settings": nested(world.pairs)}
+            given = {
+                "name": "n0",
+                "listen": "%s:%d" % world.listen,
+                "discovery": discovery.address,
+                "counter": counter.address,
+                "limits": {"sockets": 99},
+                "settings": nested(world.pairs),
+            }
             path.write_text(json.dumps(given)[:-9])
-            reload(world.told, owner)                       # half written: nothing changes
+            reload(world.told, owner)  # half written: nothing changes
             assert (await world.ask())[0] == 200 and owner.counter.address[1] == world.counter.port
             path.write_text(json.dumps(given))
             owner.counter.queue = asyncio.Queue()
-            owner.counter.add(5, 1, 4_000_000)              # out while the service moves
+            owner.counter.add(5, 1, 4_000_000)  # out while the service moves
             reload(world.told, owner)
-            owner.counter.add(5, 1, 4_000_000)              # in order with the one before
+            owner.counter.add(5, 1, 4_000_000)  # in order with the one before
             owner.counter.add(6, 1, 4_000_000)
             ended = [await owner.counter.queue.get() for _ in range(3)]
             assert [e[3] for e in ended if e[1] == 5] == [1.0, 2.0]
@@ -722,6 +880,7 @@
             assert (await world.ask())[0] == 200 and len(counter.calls) == 2
             discovery.close()
             counter.close()
+
     run(test())
 
 
@@ -739,6 +898,7 @@
             await world.until(lambda: world.owner.listed)
             assert (await world.ask())[0] == 200
             serving.cancel()
+
     run(test())
 
 
@@ -764,10 +924,16 @@
     assert repr(terms.settings(dict(terms.flatten(given)))) == repr(terms.settings(pairs))
 
 
-@pytest.mark.parametrize("given, what", [
-    (None, "ROUTER_CONFIG"), ("{", "config.json"), ('{"settings": 3}', "no settings"),
-    ('{"settings": {"tick": "x"}, "name": "n", "listen": "a:1", "discovery": "b:2"}', "tick"),
-    ('{"settings": {}, "name": "n", "listen": "here", "discovery": "b:2"}', "listen")])
+@pytest.mark.parametrize(
+    "given, what",
+    [
+        (None, "ROUTER_CONFIG"),
+        ("{", "config.json"),
+        ('{"settings": 3}', "no settings"),
+        ('{"settings": {"tick": "x"}, "name": "n", "listen": "a:1", "discovery": "b:2"}', "tick"),
+        ('{"settings": {}, "name": "n", "listen": "here", "discovery": "b:2"}', "listen"),
+    ],
+)
 def test_wrong_configurations_end_in_one_plain_message(given, what, tmp_path):
     path = tmp_path / "config.json"
     path.write_text(given or "")
@@ -779,8 +945,13 @@
     with pytest.raises(terms.Malformed, match="discovery"):
         entries({"rev": 1, "all": True})
     good = {"uid": "s1", "state": "ready", "endpoint": "127.0.0.1:80"}
-    bad = [{"uid": "s0", "state": "odd", "endpoint": "127.0.0.1:80"}, good | {"endpoint": "x"}, 3,
-           good | {"boot_ms": "soon"}, good | {"boot_ms": 1e999}]
+    bad = [
+        {"uid": "s0", "state": "odd", "endpoint": "127.0.0.1:80"},
+        good | {"endpoint": "x"},
+        3,
+        good | {"boot_ms": "soon"},
+        good | {"boot_ms": 1e999},
+    ]
     assert [row[0] for row in entries({"rev": 1, "all": True, "targets": [*bad, good]})[2]] == ["s1"]
 
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,4 +1,5 @@
 """The pool beside a plain model of itself, and what many gateways' pools come to together."""
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -48,7 +49,7 @@
         if pool.returns <= now:
             pool.fill(now, whole)
         able = [t for t in pool.order if t.bench <= now]
-        assert pool.members == able[:len(pool.members)]
+        assert pool.members == able[: len(pool.members)]
         assert {t for t in everyone if t.pooled} == set(pool.members)
         assert len(pool.members) == min(pool.width, len(able))
         assert pool.out == sum(t.out for t in pool.members) and all(t.out >= 0 for t in everyone)
