--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """A slow, plain model of the five rules beside the module on generated inputs."""
+
 from random import Random
 
 import pytest
@@ -20,19 +21,19 @@
 
     def __init__(self, front, plan, spread):
         self.front, self.plan, self.spread, self.born = front, plan, spread, front.now
-        self.firsts = []        # (when, units) of first deliveries
+        self.firsts = []  # (when, units) of first deliveries
 
     def ceiling(self):
         """What is left of this gateway's part, replayed unit by unit from its first moment."""
         plan, n = self.plan, self.spread
         pace = 1e6 * n / plan.ceiling_rate
-        turn = self.front.inst.settings["gateway"] * (5 ** 0.5 - 1) / 2 + stable_key("c") / 2 ** 63
+        turn = self.front.inst.settings["gateway"] * (5**0.5 - 1) / 2 + stable_key("c") / 2**63
         burst = max(1, plan.ceiling_burst - max(0, min(4, n - 1) - plan.ceiling_slack))
         keeps = int(burst / plan.ceiling_rate * 1e6)
 
         def dealt(start, end):
             """After start, until end."""
-            return int(end / pace + turn % 1 + 10 ** 6) - int(start / pace + turn % 1 + 10 ** 6)
+            return int(end / pace + turn % 1 + 10**6) - int(start / pace + turn % 1 + 10**6)
 
         left, at = 0, self.born
         for when, units in [*self.firsts, (self.front.now, 0.0)]:
@@ -68,18 +69,21 @@
     draw = data.draw
     effect = draw(st.sampled_from(["idempotent", "deduplicated", "at_most_once"]))
     ceiling = draw(st.sampled_from([0, 3]))
-    front = Front(classes__0__effect=effect,
-                  classes__0__keyScope=draw(st.sampled_from(["all", "zone", "cell"])),
-                  policyLimits__mayDuplicate=draw(st.sampled_from(["true", "false"])),
-                  policyLimits__tryLimit=draw(st.integers(1, 4)),
-                  policyLimits__retryAfter=draw(st.sampled_from(["true", "false"])),
-                  contracts__0__ceilingRate=ceiling, contracts__0__capDepth=12 * bool(ceiling),
-                  contracts__0__hardSlack=draw(st.sampled_from([0, 2, 30])) * bool(ceiling),
-                  contracts__0__refill=draw(st.sampled_from([0, 2])),
-                  contracts__0__concurrency=draw(st.sampled_from([0, 2])),
-                  instances=draw(st.sampled_from([1, 2, 1000])),
-                  familyInfo__mayCount=draw(st.sampled_from(["true", "false"])))
-    front.gateway.called = draw(st.sampled_from([1.0, 0.1]))       # a counter that answers, a crowded one
+    front = Front(
+        classes__0__effect=effect,
+        classes__0__keyScope=draw(st.sampled_from(["all", "zone", "cell"])),
+        policyLimits__mayDuplicate=draw(st.sampled_from(["true", "false"])),
+        policyLimits__tryLimit=draw(st.integers(1, 4)),
+        policyLimits__retryAfter=draw(st.sampled_from(["true", "false"])),
+        contracts__0__ceilingRate=ceiling,
+        contracts__0__capDepth=12 * bool(ceiling),
+        contracts__0__hardSlack=draw(st.sampled_from([0, 2, 30])) * bool(ceiling),
+        contracts__0__refill=draw(st.sampled_from([0, 2])),
+        contracts__0__concurrency=draw(st.sampled_from([0, 2])),
+        instances=draw(st.sampled_from([1, 2, 1000])),
+        familyInfo__mayCount=draw(st.sampled_from(["true", "false"])),
+    )
+    front.gateway.called = draw(st.sampled_from([1.0, 0.1]))  # a counter that answers, a crowded one
     spread = draw(st.sampled_from([1, 2, 3, 1000]))
     model = Model(front, front.inst.settings["plans"][0], spread)
     invs, answered, store = {}, set(), {}
@@ -97,7 +101,7 @@
                 ran = [d for d in inv.deliveries if d.result is None or not d.result.never_ran]
                 if line[0] == "deny" and ran:
                     assert effect == "idempotent" or effect == "deduplicated" and inv.op.scope is Scope.ALL
-                if line[0] == "deny":           # advice, and only where it may be told
+                if line[0] == "deny":  # advice, and only where it may be told
                     assert (line[3] != "-") == front.inst.settings["may_advise"]
             if line[0] == "pass_on":
                 inv = invs[int(line[2])]
@@ -116,11 +120,22 @@
         step = draw(st.sampled_from(["accept", "accept", "end", "end", "time", "roster", "leave"]))
         out = [(n, d) for n, inv in invs.items() for d in inv.deliveries if d.result is None]
         if step == "accept":
-            front.tell("accept", [], number, "op", "plan", "c", front.now + draw(st.integers(1, 3000)) * MS,
-                       float(draw(st.integers(1, 4))), spread, 0, draw(st.sampled_from([0, 2])))
+            front.tell(
+                "accept",
+                [],
+                number,
+                "op",
+                "plan",
+                "c",
+                front.now + draw(st.integers(1, 3000)) * MS,
+                float(draw(st.integers(1, 4))),
+                spread,
+                0,
+                draw(st.sampled_from([0, 2])),
+            )
             if number in front.inst.invs:
                 invs[number] = front.inst.invs[number]
-            else:               # refused on the spot
+            else:  # refused on the spot
                 told = [line[0] for line in front.answer_counts(store) if line[0] != "trace"]
                 assert told == ["deny"]
         elif step == "end" and out:
@@ -134,7 +149,7 @@
         elif step == "leave" and invs:
             front.tell("withdrawn", [], draw(st.sampled_from(sorted(invs))))
         check(front.answer_counts(store, draw(st.sampled_from([Result.SUCCEEDED] * 3 + [Result.TIMED_OUT]))))
-        ghosts = []         # never admitted, so that only the gate itself stands in their way
+        ghosts = []  # never admitted, so that only the gate itself stands in their way
         for customer in front.inst.customers.values():
             op = front.inst.settings["operations"][0]
             ghosts.append(Invocation(op, customer, front.now, front.now + 9, 3.0005, False))
@@ -157,8 +172,16 @@
     All spend what they have as soon as they have it, and a part of them is killed after the first burst."""
     rng, rate, burst = Random(seed), 16.0, 49.0
     name = str(seed)
-    fleet = [Front(index=g, instances=gateways, contracts__0__ceilingRate=rate, contracts__0__capDepth=burst,
-                   contracts__0__hardSlack=slack) for g in range(gateways)]
+    fleet = [
+        Front(
+            index=g,
+            instances=gateways,
+            contracts__0__ceilingRate=rate,
+            contracts__0__capDepth=burst,
+            contracts__0__hardSlack=slack,
+        )
+        for g in range(gateways)
+    ]
     plan = fleet[0].inst.settings["plans"][0]
     parts = [(f.gateway, Account(name, plan, gateways)) for f in fleet]
     for gateway, _ in parts:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,4 +1,5 @@
 """News of use between gateways: the meter's shares, who is the meter, what is lost or cannot be read."""
+
 import asyncio
 from random import Random
 from types import SimpleNamespace
@@ -53,6 +54,7 @@
 
 def flood(units_a_second):
     """Customer 7 asks for so much, dealt over all, let in by each one's share; 8 is blameless."""
+
     def each(fleet):
         for key, pace in ((7, units_a_second), (8, 1.0)):
             if fleet.rng.random() < pace / 100:
@@ -63,6 +65,7 @@
                 if share is None or fleet.rng.random() < share.part:
                     end.let_in(key, 0, 1.0)
                     fleet.let[key] = fleet.let.get(key, 0) + 1
+
     return each
 
 
@@ -71,25 +74,25 @@
     """Seen with 40 gateways and a crowded counter: a fifth of all units went beyond quotas."""
     fleet = Fleet(size, lost)
     fleet.asked, fleet.let = {}, {}
-    fleet.until(10 * fleet.ends[0].period, flood(20))       # a meter is found, the burst is spent
+    fleet.until(10 * fleet.ends[0].period, flood(20))  # a meter is found, the burst is spent
     fleet.asked, fleet.let, fleet.sent = {}, {}, 0
     fleet.until(fleet.now + 30 * SECOND, flood(20))
-    assert 0.6 * 2 < fleet.let[7] / 30 < 1.35 * 2           # of 20 asked for, 2 are within the quota
+    assert 0.6 * 2 < fleet.let[7] / 30 < 1.35 * 2  # of 20 asked for, 2 are within the quota
     assert fleet.let[8] == fleet.asked[8]
     assert len(fleet.meters()) == 1
-    assert fleet.sent / 30 <= 2 * 60                        # a report of each, news to each
+    assert fleet.sent / 30 <= 2 * 60  # a report of each, news to each
 
 
 def test_the_meters_death_is_made_good_and_two_meters_become_one():
     fleet = Fleet(40)
     fleet.until(5 * SECOND)
-    first, = fleet.meters()
-    dead = {n for n in range(40) if n <= first or n % 10 < 7}           # a herd of gateways killed at once
+    (first,) = fleet.meters()
+    dead = {n for n in range(40) if n <= first or n % 10 < 7}  # a herd of gateways killed at once
     fleet.cut = dead
     fleet.until(12 * SECOND)
-    second, = fleet.meters()
+    (second,) = fleet.meters()
     assert second != first and fleet.ends[39].share(7, fleet.now) == Share(1.0, True)
-    fleet.cut = set()           # they were only cut off, and hear one another again
+    fleet.cut = set()  # they were only cut off, and hear one another again
     fleet.until(20 * SECOND)
     assert len(fleet.meters()) == 1 and fleet.meters()[0] <= first
 
@@ -100,10 +103,10 @@
     assert fleet.meters() == [0] and all(end.share(7, fleet.now) for end in fleet.ends)
     fleet.cut = {0}
     fleet.until(10 * SECOND)
-    meter, = fleet.meters()
+    (meter,) = fleet.meters()
     fleet.cut = set()
     for n in (0, 9):
-        fleet.ends[n] = News(40, n, PLANS, 60, fleet.now)       # restarted, and know of nothing
+        fleet.ends[n] = News(40, n, PLANS, 60, fleet.now)  # restarted, and know of nothing
     fleet.until(15 * SECOND)
     assert fleet.meters() == [meter] and fleet.ends[0].who == meter
 
@@ -116,7 +119,7 @@
     assert told[3] == Share(1.0, False)
     for second in range(2, 30):
         told = meter.shares(second * SECOND)
-    assert told == {} and meter.customers == {}             # forgotten once their bursts are whole again
+    assert told == {} and meter.customers == {}  # forgotten once their bursts are whole again
 
 
 def test_a_lost_part_of_the_news_lets_nobody_free():
@@ -138,14 +141,20 @@
     end.receive(0, messages.news(1, {})[0], 0)
     for key in range(40):
         end.let_in(key, 0, 1.5)
-    (to, data), = end.due(1)
+    ((to, data),) = end.due(1)
     assert to == 0 and len(data) <= 256 and len(messages.read(data).rows) == messages.USES
     assert sum(use.let_in for use in end.uses.values()) == 60 - messages.USES
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
-@given(st.one_of(st.binary(max_size=300), st.builds(
-    lambda kind, rest: bytes([1, kind, 0, 0, 0, 1]) + rest, st.integers(0, 3), st.binary(max_size=250))))
+@given(
+    st.one_of(
+        st.binary(max_size=300),
+        st.builds(
+            lambda kind, rest: bytes([1, kind, 0, 0, 0, 1]) + rest, st.integers(0, 3), st.binary(max_size=250)
+        ),
+    )
+)
 def test_whatever_comes_is_read_or_refused(data):
     end = News(4, 1, PLANS, 60, 0)
     end.meter = Meter(PLANS, 0)
@@ -164,10 +173,10 @@
     news, key = f.gateway.news, None
     f.accept(1, spread=40, retry=True)
     assert "deny" in [line[0] for line in f.answer_counts(result=Result.REJECTED)]  # not known
-    key, = news.uses
+    (key,) = news.uses
     news.who, news.heard = 5, f.now
     f.accept(2, spread=40, retry=True)
-    assert f.take("pass_on") and not f.take("deny")         # all is well with it
+    assert f.take("pass_on") and not f.take("deny")  # all is well with it
     f.returned(2, 0, Result.SUCCEEDED)
     assert news.uses[key].retries == 2 and news.uses[key].let_in == 1
     news.shares = {key: Share(0.0, True)}
@@ -190,6 +199,7 @@
                 what, *values = await queues[n].get()
                 fronts[n].gateway.now = int(asyncio.get_running_loop().time() * 1e6)
                 peers[n].due() if what == "news_due" else peers[n].got(*values)
+
         for peer in peers:
             peer.core.period, peer.core.wait, peer.core.heard = SECOND // 50, SECOND // 20, 0
         turns = [asyncio.create_task(turn(n)) for n in (0, 1)]
@@ -204,12 +214,17 @@
             task.cancel()
         for peer in peers:
             peer.carrier.transport.close()
+
     run(scene())
 
 
 def test_news_is_on_where_the_platform_allows_messages():
-    given_ = {"settings": {"policyLimits": {"peers": True}, "familyInfo": {"peerInPerS": 60.0}},
-              "peer_listen": "10.0.0.1:7946", "peers": ["10.3.0.1:7946"], "peers_all": "10.3.255.1:7946"}
+    given_ = {
+        "settings": {"policyLimits": {"peers": True}, "familyInfo": {"peerInPerS": 60.0}},
+        "peer_listen": "10.0.0.1:7946",
+        "peers": ["10.3.0.1:7946"],
+        "peers_all": "10.3.255.1:7946",
+    }
     assert platform_news({}, given_).peers == [("10.3.0.1", 7946)]
     assert platform_news({"KESTRELBEND_NEWS": "off"}, given_) is None
     given_["settings"]["policyLimits"]["peers"] = False
