--- a/kestrelbend/tier/fleet/programs.py
+++ b/kestrelbend/tier/fleet/programs.py
@@ -12,6 +12,7 @@
 
 from ..budgets.messages import Reserve, Settle, TurnEnd, Verdict
 from .fleet import Fleet
+from .loop import Execution
 from .machines import Process
 
 STRIDE = 8
@@ -22,7 +23,7 @@
 TRIES = 5
 MOST_TURNS = 8
 SETTLE_S = 1.0  # SettleMs
-POLL_S = 0.02
+POLL_S = 0.25
 
 
 @attrs.define(eq=False)
@@ -32,12 +33,14 @@
     reservation: str
     most: int
     gateway: str
+    life: Execution  # of the gateway's process
     verdict: Verdict | None = None
     asked_at: float = 0.0
     answered_at: float | None = None
     handed: int = 0
     ended_whole_at: float | None = None
     given_up: bool = False
+    over: asyncio.Event = attrs.field(factory=asyncio.Event)  # its client has a whole answer
 
     @property
     def refused(self) -> bool:
@@ -48,9 +51,15 @@
         """The tokens that may count against the program when it is refused."""
         if self.refused:
             return 0 if now - self.answered_at >= SETTLE_S else self.most
-        if self.ended_whole_at is not None and now - self.ended_whole_at >= SETTLE_S:
-            return self.handed
-        return self.most
+        if self.ended_whole_at is None or now - self.ended_whole_at < SETTLE_S or self._settlement_lost:
+            return self.most
+        return self.handed
+
+    @property
+    def _settlement_lost(self) -> bool:
+        """The gateway ended so soon after the turn that its word of it may have gone with it."""
+        ended_at = self.life.ended_at
+        return ended_at is not None and ended_at - self.ended_whole_at < SETTLE_S
 
 
 class Program:
@@ -95,18 +104,17 @@
         if not gateways:
             return None
         gateway = self._random.choice(gateways)
-        turn = Turn(f"{self.name}-{name}", most, gateway.machine.name, asked_at=self._fleet.now())
+        turn = Turn(f"{self.name}-{name}", most, gateway.machine.name, gateway.execution)
+        turn.asked_at = self._fleet.now()
         self.tries.append(turn)
         reserve = Reserve(self.name, session, turn.reservation, number, most, self.budget, True)
         life = gateway.execution
         coroutine = self._serve(gateway.instance, turn, reserve)
         self._fleet.loop.call_soon(_begin, self._fleet.loop, coroutine, context=life.context)
         ends = self._fleet.now() + DEADLINE_S
-        while not life.ended and self._fleet.now() < ends:
-            if turn.ended_whole_at is not None or turn.refused:
-                break
+        while not life.ended and not turn.over.is_set() and self._fleet.now() < ends:
             self._programs.check_silent(gateway, turn)
-            await asyncio.sleep(POLL_S)
+            await _wait(turn.over, POLL_S)
         turn.given_up = turn.ended_whole_at is None and not turn.refused
         return turn
 
@@ -123,6 +131,7 @@
         if verdict == Verdict.SPENT:
             self._check_refusal(turn)
         if verdict != Verdict.ADMITTED:
+            turn.over.set()
             return
         while turn.handed < turn.most and not turn.given_up:
             await asyncio.sleep(EVENT_S)
@@ -136,6 +145,7 @@
         whole = not turn.given_up
         if whole:
             turn.ended_whole_at = self._fleet.now()
+            turn.over.set()
         end = TurnEnd.COMPLETE if whole else TurnEnd.BROKEN_OFF
         gateway.settle("model", Settle(self.name, turn.reservation, turn.handed, int(end)))
 
@@ -149,6 +159,14 @@
             )
 
 
+async def _wait(event: asyncio.Event, within: float) -> None:
+    try:
+        async with asyncio.timeout(within):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
 def _begin(loop, coroutine) -> None:
     loop.create_task(coroutine)
 
