Benchmark of a streamed request: its route names the longest pause

The data plane reads it since streams that fall silent are resumed; without it each answer broke off.

--- a/benchmarks/tier_stream.py
+++ b/benchmarks/tier_stream.py
@@ -40,6 +40,7 @@
     retries: int = 1
     sticky: bool = True
     resumable: bool = True
+    gap_aim_ms: float = 200
     targets: tuple = (("models", 1),)
 
 
