Gateway: requests read while the listener closes are refused; the operator's limits act

Cause: the front listener was not told when connections at rest are closed, so a request read at that moment could be forwarded and its answer lost (LOST); idle and header limits stayed at 60 s and 64 KB whatever the configuration says. Change: the data plane's close_intake and the table's limits are handed to the server.

--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -186,12 +186,22 @@
         self._serving = self.spawn(
             self.environment.serve(
                 [
-                    Listener(self.data_plane, self.settings.listen_front, self._served),
+                    Listener(
+                        self.data_plane,
+                        self.settings.listen_front,
+                        self._served,
+                        self.data_plane.close_intake,
+                    ),
                     Listener(ReadyApplication(self.life), self.settings.listen_ready, self._served),
-                ]
+                ],
+                limits=self._limits,
             )
         )
 
+    def _limits(self):
+        table = self.routing.current()
+        return None if table is None else table.limits
+
     async def _served(self) -> None:
         await self.served_enough.wait()
 
