--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -541,6 +541,19 @@
     run(test())
 
 
+def test_a_late_second_answer_of_a_backend_that_was_silent_before_is_not_the_next_requests():
+    async def test():
+        async with World() as world:
+            await trusted(world)
+            good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+            world.backends[0].play = [b"raw " + good + b"good<a moment later>" + good + b"late"]
+            on = await asyncio.open_connection(*world.listen)
+            assert (await world.ask(on=on))[2] == b"good"
+            assert (await world.ask(on=on))[2] == b"fine"  # well within that moment
+
+    run(test())
+
+
 def test_a_connection_at_rest_is_waited_for_where_no_descriptor_is_left_for_a_new_one():
     async def test():
         async with World(1) as world:
