Budget shards are named in one place; the refusal of a former owner stands by its use

The prefix and the names of the budget shards stood in budgets/shards.py and again in membership/placement.py; NOT_OWNER stood in the stream's module, which does not use it, and was written out again in the control role. Behaviour is unchanged: 73 tests of the fleet's stories, streams, budgets, placement and status pass.

--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -13,12 +13,12 @@
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from .messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
 from .state import ConfigurationState
-from .stream import NOT_OWNER
 
 ANSWER_S = 0.9  # callers go on to another node after a second
 FORWARD_S = 0.85
 PAUSE_S = 0.03
 OK = 200
+NOT_OWNER = ConfigOutcome(0, 0, "not the owner")
 OPERATORS_KINDS = (OrderKind.PUT, OrderKind.PATCH)
 
 
--- a/kestrelbend/tier/configuration/stream.py
+++ b/kestrelbend/tier/configuration/stream.py
@@ -11,7 +11,6 @@
 import attrs
 
 from ..protocol.codec import encode
-from .messages import ConfigOutcome
 from ..membership.messages import ConfigUpdate
 
 ACK_WAIT_S = 0.4
@@ -80,6 +79,3 @@
             if not future.done() and self._all_have(version):
                 future.set_result(None)
         self._waiting = [row for row in self._waiting if not row[1].done()]
-
-
-NOT_OWNER = ConfigOutcome(0, 0, "not the owner")
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -12,12 +12,12 @@
 
 import attrs
 
+from ..budgets.shards import shard_names
 from .messages import Member, ShardPlacement
 
 SPARE_S = 1.5  # a silent replica is replaced after this where a spare of the preferred class is there
 LOST_S = 5.0  # and by another one after this
 BUDGET_SHARDS = 6
-BUDGET_PREFIX = "budget-"
 CONFIGURATION_SHARD = "configuration"
 
 
@@ -124,7 +124,7 @@
 
 def budget_shards() -> list[str]:
     """The names of all budget shards.  Their number never changes: it decides where a program's total is."""
-    return [f"{BUDGET_PREFIX}{number}" for number in range(BUDGET_SHARDS)]
+    return shard_names(BUDGET_SHARDS)
 
 
 def found_budget_shards(placed: Iterable[str], size: int, available: list[Candidate]) -> list[ShardPlacement]:
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -15,7 +15,7 @@
 from ..configuration.messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
 from ..configuration.operator_api import OperatorApi
 from ..configuration.placements import encode_placement
-from ..configuration.shard_service import ConfigurationMachine, ConfigurationService
+from ..configuration.shard_service import NOT_OWNER, ConfigurationMachine, ConfigurationService
 from ..configuration.stream import ConfigStream
 from ..dataplane.server import Listener
 from ..discovery.exchange import BackendExchange
@@ -170,7 +170,7 @@
 
     async def _decide(self, order: ConfigOrder) -> ConfigOutcome:
         if not self.configuration.replica.is_owner:
-            return ConfigOutcome(0, 0, "not the owner")
+            return NOT_OWNER
         return await self.configuration.decide(order)
 
     async def _read_here(self) -> ReadReply:
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -10,9 +10,10 @@
 
 import logbook
 
+from ..budgets.shards import SHARD_PREFIX
 from ..membership.directory import DirectoryView
 from ..membership.messages import Directory, Heartbeat, Hello, Member, ShardReport, Subscribe
-from ..membership.placement import BUDGET_PREFIX, CONFIGURATION_SHARD, address_of
+from ..membership.placement import CONFIGURATION_SHARD, address_of
 from ..membership.ring import monitors
 from ..protocol.codec import decode, encode
 from ..protocol.links import Link, Links
@@ -146,7 +147,7 @@
 
     def hosts_shard(self, shard: str) -> bool:
         """Whether a replica of the shard may begin here on its owner's word."""
-        return shard.startswith(BUDGET_PREFIX)
+        return shard.startswith(SHARD_PREFIX)
 
     def on_applied(self, shard: str) -> None:
         """Commands of a shard were applied."""
