--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -17,7 +17,7 @@
 from kestrelbend.tier.configuration.fields import is_positive
 from kestrelbend.tier.configuration.forms import MOST_VERSION
 from kestrelbend.tier.configuration.messages import ConfigOrder, OrderKind
-from kestrelbend.tier.configuration.ports import ControlPort, Unavailable
+from kestrelbend.tier.configuration.ports import ControlPort, ReportOutcome, RetireOutcome, RetireState
 
 MOST_ORDER_BYTES = 8 * 1024 * 1024
 MOST_REPORT_BYTES = 64 * 1024
@@ -28,6 +28,19 @@
 BASE_VERSION = b"x-kestrelbend-base-version"
 CALL = re.compile(r"/api/(?P<call>[A-Za-z]+(?:\.[A-Za-z]+)?)(?:/(?P<name>[^/]+))?")
 
+UNAVAILABLE = 503
+REPORT_STATUS = {
+    ReportOutcome.TAKEN: 200,
+    ReportOutcome.MALFORMED: 400,
+    ReportOutcome.UNAVAILABLE: UNAVAILABLE,
+}
+RETIRE_STATUS = {
+    RetireOutcome.TAKEN: 200,
+    RetireOutcome.UNKNOWN_NODE: 404,
+    RetireOutcome.TOO_FEW_LEFT: 409,
+    RetireOutcome.UNAVAILABLE: UNAVAILABLE,
+}
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -118,10 +131,7 @@
         if body is None:
             return _refusal(413, "the body is too large")
         base = [value for key, value in scope["headers"] if key.lower() == BASE_VERSION]
-        try:
-            return await handler.run(Call(name, base[0] if len(base) == 1 else None, body))
-        except Unavailable:
-            return _unavailable()
+        return await handler.run(Call(name, base[0] if len(base) == 1 else None, body))
 
     async def _put(self, call: Call) -> Answer:
         return await self._order(OrderKind.PUT, call)
@@ -152,27 +162,29 @@
         report = _object(call.body)
         if report is None:
             return _refusal(400, "the report is no JSON object")
-        status = await self._port.beat(call.name, report)
-        if status != 200:
-            return _plain(status)
+        outcome = await self._port.beat(call.name, report)
         url = self._port.beat_url()
-        return _json(200, {"BeatUrl": url} if url else {})
+        if outcome is ReportOutcome.TAKEN and url:
+            return _json(200, {"BeatUrl": url})
+        return _plain(REPORT_STATUS[outcome])
 
     async def _leave(self, call: Call) -> Answer:
-        return _plain(await self._port.leave(call.name))
+        return _plain(REPORT_STATUS[await self._port.leave(call.name)])
 
     async def _retire_start(self, call: Call) -> Answer:
         order = _object(call.body)
         deadline = order.get("DeadlineS") if order is not None else None
         if not is_positive(deadline):
             return _refusal(400, "DeadlineS is no positive number of seconds")
-        return _plain(await self._port.retire_start(call.name, float(deadline)))
+        return _plain(RETIRE_STATUS[await self._port.retire_start(call.name, float(deadline))])
 
     async def _retire_get(self, call: Call) -> Answer:
         state = await self._port.retire_state(call.name)
-        if state is None:
+        if state is RetireState.UNAVAILABLE:
+            return _unavailable()
+        if state is RetireState.NOT_ORDERED:
             return _refusal(404, "nobody asked for the node to be emptied")
-        return _json(200, {"State": state})
+        return _json(200, {"State": state.value})
 
     async def _status(self, call: Call) -> Answer:
         return _json(200, self._port.status())
@@ -202,11 +214,11 @@
 
 
 def _unavailable() -> Answer:
-    return _refusal(503, "can't be answered here now")
+    return _refusal(UNAVAILABLE, "can't be answered here now")
 
 
 def _plain(status: int) -> Answer:
-    if status == 0:
+    if status == UNAVAILABLE:
         return _unavailable()
     return _json(status, {} if status < 300 else {"Error": "refused"})
 
@@ -240,7 +252,7 @@
         (b"content-type", b"application/json"),
         (b"content-length", str(len(answer.body)).encode()),
     ]
-    if answer.status == 503:
+    if answer.status == UNAVAILABLE:
         headers.append((b"retry-after", RETRY_AFTER_S.encode()))
     if answer.allow:
         headers.append((b"allow", answer.allow.encode()))
--- a/kestrelbend/tier/configuration/ports.py
+++ b/kestrelbend/tier/configuration/ports.py
@@ -1,14 +1,41 @@
-"""What the operator's API asks of the process that it runs in."""
+"""What the operator's API asks of the process that it runs in, and the outcomes that it may get."""
 
 from __future__ import annotations
 
+import enum
 from typing import Any, Protocol
 
 from kestrelbend.tier.configuration.messages import ConfigOrder, ConfigOutcome, ReadReply
 
 
+class ReportOutcome(enum.Enum):
+    """What became of a backend's report of itself."""
+
+    TAKEN = "taken"  # known wherever it must be known
+    MALFORMED = "malformed"  # wherever it is sent again
+    UNAVAILABLE = "unavailable"  # this node can't vouch for it: ask another
+
+
+class RetireOutcome(enum.Enum):
+    """What became of an order to empty a storage node."""
+
+    TAKEN = "taken"
+    UNKNOWN_NODE = "unknown node"
+    TOO_FEW_LEFT = "too few left"
+    UNAVAILABLE = "unavailable"
+
+
+class RetireState(enum.Enum):
+    """How far the emptying of a storage node has come."""
+
+    NOT_ORDERED = "not ordered"
+    RUNNING = "running"
+    COMPLETE = "complete"
+    UNAVAILABLE = "unavailable"
+
+
 class ControlPort(Protocol):
-    """The control node behind the API.  Statuses are those of the API; 0: can't be said now, ask again."""
+    """The control node behind the API."""
 
     async def order(self, order: ConfigOrder) -> ConfigOutcome:
         """Carries an order on the configuration out, here or at the shard's owner."""
@@ -16,26 +43,20 @@
     async def read(self) -> ReadReply:
         """The newest configuration, as its shard's owner has it."""
 
-    async def beat(self, identity: str, report: dict[str, Any]) -> int:
-        """Takes a backend's heartbeat; 200 once it is safe to acknowledge it."""
+    async def beat(self, identity: str, report: dict[str, Any]) -> ReportOutcome:
+        """Takes a backend's heartbeat; TAKEN once it is safe to acknowledge it."""
 
-    async def leave(self, identity: str) -> int:
+    async def leave(self, identity: str) -> ReportOutcome:
         """Takes a backend's word that it is gone."""
 
-    async def retire_start(self, node: str, deadline_s: float) -> int:
-        """Begins to empty a storage node: 200, 404 (unknown), 409 (too few would remain) or 0."""
+    async def retire_start(self, node: str, deadline_s: float) -> RetireOutcome:
+        """Begins to empty a storage node."""
 
-    async def retire_state(self, node: str) -> str | None:
-        """`running` or `complete`; None: nobody asked for it; raises `Unavailable` if it isn't known."""
+    async def retire_state(self, node: str) -> RetireState:
+        """How far the emptying of a storage node has come."""
 
     def status(self) -> dict[str, Any]:
         """What is known here of the whole tier, see `membership.status`."""
 
     def beat_url(self) -> str | None:
         """An address for a backend's later heartbeats, or None to leave the choice to the backend."""
-
-
-class Unavailable(Exception):
-    """The answer isn't known here now; the caller may ask again or ask elsewhere."""
-
-    code = "unavailable"
--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -50,6 +50,11 @@
         self._now = now
         self._accepted = accepted
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the shard's replica has been opened here."""
+        return self._host.replica(CONFIGURATION_SHARD) is not None
+
     @property
     def state(self) -> ConfigurationState:
         """The state as far as this replica has applied it."""
--- /dev/null
+++ b/kestrelbend/tier/control/directory_stream.py
@@ -0,0 +1,64 @@
+"""The directory that this control node tells all who subscribe to it: members, placements, owners."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..configuration.shard_service import ConfigurationService
+from ..membership.messages import Directory, ShardReport
+from ..membership.table import MemberTable
+from ..protocol.codec import encode
+from ..protocol.links import Link
+
+
+class DirectoryStream:
+    """The subscribers, and the directory that each of them was told last."""
+
+    def __init__(self, members: MemberTable) -> None:
+        self._members = members
+        self._told_to: dict[Link, Directory | None] = {}
+        self._newest: Directory | None = None
+
+    def subscribe(self, link: Link) -> None:
+        """A process wants the directory, and each later one."""
+        self._told_to[link] = None
+        self.send()
+
+    def lost(self, link: Link) -> None:
+        """A connection ended."""
+        self._told_to.pop(link, None)
+
+    def refresh(self, configuration: ConfigurationService, now: float) -> Directory | None:
+        """The directory as it is now; None where it says the same as the one before."""
+        directory = self._build(configuration, now)
+        if directory == self._newest:
+            return None
+        self._newest = directory
+        return directory
+
+    def send(self) -> None:
+        """Brings all subscribers to the newest directory; one encoding serves all."""
+        if self._newest is None:
+            return
+        encoded = None
+        for link, told in list(self._told_to.items()):
+            if told is not self._newest:
+                encoded = encoded or encode(self._newest)
+                link.send_encoded(encoded)
+                self._told_to[link] = self._newest
+
+    def _build(self, configuration: ConfigurationService, now: float) -> Directory:
+        state = configuration.state
+        reports = sorted(self._members.reports().values(), key=lambda report: report.shard)
+        return Directory(
+            version=configuration.replica.applied_index,
+            members=tuple(self._members.members(now)),
+            placements=state.placements,
+            owners=tuple(without_progress(report) for report in reports),
+            retiring=state.retiring,
+        )
+
+
+def without_progress(report: ShardReport) -> ShardReport:
+    """A report as the directory tells it: what changes with each command is left out."""
+    return attrs.evolve(report, applied_index=0, commit_index=0)
--- /dev/null
+++ b/kestrelbend/tier/control/placing.py
@@ -0,0 +1,110 @@
+"""Who should hold which shard: decided by the owner of the configuration's shard, kept as entries of it.
+
+Invariant: a placement of a budget shard is proposed by nobody but the owner, and counts once it is committed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+
+from ..configuration.messages import ConfigOrder, OrderKind
+from ..configuration.placements import encode_placement
+from ..configuration.shard_service import ConfigurationService
+from ..membership.messages import ShardPlacement
+from ..membership.placement import (
+    SPARE_S,
+    budget_shards,
+    candidates,
+    found_budget_shards,
+    group_size,
+    next_voters,
+)
+from ..membership.placement_changes import due_placements
+from ..membership.table import MemberTable
+
+LEAVING_S = SPARE_S + 0.1  # a process that leaves counts as silent for this long
+FOUNDING_WAIT_S = 2.5  # for stores to come before budgets are founded on what is there
+FIRST_LOOK_S = 0.5  # for heartbeats to come in, from the beginning of an ownership
+
+
+class ShardPlacer:
+    """Moves the shards to where they should be, while the configuration's shard is owned here."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationService,
+        members: MemberTable,
+        tolerated_nodes: int,
+        spawn: Callable[[Coroutine], object],
+    ) -> None:
+        self._configuration = configuration
+        self._members = members
+        self._size = group_size(tolerated_nodes)
+        self._spawn = spawn
+        self._owner_since = 0.0
+        self._proposing = False
+
+    def place(self, now: float) -> None:
+        """Takes the steps that are due now."""
+        if not self._configuration.replica.is_owner:
+            self._owner_since = now
+            return
+        self._place_configuration(now)
+        if self._proposing or now - self._owner_since < FIRST_LOOK_S:
+            return
+        orders = [self._placement_order(placed) for placed in self._due_placements(now)]
+        if orders:
+            self._proposing = True
+            self._spawn(self._order_placements(orders))
+
+    def _place_configuration(self, now: float) -> None:
+        replica = self._configuration.replica
+        available = candidates(self._members.staying(now), (), stores_first=False)
+        replica.set_learners([candidate.replica for candidate in available])
+        voters = next_voters(
+            tuple(replica.voters),
+            self._size,
+            available,
+            lambda voter: self._silence(voter, now),
+        )
+        replica.set_target(voters)
+
+    def _silence(self, replica_id: str, now: float) -> float:
+        """For how long a replica has been away.
+
+        One that was never heard of here may still be starting, as may this process; one that leaves may come
+        back, but a spare need not wait for that.
+        """
+        silence = min(self._members.silence(replica_id, now), now - self._owner_since)
+        return max(silence, LEAVING_S) if self._members.is_leaving(replica_id) else silence
+
+    def _due_placements(self, now: float) -> list[ShardPlacement]:
+        state = self._configuration.state
+        available = candidates(self._members.staying(now), state.retiring, stores_first=True)
+        placed_shards = {placed.shard for placed in state.placements}
+        if not placed_shards.issuperset(budget_shards()):
+            stores = [candidate for candidate in available if candidate.preference == 0]
+            too_early = len(stores) < self._size and now - self._owner_since < FOUNDING_WAIT_S
+            if too_early or not available:
+                return []
+            return found_budget_shards(placed_shards, self._size, available)
+        return due_placements(
+            state.placements,
+            self._size,
+            available,
+            self._members,
+            state.retiring,
+            now,
+            lambda replica_id: self._silence(replica_id, now),
+        )
+
+    @staticmethod
+    def _placement_order(placed: ShardPlacement) -> ConfigOrder:
+        return ConfigOrder(OrderKind.PLACEMENT, 0, encode_placement(placed))
+
+    async def _order_placements(self, orders: list[ConfigOrder]) -> None:
+        try:
+            for order in orders:
+                await self._configuration.decide(order)
+        finally:
+            self._proposing = False
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -2,58 +2,37 @@
 
 Every control node answers everything: orders go on to the shard's owner, news of backends to the other
 control nodes.  The owner of the configuration's shard also decides who should hold which shard.
+What it serves stands in `tier/control/`, a part a module.
 """
 
 from __future__ import annotations
 
 import asyncio
 
-import attrs
-
 from ..budgets.messages import BudgetRequest
 from ..budgets.shard_service import BudgetShards
-from ..configuration.messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
+from ..configuration.messages import ConfigOrder, ConfigOutcome, ReadReply, ReadRequest
 from ..configuration.operator_api import OperatorApi
-from ..configuration.placements import encode_placement
+from ..configuration.ports import ReportOutcome, RetireOutcome, RetireState
 from ..configuration.shard_service import NOT_OWNER, ConfigurationMachine, ConfigurationService
 from ..configuration.stream import ConfigStream
+from ..control.backend_reports import BackendReports
+from ..control.directory_stream import DirectoryStream
+from ..control.placing import ShardPlacer
+from ..control.retirement import Retirement
 from ..dataplane.server import Listener
 from ..discovery.exchange import BackendExchange
-from ..discovery.messages import Backend, BackendAck, BackendState, BackendUpdate
-from ..discovery.registry import BackendRegistry, BeatRejected
-from ..membership.messages import (
-    ConfigAck,
-    Directory,
-    Heartbeat,
-    MemberSummary,
-    ShardPlacement,
-    ShardReport,
-    Subscribe,
-)
-from ..membership.placement import (
-    CONFIGURATION_SHARD,
-    SPARE_S,
-    budget_shards,
-    candidates,
-    found_budget_shards,
-    group_size,
-    next_voters,
-)
-from ..membership.placement_changes import due_placements
+from ..discovery.messages import BackendAck, BackendUpdate
+from ..discovery.registry import BackendRegistry
+from ..membership.messages import ConfigAck, Heartbeat, MemberSummary, Subscribe
+from ..membership.placement import CONFIGURATION_SHARD
+from ..membership.standing import in_contact, is_current
 from ..membership.status import ShardsWanted, status
 from ..membership.table import MemberTable, merge
-from ..protocol.codec import encode
 from ..protocol.links import Link
 from .process import CONTROL_PORT, TierProcess
 
 HAND_OVER_S = 1.0
-LEAVING_S = SPARE_S + 0.1  # a process that leaves counts as silent for this long
-FOUNDING_WAIT_S = 2.5  # for stores to come before budgets are founded on what is there
-NOT_FOUND = 404
-TOO_FEW = 409
-NOT_NOW = 503
-OK = 200
-BAD_REQUEST = 400
 
 
 class ControlProcess(TierProcess):
@@ -70,16 +49,17 @@
         self.budgets.attach(self.host, self.now)
         self.members = MemberTable()
         self.registry = BackendRegistry()
-        self._streamed = 0  # the registry's number that subscribers were brought to
         self.exchange = BackendExchange(self.address, self.registry.all, self._peer_links)
+        self.backend_reports = BackendReports(self.registry, self.exchange, self.now)
         self.config_stream = ConfigStream()
-        self.configuration: ConfigurationService | None = None
-        self._directory_links: dict[Link, Directory | None] = {}
-        self._told: Directory | None = None
+        self.directory_stream = DirectoryStream(self.members)
+        self.configuration = ConfigurationService(
+            self.host, self.links, self.now, self.config_stream.until_acknowledged
+        )
+        tolerated_nodes = settings.tolerate_nodes
+        self.retirement = Retirement(self.configuration, self.members, tolerated_nodes, self.now)
+        self._placer = ShardPlacer(self.configuration, self.members, tolerated_nodes, self.spawn)
         self._summary_at = self.now()
-        self._owner_since = 0.0
-        self._in_touch_since = self.now()
-        self._proposing = False
         self._serving: asyncio.Task | None = None
 
     # The shards
@@ -100,25 +80,22 @@
         if self.settings.bootstrap:
             founders = tuple(f"{address}#first" for address in self.seed_addresses())
         self.host.open(CONFIGURATION_SHARD, founders, self.now())
-        self.configuration = ConfigurationService(
-            self.host, self.links, self.now, self.config_stream.until_acknowledged
-        )
         super().open_replicas()
 
     def on_applied(self, shard):
         """A new version goes to the gateways at once."""
-        if shard == CONFIGURATION_SHARD and self.configuration is not None:
+        if shard == CONFIGURATION_SHARD and self.configuration.is_open:
             self._stream_configuration()
 
     def _stream_configuration(self) -> None:
         state = self.configuration.state
         if state.version:
-            current = self.configuration.replica.in_touch(self.now())
+            current = is_current(self.configuration.replica, self.now())
             self.config_stream.stream(state.version, state.body, current)
 
     def config_version(self):
         """The version applied here."""
-        return self.configuration.state.version if self.configuration else 0
+        return self.configuration.state.version if self.configuration.is_open else 0
 
     # Links
 
@@ -138,7 +115,7 @@
         super().on_lost(link)
         self.exchange.lost(link)
         self.config_stream.lost(link)
-        self._directory_links.pop(link, None)
+        self.directory_stream.lost(link)
 
     def on_message(self, link, message, sequence):
         """What others say to a control node."""
@@ -153,7 +130,7 @@
         elif isinstance(message, BackendAck):
             self.exchange.take_ack(link, message)
         elif isinstance(message, BackendUpdate):
-            self._merge_backends(message.backends)
+            self.backend_reports.merge(message.backends)
             self.exchange.acknowledge_news(link, sequence, message)
         elif isinstance(message, ConfigOrder):
             self._answer(link, sequence, self._decide(message))
@@ -177,151 +154,46 @@
         return await self.configuration.read_here()
 
     def _subscribe(self, link: Link, message: Subscribe) -> None:
-        self._directory_links[link] = None
         if message.member.serves_front:
             self.config_stream.subscribe(link, message.config_version)
             self.exchange.subscribe(link)
             self._stream_configuration()
-        self._send_directory()
-
-    def _merge_backends(self, backends) -> None:
-        now = self.now()
-        for backend in backends:
-            self.registry.merge(backend, now)
-        self.exchange.stream(self._registry_changes())
-
-    def _registry_changes(self) -> list[Backend]:
-        """What has changed in the registry since this was last asked."""
-        changes = self.registry.changes_since(self._streamed)
-        self._streamed = changes.number
-        return list(changes.backends)
+        self.directory_stream.subscribe(link)
 
     # Time
 
     def on_tick(self, now):
-        """Gateways that wait for a current version get it as soon as this replica is in touch."""
+        """Gateways that wait for a current version get it as soon as this replica is current."""
         self._stream_configuration()
 
     def on_heartbeat(self, now):
         """Tells the other monitors and all subscribers who is there, and places shards."""
         self.members.heard(self.heartbeat(), now)
         self.members.forget_old(now)
+        self._summarize(now)
+        self._refresh_directory(now)
+        self.directory_stream.send()
+        self._placer.place(now)
+        beat_interval_s = self.settings.heartbeat_ms / 1000
+        contact = in_contact(self.configuration.replica, now)
+        self.backend_reports.presume_silent_gone(contact, beat_interval_s)
+
+    def _summarize(self, now: float) -> None:
+        """Tells the other monitors which heartbeats have come here."""
         beats = self.members.heard_since(self._summary_at)
         self._summary_at = now
-        if beats:
-            summary = MemberSummary(self.address, tuple(beats))
-            for link in self._peer_links():
-                link.send(summary)
-        self._refresh_directory(now)
-        self._send_directory()
-        self._place_shards(now)
-        self._presume_silent_gone(now)
-
-    def _presume_silent_gone(self, now: float) -> None:
-        if not self.configuration.replica.in_touch(now):
-            self._in_touch_since = now
-        beat_interval = self.settings.heartbeat_ms / 1000
-        self.registry.expired(now, beat_interval, self._in_touch_since)
-        self.exchange.stream(self._registry_changes())
-
-    def _own_directory(self, now: float) -> Directory:
-        state = self.configuration.state
-        reports = sorted(self.members.reports().values(), key=lambda report: report.shard)
-        return Directory(
-            version=self.configuration.replica.applied_index,
-            members=tuple(self.members.members(now)),
-            placements=state.placements,
-            owners=tuple(without_progress(report) for report in reports),
-            retiring=state.retiring,
-        )
+        if not beats:
+            return
+        summary = MemberSummary(self.address, tuple(beats))
+        for link in self._peer_links():
+            link.send(summary)
 
     def _refresh_directory(self, now: float) -> None:
-        """Keeps the directory that was told last for as long as it says the same."""
-        directory = self._own_directory(now)
-        if directory != self._told:
-            self._told = directory
+        directory = self.directory_stream.refresh(self.configuration, now)
+        if directory is not None:
             self.directory.take(self.address, directory)
         self.on_directory()
 
-    def _send_directory(self) -> None:
-        """Brings all subscribers to the directory; one encoding serves all."""
-        if self._told is None:
-            return
-        encoded = None
-        for link, sent in list(self._directory_links.items()):
-            if sent is not self._told:
-                encoded = encoded or encode(self._told)
-                link.send_encoded(encoded)
-                self._directory_links[link] = self._told
-
-    # Placement, by the owner of the configuration's shard
-
-    def _place_shards(self, now: float) -> None:
-        replica = self.configuration.replica
-        if not replica.is_owner:
-            self._owner_since = now
-            return
-        self._place_configuration(now)
-        if self._proposing or now - self._owner_since < 0.5:
-            return
-        orders = [self._placement_order(placed) for placed in self._due_placements(now)]
-        if orders:
-            self._proposing = True
-            self.spawn(self._order_placements(orders))
-
-    def _place_configuration(self, now: float) -> None:
-        replica = self.configuration.replica
-        available = candidates(self.members.staying(now), (), stores_first=False)
-        replica.set_learners([candidate.replica for candidate in available])
-        voters = next_voters(
-            tuple(replica.voters),
-            group_size(self.settings.tolerate_nodes),
-            available,
-            lambda voter: self._silence(voter, now),
-        )
-        replica.set_target(voters)
-
-    def _silence(self, replica_id: str, now: float) -> float:
-        """For how long a replica has been away.
-
-        One that was never heard of here may still be starting, as may this process; one that leaves may come
-        back, but a spare need not wait for that.
-        """
-        silence = min(self.members.silence(replica_id, now), now - self._owner_since)
-        return max(silence, LEAVING_S) if self.members.is_leaving(replica_id) else silence
-
-    def _due_placements(self, now: float) -> list[ShardPlacement]:
-        state = self.configuration.state
-        available = candidates(self.members.staying(now), state.retiring, stores_first=True)
-        size = group_size(self.settings.tolerate_nodes)
-        placed_shards = {placed.shard for placed in state.placements}
-        if not placed_shards.issuperset(budget_shards()):
-            stores = [candidate for candidate in available if candidate.preference == 0]
-            too_early = len(stores) < size and now - self._owner_since < FOUNDING_WAIT_S
-            if too_early or not available:
-                return []
-            return found_budget_shards(placed_shards, size, available)
-        return due_placements(
-            state.placements,
-            size,
-            available,
-            self.members,
-            state.retiring,
-            now,
-            lambda replica_id: self._silence(replica_id, now),
-        )
-
-    @staticmethod
-    def _placement_order(placed) -> ConfigOrder:
-        return ConfigOrder(OrderKind.PLACEMENT, 0, encode_placement(placed))
-
-    async def _order_placements(self, orders) -> None:
-        try:
-            for order in orders:
-                await self.configuration.decide(order)
-        finally:
-            self._proposing = False
-
     # The operator's API, see configuration.ports
 
     async def order(self, order: ConfigOrder) -> ConfigOutcome:
@@ -332,49 +204,21 @@
         """The newest configuration."""
         return await self.configuration.read()
 
-    async def beat(self, identity: str, report: dict) -> int:
-        """A backend's heartbeat: known here and, where it matters, everywhere before it is acknowledged."""
-        return await self._taken(self.registry.beat(identity, report, self.now()))
+    async def beat(self, identity: str, report: dict) -> ReportOutcome:
+        """A backend's heartbeat."""
+        return await self.backend_reports.beat(identity, report)
 
-    async def leave(self, identity: str) -> int:
+    async def leave(self, identity: str) -> ReportOutcome:
         """A backend has ended."""
-        return await self._taken(self.registry.leave(identity, self.now()))
-
-    async def _taken(self, outcome: Backend | BeatRejected) -> int:
-        if isinstance(outcome, BeatRejected):
-            return BAD_REQUEST
-        changes = self._registry_changes()
-        if any(backend.state != BackendState.READY for backend in changes):
-            await self.exchange.tell_all(changes)
-        else:
-            self.exchange.stream(changes)
-            self.exchange.tell_peers(changes)
-        return OK
-
-    async def retire_start(self, node: str, deadline_s: float) -> int:
+        return await self.backend_reports.leave(identity)
+
+    async def retire_start(self, node: str, deadline_s: float) -> RetireOutcome:
         """Begins to empty a store."""
-        now = self.now()
-        live = self.members.members(now)
-        if not any(member.node == node and member.serves_storage for member in live):
-            return NOT_FOUND
-        emptied = {*self.configuration.state.retiring, node}
-        left = candidates(live, emptied, stores_first=True)
-        if len(left) < group_size(self.settings.tolerate_nodes):
-            return TOO_FEW
-        outcome = await self.configuration.order(ConfigOrder(OrderKind.RETIRE, 0, node.encode()))
-        return outcome.status or NOT_NOW
-
-    async def retire_state(self, node: str) -> str | None:
-        """`running` until no shard has a voter on the node."""
-        if node not in self.configuration.state.retiring:
-            return None
-        now = self.now()
-        holders = {voter for report in self.members.reports().values() for voter in report.voters}
-        wanted = {voter for placed in self.configuration.state.placements for voter in placed.voters}
-        for member in self.members.members(now, within=60.0):
-            if member.node == node and member.replica in holders | wanted:
-                return "running"
-        return "complete"
+        return await self.retirement.start(node)
+
+    async def retire_state(self, node: str) -> RetireState:
+        """How far the emptying of a store has come."""
+        return await self.retirement.state(node)
 
     def status(self) -> dict:
         """What is known here of the whole tier."""
@@ -382,7 +226,7 @@
         state = self.configuration.state
         return status(
             self.member,
-            self.configuration.replica.in_touch(now),
+            in_contact(self.configuration.replica, now),
             state.version,
             self.members,
             ShardsWanted(state.placements, state.retiring),
@@ -410,8 +254,3 @@
         await self.hand_over(HAND_OVER_S)
         self.served_enough.set()
         await asyncio.wait([self._serving], timeout=1.5)
-
-
-def without_progress(report: ShardReport) -> ShardReport:
-    """A report as the directory tells it: what changes with each command is left out."""
-    return attrs.evolve(report, applied_index=0, commit_index=0)
--- a/tests/tier/test_configuration_operator_api.py
+++ b/tests/tier/test_configuration_operator_api.py
@@ -8,7 +8,7 @@
 from kestrelbend.tier.configuration import operator_api
 from kestrelbend.tier.configuration.messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply
 from kestrelbend.tier.configuration.operator_api import OperatorApi
-from kestrelbend.tier.configuration.ports import Unavailable
+from kestrelbend.tier.configuration.ports import ReportOutcome, RetireOutcome, RetireState
 
 
 class Port:
@@ -18,8 +18,9 @@
         self.calls = []
         self.outcome = ConfigOutcome(200, 7, "")
         self.reply = ReadReply(True, 7, b'{"Ver": 7}')
-        self.code = 200
-        self.state = "running"
+        self.report_outcome = ReportOutcome.TAKEN
+        self.retire_outcome = RetireOutcome.TAKEN
+        self.state = RetireState.RUNNING
         self.url = None
         self.told = {"Node": "front-1", "InTouch": True}
 
@@ -35,19 +36,17 @@
 
     async def beat(self, identity, report):
         self.calls.append((identity, report))
-        return self.code
+        return self.report_outcome
 
     async def leave(self, identity):
         self.calls.append(identity)
-        return self.code
+        return self.report_outcome
 
     async def retire_start(self, node, deadline_s):
         self.calls.append((node, deadline_s))
-        return self.code
+        return self.retire_outcome
 
     async def retire_state(self, node):
-        if self.state == "unknown here":
-            raise Unavailable
         return self.state
 
     def beat_url(self):
@@ -130,8 +129,8 @@
             (200, {"BeatUrl": self.port.url}), self.call("POST", "/api/Instances.Heartbeat/i-1", b"{}")
         )
         self.assertEqual([("i-1", {"Seq": 1}), ("i-1", {})], self.port.calls)
-        for status, expected in ((0, 503), (400, 400)):
-            self.port.code = status
+        for outcome, expected in ((ReportOutcome.UNAVAILABLE, 503), (ReportOutcome.MALFORMED, 400)):
+            self.port.report_outcome = outcome
             self.assertEqual(expected, self.call("POST", "/api/Instances.Heartbeat/i-1", b"{}")[0])
 
     def test_given_a_heartbeat_that_is_no_object_then_the_port_is_not_asked(self):
@@ -148,13 +147,17 @@
     def test_given_a_node_to_be_emptied_then_the_answers_are_the_ports(self):
         self.assertEqual(200, self.call("POST", "/api/Retire.Start/store-1", b'{"DeadlineS":10}')[0])
         self.assertEqual([("store-1", 10.0)], self.port.calls)
-        for status, expected in ((404, 404), (409, 409), (0, 503)):
-            self.port.code = status
+        for outcome, expected in (
+            (RetireOutcome.UNKNOWN_NODE, 404),
+            (RetireOutcome.TOO_FEW_LEFT, 409),
+            (RetireOutcome.UNAVAILABLE, 503),
+        ):
+            self.port.retire_outcome = outcome
             self.assertEqual(expected, self.call("POST", "/api/Retire.Start/n", b'{"DeadlineS":0.5}')[0])
         for data in (b"", b"{}", b'{"DeadlineS":0}', b'{"DeadlineS":"1"}', b'{"DeadlineS":NaN}'):
             self.assertEqual(400, self.call("POST", "/api/Retire.Start/n", data)[0])
         self.assertEqual((200, {"State": "running"}), self.call("GET", "/api/Retire.Get/store-1"))
-        for state, expected in ((None, 404), ("unknown here", 503)):
+        for state, expected in ((RetireState.NOT_ORDERED, 404), (RetireState.UNAVAILABLE, 503)):
             self.port.state = state
             self.assertEqual(expected, self.call("GET", "/api/Retire.Get/store-1")[0])
 
