Read index of followers: current means applied up to what a confirmed owner had committed

A replica took any heartbeat of an owner as contact: one whose log ends at entry 5 counted as current while it refused the heartbeat of entry 400, and a new owner counted before it had committed an entry of its epoch.

Followers of the configuration's shard now ask their owner five times a second (Ongaro 2014, 6.4); the answer comes once a majority has acknowledged a round begun after the question, and counts from the question's own moment by the asker's steady clock. `Replica.confirmed_at` and `current_at` say what they prove, and `membership/standing.py` rests on them. A question waits for the next heartbeat round, so it begins none; replicas of other shards ask nothing.

--- a/benchmarks/hollow_budgets.py
+++ b/benchmarks/hollow_budgets.py
@@ -61,6 +61,7 @@
         self.shards = BudgetShards()
         self.host = ShardHost(
             identity=identity,
+            first_ticket=1,
             timing=Timing(),
             journal=self.journal,
             encode=encode,
--- a/kestrelbend/tier/membership/standing.py
+++ b/kestrelbend/tier/membership/standing.py
@@ -12,17 +12,22 @@
 
 
 class Confirmed(Protocol):
-    """A replica, as far as its standing goes."""
+    """A replica, as far as its standing goes; both are local times, NEVER where there is none."""
 
-    def in_touch(self, now: float) -> bool:
-        """Whether the replica heard from a majority, or from its owner, within the election timeout."""
+    @property
+    def confirmed_at(self) -> float:
+        """When the last question was asked by which the owner was confirmed."""
+
+    @property
+    def current_at(self) -> float:
+        """When the last such question was asked of which all that was committed then is applied here."""
 
 
 def in_contact(replica: Confirmed, now: float) -> bool:
     """Whether a majority has lately confirmed the owner that this replica knows, itself or another."""
-    return replica.in_touch(now)
+    return now - replica.confirmed_at <= CONTACT_S
 
 
 def is_current(replica: Confirmed, now: float) -> bool:
-    """Whether all that was committed when contact was last confirmed is applied here."""
-    return replica.in_touch(now)
+    """Whether all that was committed at a question asked lately enough is applied here."""
+    return in_contact(replica, now) and now - replica.current_at <= CONTACT_S
--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -11,6 +11,8 @@
 struct AppendReply { 1: string shard, 2: string sender, 3: i64 epoch, 4: bool accepted, 5: i64 match_index, 6: i64 round }
 struct InstallSnapshot { 1: string shard, 2: string sender, 3: i64 epoch, 4: Snapshot snapshot, 5: i64 round }
 struct TransferOwnership { 1: string shard, 2: string sender, 3: i64 epoch }
+struct ReadIndexRequest { 1: string shard, 2: string sender, 3: i64 epoch, 4: i64 ticket }
+struct ReadIndexReply { 1: string shard, 2: string sender, 3: i64 epoch, 4: i64 ticket, 5: i64 index }
 struct DurableRecord { 1: string shard, 2: string replica, 3: i64 epoch, 4: string voted_for, 5: list<Entry> entries, 6: optional Snapshot snapshot }
 
 struct Reserve { 1: string program, 2: string session, 3: string reservation, 4: i64 fingerprint, 5: i64 most_tokens, 6: i64 budget, 7: bool spare }
--- a/kestrelbend/tier/replication/__init__.py
+++ b/kestrelbend/tier/replication/__init__.py
@@ -19,6 +19,8 @@
 - An owner whose own disk stalls hands over; one that can't gives up.
 - Who leaves the group gets the entry that says so only once it is committed, and for a while after that, so
   that it neither blocks the others' votes nor goes on asking for its own.
+- A follower's read waits for the owner's next heartbeat round instead of beginning one: it costs a question
+  and an answer, and its answer counts from the question on (see `read_index`).
 - A replica that its own log doesn't name as a voter never campaigns.  An emptied disk is another
   identity, so its vote counts for nobody before a group has taken it in.
 """
--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -69,14 +69,16 @@
 class ShardHost:
     """All replicas of a process.
 
-    `send(replica_id, message)` hands a message to the process of another replica; `machine_for(shard)`
-    makes an empty state machine; `on_applied(shard)` is called after commands were applied.
+    `first_ticket` rises with each life of the process, see `read_index`.  `send(replica_id, message)` hands a
+    message to the process of another replica; `machine_for(shard)` makes an empty state machine;
+    `on_applied(shard)` is called after commands were applied.
     """
 
     def __init__(
         self,
         *,
         identity: ReplicaId,
+        first_ticket: int,
         timing: Timing,
         journal: Journal,
         encode: Callable[[DurableRecord], bytes],
@@ -86,6 +88,7 @@
         on_applied: Callable[[ShardId], None] = lambda shard: None,
     ):
         self.identity = identity
+        self._first_ticket = first_ticket
         self._timing = timing
         self._journal = journal
         self._encode = encode
@@ -137,6 +140,7 @@
             durable=self._durable.get(shard) or DurableState(),
             timing=self._timing,
             now=now,
+            first_ticket=self._first_ticket,
         )
         hosted = _Hosted(replica, self._machine_for(shard))
         self._hosted[shard] = hosted
--- a/kestrelbend/tier/replication/messages.py
+++ b/kestrelbend/tier/replication/messages.py
@@ -107,7 +107,37 @@
     epoch: int
 
 
-ReplicaMessage = RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | TransferOwnership
+@attrs.frozen
+class ReadIndexRequest:
+    """A follower asks its owner up to where the shard is committed; `ticket` comes back with the answer."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    ticket: int
+
+
+@attrs.frozen
+class ReadIndexReply:
+    """`index` was committed when the request came, by an owner that a majority confirmed after that."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    ticket: int
+    index: int
+
+
+ReplicaMessage = (
+    RequestVote
+    | VoteReply
+    | AppendEntries
+    | AppendReply
+    | InstallSnapshot
+    | TransferOwnership
+    | ReadIndexRequest
+    | ReadIndexReply
+)
 
 
 @attrs.frozen
--- a/kestrelbend/tier/replication/owner.py
+++ b/kestrelbend/tier/replication/owner.py
@@ -2,28 +2,17 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Iterable
 
-import attrs
-
 from .group import has_quorum, quorum_size
 from .messages import AppendEntries, AppendReply, Entry, EntryKind, InstallSnapshot, ReplicaId
 from .progress import NEVER, Progress, Rounds
+from .read_index import OWN, PendingRead, PendingReads
 from .state import ReplicaState
 
 ENTRY_BYTES = 64  # what an entry costs beside its data, about
 
 
-@attrs.frozen
-class Confirmation:
-    """A read that may be answered once `round` has a majority and `index` is applied."""
-
-    ticket: int
-    round: int
-    index: int
-
-
 class Ownership:
     """The owner's side of replication in one epoch.
 
@@ -38,7 +27,7 @@
         self._log = state.log
         self._timing = state.timing
         self._rounds = Rounds()
-        self._confirmations: deque[Confirmation] = deque()
+        self._reads = PendingReads()
         self._round_began_at = NEVER
         self._round_wanted = False
 
@@ -70,26 +59,34 @@
 
     def confirm(self, ticket: int) -> None:
         """Adds a read of what is committed now, or of this epoch's first entry where that is later."""
-        index = max(self._state.commit_index, self.first_index)
-        self._confirmations.append(Confirmation(ticket, self._rounds.current + 1, index))
+        self._add_read(ticket, OWN)
         self._round_wanted = True
 
+    def confirm_for(self, follower: ReplicaId, ticket: int) -> None:
+        """Adds a follower's read; it waits for the next heartbeat round, which costs no message more."""
+        self._add_read(ticket, follower)
+
+    def _add_read(self, ticket: int, asker: ReplicaId) -> None:
+        index = max(self._state.commit_index, self.first_index)
+        self._reads.add(PendingRead(ticket, self._rounds.current + 1, index, asker))
+
     def waiting_reads(self) -> list[int]:
-        """The tickets of the reads that wait for their confirmation."""
-        return [confirmation.ticket for confirmation in self._confirmations]
+        """The tickets of this replica's own reads that wait for their confirmation."""
+        return self._reads.own_tickets()
 
-    def confirmed_reads(self) -> list[int]:
-        """The tickets of the reads that may be answered now."""
-        if not self._confirmations:
+    def confirmed_reads(self) -> list[PendingRead]:
+        """The reads that may be answered now."""
+        if not self._reads:
             return []
-        acknowledged = self._quorum_value(self._acknowledged_round)
-        ready = []
-        while self._confirmations:
-            first = self._confirmations[0]
-            if first.round > acknowledged or first.index > self._state.commit_index:
-                break
-            ready.append(self._confirmations.popleft().ticket)
-        return ready
+        return self._reads.take_ready(self._majority_round(), self._state.commit_index)
+
+    @property
+    def confirmed_at(self) -> float:
+        """When the latest round began that a majority has acknowledged; NEVER where none has."""
+        return self._rounds.began(self._majority_round())
+
+    def _majority_round(self) -> int:
+        return self._quorum_value(self._acknowledged_round)
 
     def replied(self, reply: AppendReply) -> None:
         """Takes in a follower's reply of this epoch."""
--- /dev/null
+++ b/kestrelbend/tier/replication/read_index.py
@@ -0,0 +1,121 @@
+"""Reads by index (Ongaro 2014, section 6.4), at the owner and at followers that ask it.
+
+The owner notes what is committed when a question comes, and answers once a majority has acknowledged a round
+begun after it.  A follower that has applied that much is as new as the shard was when it asked.
+
+Invariants: an answer counts from the moment its question was asked, by the asker's own steady clock, never
+from the moment it came; an answer counts only for a question that this process asked in this life, of the
+owner that it follows in the present epoch.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+from .messages import ReplicaId
+from .progress import NEVER
+
+OWN = ""  # stands for the owner itself among those who ask
+MOST_WAITING_OF_ONE = 8  # questions of one follower; more are dropped, as it asks again
+MOST_REMEMBERED = 16  # questions and answers that a follower keeps; older ones prove nothing of use
+
+
+@attrs.frozen
+class PendingRead:
+    """A question that may be answered once `round` has a majority and `index` is committed."""
+
+    ticket: int
+    round: int
+    index: int
+    asker: ReplicaId = OWN
+
+
+class PendingReads:
+    """The owner's side: questions in the order in which they came."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[PendingRead] = deque()
+
+    def add(self, read: PendingRead) -> None:
+        """Adds a question; its round and index are at least those of the one before."""
+        if read.asker != OWN and self._count(read.asker) >= MOST_WAITING_OF_ONE:
+            return
+        self._waiting.append(read)
+
+    def own_tickets(self) -> list[int]:
+        """The tickets of the owner's own questions that wait."""
+        return [read.ticket for read in self._waiting if read.asker == OWN]
+
+    def take_ready(self, acknowledged_round: int, commit_index: int) -> list[PendingRead]:
+        """Takes out the questions that may be answered now."""
+        ready = []
+        while self._waiting:
+            first = self._waiting[0]
+            if first.round > acknowledged_round or first.index > commit_index:
+                break
+            ready.append(self._waiting.popleft())
+        return ready
+
+    def __bool__(self) -> bool:
+        return bool(self._waiting)
+
+    def _count(self, asker: ReplicaId) -> int:
+        return sum(1 for read in self._waiting if read.asker == asker)
+
+
+@attrs.frozen
+class _Answer:
+    asked_at: float
+    index: int
+
+
+class FollowerReads:
+    """The follower's side: its questions to one owner in one epoch, and what their answers prove.
+
+    Tickets begin at `first_ticket`, which rises with each life of the process, so that no answer to an
+    earlier life counts in this one.
+    """
+
+    def __init__(self, first_ticket: int, pause: float) -> None:
+        self.confirmed_at = NEVER
+        self._next_ticket = first_ticket
+        self._pause = pause
+        self._last_asked_at = NEVER
+        self._asked_at: dict[int, float] = {}
+        self._answers: deque[_Answer] = deque(maxlen=MOST_REMEMBERED)
+
+    def is_due(self, now: float) -> bool:
+        """Whether another question should be asked."""
+        return now - self._last_asked_at >= self._pause
+
+    def ask(self, now: float) -> int:
+        """Notes a question asked now; its ticket."""
+        ticket = self._next_ticket
+        self._next_ticket += 1
+        self._last_asked_at = now
+        self._asked_at[ticket] = now
+        while len(self._asked_at) > MOST_REMEMBERED:
+            del self._asked_at[next(iter(self._asked_at))]
+        return ticket
+
+    def answered(self, ticket: int, index: int) -> None:
+        """The owner, confirmed after the question, had committed up to `index` when it came."""
+        asked_at = self._asked_at.pop(ticket, None)
+        if asked_at is None:
+            return
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        self._answers.append(_Answer(asked_at, index))
+
+    def current_at(self, applied_index: int) -> float:
+        """When the newest question was asked whose index is applied; NEVER where there is none."""
+        applied = (answer.asked_at for answer in self._answers if answer.index <= applied_index)
+        return max(applied, default=NEVER)
+
+    def forget(self) -> None:
+        """The owner or the epoch has changed: what was asked and answered counts no more."""
+        self.confirmed_at = NEVER
+        self._last_asked_at = NEVER
+        self._asked_at.clear()
+        self._answers.clear()
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -19,6 +19,8 @@
     DurableState,
     EntryKind,
     InstallSnapshot,
+    ReadIndexReply,
+    ReadIndexRequest,
     ReplicaId,
     ReplicaMessage,
     RequestVote,
@@ -28,6 +30,8 @@
 )
 from .owner import Ownership
 from .placement import Placement
+from .progress import NEVER
+from .read_index import OWN, FollowerReads, PendingRead
 from .state import ReplicaState
 from .timing import Timing
 
@@ -44,6 +48,7 @@
         durable: DurableState,
         timing: Timing,
         now: float,
+        first_ticket: int = 1,
     ) -> None:
         self.shard = shard
         self.identity = identity
@@ -54,6 +59,8 @@
         self._following: Following | None = None
         self._placement = Placement(self._state)
         self._next_confirmation = 1
+        self._reads = FollowerReads(first_ticket, timing.read_index_pause)
+        self._watches_currency = False
         self._now = now
         if durable.snapshot.index > 0:
             self._state.effects.restore = durable.snapshot
@@ -94,6 +101,27 @@
         """When the replica last heard from an owner."""
         return self._elections.heard_at
 
+    @property
+    def confirmed_at(self) -> float:
+        """When this replica asked last whether its owner, itself or another, is confirmed, and it was.
+
+        By this process's own clock; NEVER where the present owner was not confirmed yet.
+        """
+        if self._owner is not None:
+            return self._owner.confirmed_at
+        return self._reads.confirmed_at
+
+    @property
+    def current_at(self) -> float:
+        """As `confirmed_at`, of the last question of which all that was committed then is applied here."""
+        if self._owner is None:
+            return self._reads.current_at(self.applied_index)
+        return self._owner.confirmed_at if self._owner.has_committed else NEVER
+
+    def watch_currency(self) -> None:
+        """Asks the owner again and again from now on; without it a follower is never confirmed."""
+        self._watches_currency = True
+
     def in_touch(self, now: float) -> bool:
         """Whether the replica heard from a majority, or from its owner, within the election timeout."""
         if self._owner is not None:
@@ -119,6 +147,10 @@
                 self._following.install(message)
         elif isinstance(message, TransferOwnership):
             self._receive_transfer(message, now)
+        elif isinstance(message, ReadIndexRequest):
+            self._receive_read_request(message)
+        elif isinstance(message, ReadIndexReply):
+            self._receive_read_reply(message)
 
     def tick(self, now: float) -> None:
         """Does what is due by the clock; called about every 20 ms."""
@@ -128,6 +160,8 @@
         elif self._elections.is_due(now):
             self._follow_nobody()
             self._elections.begin_trial(now)
+        elif self._following is not None:
+            self._ask_when_due(now)
 
     def written(self, ticket: int, now: float) -> None:
         """The write `ticket` is on the disk, and so are all before it."""
@@ -195,7 +229,8 @@
             owner.send_due(self._now)
         self._state.begin_write(self._now)
         if owner is not None:
-            self._state.effects.confirmed.extend(owner.confirmed_reads())
+            for read in owner.confirmed_reads():
+                self._answer_read(read)
         return self._state.take_effects()
 
     def _advance_clock(self, now: float) -> None:
@@ -227,6 +262,7 @@
         self._elections.rest(now)
 
     def _follow_nobody(self) -> None:
+        self._reads.forget()
         if self._following is not None:
             self._following = None
             self._state.effects.ownership_changed = True
@@ -276,6 +312,32 @@
         self._elections.heard_owner(now)
         return True
 
+    # Reads
+
+    def _ask_when_due(self, now: float) -> None:
+        """Asks the owner up to where the shard is committed, where this replica watches its currency."""
+        if not self._watches_currency or not self._reads.is_due(now):
+            return
+        request = ReadIndexRequest(self.shard, self.identity, self.epoch, self._reads.ask(now))
+        self._state.send(self._following.owner, request)
+
+    def _receive_read_request(self, request: ReadIndexRequest) -> None:
+        """Notes a follower's question; who doesn't own in its epoch proves nothing and says nothing."""
+        if self._owner is not None and request.epoch == self.epoch:
+            self._owner.confirm_for(request.sender, request.ticket)
+
+    def _receive_read_reply(self, reply: ReadIndexReply) -> None:
+        if self._following is None or reply.epoch != self.epoch or reply.sender != self._following.owner:
+            return
+        self._reads.answered(reply.ticket, reply.index)
+
+    def _answer_read(self, read: PendingRead) -> None:
+        if read.asker == OWN:
+            self._state.effects.confirmed.append(read.ticket)
+            return
+        reply = ReadIndexReply(self.shard, self.identity, self.epoch, read.ticket, read.index)
+        self._state.send(read.asker, reply)
+
     # Owning
 
     def _receive_append_reply(self, reply: AppendReply, now: float) -> None:
--- a/kestrelbend/tier/replication/timing.py
+++ b/kestrelbend/tier/replication/timing.py
@@ -22,6 +22,7 @@
     trial_retry: float = 0.15  # between two trials of one candidate
     trial_patience: float = 0.25  # that a voter which granted a trial holds back its own, once
     reply_timeout: float = 0.3  # without a reply, until the owner sends heartbeats alone
+    read_index_pause: float = 0.2  # between two questions of a follower that watches its currency
     snapshot_retry: float = 1.0  # between two snapshots to one follower
     disk_stall: float = 0.8  # that a write may take before the disk counts as stalled
     transfer_timeout: float = 1.0  # that a handover may take
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -79,7 +79,7 @@
         founders = ()
         if self.settings.bootstrap:
             founders = tuple(f"{address}#first" for address in self.seed_addresses())
-        self.host.open(CONFIGURATION_SHARD, founders, self.now())
+        self.host.open(CONFIGURATION_SHARD, founders, self.now()).watch_currency()
         super().open_replicas()
 
     def on_applied(self, shard):
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -22,6 +22,8 @@
     AppendEntries,
     AppendReply,
     InstallSnapshot,
+    ReadIndexReply,
+    ReadIndexRequest,
     RequestVote,
     TransferOwnership,
     VoteReply,
@@ -46,6 +48,8 @@
     AppendReply,
     InstallSnapshot,
     TransferOwnership,
+    ReadIndexRequest,
+    ReadIndexReply,
 )
 
 
@@ -101,6 +105,7 @@
         records = [decode(data) for data in self.journal.load()]
         self.host = ShardHost(
             identity=self.replica_id,
+            first_ticket=self.incarnation,
             timing=Timing(),
             journal=self.journal,
             encode=encode,
--- a/tests/tier/replication_harness.py
+++ b/tests/tier/replication_harness.py
@@ -16,6 +16,7 @@
 
 SHARD = "budget-0"
 TICK = 0.02
+TICKETS_OF_A_LIFE = 1_000_000
 
 
 class Promises:
@@ -94,7 +95,8 @@
 class Cluster:
     """Machines, links and one clock; `seed` decides all that is left to chance."""
 
-    def __init__(self, names="abc", others="", seed=0, timing=None):
+    def __init__(self, names="abc", others="", seed=0, timing=None, watches_currency=False):
+        self.watches_currency = watches_currency
         self.random = random.Random(seed)
         self.timing = timing or Timing()
         self.now = 0.0
@@ -122,7 +124,10 @@
             durable=replay(node.records),
             timing=self.timing,
             now=self.now,
+            first_ticket=node.incarnation * TICKETS_OF_A_LIFE,
         )
+        if self.watches_currency:
+            node.replica.watch_currency()
         self._work(node)
 
     def lose_power(self, *names):
