A backend's word that it leaves is acknowledged in contact, once a majority holds it

A control node that was cut off acknowledged `draining` and `Instances.Leave` after 0.6 s, whoever it had reached; repeated there, the word was no news and was acknowledged at once. Now the node answers 503 unless it is in contact and the processes of a majority of the configuration's voters hold the word, so that the backend goes on to a node in contact. It tries for 0.85 s, as callers wait a second. Plain heartbeats are taken by any node as before: readiness waits for them after a loss of the whole core.

A full registry is no reason to call a proper heartbeat malformed: 503 in place of 400.

--- a/kestrelbend/tier/control/backend_reports.py
+++ b/kestrelbend/tier/control/backend_reports.py
@@ -1,30 +1,46 @@
 """Backends' reports of themselves: into the registry, and on to the other control nodes and the gateways.
 
-Invariant: a backend's word that it leaves is acknowledged only after `BackendExchange.tell_all`.
+Invariant: a backend's word that it leaves is acknowledged only by a node in contact, once the processes of a
+majority of the configuration's voters hold it.  Any other majority has one of them, and whoever connects to
+it is told; a gateway in touch is connected to all of them.  A plain heartbeat is taken by any node: it
+promises nothing, and after a loss of the whole core the gateways' readiness waits for it.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from ..configuration.ports import ReportOutcome
 from ..discovery.exchange import BackendExchange
 from ..discovery.messages import Backend, BackendState
-from ..discovery.registry import BackendRegistry, BeatRejected
+from ..discovery.registry import FULL, MOST_TOMBSTONES, BackendRegistry, BeatRejected
+
+ANSWER_S = 0.85  # backends go on to another node after a second
+PAUSE_S = 0.1  # between two looks at whether the word may be acknowledged
+
+MayAcknowledge = Callable[[set[str]], bool]
+"""Whether this node is in contact and, with these other control nodes, is a majority."""
 
 
 class BackendReports:
     """Takes what backends and other control nodes tell of backends."""
 
     def __init__(
-        self, registry: BackendRegistry, exchange: BackendExchange, now: Callable[[], float]
+        self,
+        registry: BackendRegistry,
+        exchange: BackendExchange,
+        now: Callable[[], float],
+        may_acknowledge: MayAcknowledge,
     ) -> None:
         self._registry = registry
         self._exchange = exchange
         self._now = now
+        self._may_acknowledge = may_acknowledge
         self._streamed = 0  # the registry's number that subscribers were brought to
         self._in_contact_since = now()
+        self._vouched: dict[str, int] = {}  # the states of backends that leave, as a majority holds them
 
     async def beat(self, identity: str, report: dict[str, Any]) -> ReportOutcome:
         """A heartbeat: known here and, where it matters, everywhere before it is acknowledged."""
@@ -51,8 +67,10 @@
 
     async def _taken(self, outcome: Backend | BeatRejected) -> ReportOutcome:
         if isinstance(outcome, BeatRejected):
-            return ReportOutcome.MALFORMED
+            return ReportOutcome.UNAVAILABLE if outcome.code == FULL else ReportOutcome.MALFORMED
         changes = self._changes()
+        if outcome.state != BackendState.READY and self._vouched.get(outcome.identity, 0) < outcome.state:
+            return await self._vouch_for(outcome, changes)
         if any(backend.state != BackendState.READY for backend in changes):
             await self._exchange.tell_all(changes)
         else:
@@ -60,6 +78,26 @@
             self._exchange.tell_peers(changes)
         return ReportOutcome.TAKEN
 
+    async def _vouch_for(self, leaving: Backend, changes: list[Backend]) -> ReportOutcome:
+        """Tells everybody that a backend leaves, also where it is no news here: it may be news to others."""
+        ends = self._now() + ANSWER_S
+        others = [backend for backend in changes if backend.identity != leaving.identity]
+        holders = await self._exchange.tell_all([*others, leaving])
+        while not self._may_acknowledge(holders):
+            left = ends - self._now()
+            if left <= PAUSE_S:
+                return ReportOutcome.UNAVAILABLE
+            await asyncio.sleep(PAUSE_S)
+            holders = await self._exchange.tell_peers_again([leaving], holders, left - PAUSE_S)
+        self._note_vouched(leaving)
+        return ReportOutcome.TAKEN
+
+    def _note_vouched(self, leaving: Backend) -> None:
+        self._vouched.pop(leaving.identity, None)
+        self._vouched[leaving.identity] = leaving.state
+        while len(self._vouched) > MOST_TOMBSTONES:
+            del self._vouched[next(iter(self._vouched))]
+
     def _changes(self) -> list[Backend]:
         """What has changed in the registry since this was last asked."""
         changes = self._registry.changes_since(self._streamed)
--- a/kestrelbend/tier/discovery/exchange.py
+++ b/kestrelbend/tier/discovery/exchange.py
@@ -1,7 +1,7 @@
 """How a control node's registry reaches the other control nodes and the gateways.
 
-Invariant: a backend's word that it leaves is acknowledged only after every control node and gateway in
-touch with this one has it, or the wait for them is over.
+Invariant: what was handed to a connection arrives on it in order, or the connection ends and the next one
+begins with all that is known; so whoever is in touch again has every earlier piece of news.
 """
 
 from __future__ import annotations
@@ -98,18 +98,33 @@
         for link in self._peers():
             link.send(news)
 
-    async def tell_all(self, backends: list[Backend]) -> None:
-        """Tells everybody and waits until they have it, or `ACK_WAIT_S` long."""
-        sent = self.stream(backends)
-        waits = [subscriber.until(number) for subscriber, number in sent]
+    async def tell_all(self, backends: list[Backend]) -> set[str]:
+        """Tells everybody and waits until they have it, or `ACK_WAIT_S` long.
+
+        The internal addresses of the control nodes that have it, without this one's.
+        """
+        waits = [subscriber.until(number) for subscriber, number in self.stream(backends)]
+        return await self._ask_peers(backends, set(), ACK_WAIT_S, waits)
+
+    async def tell_peers_again(self, backends: list[Backend], holders: set[str], within: float) -> set[str]:
+        """Tells the control nodes that don't have it yet; all that have it then."""
+        return holders | await self._ask_peers(backends, holders, min(within, ACK_WAIT_S), [])
+
+    async def _ask_peers(
+        self, backends: list[Backend], but: set[str], within: float, waits: list[asyncio.Future]
+    ) -> set[str]:
         news = BackendUpdate(self._sender, 0, False, tuple(backends))
-        for link in self._peers():
-            waits.append(asyncio.ensure_future(link.request(news, ACK_WAIT_S)))
-        if not waits:
-            return
-        _, late = await asyncio.wait(waits, timeout=ACK_WAIT_S)
+        asked = {
+            link.address: asyncio.ensure_future(link.request(news, within))
+            for link in self._peers()
+            if link.address not in but
+        }
+        if not waits and not asked:
+            return set()
+        done, late = await asyncio.wait([*waits, *asked.values()], timeout=within)
         for future in late:
             future.cancel()
+        return {address for address, reply in asked.items() if reply in done and reply.result() is not None}
 
     def tell_peer_everything(self, link) -> None:
         """A control node has come: it gets the whole registry."""
--- a/kestrelbend/tier/discovery/registry.py
+++ b/kestrelbend/tier/discovery/registry.py
@@ -17,6 +17,7 @@
 TOMBSTONE_S = 600.0
 MOST_TOMBSTONES = 10_000
 MOST_LIVE = 20_000
+FULL = "full"  # the rejection that says nothing about the report
 QUIET_STREAM_S = 2.0  # a change of nothing but counters is streamed at most this often
 
 
@@ -101,7 +102,7 @@
         if isinstance(backend, BeatRejected):
             return backend
         if identity not in self._entries and self._live.count >= MOST_LIVE:
-            return BeatRejected("full", "too many backends are known")
+            return BeatRejected(FULL, "too many backends are known")
         if self._offer(backend, now):
             self._displace_others(backend, now)
         return self._entries[identity].backend
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -25,11 +25,12 @@
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.registry import BackendRegistry
 from ..membership.messages import ConfigAck, Heartbeat, MemberSummary, Subscribe
-from ..membership.placement import CONFIGURATION_SHARD
+from ..membership.placement import CONFIGURATION_SHARD, address_of
 from ..membership.standing import in_contact, is_current
 from ..membership.status import ShardsWanted, status
 from ..membership.table import MemberTable, merge
 from ..protocol.links import Link
+from ..replication.group import has_quorum
 from .process import CONTROL_PORT, TierProcess
 
 HAND_OVER_S = 1.0
@@ -50,7 +51,9 @@
         self.members = MemberTable()
         self.registry = BackendRegistry()
         self.exchange = BackendExchange(self.address, self.registry.all, self._peer_links)
-        self.backend_reports = BackendReports(self.registry, self.exchange, self.now)
+        self.backend_reports = BackendReports(
+            self.registry, self.exchange, self.now, self._may_acknowledge_leaving
+        )
         self.config_stream = ConfigStream()
         self.directory_stream = DirectoryStream(self.members)
         self.configuration = ConfigurationService(
@@ -105,6 +108,13 @@
         links = [self.links.to(address) for address in addresses]
         return [link for link in links if link is not None]
 
+    def _may_acknowledge_leaving(self, holders: set[str]) -> bool:
+        """In contact, and with the control nodes `holders` a majority of the configuration's voters."""
+        replica = self.configuration.replica
+        known = holders | {self.address}
+        held = has_quorum(replica.voters, lambda voter: address_of(voter) in known)
+        return held and in_contact(replica, self.now())
+
     def on_peer(self, link):
         """Another control node gets all that is known of backends; it has no need of other streams."""
         if link.address in self.control_addresses():
--- a/tests/tier/test_streams.py
+++ b/tests/tier/test_streams.py
@@ -17,7 +17,8 @@
 class FakeLink:
     """A link that remembers what was sent on it."""
 
-    def __init__(self):
+    def __init__(self, address=""):
+        self.address = address
         self.sent = []
         self.closed = False
         self.asked: list[asyncio.Future] = []
