Orders: a refusal holds for ever, and what was taken and forgotten is never refused

An order on a base above the current version was refused with 412 and taken when it came again after that base: refused and yet in force. One taken more than 4,096 orders ago met a 412 when it was repeated. Both get no clear answer now (503); 412 is left for bases that can never be current again, 400 for orders that can never be taken.

The owner's own answer was not bounded in time: a proposal on stalled disks held its caller for as long as the stall; it is left without a clear answer after 0.9 s. The wait for gateways' acknowledgements ends by then, too.

Two expectations changed to stricter ones: the first repeat past the bound was 412 and is 503, and the order ahead of its base was 412, then 200, and is 503, then 200.

--- a/kestrelbend/tier/configuration/messages.py
+++ b/kestrelbend/tier/configuration/messages.py
@@ -7,6 +7,9 @@
 import attrs
 
 
+UNCLEAR = 0  # a status: it can't be said here now, so the call may be sent again, to any node
+
+
 class OrderKind(enum.IntEnum):
     """Which call of the operator's API an order came by."""
 
@@ -27,7 +30,7 @@
 
 @attrs.frozen
 class ConfigOutcome:
-    """`status` as the operator's API answers it; 0: not the owner, nothing was done."""
+    """`status` as the operator's API answers it, or `UNCLEAR`."""
 
     status: int
     version: int
--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -11,14 +11,15 @@
 
 from ..protocol.codec import decode, encode
 from ..membership.placement import CONFIGURATION_SHARD, address_of
-from .messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
+from .messages import UNCLEAR, ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
 from .state import ConfigurationState
 
 ANSWER_S = 0.9  # callers go on to another node after a second
 FORWARD_S = 0.85
 PAUSE_S = 0.03
 OK = 200
-NOT_OWNER = ConfigOutcome(0, 0, "not the owner")
+NOT_OWNER = ConfigOutcome(UNCLEAR, 0, "not the owner")
+NOT_IN_TIME = ConfigOutcome(UNCLEAR, 0, "not committed in time")
 OPERATORS_KINDS = (OrderKind.PUT, OrderKind.PATCH)
 
 
@@ -44,7 +45,9 @@
 class ConfigurationService:
     """Carries orders to the owner and decides them where this process is the owner."""
 
-    def __init__(self, host, links, now: Callable[[], float], accepted: Callable[[int], Awaitable[None]]):
+    def __init__(
+        self, host, links, now: Callable[[], float], accepted: Callable[[int, float], Awaitable[None]]
+    ):
         self._host = host
         self._links = links
         self._now = now
@@ -66,25 +69,30 @@
         return self._host.replica(CONFIGURATION_SHARD)
 
     async def order(self, order: ConfigOrder) -> ConfigOutcome:
-        """The outcome; status 0 where no owner was found in time."""
+        """The outcome; UNCLEAR where no owner said anything clear in time."""
         ends = self._now() + ANSWER_S
         while True:
             outcome = await self._try(order, ends)
-            if outcome.status or self._now() + PAUSE_S >= ends:
+            if outcome.status != UNCLEAR or self._now() + PAUSE_S >= ends:
                 return outcome
             await asyncio.sleep(PAUSE_S)
 
     async def _try(self, order: ConfigOrder, ends: float) -> ConfigOutcome:
         if self.replica.is_owner:
-            return await self.decide(order)
+            return await self.decide(order, ends - self._now())
         link = self._owner_link()
         if link is None:
             return NOT_OWNER
         reply = await link.request(order, max(0.01, min(FORWARD_S, ends - self._now())))
         return reply if isinstance(reply, ConfigOutcome) else NOT_OWNER
 
-    async def decide(self, order: ConfigOrder) -> ConfigOutcome:
-        """As the owner: accept by a committed entry, refuse after a confirmation."""
+    async def decide(self, order: ConfigOrder, within: float = float("inf")) -> ConfigOutcome:
+        """As the owner: accept by a committed entry, refuse after a confirmation or by such an entry.
+
+        An operator's order that is committed is acknowledged once the gateways subscribed here serve by it,
+        or the time is over.
+        """
+        ends = self._now() + within
         refusal = self.state.check(order)
         if refusal is not None:
             if not await self._confirmed():
@@ -92,14 +100,13 @@
             refusal = self.state.check(order)
         if refusal is not None:
             return refusal
-        outcome = await self._propose(order)
-        if outcome is None:
-            return NOT_OWNER
+        outcome = await self._propose(order, within)
         if outcome.status == OK and order.kind in OPERATORS_KINDS:
-            await self._accepted(outcome.version)
+            await self._accepted(outcome.version, ends - self._now())
         return outcome
 
-    async def _propose(self, order: ConfigOrder) -> ConfigOutcome | None:
+    async def _propose(self, order: ConfigOrder, within: float) -> ConfigOutcome:
+        """The committed entry's outcome; UNCLEAR where it may or may not be committed, now or later."""
         future = asyncio.get_running_loop().create_future()
 
         def done(outcome):
@@ -107,9 +114,13 @@
                 future.set_result(outcome)
 
         if not self._host.propose(CONFIGURATION_SHARD, encode(order), done, self._now()):
-            return None
+            return NOT_OWNER
         self._host.flush(CONFIGURATION_SHARD)
-        return await future
+        try:
+            async with asyncio.timeout(None if within == float("inf") else max(0.0, within)):
+                return await future or NOT_OWNER
+        except TimeoutError:
+            return NOT_IN_TIME
 
     async def _confirmed(self) -> bool:
         future = asyncio.get_running_loop().create_future()
--- a/kestrelbend/tier/configuration/state.py
+++ b/kestrelbend/tier/configuration/state.py
@@ -1,7 +1,9 @@
 """The configuration shard's state machine.
 
-Invariant: every replica that applies the same orders in the same sequence holds the same state and answers
-the same; an order once taken is answered 200 for as long as it is among the last `MOST_HISTORY` taken.
+Invariants: every replica that applies the same orders in the same sequence holds the same state and answers
+the same.  An order once taken is never refused: it is answered 200 for as long as it is among the last
+`MOST_HISTORY` taken, and after that without a clear answer.  An order once refused is never taken: every
+refusal holds for all later versions, and where one might not, there is no clear answer either.
 """
 
 from __future__ import annotations
@@ -19,7 +21,7 @@
     parse_put,
     read_accepted,
 )
-from kestrelbend.tier.configuration.messages import ConfigOrder, ConfigOutcome, OrderKind
+from kestrelbend.tier.configuration.messages import UNCLEAR, ConfigOrder, ConfigOutcome, OrderKind
 from kestrelbend.tier.configuration.placements import decode_placement, encode_placement
 from kestrelbend.tier.membership.messages import ShardPlacement
 
@@ -58,6 +60,7 @@
     def __init__(self) -> None:
         self._document: Document | None = None
         self._history: dict[bytes, int] = {}
+        self._forgotten_version = 0  # the highest that an order brought which the history holds no more
         self._placements: dict[str, ShardPlacement] = {}
         self._retiring: dict[str, None] = {}
         self._checked: dict[bytes, _Checked] = {}
@@ -117,7 +120,7 @@
         self._document = document
         self._history[_digest(order)] = document.version
         while len(self._history) > MOST_HISTORY:
-            del self._history[next(iter(self._history))]
+            self._forgotten_version = self._history.pop(next(iter(self._history)))
         self._checked.clear()
 
     def _look_at(self, order: ConfigOrder) -> Document | ConfigOutcome:
@@ -150,10 +153,10 @@
             return self._outcome(400, "not an order on the configuration")
         if isinstance(change, ConfigRejected):
             return self._outcome(400, f"{change.code}: {change.reason}")
+        if change.version <= order.base_version and order.base_version >= self.version:
+            return self._outcome(400, f"version {change.version} is not above {order.base_version}")
         if order.base_version != self.version:
-            return self._outcome(412, f"version {self.version} is current")
-        if change.version <= self.version:
-            return self._outcome(400, f"version {change.version} is not above {self.version}")
+            return self._other_base(order)
         if isinstance(change, Document):
             return change
         if self._document is None:
@@ -163,6 +166,16 @@
             return self._outcome(400, f"{merged.code}: {merged.reason}")
         return merged
 
+    def _other_base(self, order: ConfigOrder) -> ConfigOutcome:
+        """The answer to an order on another version than the current one.
+
+        A base that may yet become current, or that is so old that the order may have been taken and
+        forgotten, gets no clear answer.
+        """
+        if order.base_version > self.version or order.base_version < self._forgotten_version:
+            return self._outcome(UNCLEAR, f"version {self.version} is current")
+        return self._outcome(412, f"version {self.version} is current")
+
     def _look_at_placement(self, order: ConfigOrder) -> ConfigOutcome | None:
         placement = decode_placement(order.body)
         if placement is None:
@@ -195,6 +208,7 @@
         head = {
             "form": SNAPSHOT_FORM,
             "history": [[digest.hex(), version] for digest, version in self._history.items()],
+            "forgotten": self._forgotten_version,
             "placements": [encode_placement(placement).decode() for placement in self.placements],
             "retiring": list(self._retiring),
         }
@@ -208,6 +222,7 @@
             if head["form"] != SNAPSHOT_FORM:
                 raise SnapshotError("unknown_form", f"form {head['form']}")
             history = {bytes.fromhex(digest): int(version) for digest, version in head["history"]}
+            forgotten_version = int(head.get("forgotten", 0))
             placements = [decode_placement(text.encode()) for text in head["placements"]]
             retiring = dict.fromkeys(str(node) for node in head["retiring"])
             document = read_accepted(body) if body else None
@@ -217,6 +232,7 @@
             raise SnapshotError("unreadable", "a placement")
         self._document = document
         self._history = history
+        self._forgotten_version = forgotten_version
         self._placements = {placement.shard: placement for placement in placements}
         self._retiring = retiring
         self._checked.clear()
--- a/kestrelbend/tier/configuration/stream.py
+++ b/kestrelbend/tier/configuration/stream.py
@@ -1,7 +1,8 @@
 """Streams the configuration's committed versions to gateways and tracks their acknowledgements.
 
-Invariant: on one connection versions only rise.  A gateway that was never told that its version is current is
-told so as soon as this node's replica is in touch with the shard's owner.
+Invariant: on one connection versions only rise, and `current` is said of a version only while this node's
+replica is current (see `membership.standing`).  A gateway that was never told that its version is current is
+told so as soon as that holds.
 """
 
 from __future__ import annotations
@@ -63,13 +64,13 @@
                 subscriber.link.send(ConfigUpdate(version, True, b""))
             subscriber.told_current = subscriber.told_current or current
 
-    async def until_acknowledged(self, version: int) -> None:
-        """Returns once all gateways here serve by `version`, or after `ACK_WAIT_S`."""
-        if self._all_have(version):
+    async def until_acknowledged(self, version: int, within: float = ACK_WAIT_S) -> None:
+        """Returns once all gateways here serve by `version`, or after `within`, `ACK_WAIT_S` at most."""
+        if within <= 0 or self._all_have(version):
             return
         future = asyncio.get_running_loop().create_future()
         self._waiting.append((version, future))
-        await asyncio.wait([future], timeout=ACK_WAIT_S)
+        await asyncio.wait([future], timeout=min(within, ACK_WAIT_S))
 
     def _all_have(self, version: int) -> bool:
         return all(subscriber.acknowledged >= version for subscriber in self._subscribers.values())
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -14,7 +14,12 @@
 from ..configuration.messages import ConfigOrder, ConfigOutcome, ReadReply, ReadRequest
 from ..configuration.operator_api import OperatorApi
 from ..configuration.ports import ReportOutcome, RetireOutcome, RetireState
-from ..configuration.shard_service import NOT_OWNER, ConfigurationMachine, ConfigurationService
+from ..configuration.shard_service import (
+    FORWARD_S,
+    NOT_OWNER,
+    ConfigurationMachine,
+    ConfigurationService,
+)
 from ..configuration.stream import ConfigStream
 from ..control.backend_reports import BackendReports
 from ..control.directory_stream import DirectoryStream
@@ -158,7 +163,7 @@
     async def _decide(self, order: ConfigOrder) -> ConfigOutcome:
         if not self.configuration.replica.is_owner:
             return NOT_OWNER
-        return await self.configuration.decide(order)
+        return await self.configuration.decide(order, FORWARD_S)
 
     async def _read_here(self) -> ReadReply:
         return await self.configuration.read_here()
--- a/tests/tier/test_configuration_state.py
+++ b/tests/tier/test_configuration_state.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from kestrelbend.tier.configuration import state as state_module
-from kestrelbend.tier.configuration.messages import ConfigOrder, OrderKind
+from kestrelbend.tier.configuration.messages import UNCLEAR, ConfigOrder, OrderKind
 from kestrelbend.tier.configuration.placements import decode_placement, encode_placement
 from kestrelbend.tier.configuration.state import ConfigurationState, SnapshotError
 from kestrelbend.tier.membership.messages import ShardPlacement
@@ -97,14 +97,50 @@
     def test_given_an_order_of_unknown_kind_then_it_is_invalid(self):
         self.assertEqual([400], self.answers(ConfigOrder(9, 0, body(document()))))
 
-    def test_given_a_refused_order_then_it_is_judged_anew_once_its_base_is_current(self):
-        self.assertEqual([412, 200, 200], self.answers(put(3, 7), put(0, 3), put(3, 7)))
+    def test_given_an_order_whose_base_may_become_current_then_it_is_not_refused_before_that(self):
+        self.assertEqual([UNCLEAR, 200, 200], self.answers(put(3, 7), put(0, 3), put(3, 7)))
+
+    def test_given_an_order_that_can_never_be_taken_then_its_base_does_not_matter(self):
+        self.answers(put(0, 5))
+        self.assertEqual([400, 400, 400], self.answers(put(7, 5), put(7, 7), patch(9, 8)))
+
+    def test_given_any_orders_again_and_again_then_who_was_refused_once_is_never_taken(self):
+        self.patch(state_module, "MOST_HISTORY", 4)
+        for seed in range(30):
+            rng = random.Random(seed)
+            self.state = ConfigurationState()
+            sent, clear = [], {}
+            for _ in range(200):
+                if not sent or rng.random() < 0.5:
+                    base = max(0, self.state.version + rng.choice((0, 0, 0, -1, -2, 1, 2)))
+                    sent.append(put(base, base + rng.randrange(3), Extra=rng.randrange(3)))
+                order = rng.choice(sent[-30:])
+                status = self.state.apply(order).status
+                if status != UNCLEAR:
+                    taken = clear.setdefault(order, status == 200)
+                    self.assertEqual(taken, status == 200, order)
+            self.assertTrue(self.state.version > 10)
 
     def test_given_many_orders_then_only_the_last_are_remembered(self):
         self.patch(state_module, "MOST_HISTORY", 3)
         orders = [put(version, version + 1) for version in range(6)]
         self.answers(*orders)
-        self.assertEqual([412, 412, 412, 200, 200, 200], self.answers(*orders))
+        self.assertEqual([UNCLEAR] * 3 + [200] * 3, self.answers(*orders))
+
+    def test_given_an_order_that_was_taken_and_forgotten_then_it_is_never_refused(self):
+        self.patch(state_module, "MOST_HISTORY", 3)
+        orders = [put(version, version + 1) for version in range(8)]
+        self.answers(*orders)
+        restored = ConfigurationState()
+        restored.restore(self.state.snapshot())
+        for state in (self.state, restored):
+            for order in orders:
+                self.assertIn(state.apply(order).status, (UNCLEAR, 200))
+            self.assertEqual(412, state.apply(put(5, 6, Extra=1)).status)
+
+    def test_given_the_newest_order_then_its_repeat_is_taken_however_few_are_remembered(self):
+        self.patch(state_module, "MOST_HISTORY", 1)
+        self.assertEqual([200, 200, 200], self.answers(put(0, 3), put(3, 7), put(3, 7)))
 
     def test_given_large_documents_then_few_are_kept_decoded(self):
         self.patch(state_module, "MOST_CHECKED_BYTES", 3000)
