Operator's API: a refusal is given only where the table of refusals allows it

An outcome that the table doesn't hold is answered 503, so no part behind the API can end a proper order for good by accident; before, any status that came from a handler or an owner was passed on.

--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -1,7 +1,7 @@
 """The HTTP interface for the operator and for backends' heartbeats, as an ASGI application.
 
-Invariant: a call is answered 2xx only if the port said so; what can't be said now is a 503, which promises
-nothing, and every body is read to its end (or to a bound) before the answer.
+Invariant: a call is answered 2xx only if the port said so, and 4xx only as `refusals` allows; what can't be
+said now is a 503, which promises nothing.  Every body is read to its end, or to a bound, before the answer.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from kestrelbend.tier.configuration.fields import is_positive
 from kestrelbend.tier.configuration.forms import MOST_VERSION
 from kestrelbend.tier.configuration.messages import ConfigOrder, OrderKind
+from kestrelbend.tier.configuration.refusals import is_refusal, may_refuse
 from kestrelbend.tier.configuration.ports import ControlPort, ReportOutcome, RetireOutcome, RetireState
 
 MOST_ORDER_BYTES = 8 * 1024 * 1024
@@ -65,6 +66,7 @@
 
 @attrs.frozen
 class _Handler:
+    call: str
     method: str
     takes_name: bool
     most_bytes: int
@@ -80,16 +82,17 @@
 
     def __init__(self, port: ControlPort) -> None:
         self._port = port
-        self._handlers = {
-            "Config.Put": _Handler("POST", False, MOST_ORDER_BYTES, self._put),
-            "Config.Patch": _Handler("POST", False, MOST_ORDER_BYTES, self._patch),
-            "Config.Get": _Handler("GET", False, 0, self._get),
-            "Instances.Heartbeat": _Handler("POST", True, MOST_REPORT_BYTES, self._beat),
-            "Instances.Leave": _Handler("POST", True, MOST_REPORT_BYTES, self._leave),
-            "Retire.Start": _Handler("POST", True, MOST_REPORT_BYTES, self._retire_start),
-            "Retire.Get": _Handler("GET", True, 0, self._retire_get),
-            "Status": _Handler("GET", False, 0, self._status),
-        }
+        handlers = (
+            _Handler("Config.Put", "POST", False, MOST_ORDER_BYTES, self._put),
+            _Handler("Config.Patch", "POST", False, MOST_ORDER_BYTES, self._patch),
+            _Handler("Config.Get", "GET", False, 0, self._get),
+            _Handler("Instances.Heartbeat", "POST", True, MOST_REPORT_BYTES, self._beat),
+            _Handler("Instances.Leave", "POST", True, MOST_REPORT_BYTES, self._leave),
+            _Handler("Retire.Start", "POST", True, MOST_REPORT_BYTES, self._retire_start),
+            _Handler("Retire.Get", "GET", True, 0, self._retire_get),
+            _Handler("Status", "GET", False, 0, self._status),
+        )
+        self._handlers = {handler.call: handler for handler in handlers}
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """The entry point of ASGI."""
@@ -131,7 +134,8 @@
         if body is None:
             return _refusal(413, "the body is too large")
         base = [value for key, value in scope["headers"] if key.lower() == BASE_VERSION]
-        return await handler.run(Call(name, base[0] if len(base) == 1 else None, body))
+        answer = await handler.run(Call(name, base[0] if len(base) == 1 else None, body))
+        return _allowed(handler.call, answer)
 
     async def _put(self, call: Call) -> Answer:
         return await self._order(OrderKind.PUT, call)
@@ -190,6 +194,13 @@
         return _json(200, self._port.status())
 
 
+def _allowed(call: str, answer: Answer) -> Answer:
+    """The answer, or a 503 in place of a refusal that the call may not get."""
+    if is_refusal(answer.status) and not may_refuse(call, answer.status):
+        return _unavailable()
+    return answer
+
+
 def _base_version(value: bytes | None) -> int | None:
     if value is None or not value.isdigit() or len(value) > len(str(MOST_VERSION)):
         return None
--- a/tests/tier/test_configuration_operator_api.py
+++ b/tests/tier/test_configuration_operator_api.py
@@ -9,6 +9,7 @@
 from kestrelbend.tier.configuration.messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply
 from kestrelbend.tier.configuration.operator_api import OperatorApi
 from kestrelbend.tier.configuration.ports import ReportOutcome, RetireOutcome, RetireState
+from kestrelbend.tier.configuration.refusals import ANY_CALL, REFUSALS, Proof, is_refusal
 
 
 class Port:
@@ -106,6 +107,23 @@
             self.assertEqual(expected, self.call("POST", "/api/Config.Put", b"{}", base=b"1")[0])
             self.assertEqual(expected == 503, b"retry-after" in self.headers)
 
+    def test_given_any_outcome_of_an_order_then_it_is_refused_only_as_the_table_allows(self):
+        for call in ("Put", "Patch"):
+            for status in range(1, 600):
+                self.port.outcome = ConfigOutcome(status, 9, "a reason")
+                answered = self.call("POST", f"/api/Config.{call}", b"{}", base=b"1")[0]
+                allowed = status in (400, 412)
+                if 400 <= status < 500:
+                    self.assertEqual(status if allowed else 503, answered, status)
+
+    def test_given_the_table_of_refusals_then_each_names_a_call_and_its_proof(self):
+        calls = {*OperatorApi(self.port)._handlers, ANY_CALL}
+        for refusal in REFUSALS:
+            self.assertIn(refusal.call, calls)
+            self.assertTrue(refusal.proofs and is_refusal(refusal.status), refusal)
+        by_call_alone = {r.status for r in REFUSALS if r.proofs == (Proof.CALL,)}
+        self.assertEqual({400, 404, 405, 408, 413}, by_call_alone)
+
     def test_given_a_body_that_is_too_large_then_it_is_read_and_refused(self):
         self.patch(operator_api, "MOST_ORDER_BYTES", 10)
         answer = self.call("POST", "/api/Config.Put", b"x" * 6, b"x" * 5, b"x" * 90, base=b"1")
