Exchange of backends: news that a peer did not acknowledge in time stays on its connection

A request that has not begun to leave when its time is over never does, so a control node behind a large message could miss a backend's word that it leaves until the backend's next report. The news is sent plainly then: it arrives while the connection stands, and the next connection begins with the whole registry.

--- a/kestrelbend/tier/discovery/exchange.py
+++ b/kestrelbend/tier/discovery/exchange.py
@@ -115,7 +115,7 @@
     ) -> set[str]:
         news = BackendUpdate(self._sender, 0, False, tuple(backends))
         asked = {
-            link.address: asyncio.ensure_future(link.request(news, within))
+            link: asyncio.ensure_future(link.request(news, within))
             for link in self._peers()
             if link.address not in but
         }
@@ -124,7 +124,11 @@
         done, late = await asyncio.wait([*waits, *asked.values()], timeout=within)
         for future in late:
             future.cancel()
-        return {address for address, reply in asked.items() if reply in done and reply.result() is not None}
+        answered = [link for link, reply in asked.items() if reply in done and reply.result() is not None]
+        for link in asked:
+            if link not in answered:
+                link.send(news)  # a request may be withdrawn unsent; what is sent stays on its connection
+        return {link.address for link in answered}
 
     def tell_peer_everything(self, link) -> None:
         """A control node has come: it gets the whole registry."""
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -109,7 +109,7 @@
 
     def _peer_links(self) -> list[Link]:
         """Connections to the other control nodes that stand."""
-        addresses = set(self.control_addresses())
+        addresses = dict.fromkeys(self.control_addresses())
         links = [self.links.to(address) for address in addresses]
         return [link for link in links if link is not None]
 
--- a/tests/tier/test_backend_reports.py
+++ b/tests/tier/test_backend_reports.py
@@ -160,7 +160,16 @@
             asyncio.get_running_loop().call_later(0.5, setattr, self.near, "delay", 0.01)
             outcome, _ = await self.drain()
             self.assertIs(ReportOutcome.TAKEN, outcome)
-            self.assertEqual(2, len(self.near.news))
+            self.assertEqual(3, len(self.near.news))
+
+        self.play(story)
+
+    def test_given_a_peer_that_answers_too_late_then_the_news_is_left_on_its_connection(self):
+        async def story():
+            self.far.delay = None
+            await self.drain()
+            self.assertEqual(2, len(self.far.news))
+            self.assertEqual(self.far.news[0], self.far.news[1])
 
         self.play(story)
 
