Directory: a control node that is cut off goes on naming the members that it no longer hears

Out of contact, a control node's directory shrank to its own machine within 1.2 s, and a gateway that knew only it forgot the other control nodes. A member leaves the directory now only once the node has been in contact for longer than the member's silence; `ContactSpan` measures that, for the directory and for silent backends alike.

--- a/kestrelbend/tier/control/backend_reports.py
+++ b/kestrelbend/tier/control/backend_reports.py
@@ -39,7 +39,6 @@
         self._now = now
         self._may_acknowledge = may_acknowledge
         self._streamed = 0  # the registry's number that subscribers were brought to
-        self._in_contact_since = now()
         self._vouched: dict[str, int] = {}  # the states of backends that leave, as a majority holds them
 
     async def beat(self, identity: str, report: dict[str, Any]) -> ReportOutcome:
@@ -57,12 +56,10 @@
             self._registry.merge(backend, now)
         self._exchange.stream(self._changes())
 
-    def presume_silent_gone(self, in_contact: bool, beat_interval_s: float) -> None:
+    def presume_silent_gone(self, in_contact_s: float, beat_interval_s: float) -> None:
         """Takes silent backends for gone, where this node has been in contact for long enough to say so."""
         now = self._now()
-        if not in_contact:
-            self._in_contact_since = now
-        self._registry.expired(now, beat_interval_s, self._in_contact_since)
+        self._registry.expired(now, beat_interval_s, now - in_contact_s)
         self._exchange.stream(self._changes())
 
     async def _taken(self, outcome: Backend | BeatRejected) -> ReportOutcome:
--- a/kestrelbend/tier/control/directory_stream.py
+++ b/kestrelbend/tier/control/directory_stream.py
@@ -1,12 +1,16 @@
-"""The directory that this control node tells all who subscribe to it: members, placements, owners."""
+"""The directory that this control node tells all who subscribe to it: members, placements, owners.
+
+Invariant: a member leaves the directory only once this node has been in contact for longer than the member's
+silence.  A node that is cut off hears nobody, and who knows only it must still find the others afterwards.
+"""
 
 from __future__ import annotations
 
 import attrs
 
 from ..configuration.shard_service import ConfigurationService
-from ..membership.messages import Directory, ShardReport
-from ..membership.table import MemberTable
+from ..membership.messages import Directory, Member, ShardReport
+from ..membership.table import LIVE_S, MemberTable
 from ..protocol.codec import encode
 from ..protocol.links import Link
 
@@ -18,6 +22,7 @@
         self._members = members
         self._told_to: dict[Link, Directory | None] = {}
         self._newest: Directory | None = None
+        self._listed: dict[str, Member] = {}  # by address
 
     def subscribe(self, link: Link) -> None:
         """A process wants the directory, and each later one."""
@@ -28,9 +33,12 @@
         """A connection ended."""
         self._told_to.pop(link, None)
 
-    def refresh(self, configuration: ConfigurationService, now: float) -> Directory | None:
+    def refresh(
+        self, configuration: ConfigurationService, in_contact_s: float, now: float
+    ) -> Directory | None:
         """The directory as it is now; None where it says the same as the one before."""
-        directory = self._build(configuration, now)
+        self._list_members(in_contact_s, now)
+        directory = self._build(configuration)
         if directory == self._newest:
             return None
         self._newest = directory
@@ -47,12 +55,17 @@
                 link.send_encoded(encoded)
                 self._told_to[link] = self._newest
 
-    def _build(self, configuration: ConfigurationService, now: float) -> Directory:
+    def _list_members(self, in_contact_s: float, now: float) -> None:
+        live = {member.address: member for member in self._members.members(now)}
+        kept = {} if in_contact_s > LIVE_S else self._listed
+        self._listed = {**kept, **live}
+
+    def _build(self, configuration: ConfigurationService) -> Directory:
         state = configuration.state
         reports = sorted(self._members.reports().values(), key=lambda report: report.shard)
         return Directory(
             version=configuration.replica.applied_index,
-            members=tuple(self._members.members(now)),
+            members=tuple(member for _, member in sorted(self._listed.items())),
             placements=state.placements,
             owners=tuple(without_progress(report) for report in reports),
             retiring=state.retiring,
--- a/kestrelbend/tier/membership/standing.py
+++ b/kestrelbend/tier/membership/standing.py
@@ -31,3 +31,22 @@
 def is_current(replica: Confirmed, now: float) -> bool:
     """Whether all that was committed at a question asked lately enough is applied here."""
     return in_contact(replica, now) and now - replica.current_at <= CONTACT_S
+
+
+class ContactSpan:
+    """For how long a process has been in contact without a pause, as far as it looked.
+
+    Who falls silent may be presumed gone only by a process that was in contact for longer than the silence.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._began_at = now
+
+    def look(self, is_in_contact: bool, now: float) -> None:
+        """Notes whether the process is in contact now."""
+        if not is_in_contact:
+            self._began_at = now
+
+    def seconds(self, now: float) -> float:
+        """Since when it has been in contact."""
+        return now - self._began_at
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -31,7 +31,7 @@
 from ..discovery.registry import BackendRegistry
 from ..membership.messages import ConfigAck, Heartbeat, MemberSummary, Subscribe
 from ..membership.placement import CONFIGURATION_SHARD, address_of
-from ..membership.standing import in_contact, is_current
+from ..membership.standing import ContactSpan, in_contact, is_current
 from ..membership.status import ShardsWanted, status
 from ..membership.table import MemberTable, merge
 from ..protocol.links import Link
@@ -67,6 +67,7 @@
         tolerated_nodes = settings.tolerate_nodes
         self.retirement = Retirement(self.configuration, self.members, tolerated_nodes, self.now)
         self._placer = ShardPlacer(self.configuration, self.members, tolerated_nodes, self.spawn)
+        self._contact = ContactSpan(self.now())
         self._summary_at = self.now()
         self._serving: asyncio.Task | None = None
 
@@ -183,6 +184,7 @@
 
     def on_heartbeat(self, now):
         """Tells the other monitors and all subscribers who is there, and places shards."""
+        self._contact.look(in_contact(self.configuration.replica, now), now)
         self.members.heard(self.heartbeat(), now)
         self.members.forget_old(now)
         self._summarize(now)
@@ -190,8 +192,7 @@
         self.directory_stream.send()
         self._placer.place(now)
         beat_interval_s = self.settings.heartbeat_ms / 1000
-        contact = in_contact(self.configuration.replica, now)
-        self.backend_reports.presume_silent_gone(contact, beat_interval_s)
+        self.backend_reports.presume_silent_gone(self._contact.seconds(now), beat_interval_s)
 
     def _summarize(self, now: float) -> None:
         """Tells the other monitors which heartbeats have come here."""
@@ -204,7 +205,7 @@
             link.send(summary)
 
     def _refresh_directory(self, now: float) -> None:
-        directory = self.directory_stream.refresh(self.configuration, now)
+        directory = self.directory_stream.refresh(self.configuration, self._contact.seconds(now), now)
         if directory is not None:
             self.directory.take(self.address, directory)
         self.on_directory()
