Orders: large ones are checked beside the loop, once, by the owner; replicas take its committed verdict

Checking an order of 4.2 MB (16,000 routes) stood in the serving loop, at the owner and again at every replica that applied it; an owner that stands still for 0.45 s gives its ownership up, and followers lose contact. The owner now checks beside its loop, and its entry says that it was found valid on its base. Replicas apply such an entry without a check where that base is current; on any other version it is refused by its base.

Entries of older journals are checked as before.

--- a/kestrelbend/tier/configuration/document.py
+++ b/kestrelbend/tier/configuration/document.py
@@ -101,6 +101,15 @@
     return Document(version=values["Ver"], body=bytes(body), values=values)
 
 
+def merge_accepted(current: Document, body: bytes) -> Document:
+    """The document that a patch leads to which the shard has accepted on `current`, without checking it."""
+    patch = json.loads(body)
+    merged = _merge(current.values, patch)
+    return Document(
+        version=patch["Ver"], body=json.dumps(merged, separators=(",", ":")).encode(), values=merged
+    )
+
+
 def _merge(current: dict[str, Any], patch: dict[str, Any]) -> dict[str, Any]:
     """`current` with the patch's changes; items keep their places and new ones come last."""
     merged = dict(current)
--- a/kestrelbend/tier/configuration/messages.py
+++ b/kestrelbend/tier/configuration/messages.py
@@ -17,6 +17,8 @@
     PATCH = 1
     PLACEMENT = 2  # the tier's own: body is a `ShardPlacement`
     RETIRE = 3  # body is the node's name
+    CHECKED_PUT = 7  # as PUT: an entry whose owner has found it valid on its base
+    CHECKED_PATCH = 8  # as PATCH, likewise
 
 
 @attrs.frozen
--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -12,7 +12,7 @@
 from ..protocol.codec import decode, encode
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from .messages import UNCLEAR, ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
-from .state import ConfigurationState
+from .state import ConfigurationState, checked_entry
 
 ANSWER_S = 0.9  # callers go on to another node after a second
 FORWARD_S = 0.85
@@ -21,6 +21,16 @@
 NOT_OWNER = ConfigOutcome(UNCLEAR, 0, "not the owner")
 NOT_IN_TIME = ConfigOutcome(UNCLEAR, 0, "not committed in time")
 OPERATORS_KINDS = (OrderKind.PUT, OrderKind.PATCH)
+LARGE_BYTES = 64 * 1024  # of an order and the document that it changes
+MOST_EXAMINATIONS = 3  # of one order, where other changes come between
+
+RunAside = Callable[[Callable[[], object]], Awaitable[object]]
+"""Runs a function that touches nothing of the caller's beside the event loop."""
+
+
+async def run_here(function: Callable[[], object]) -> object:
+    """Runs a function on the spot."""
+    return function()
 
 
 class ConfigurationMachine:
@@ -46,12 +56,18 @@
     """Carries orders to the owner and decides them where this process is the owner."""
 
     def __init__(
-        self, host, links, now: Callable[[], float], accepted: Callable[[int, float], Awaitable[None]]
+        self,
+        host,
+        links,
+        now: Callable[[], float],
+        accepted: Callable[[int, float], Awaitable[None]],
+        run_aside: RunAside = run_here,
     ):
         self._host = host
         self._links = links
         self._now = now
         self._accepted = accepted
+        self._run_aside = run_aside
 
     @property
     def is_open(self) -> bool:
@@ -93,6 +109,7 @@
         or the time is over.
         """
         ends = self._now() + within
+        await self._examine_aside(order)
         refusal = self.state.check(order)
         if refusal is not None:
             if not await self._confirmed():
@@ -100,11 +117,22 @@
             refusal = self.state.check(order)
         if refusal is not None:
             return refusal
-        outcome = await self._propose(order, within)
+        outcome = await self._propose(checked_entry(order), ends - self._now())
         if outcome.status == OK and order.kind in OPERATORS_KINDS:
             await self._accepted(outcome.version, ends - self._now())
         return outcome
 
+    async def _examine_aside(self, order: ConfigOrder) -> None:
+        """Has a large order checked beside the loop: an owner that stands still loses its ownership."""
+        state = self.state
+        if order.kind not in OPERATORS_KINDS or len(order.body) + len(state.body) < LARGE_BYTES:
+            return
+        for _ in range(MOST_EXAMINATIONS):
+            if not state.needs_examination(order):
+                return
+            version = state.version
+            state.keep_examined(order, version, await self._run_aside(state.examination(order)))
+
     async def _propose(self, order: ConfigOrder, within: float) -> ConfigOutcome:
         """The committed entry's outcome; UNCLEAR where it may or may not be committed, now or later."""
         future = asyncio.get_running_loop().create_future()
--- a/kestrelbend/tier/configuration/state.py
+++ b/kestrelbend/tier/configuration/state.py
@@ -8,15 +8,19 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import json
+from collections.abc import Callable
 
 import attrs
 
 from kestrelbend.tier.configuration.document import (
     ConfigRejected,
     Document,
+    Patch,
     apply_patch,
+    merge_accepted,
     parse_patch,
     parse_put,
     read_accepted,
@@ -25,6 +29,8 @@
 from kestrelbend.tier.configuration.placements import decode_placement, encode_placement
 from kestrelbend.tier.membership.messages import ShardPlacement
 
+CHECKED_KINDS = {OrderKind.PUT: OrderKind.CHECKED_PUT, OrderKind.PATCH: OrderKind.CHECKED_PATCH}
+SENT_KINDS = {checked: sent for sent, checked in CHECKED_KINDS.items()}
 MOST_HISTORY = 4096
 MOST_CHECKED = 16
 MOST_CHECKED_BYTES = 4 * 1024 * 1024  # of bodies whose documents are kept decoded
@@ -101,6 +107,8 @@
 
     def apply(self, order: ConfigOrder) -> ConfigOutcome:
         """Carries an order out, or refuses it; deterministic."""
+        if order.kind in SENT_KINDS:
+            return self._apply_checked(attrs.evolve(order, kind=int(SENT_KINDS[order.kind])))
         answer = self.check(order)
         if answer is not None:
             return answer
@@ -110,11 +118,30 @@
         elif order.kind == OrderKind.RETIRE:
             self._retiring[order.body.decode()] = None
         else:
-            self._take(order)
+            self._take(order, self._look_at(order))
         return self._outcome(200, "taken")
 
-    def _take(self, order: ConfigOrder) -> None:
-        document = self._look_at(order)
+    def _apply_checked(self, order: ConfigOrder) -> ConfigOutcome:
+        """Carries out what the entry's owner has found valid on its base: that holds on no other version."""
+        digest = _digest(order)
+        taken = self._taken_before(digest)
+        if taken is not None:
+            return ConfigOutcome(200, taken, "taken before")
+        if order.base_version != self.version:
+            return self._other_base(order)
+        self._take(order, self._accepted(order, digest))
+        return self._outcome(200, "taken")
+
+    def _accepted(self, order: ConfigOrder, digest: bytes) -> Document:
+        """The document that a valid order leads to; the owner itself still has it from its check."""
+        checked = self._checked.get(digest)
+        if checked is not None and checked.version == self.version and isinstance(checked.result, Document):
+            return checked.result
+        if order.kind == OrderKind.PUT:
+            return read_accepted(order.body)
+        return merge_accepted(self._document, order.body)
+
+    def _take(self, order: ConfigOrder, document: Document | ConfigOutcome) -> None:
         if not isinstance(document, Document):
             raise AssertionError("an order is taken only after its check")
         self._document = document
@@ -123,18 +150,37 @@
             self._forgotten_version = self._history.pop(next(iter(self._history)))
         self._checked.clear()
 
+    def needs_examination(self, order: ConfigOrder) -> bool:
+        """Whether `check` would have to read the whole order now."""
+        digest = _digest(order)
+        checked = self._checked.get(digest)
+        is_known = checked is not None and checked.version == self.version
+        return not is_known and self._taken_before(digest) is None
+
+    def examination(self, order: ConfigOrder) -> Callable[[], Document | ConfigOutcome]:
+        """The reading and checking of an order, to be run anywhere: it touches nothing of this state."""
+        return functools.partial(examine, order, self._document, self._forgotten_version)
+
+    def keep_examined(self, order: ConfigOrder, version: int, result: Document | ConfigOutcome) -> None:
+        """Keeps what an examination begun at `version` came to."""
+        self._keep(_digest(order), _Checked(version, result))
+
     def _look_at(self, order: ConfigOrder) -> Document | ConfigOutcome:
         """The document that the order leads to, or its answer; kept, as owners check before they apply."""
         digest = _digest(order)
-        taken = self._history.get(digest)
+        taken = self._taken_before(digest)
         if taken is not None:
             return ConfigOutcome(200, taken, "taken before")
         checked = self._checked.get(digest)
         if checked is None or checked.version != self.version:
-            checked = _Checked(self.version, self._examine(order))
+            checked = _Checked(self.version, self.examination(order)())
             self._keep(digest, checked)
         return checked.result
 
+    def _taken_before(self, digest: bytes) -> int | None:
+        """The version that an order of this name has led to, where it was taken before."""
+        return self._history.get(digest)
+
     def _keep(self, digest: bytes, checked: _Checked) -> None:
         """Keeps a result, and drops the oldest ones beyond the bounds."""
         self._checked.pop(digest, None)
@@ -144,37 +190,8 @@
             oldest = next(iter(self._checked))
             size -= self._checked.pop(oldest).size
 
-    def _examine(self, order: ConfigOrder) -> Document | ConfigOutcome:
-        if order.kind == OrderKind.PUT:
-            change = parse_put(order.body)
-        elif order.kind == OrderKind.PATCH:
-            change = parse_patch(order.body)
-        else:
-            return self._outcome(400, "not an order on the configuration")
-        if isinstance(change, ConfigRejected):
-            return self._outcome(400, f"{change.code}: {change.reason}")
-        if change.version <= order.base_version and order.base_version >= self.version:
-            return self._outcome(400, f"version {change.version} is not above {order.base_version}")
-        if order.base_version != self.version:
-            return self._other_base(order)
-        if isinstance(change, Document):
-            return change
-        if self._document is None:
-            return self._outcome(400, "there is no configuration to be patched")
-        merged = apply_patch(self._document, change)
-        if isinstance(merged, ConfigRejected):
-            return self._outcome(400, f"{merged.code}: {merged.reason}")
-        return merged
-
     def _other_base(self, order: ConfigOrder) -> ConfigOutcome:
-        """The answer to an order on another version than the current one.
-
-        A base that may yet become current, or that is so old that the order may have been taken and
-        forgotten, gets no clear answer.
-        """
-        if order.base_version > self.version or order.base_version < self._forgotten_version:
-            return self._outcome(UNCLEAR, f"version {self.version} is current")
-        return self._outcome(412, f"version {self.version} is current")
+        return other_base(order, self.version, self._forgotten_version)
 
     def _look_at_placement(self, order: ConfigOrder) -> ConfigOutcome | None:
         placement = decode_placement(order.body)
@@ -238,6 +255,51 @@
         self._checked.clear()
 
 
+def examine(order: ConfigOrder, current: Document | None, forgotten_version: int) -> Document | ConfigOutcome:
+    """The document that an order leads to on the current one, or why there is none."""
+    version = current.version if current else 0
+    change = _read(order)
+    if isinstance(change, ConfigRejected):
+        return ConfigOutcome(400, version, f"{change.code}: {change.reason}")
+    if change.version <= order.base_version and order.base_version >= version:
+        return ConfigOutcome(400, version, f"version {change.version} is not above {order.base_version}")
+    if order.base_version != version:
+        return other_base(order, version, forgotten_version)
+    if isinstance(change, Document):
+        return change
+    if current is None:
+        return ConfigOutcome(400, version, "there is no configuration to be patched")
+    merged = apply_patch(current, change)
+    if isinstance(merged, ConfigRejected):
+        return ConfigOutcome(400, version, f"{merged.code}: {merged.reason}")
+    return merged
+
+
+def _read(order: ConfigOrder) -> Document | Patch | ConfigRejected:
+    if order.kind == OrderKind.PUT:
+        return parse_put(order.body)
+    if order.kind == OrderKind.PATCH:
+        return parse_patch(order.body)
+    return ConfigRejected("unknown_kind", "not an order on the configuration")
+
+
+def other_base(order: ConfigOrder, version: int, forgotten_version: int) -> ConfigOutcome:
+    """The answer to an order on another version than the current one.
+
+    A base that may yet become current, or that is so old that the order may have been taken and forgotten,
+    gets no clear answer.
+    """
+    if order.base_version > version or order.base_version < forgotten_version:
+        return ConfigOutcome(UNCLEAR, version, f"version {version} is current")
+    return ConfigOutcome(412, version, f"version {version} is current")
+
+
+def checked_entry(order: ConfigOrder) -> ConfigOrder:
+    """The entry by which an owner has an order applied that it has found valid on its base."""
+    kind = CHECKED_KINDS.get(order.kind)
+    return order if kind is None else attrs.evolve(order, kind=int(kind))
+
+
 def _digest(order: ConfigOrder) -> bytes:
     """Names an order: the same call, base and body give the same digest."""
     head = b"%d %d " % (order.kind, order.base_version)
--- a/kestrelbend/tier/fleet/machines.py
+++ b/kestrelbend/tier/fleet/machines.py
@@ -50,6 +50,10 @@
     async def close_journal(self, journal: SteppedJournal, within: float) -> None:
         await journal.close_within(within)
 
+    async def run_aside(self, function: Callable[[], object]) -> object:
+        await asyncio.sleep(0)
+        return function()
+
     def on_signals(self, stop: Callable[[], None], reload: Callable[[], None]) -> None:
         self._process.stop, self._process.reload = stop, reload
 
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -62,7 +62,11 @@
         self.config_stream = ConfigStream()
         self.directory_stream = DirectoryStream(self.members)
         self.configuration = ConfigurationService(
-            self.host, self.links, self.now, self.config_stream.until_acknowledged
+            self.host,
+            self.links,
+            self.now,
+            self.config_stream.until_acknowledged,
+            self.environment.run_aside,
         )
         tolerated_nodes = settings.tolerate_nodes
         self.retirement = Retirement(self.configuration, self.members, tolerated_nodes, self.now)
--- a/kestrelbend/tier/roles/environment.py
+++ b/kestrelbend/tier/roles/environment.py
@@ -49,6 +49,9 @@
     async def close_journal(self, journal: DiskJournal, within: float) -> None:
         """Writes what waits, for a time in seconds at most."""
 
+    async def run_aside(self, function: Callable[[], object]) -> object:
+        """Runs a function that touches nothing of the process's state, while the event loop goes on."""
+
     def on_signals(self, stop: Callable[[], None], reload: Callable[[], None]) -> None:
         """What to call when the platform asks for an end, and when it has changed the settings."""
 
@@ -87,6 +90,9 @@
     async def close_journal(self, journal: DiskJournal, within: float) -> None:
         await asyncio.to_thread(journal.close, within)
 
+    async def run_aside(self, function: Callable[[], object]) -> object:
+        return await asyncio.to_thread(function)
+
     def on_signals(self, stop: Callable[[], None], reload: Callable[[], None]) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stop)
--- a/tests/tier/test_configuration_state.py
+++ b/tests/tier/test_configuration_state.py
@@ -10,7 +10,7 @@
 from kestrelbend.tier.configuration import state as state_module
 from kestrelbend.tier.configuration.messages import UNCLEAR, ConfigOrder, OrderKind
 from kestrelbend.tier.configuration.placements import decode_placement, encode_placement
-from kestrelbend.tier.configuration.state import ConfigurationState, SnapshotError
+from kestrelbend.tier.configuration.state import ConfigurationState, SnapshotError, checked_entry
 from kestrelbend.tier.membership.messages import ShardPlacement
 from tests.tier.test_configuration_document import body, document, route
 
@@ -174,6 +174,47 @@
         self.assertEqual(("n1",), self.state.retiring)
 
 
+class CheckedEntriesTest(testtools.TestCase):
+    """Replicas that apply what the owner has checked agree with one that checks everything itself."""
+
+    def test_given_an_order_that_its_owner_checked_then_replicas_take_it_as_it_is(self):
+        rng = random.Random(41)
+        owner, follower, plain = (ConfigurationState() for _ in range(3))
+        counts = {}
+        for number in range(400):
+            base = max(0, owner.version + rng.choice((0, 0, 0, 0, -1, 1)))
+            version = base + rng.randrange(4)
+            order = rng.choice(
+                [
+                    put(base, version, Extra=rng.randrange(3)),
+                    patch(base, version, Upsert={"Routes": [route("one", f"/{number}/")]}),
+                    patch(base, version, Remove={"Services": ["green"]}),
+                ]
+            )
+            expected = plain.apply(order)
+            self.assertEqual(expected, owner.check(order) or owner.apply(checked_entry(order)))
+            if expected.status == 200:
+                self.assertEqual(expected, follower.apply(checked_entry(order)))
+            counts[expected.status] = counts.get(expected.status, 0) + 1
+            if rng.random() < 0.05:
+                snapshot = follower.snapshot()
+                follower = ConfigurationState()
+                follower.restore(snapshot)
+        self.assertEqual({200, 400, 412, UNCLEAR}, counts.keys())
+        self.assertEqual(plain.snapshot(), owner.snapshot())
+        self.assertEqual(plain.snapshot(), follower.snapshot())
+
+    def test_given_checked_entries_that_wait_behind_another_then_they_are_refused_by_their_base(self):
+        orders = [put(3, 7), put(3, 7, Extra=1), patch(3, 9), put(3, 7)]
+        state = ConfigurationState()
+        state.apply(put(0, 3))
+        self.assertEqual([200, 412, 412, 200], [state.apply(checked_entry(o)).status for o in orders])
+
+    def test_given_a_checked_entry_sent_as_an_order_then_it_is_no_order(self):
+        state = ConfigurationState()
+        self.assertEqual(400, state.check(checked_entry(put(0, 3))).status)
+
+
 class SnapshotTest(testtools.TestCase):
     """A restored replica goes on as the one that made the snapshot."""
 
--- a/tests/tier/test_orders.py
+++ b/tests/tier/test_orders.py
@@ -10,11 +10,16 @@
 
 from kestrelbend.tier.configuration import state as state_module
 from kestrelbend.tier.configuration.messages import UNCLEAR, ConfigOrder, OrderKind
-from kestrelbend.tier.configuration.shard_service import ConfigurationMachine, ConfigurationService
+from kestrelbend.tier.configuration.shard_service import (
+    LARGE_BYTES,
+    ConfigurationMachine,
+    ConfigurationService,
+)
 from kestrelbend.tier.fleet.http import Reply
 from kestrelbend.tier.fleet.operator import BASE_VERSION
 from kestrelbend.tier.fleet.troubles import owner_machine
 from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD
+from kestrelbend.tier.protocol.codec import decode
 from tests.tier.test_configuration_state import put
 from tests.tier.test_fleet_stories import FleetStory
 from tests.tier.virtual_time import run
@@ -342,6 +347,38 @@
 
         self.play(story)
 
+    def test_given_a_large_order_then_it_is_checked_beside_the_loop_and_others_go_on(self):
+        async def aside(function):
+            await asyncio.sleep(0.5)
+            return function()
+
+        async def story():
+            self.service = ConfigurationService(
+                self.host, None, asyncio.get_running_loop().time, self.accept, aside
+            )
+            large = put(0, 5, Padding="x" * LARGE_BYTES)
+            tasks = self.begin(large, put(0, 3))
+            await asyncio.sleep(0.01)
+            self.host.commit()
+            self.assertEqual(200, (await tasks[1]).status)
+            self.assertEqual([200, 412], await self.statuses(tasks[1:] + tasks[:1]))
+            tasks = self.begin(put(3, 5, Padding="x" * LARGE_BYTES))
+            await asyncio.sleep(0.51)
+            self.host.commit()
+            self.assertEqual([200], await self.statuses(tasks))
+
+        self.play(story)
+
+    def test_given_a_large_order_that_is_checked_then_its_entry_says_so(self):
+        async def story():
+            tasks = self.begin(put(0, 3))
+            await asyncio.sleep(0.01)
+            self.assertEqual(OrderKind.CHECKED_PUT, decode(self.host.pending[0][0]).kind)
+            self.host.commit()
+            await self.statuses(tasks)
+
+        self.play(story)
+
     def test_given_a_late_commit_then_gateways_are_waited_for_only_in_the_time_that_is_left(self):
         async def story():
             tasks = self.begin(put(0, 3))
