--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -56,11 +56,27 @@
     def __init__(self, connection: BackendConnection) -> None:
         super().__init__()
         self._connection = connection
+        self._unsent = bytearray()
         self.closed = False
 
     def write(self, data: bytes) -> None:
         if not self.closed:
-            self._connection.arrived(bytes(data))
+            self._unsent += data
+            self.pump()
+
+    def pump(self) -> None:
+        """Hands over what the backend's window has room for."""
+        window = self._connection.window
+        size = len(self._unsent) if window is None else min(window, len(self._unsent))
+        data = bytes(self._unsent[:size])
+        del self._unsent[:size]
+        if window is not None:
+            self._connection.window = window - size
+        if data:
+            self._connection.arrived(data)
+
+    def get_write_buffer_size(self) -> int:
+        return len(self._unsent)
 
     def is_closing(self) -> bool:
         return self.closed
@@ -68,6 +84,7 @@
     def abort(self) -> None:
         if not self.closed:
             self.closed = True
+            self._unsent.clear()
             self._connection.gateway_closed = True
             self._connection.wake()
 
@@ -91,11 +108,22 @@
     connection: BackendConnection
 
 
+@attrs.define
+class Cut:
+    """A backend that reads so many bytes of the next request, then does this: `close`, `reset`, `silence`."""
+
+    left: int
+    ending: str
+
+
 class BackendConnection:
     """The backend's end of one connection."""
 
     def __init__(self, backend: ScriptedBackend) -> None:
         self._backend = backend
+        self.received = bytearray()  # all bytes that reached the backend's machine
+        self.window: int | None = backend.window  # bytes that it takes before it reads on; None: any number
+        self.silent = False
         self._parser = h11.Connection(h11.SERVER)
         self._woken = asyncio.Event()
         self.stream = TcpStream()
@@ -107,11 +135,33 @@
         self._woken.set()
 
     def arrived(self, data: bytes) -> None:
-        self._parser.receive_data(data)
+        self.received += data
+        if self.silent:
+            return
+        self._parser.receive_data(self._until_cut(data))
         self.wake()
 
+    def _until_cut(self, data: bytes) -> bytes:
+        """What the backend reads of `data`; where it stops reading, its cut happens."""
+        cut = self._backend.cut
+        if cut is None:
+            return data
+        read = data[: cut.left]
+        cut.left -= len(read)
+        if not cut.left:
+            self._backend.cut = None
+            self.silent = True
+            if cut.ending != "silence":
+                asyncio.get_running_loop().call_soon(getattr(self, cut.ending))
+        return read
+
+    def read_on(self) -> None:
+        """Takes all that was sent, from now on."""
+        self.window = None
+        self.transport.pump()
+
     def send(self, data: bytes) -> None:
-        if not self.gateway_closed:
+        if not (self.gateway_closed or self.silent or self.transport.closed):
             self.stream.data_received(data)
 
     def close(self) -> None:
@@ -168,6 +218,8 @@
         self.refusing = False
         self.unreachable = False
         self.resetting = False
+        self.cut: Cut | None = None
+        self.window: int | None = None  # of its connections
         self._scripts: list[Handler] = [whole()]
 
     def answers(self, *scripts: Handler) -> ScriptedBackend:
@@ -181,6 +233,11 @@
     def ids(self) -> list[str]:
         return [asked.fields["x-kestrelbend-request-id"] for asked in self.asked]
 
+    def sends_of(self, number: int) -> int:
+        """How often a byte of the try's id was handed to the network for this backend, read or not."""
+        mark = b"try-%d\r\n" % number
+        return sum(connection.received.count(mark) for connection in self.connections)
+
 
 def head(asked: Asked, status: int = 200, *lines: bytes, stamp: bool = True) -> bytes:
     out = [b"HTTP/1.1 %d X" % status]
@@ -378,12 +435,12 @@
         self.scripted[address] = ScriptedBackend(backend)
         return self.scripted[address]
 
-    def run(self, story: Awaitable):
+    def run(self, story: Awaitable, within_s: float = 600):
         """Plays a story to its end, and what it left running a little longer."""
 
         async def play():
             try:
-                return await asyncio.wait_for(story, 600)
+                return await asyncio.wait_for(story, within_s)
             finally:
                 for task in self._tasks:
                     task.cancel()
