Data plane: answers, repeats and refusals under what backends may newly do

Each of these was shown first by a test that failed on the text before (19 of the 41 in test_dataplane_answers.py, and one of its second form): - A second, late refusal of a try's first send on a connection was taken for the answer to its second send there, since both name the same id: the call ran and was sent a third time. A try is never again sent on a connection that carried it. - What became of a send was read from its connection, where the next request's account had replaced it: 503 for a call that had run. Each request has an account of its own. - Answers in an encoding, with two ends, or 101 passed as the backend's own; now they are garbled. - Answers without a length count as whole at the end of their connection, unless it is reset or closed here. - A request could wait behind a body that its backend never read; such a connection is closed. (Other bytes in the place of the body: refuted by the same test, what was sent left in order.) - 421 where the client expects other weights marked the backend as gone and freed its run from the retries; the client got 503. Now 421, and the backend stays. The instance that a client names is kept. - A deadline of 0 or less meant the whole timeout; a slow body could hold a request past its timeout. - A client that left while its request waited for the gateway's start was served all the same. - Work that may run once was cut off when its client left; it now runs to its end and is not sent again. - 404, 413 and 431 by a gateway that does not know its configuration to be the newest are now 503.

Tests changed: an answer without a length that is closed was garbled, by the wire's rules it is whole; the entry is now one that is reset. The story of a client that goes uses what may be repeated; what may not has a story of its own. The gateway's process passes its own flag as may_refuse.

--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -1,12 +1,15 @@
 """The data plane's ASGI application: reads a request, forwards it, answers.
 
-Invariants: nothing is held past the request's deadline or the route's timeout; when a client goes away, the
-send made for it ends; an error of the gateway itself never looks like a backend's answer.
+Invariants: nothing is held past the request's deadline or the route's timeout; when a client goes away,
+nothing more is sent for it, and the send made for it ends unless what it asked for may run once only; an
+error of the gateway itself never looks like a backend's answer; what is refused for good is refused by the
+newest configuration.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -27,7 +30,15 @@
 from .life import Life
 from .limit import Limits
 from .pace import Pace
-from .reading import ClientGone, Receive, build_exchange, check_head, read_body
+from .reading import (
+    TIME_OVER_RETRY_S,
+    ClientGone,
+    Receive,
+    RequestHead,
+    build_exchange,
+    check_head,
+    read_body,
+)
 from .send import Sender
 from .split import Split
 from .turn import Turns, turn_of
@@ -38,7 +49,7 @@
 START_WAIT_S = 1.5  # that a request waits for a gateway which has just been started
 NOT_EQUIPPED_RETRY_S = 0.5
 LEAVING_RETRY_S = 0.05
-TIME_OVER_RETRY_S = 0.1
+BY_CONFIGURATION = frozenset((401, 403, 404, 413, 431))  # statuses that another configuration may not give
 
 
 @attrs.define
@@ -56,6 +67,7 @@
     turns: Turns
     split: Split
     life: Life
+    may_refuse: Callable[[], bool]  # the configuration in force is known to be the newest
     _tended: float = 0.0
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -80,40 +92,62 @@
         if self.life.closed:
             await client.answer(OwnAnswer(503, "this gateway is leaving", LEAVING_RETRY_S))
             return
-        wrong = check_head(scope["headers"], table.limits)
-        if wrong is not None:
-            await client.answer(wrong)
-            return
         try:
-            body = await read_body(receive, table.limits)
+            exchange = await self._read(scope, receive, table, begun)
         except ClientGone:
             return
-        self._tend(begun)
-        table = self.routing.current() or table
-        exchange = body
-        if not isinstance(body, OwnAnswer):
-            exchange = build_exchange(scope, table, self.split, body, begun)
         if isinstance(exchange, OwnAnswer):
-            await client.answer(exchange)
+            await client.answer(self._refused(exchange))
             return
         own = await self._bounded(exchange, client, receive)
         if own is not None:
             await client.answer(own)
 
+    async def _read(
+        self, scope: dict, receive: Receive, table: ports.RoutingTable, begun: float
+    ) -> Exchange | OwnAnswer:
+        """The request, by the configuration that is in force once it is whole.  Raises ClientGone."""
+        wrong = check_head(scope["headers"], table.limits)
+        if wrong is not None:
+            return wrong
+        head = RequestHead.of(scope)
+        route = head.route(table)
+        within_s = math.inf
+        if route is not None:
+            within_s = max(0.0, begun + head.allowed_s(route) - asyncio.get_running_loop().time())
+        body = await read_body(receive, table.limits, within_s)
+        if isinstance(body, OwnAnswer):
+            return body
+        self._tend(begun)
+        newest = self.routing.current() or table
+        if newest is not table:
+            route = head.route(newest)
+        return build_exchange(scope, head, newest, route, self.split, body, begun)
+
+    def _refused(self, own: OwnAnswer) -> OwnAnswer:
+        """`own`, but nothing final by a configuration that is not known to be the newest."""
+        if own.status not in BY_CONFIGURATION or self.may_refuse():
+            return own
+        reason = "this gateway does not know that its configuration is the newest"
+        return OwnAnswer(503, reason, NOT_EQUIPPED_RETRY_S, own.closes)
+
     async def _bounded(self, exchange: Exchange, client: Client, receive: Receive) -> OwnAnswer | None:
         """Forwards until the deadline, or until the client goes."""
         progress = Progress()
-        watch = _ClientWatch(receive)
+        watch = _ClientWatch(receive, client, lambda: _ends_with_client(exchange, progress))
         try:
             async with asyncio.timeout_at(exchange.deadline) as bound:
                 watch.start(bound)
                 client.before_end = watch.stop
                 try:
+                    await asyncio.sleep(0)  # the client may have left while its request waited
+                    if client.gone:
+                        return None
                     return await self._carry(exchange, client, progress)
                 finally:
                     watch.stop()
         except TimeoutError:
-            return None if watch.gone else _time_over(client, progress)
+            return None if client.gone else _time_over(client, progress)
         except Exception:
             log.exception("an exchange failed")
             return _own_failure(client, progress)
@@ -163,11 +197,12 @@
 
 
 class _ClientWatch:
-    """Ends an exchange's time when its client goes away."""
+    """Notes that a client went away, and ends its exchange's time if `ends` says so."""
 
-    def __init__(self, receive: Receive) -> None:
-        self.gone = False
+    def __init__(self, receive: Receive, client: Client, ends: Callable[[], bool]) -> None:
         self._receive = receive
+        self._client = client
+        self._ends = ends
         self._task: asyncio.Task | None = None
 
     def start(self, bound: asyncio.Timeout) -> None:
@@ -179,8 +214,18 @@
     async def _watch(self, bound: asyncio.Timeout) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
-        self.gone = True
-        bound.reschedule(asyncio.get_running_loop().time())
+        self._client.gone = True
+        if self._ends():
+            bound.reschedule(asyncio.get_running_loop().time())
+
+
+def _ends_with_client(exchange: Exchange, progress: Progress) -> bool:
+    """Whether nobody needs the exchange to go on once its client has left.
+
+    What may run once only and has left for a backend goes on to its end, though nobody gets the answer: cut
+    off, it might be done by half.
+    """
+    return exchange.repeatable or exchange.streaming or not progress.may_have_run
 
 
 def _time_over(client: Client, progress: Progress) -> OwnAnswer | None:
@@ -209,8 +254,13 @@
     gateways: Callable[[], int] = lambda: 10,
     external_load: Callable[[str], float] = lambda identity: 0.0,
     rng: random.Random | None = None,
+    may_refuse: Callable[[], bool] = lambda: True,
 ) -> DataPlane:
-    """Puts a data plane together.  `gateways` estimates how many gateways share the backends."""
+    """Puts a data plane together.
+
+    `gateways` estimates how many gateways share the backends; `may_refuse` tells whether the configuration in
+    force is known to be the newest, so that a refusal by it may be final.
+    """
     rng = rng or random.Random()
     health, pace = Health(), Pace()
     connections = Connections(network, gateways)
@@ -231,4 +281,5 @@
         turns=Turns(budget),
         split=Split(backends, rng),
         life=life,
+        may_refuse=may_refuse,
     )
--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from .connections import Connection
 from .errors import DataPlaneError
 from .events import Events, EventSplitter
 from .exchange import Exchange, Failure
@@ -29,6 +30,11 @@
 
     sendings: list[Sending] = attrs.field(factory=list)
 
+    @property
+    def connections(self) -> tuple[Connection, ...]:
+        """Those that carried the request so far."""
+        return tuple(sending.connection for sending in self.sendings if sending.connection is not None)
+
     @property
     def offered(self) -> bool:
         """The request left for a backend."""
@@ -75,6 +81,7 @@
         """The outcome of one attempt; `last_id` is the last event that the client has."""
         loop = asyncio.get_running_loop()
         begun = loop.time()
+        sending.carried = progress.connections
         progress.sendings.append(sending)
         silence = self._pace.patience(exchange.route) * SUSPECT_FACTOR
         alarm = loop.call_later(silence, self._silent, sending)
--- a/kestrelbend/tier/dataplane/client.py
+++ b/kestrelbend/tier/dataplane/client.py
@@ -26,6 +26,8 @@
 class Client:
     """Sends one answer.  `closing` is asked at its start: the connection ends with it.
 
+    Once the client is `gone`, what it would get is dropped.
+
     `before_end` is called before the last part: the server ends the exchange within that call, and nothing
     may interrupt it there.
     """
@@ -42,6 +44,7 @@
         self.started = False
         self.success = False
         self.finished = False
+        self.gone = False
         self.events = 0  # handed over
         self.before_end: Callable[[], None] = lambda: None
 
@@ -51,6 +54,8 @@
         self.success = 200 <= status < 300
         if self._closing():
             headers = [*headers, (b"connection", b"close")]
+        if self.gone:
+            return
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def body(self, data: bytes, more: bool) -> None:
@@ -58,6 +63,8 @@
         if not more:
             self.finished = True
             self.before_end()
+        if self.gone:
+            return
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
     async def answer(self, own: OwnAnswer) -> None:
--- a/kestrelbend/tier/dataplane/connections.py
+++ b/kestrelbend/tier/dataplane/connections.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import anyio  # noqa: F401  httpcore needs it under asyncio, and says so only at its first request
 import attrs
@@ -45,6 +45,12 @@
         rested = now - self.idle_since
         return self.is_idle() and not self.closing and not self.surplus and rested < limit - IDLE_MARGIN_S
 
+    def trusted(self, now: float, untold_idle_s: float | None) -> bool:
+        """Has not rested longer than `untold_idle_s` where its backend does not tell its Keep-Alive."""
+        if self.idle_limit_s is not None or untold_idle_s is None:
+            return True
+        return now - self.idle_since <= untold_idle_s
+
     def after_surplus(self) -> Connection:
         """The same connection after an answer to another request: it reads the answer to the request that has
         left already, once that request is handed to it again, and is closed after it."""
@@ -112,17 +118,18 @@
         timeout_s: float,
         untold_idle_s: float | None = None,
         fresh: bool = False,
+        avoid: Collection[Connection] = (),
     ) -> Connection | None:
         """An idle connection or a new one (`fresh`: a new one); None if the limit is reached.
 
-        `untold_idle_s` bounds the rest of connections whose backend does not tell its Keep-Alive.
-        Raises OSError.
+        `untold_idle_s` bounds the rest of connections whose backend does not tell its Keep-Alive.  None of
+        `avoid` is given.  Raises OSError.
         """
         pool = self._pools.get(backend.identity)
         if pool is None:
             pool = self._pools[backend.identity] = _Pool(backend.address)
         if not fresh:
-            idle = self._take_idle(pool, untold_idle_s)
+            idle = self._take_idle(pool, untold_idle_s, avoid)
             if idle is not None:
                 return idle
         if pool.open >= self._limit(service):
@@ -138,17 +145,20 @@
         host, _, port = pool.address.rpartition(":")
         return Connection(httpcore.Origin(b"http", host.encode(), int(port)), stream)
 
-    def _take_idle(self, pool: _Pool, untold_idle_s: float | None) -> Connection | None:
+    def _take_idle(
+        self, pool: _Pool, untold_idle_s: float | None, avoid: Collection[Connection]
+    ) -> Connection | None:
         """The connection used last: it is the least likely to be closed meanwhile."""
         now = asyncio.get_running_loop().time()
-        while pool.idle:
-            connection = pool.idle[-1]
-            if connection.fresh_enough(now):
-                if connection.idle_limit_s is None and untold_idle_s is not None:
-                    if now - connection.idle_since > untold_idle_s:
-                        return None
-                return pool.idle.pop()
-            self._discard(pool, pool.idle.pop())
+        for connection in reversed(pool.idle[:]):
+            if not connection.fresh_enough(now):
+                pool.idle.remove(connection)
+                self._discard(pool, connection)
+            elif connection not in avoid:
+                if not connection.trusted(now, untold_idle_s):
+                    return None
+                pool.idle.remove(connection)
+                return connection
         return None
 
     def _drop_oldest_idle(self, pool: _Pool) -> None:
--- a/kestrelbend/tier/dataplane/exchange.py
+++ b/kestrelbend/tier/dataplane/exchange.py
@@ -14,6 +14,7 @@
 DEADLINE_MS = b"x-kestrelbend-deadline-ms"
 EXPECT_INSTANCE = b"x-kestrelbend-expect-instance"
 SERVER_STAMP = b"x-kestrelbend-server-stamp"
+EXPECT_VERSION = b"expect-version"
 NOT_EXECUTED = b"x-kestrelbend-not-executed"
 LAST_EVENT_ID = b"last-event-id"
 AFFINITY_KEY = b"x-kestrelbend-affinity-key"
@@ -69,6 +70,11 @@
         """The id of this try of the client."""
         return self.fields[REQUEST_ID]
 
+    @property
+    def named_instance(self) -> bytes | None:
+        """The only backend that the client wants to run this."""
+        return self.fields.get(EXPECT_INSTANCE)
+
     @property
     def streaming(self) -> bool:
         """Its answer is a series of events."""
@@ -99,6 +105,7 @@
 
     NOT_EXECUTED = enum.auto()  # the backend says that it did not run the request
     OTHER_INSTANCE = enum.auto()  # another incarnation lives at this address: not run
+    OTHER_VERSION = enum.auto()  # its weights are not those that the client expects: not run
     REFUSED = enum.auto()  # nothing listens there: not sent
     UNREACHABLE = enum.auto()  # no connection came up: not sent
     NO_CONNECTION = enum.auto()  # the limit of connections is reached: not sent
--- a/kestrelbend/tier/dataplane/forward.py
+++ b/kestrelbend/tier/dataplane/forward.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 import attrs
 
@@ -21,7 +22,7 @@
 from .exchange import LAST_EVENT_ID, PROGRAM, Exchange, Failure
 from .gate import Gate
 from .hedge import Hedger
-from .send import Sending
+from .send import MISDIRECTED, Sending
 
 SENDS_AT_MOST = 64
 RUNS_AT_MOST = 3  # attempts of one repeatable request that may have run
@@ -29,6 +30,7 @@
 REPEAT_PAUSES_S = (0.0, 0.03, 0.1)
 HOLD_SHARE = 0.2  # of its objective that a request waits for room before it is refused
 PROGRAM_HOLD_SHARE = 1.0  # a program's call costs the whole program when it fails
+MISDIRECTED_RETRY_S = 0.2  # a backend's weights may be changing
 SILENCE_S = 1.0  # of a stream that was begun; clients give up at twice this, or at twice the next two
 SILENCE_AIMS = 2.0  # in relation to the objective
 SILENCE_GAPS = 4.0  # in relation to the longest pause in time
@@ -47,6 +49,7 @@
     ran_at: set[str] = attrs.field(factory=set)  # may have run there, and it was not seen to crash
     full: set[str] = attrs.field(factory=set)  # turned it away in this round
     lost: set[str] = attrs.field(factory=set)  # gone or out of reach
+    other_version: set[str] = attrs.field(factory=set)  # their weights are not those that the client expects
 
 
 class Forwarder:
@@ -71,12 +74,12 @@
     async def forward(self, exchange: Exchange, client: Client, progress: Progress) -> OwnAnswer | None:
         """The own answer to give; None when the client has its answer, or must see its connection break."""
         course = _course(exchange, self._gate.rank(exchange))
-        while True:
+        while not client.gone:
             backend = self._pick(exchange, course)
             if backend is None:
                 if await self._wait_for_room(exchange, course, client):
                     continue
-                return self._refusal(progress, client)
+                return self._refusal(exchange, course, progress, client)
             self._chooser.begin(backend.identity)
             try:
                 failure = await self._try(exchange, course, backend, client, progress)
@@ -87,15 +90,18 @@
             self._take_in(course, backend, failure)
             if not failure.certainly_not_run:
                 if not _may_repeat(exchange, course, client):
-                    return self._refusal(progress, client)
+                    return self._refusal(exchange, course, progress, client)
                 await asyncio.sleep(REPEAT_PAUSES_S[min(course.runs, len(REPEAT_PAUSES_S)) - 1])
+        return None
 
     def _pick(self, exchange: Exchange, course: _Course) -> Backend | None:
         if course.sends >= SENDS_AT_MOST:
             return None
         live = self._backends.of(exchange.service.name)
-        left_out = course.full | course.lost
+        left_out = course.full | course.lost | course.other_version
         candidates = [backend for backend in live if backend.identity not in left_out]
+        if exchange.named_instance is not None:
+            candidates = _named(exchange, candidates)
         if len(course.ran_at) >= max(1, exchange.route.retries):
             candidates = [backend for backend in candidates if backend.identity in course.ran_at]
         return self._chooser.choose(exchange, candidates, asyncio.get_running_loop().time())
@@ -193,16 +199,25 @@
             course.ran_at.discard(identity)  # it crashed: it does not count against `retries`
         elif failure in (Failure.UNREACHABLE, Failure.WITHDRAWN):
             course.lost.add(identity)
+        elif failure is Failure.OTHER_VERSION:
+            course.other_version.add(identity)
         elif failure is Failure.OTHER_INSTANCE:
             self._backends.mark_gone(identity)
             course.lost.add(identity)
             course.ran_at.discard(identity)
 
-    def _refusal(self, progress: Progress, client: Client) -> OwnAnswer | None:
+    def _refusal(
+        self, exchange: Exchange, course: _Course, progress: Progress, client: Client
+    ) -> OwnAnswer | None:
         if client.started:
             return None
         if progress.may_have_run:
             return OwnAnswer(502, "the backend's answer was lost")
+        if course.other_version and not course.full:
+            return OwnAnswer(MISDIRECTED, "no backend has the expected version", MISDIRECTED_RETRY_S)
+        live = self._backends.of(exchange.service.name)
+        if exchange.named_instance is not None and not _named(exchange, live):
+            return OwnAnswer(MISDIRECTED, "the expected instance is not there", MISDIRECTED_RETRY_S)
         return self._gate.refusal()
 
 
@@ -217,6 +232,11 @@
     return events.data, events.count
 
 
+def _named(exchange: Exchange, backends: Sequence[Backend]) -> list[Backend]:
+    """Those of `backends` that the client allows by naming an instance."""
+    return [backend for backend in backends if backend.identity.encode() == exchange.named_instance]
+
+
 def _silence(exchange: Exchange) -> float | None:
     """Seconds after which a stream that fell silent is resumed: well before its client gives it up."""
     if not (exchange.streaming and exchange.route.resumable):
--- a/kestrelbend/tier/dataplane/network.py
+++ b/kestrelbend/tier/dataplane/network.py
@@ -25,8 +25,7 @@
     """One TCP connection.  Reads and writes are made by one task at a time."""
 
     def __init__(self) -> None:
-        self.sent = False
-        self.answered = False
+        self._account = ports.WireAccount()
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
         self._outgoing: list[bytes] = []
@@ -44,7 +43,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Bytes came, asked for or not."""
-        self.answered = True
+        self._account.answered = True
         self._received += data
         if len(self._received) > RECEIVE_HIGH_WATER_BYTES and not self._paused:
             self._paused = True
@@ -71,14 +70,19 @@
 
     @property
     def usable(self) -> bool:
-        """Neither closed nor holding bytes that nobody asked for."""
-        return not (self._ended or self._received or self._transport.is_closing())
+        """Neither closed nor holding bytes that nobody asked for or that have not left.
 
-    def begin(self) -> None:
-        """Starts the account of a new request."""
-        self.sent = False
-        self.answered = False
+        A backend that answered before it read a whole body may never read the rest; nothing waits behind it.
+        """
+        if self._ended or self._received or self._transport.is_closing():
+            return False
+        return not self._transport.get_write_buffer_size()
+
+    def begin(self) -> ports.WireAccount:
+        """The account of a new request."""
+        self._account = ports.WireAccount()
         self._muted = False
+        return self._account
 
     def replay(self, received: bytes) -> None:
         """`received` is read first, and what is written before that is dropped."""
@@ -86,9 +90,11 @@
         self._muted = True
 
     def abort(self) -> None:
-        """Closes at once; what has not left is dropped."""
+        """Closes at once; what has not left is dropped.  Who reads still sees an error, not a proper end."""
         self._outgoing.clear()
-        self._ended = True
+        if not self._ended:
+            self._ended = True
+            self._error = ConnectionAbortedError("closed here")
         self._transport.abort()
         self._wake()
 
@@ -122,7 +128,7 @@
             return
         data = b"".join(self._outgoing)
         self._outgoing.clear()
-        self.sent = True
+        self._account.left = True
         self._transport.write(data)
 
     async def aclose(self) -> None:
--- a/kestrelbend/tier/dataplane/ports.py
+++ b/kestrelbend/tier/dataplane/ports.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+import attrs
 import httpcore
 
 from ..budgets.messages import Reserve, ReserveOutcome, Settle
@@ -87,15 +88,21 @@
     def spent_locally(self, program: str, most: int, budget: int) -> bool: ...
 
 
+@attrs.define
+class WireAccount:
+    """What became of one request on its connection; the next request there has an account of its own."""
+
+    left: bool = False  # a byte of the request was handed to the network
+    answered: bool = False  # a byte came back since the request was begun
+
+
 class BackendStream(httpcore.AsyncNetworkStream):
     """A network stream to a backend that tells what became of it."""
 
-    sent: bool  # a byte of the request under way was handed to the network
-    answered: bool  # a byte came back since the request under way was begun
-    usable: bool  # neither closed nor holding bytes that nobody asked for
+    usable: bool  # neither closed nor holding bytes that nobody asked for or that have not left
 
-    def begin(self) -> None:
-        """Starts the account of a new request: nothing sent, nothing answered."""
+    def begin(self) -> WireAccount:
+        """The account of a new request, kept from now on: nothing left, nothing answered."""
 
     def replay(self, received: bytes) -> None:
         """`received` is read first, and what is written before that is dropped: it has left already."""
--- a/kestrelbend/tier/dataplane/reading.py
+++ b/kestrelbend/tier/dataplane/reading.py
@@ -6,16 +6,19 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
+import attrs
+
 from . import ports
 from .client import OwnAnswer
 from .exchange import DEADLINE_MS, REQUEST_ID, Exchange, Headers
 from .split import Split
 
 Receive = Callable[[], Awaitable[dict]]
-MAX_DEADLINE_MS = 24 * 3600 * 1000
 NO_SERVICE_RETRY_S = 0.5
+TIME_OVER_RETRY_S = 0.1
 HEADER_LINE_BYTES = 4  # the colon, the space and the end of a line
 TOO_LARGE = OwnAnswer(413, "the body is too large", closes=True)
 
@@ -41,14 +44,14 @@
     return None
 
 
-async def read_body(receive: Receive, limits: ports.Limits) -> bytes | OwnAnswer:
+async def read_body(receive: Receive, limits: ports.Limits, within_s: float = math.inf) -> bytes | OwnAnswer:
     """The whole body, or the refusal of one that is too large or comes too slowly.  Raises ClientGone."""
     message = await receive()
     if message["type"] == "http.request" and not message.get("more_body", False):
         body = message.get("body", b"")
         return body if len(body) <= limits.max_body_bytes else TOO_LARGE
     try:
-        async with asyncio.timeout(limits.header_timeout_ms / 1000):
+        async with asyncio.timeout(min(limits.header_timeout_ms / 1000, within_s)):
             return await _read_parts(message, receive, limits.max_body_bytes)
     except TimeoutError:
         return OwnAnswer(408, "the body did not come in time", closes=True)
@@ -70,20 +73,48 @@
         message = await receive()
 
 
+@attrs.define
+class RequestHead:
+    """A request's head, as far as a route is chosen by it."""
+
+    headers: Headers  # names in lower case
+    fields: dict[bytes, bytes]  # of repeated headers the first
+    path: str
+
+    @classmethod
+    def of(cls, scope: dict) -> RequestHead:
+        headers = [(name.lower(), value) for name, value in scope["headers"]]
+        return cls(headers, dict(reversed(headers)), scope["raw_path"].decode("latin1"))
+
+    def route(self, table: ports.RoutingTable) -> ports.Route | None:
+        """The route that the request takes by `table`."""
+        return table.route(self.fields.get(b"host", b"").decode("latin1"), self.path)
+
+    def allowed_s(self, route: ports.Route) -> float:
+        """Seconds that the request may take: the client's deadline, and at most the route's timeout."""
+        return _time_allowed_ms(self.fields.get(DEADLINE_MS), route) / 1000
+
+
 def build_exchange(
-    scope: dict, table: ports.RoutingTable, split: Split, body: bytes, begun: float
+    scope: dict,
+    head: RequestHead,
+    table: ports.RoutingTable,
+    route: ports.Route | None,
+    split: Split,
+    body: bytes,
+    begun: float,
 ) -> Exchange | OwnAnswer:
     """The exchange of a request that was read whole, or its refusal."""
-    headers: Headers = [(name.lower(), value) for name, value in scope["headers"]]
-    fields = dict(reversed(headers))  # of repeated headers the first
-    path = scope["raw_path"].decode("latin1")
-    if not path.startswith("/"):
+    fields = head.fields
+    if not head.path.startswith("/"):
         return OwnAnswer(400, "the target is not a path")
-    route = table.route(fields.get(b"host", b"").decode("latin1"), path)
     if route is None:
         return OwnAnswer(404, "no route")
     if not fields.get(REQUEST_ID):
         return OwnAnswer(400, "no request id")
+    allowed_s = head.allowed_s(route)
+    if allowed_s <= 0:
+        return OwnAnswer(503, "the time was over before the request came", TIME_OVER_RETRY_S)
     service = table.services.get(split.service_of(route, fields))
     if service is None:
         return OwnAnswer(503, "the route's service is unknown", NO_SERVICE_RETRY_S)
@@ -91,12 +122,12 @@
     return Exchange(
         method=scope["method"].encode("latin1"),
         target=scope["raw_path"] + (b"?" + query if query else b""),
-        headers=headers,
+        headers=head.headers,
         body=body,
         route=route,
         service=service,
         begun=begun,
-        deadline=begun + _time_allowed_ms(fields.get(DEADLINE_MS), route) / 1000,
+        deadline=begun + allowed_s,
         fields=fields,
         chunked=b"transfer-encoding" in fields,
     )
@@ -104,9 +135,9 @@
 
 def _time_allowed_ms(deadline: bytes | None, route: ports.Route) -> float:
     try:
-        wanted = float(deadline) if deadline is not None else float(route.timeout_ms)
+        wanted = float(deadline) if deadline is not None else math.inf
     except ValueError:
-        wanted = float(route.timeout_ms)
-    if not 0 < wanted < MAX_DEADLINE_MS:
-        wanted = float(route.timeout_ms)
-    return min(wanted, route.timeout_ms)
+        wanted = math.inf
+    if math.isnan(wanted):
+        wanted = math.inf
+    return min(wanted, float(route.timeout_ms))
--- a/kestrelbend/tier/dataplane/send.py
+++ b/kestrelbend/tier/dataplane/send.py
@@ -1,7 +1,7 @@
 """One send of a request to one backend, up to the head of its answer.
 
-Invariant: an answer is taken only if it names this request, says itself where it ends, and, being a success,
-carries the backend's stamp.  Everything else is a failure that tells whether the request may have run.
+Invariant: an answer is taken only if it names this request, is in no encoding, and, being a success, carries
+the backend's stamp.  Everything else is a failure that tells whether the request may have run.
 """
 
 from __future__ import annotations
@@ -15,12 +15,22 @@
 from . import ports
 from .connections import Connection, Connections
 from .errors import DataPlaneError, ErrorCode
-from .exchange import NOT_EXECUTED, REQUEST_ID, SERVER_STAMP, Exchange, Failure, Headers, end_to_end
+from .exchange import (
+    EXPECT_VERSION,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    SERVER_STAMP,
+    Exchange,
+    Failure,
+    Headers,
+    end_to_end,
+)
 
 UNTOLD_IDLE_S = 1.0  # non-repeatable: rest of a connection whose backend does not tell its Keep-Alive
 REFUSAL_BODY_S = 0.05  # how long the rest of a refusal is waited for, to use the connection again
 SURPLUS_ANSWERS_AT_MOST = 3  # in the place of ours
-OTHER_INSTANCE = 421
+MISDIRECTED = 421  # another instance, or other weights
+SWITCHING_PROTOCOLS = 101
 PROMISES = frozenset((408, 429, 503))  # with 421, the statuses that promise that nothing ran
 BROKEN_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, OSError)
 
@@ -29,13 +39,15 @@
 class Sending:
     """The account of one send; it outlives a cancelled task.
 
-    `last_event_id` is where a run goes on; `fresh` asks for a new connection.
+    `last_event_id` is where a run goes on; `fresh` asks for a new connection.  `carried` are connections that
+    this try was sent on before: a late second answer there names the same request as this send's own.
     """
 
     backend: Backend
     last_event_id: bytes | None = None
     fresh: bool = False
-    stream: ports.BackendStream | None = None
+    carried: tuple[Connection, ...] = ()
+    account: ports.WireAccount | None = None
     connection: Connection | None = None
     not_run: bool = False  # the backend says so
     suspected: bool = False  # its silence was held against the backend
@@ -43,7 +55,7 @@
     @property
     def left(self) -> bool:
         """A byte of the request was handed to the network."""
-        return self.stream is not None and self.stream.sent
+        return self.account is not None and self.account.left
 
     @property
     def may_have_run(self) -> bool:
@@ -106,7 +118,7 @@
         left_s = exchange.deadline - asyncio.get_running_loop().time()
         try:
             connection = await self._connections.acquire(
-                backend, exchange.service, left_s, untold_idle_s, sending.fresh
+                backend, exchange.service, left_s, untold_idle_s, sending.fresh, sending.carried
             )
         except ConnectionRefusedError:
             return Failure.REFUSED
@@ -136,8 +148,7 @@
             headers=exchange.headers_for(backend, now, sending.last_event_id),
             content=exchange.body,
         )
-        stream.begin()
-        sending.stream = stream
+        sending.account = stream.begin()
         try:
             response = await sending.connection.handle_async_request(request)
             for _ in range(SURPLUS_ANSWERS_AT_MOST):
@@ -146,9 +157,11 @@
                 await _skip(exchange, sending, response)
                 response = await sending.connection.handle_async_request(request)
         except BROKEN_ERRORS:
-            if not stream.sent:
+            if not sending.account.left:
                 return Failure.BROKEN_BEFORE_SEND
-            return Failure.GARBLED if stream.answered else Failure.BROKEN
+            return Failure.GARBLED if sending.account.answered else Failure.BROKEN
+        if not sending.account.left:
+            return Failure.BROKEN_BEFORE_SEND  # no answer can be ours
         return await self._judge(exchange, sending, response)
 
     async def _judge(
@@ -159,16 +172,17 @@
         connection = sending.connection
         connection.heed(headers)
         status = response.status
-        if fields.get(REQUEST_ID) != exchange.request_id:
+        if not _names_only(exchange.request_id, headers):
             return Failure.GARBLED
-        if status == OTHER_INSTANCE:
-            return await _read_out(response, Failure.OTHER_INSTANCE)
+        if status == MISDIRECTED:
+            expects_version = EXPECT_VERSION in exchange.fields
+            return await _read_out(
+                response, Failure.OTHER_VERSION if expects_version else Failure.OTHER_INSTANCE
+            )
         if status in PROMISES and NOT_EXECUTED in fields:
             return await _read_out(response, Failure.NOT_EXECUTED)
-        if status in PROMISES or not _tells_its_end(exchange.method, status, fields):
-            return Failure.GARBLED
         success = 200 <= status < 300
-        if success and SERVER_STAMP not in fields:
+        if not _may_be_passed_on(status, fields) or success and SERVER_STAMP not in fields:
             return Failure.GARBLED
         events = success and fields.get(b"content-type", b"").startswith(b"text/event-stream")
         kept = end_to_end(headers)
@@ -183,6 +197,21 @@
     return False
 
 
+def _names_only(request_id: bytes, headers: Headers) -> bool:
+    """The answer names this request, and no other."""
+    return {value for name, value in headers if name == REQUEST_ID} == {request_id}
+
+
+def _may_be_passed_on(status: int, fields: dict[bytes, bytes]) -> bool:
+    """The answer can be the backend's own: no unproven promise, no encoding, not two ends.
+
+    One without a length ends with its connection, unless that is reset.
+    """
+    if status in PROMISES or status == SWITCHING_PROTOCOLS or b"content-encoding" in fields:
+        return False
+    return not (b"content-length" in fields and b"transfer-encoding" in fields)
+
+
 async def _skip(exchange: Exchange, sending: Sending, response: httpcore.Response) -> None:
     """Drops a surplus answer; what follows it is read as the answer to our request, which has left already.
 
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -73,6 +73,7 @@
             settings.zone,
             self.life,
             gateways=self._gateways,
+            may_refuse=lambda: self._current,
         )
 
     def _gateways(self) -> int:
