Streams: nothing is resumed behind an event without an id; bytes round events are kept

A stream whose last event told no id was resumed behind the one before it, so that the client got the event twice. Comments and blank lines before the first event, and blank lines at the end, were dropped; comments counted as events, and so as tokens of a program's budget. Refuted by a test that passed before: a stream cut at any byte, within an event or its first line (the version's), goes on exactly behind the last whole event, with the client's expected version.

--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -12,7 +12,7 @@
 
 from .connections import Connection
 from .errors import DataPlaneError
-from .events import Events, EventSplitter
+from .events import EventSplitter
 from .exchange import Exchange, Failure
 from .gate import Gate
 from .health import Health
@@ -148,11 +148,12 @@
 
 async def _open_events(answer: Answer, last_id: int | None) -> Opened:
     splitter = EventSplitter(last_id)
-    events = Events(b"", 0)
-    while not events.count:
+    before = b""  # comments and blank lines
+    while True:
         data = await answer.next()
         if data is None:
-            splitter.end()
-            return Opened(answer, b"", 0, True, splitter)
+            return Opened(answer, before + splitter.end(), 0, True, splitter)
         events = splitter.feed(data)
-    return Opened(answer, events.data, events.count, False, splitter)
+        before += events.data
+        if events.count:
+            return Opened(answer, before, events.count, False, splitter)
--- a/kestrelbend/tier/dataplane/events.py
+++ b/kestrelbend/tier/dataplane/events.py
@@ -24,8 +24,14 @@
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
+        self._unnamed = False  # the last event that left carried no id
         self._rest = b""
 
+    @property
+    def position(self) -> int | None:
+        """The id behind which a new run can go on; None where the last event that left told none."""
+        return None if self._unnamed else self.last_id
+
     @property
     def partial(self) -> bool:
         """Bytes of an event that is not whole yet are held."""
@@ -37,30 +43,32 @@
         end = max(_end_of(text, b"\n\n"), _end_of(text, b"\r\n\r\n"))
         whole, self._rest = text[:end], text[end:]
         count = 0
-        for event in whole.replace(b"\r\n", b"\n").split(b"\n\n"):
-            if event.strip(b"\n"):
-                count += 1
-                self._note(event)
+        for block in whole.replace(b"\r\n", b"\n").split(b"\n\n"):
+            count += self._note(block)
         return Events(whole, count)
 
-    def restart(self) -> None:
-        """A new run continues after `last_id`; what was held of the old one is dropped."""
-        self._rest = b""
-
-    def end(self) -> None:
-        """The run ended properly; raises DataPlaneError where part of an event is left."""
+    def end(self) -> bytes:
+        """The run ended properly: blank lines that are left; raises DataPlaneError for part of an event."""
         if self.partial:
             raise DataPlaneError(ErrorCode.CUT, "the stream ended within an event")
-
-    def _note(self, event: bytes) -> None:
-        for line in event.split(b"\n"):
-            if line.startswith(b"id:"):
-                self._rise(line[3:].strip())
-
-    def _rise(self, value: bytes) -> None:
-        if not value.isdigit():
-            return
-        number = int(value)
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def _note(self, block: bytes) -> bool:
+        """Whether the block is an event; comments and other fields alone are none."""
+        names = {}
+        for line in block.split(b"\n"):
+            name, _, value = line.partition(b":")
+            names[name] = value.strip()
+        if b"id" not in names and b"data" not in names:
+            return False
+        identity = names.get(b"id", b"")
+        self._unnamed = not identity.isdigit()
+        if not self._unnamed:
+            self._rise(int(identity))
+        return True
+
+    def _rise(self, number: int) -> None:
         if self.last_id is not None and number <= self.last_id:
             raise DataPlaneError(ErrorCode.EVENT_IDS_FALL, f"event {number} after {self.last_id}")
         self.last_id = number
--- a/kestrelbend/tier/dataplane/forward.py
+++ b/kestrelbend/tier/dataplane/forward.py
@@ -170,7 +170,7 @@
             async with asyncio.timeout(None) as silence:  # set while the backend is waited for, alone
                 while data is not None:
                     if opened.splitter is not None:
-                        course.position = opened.splitter.last_id
+                        course.position = opened.splitter.position
                         client.events += events
                     if data:
                         await client.body(data, more=True)
@@ -226,8 +226,7 @@
     if opened.splitter is None:
         return data, 0
     if data is None:
-        opened.splitter.end()
-        return None, 0
+        return opened.splitter.end() or None, 0
     events = opened.splitter.feed(data)
     return events.data, events.count
 
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -295,6 +295,24 @@
     return script
 
 
+def chunks(data: bytes, ending: str, pause: float = 0.0):
+    """Any bytes of a stream, one a chunk, that ends properly (`end`), by `close` or by `reset`."""
+
+    async def script(asked: Asked) -> None:
+        connection = asked.connection
+        connection.send(head(asked, 200, b"Content-Type: text/event-stream", b"Transfer-Encoding: chunked"))
+        for number in range(len(data)):
+            await asyncio.sleep(pause)
+            connection.send(b"1\r\n%s\r\n" % data[number : number + 1])
+        await asyncio.sleep(0.01)
+        if ending == "end":
+            connection.send(b"0\r\n\r\n")
+        else:
+            getattr(connection, ending)()
+
+    return script
+
+
 def raw(data: bytes, ending: str = "", after: float = 0.01):
     """Any bytes, then nothing, `close` or `reset`."""
 
--- a/tests/tier/test_dataplane_streams.py
+++ b/tests/tier/test_dataplane_streams.py
@@ -12,6 +12,7 @@
 from tests.tier.dataplane_world import (
     World,
     breaks,
+    chunks,
     event,
     events,
     silent,
@@ -48,6 +49,34 @@
         splitter = EventSplitter(4)
         self.assertRaises(DataPlaneError, splitter.feed, event(4))
 
+    def test_the_first_line_may_tell_the_version_from_which_on_it_holds(self):
+        splitter = EventSplitter()
+        text = event(1) + b"versions: 8\n" + event(2) + event(3)
+        events = splitter.feed(text)
+        self.assertEqual((text, 3, 3), (events.data, events.count, splitter.position))
+
+    def test_blocks_without_data_or_an_id_are_no_events_and_are_kept(self):
+        splitter = EventSplitter()
+        text = b": hello\n\nretry: 10\n\n" + event(1) + b"\n: bye\n\n"
+        events = splitter.feed(text)
+        self.assertEqual((text, 1, 1), (events.data, events.count, splitter.position))
+
+    def test_behind_an_event_without_an_id_nothing_can_go_on(self):
+        for unnamed in (b"data: x\n\n", b"id: a7\ndata: x\n\n", b"id\ndata: x\n\n"):
+            splitter = EventSplitter(4)
+            self.assertEqual(4, splitter.position)
+            splitter.feed(event(5) + unnamed)
+            self.assertEqual(None, splitter.position)
+            splitter.feed(event(6))
+            self.assertEqual(6, splitter.position)
+
+    def test_blank_lines_at_the_end_are_kept(self):
+        for blank in (b"\n", b"\r\n", b"\n\r\n"):
+            splitter = EventSplitter()
+            events = splitter.feed(event(1)), splitter.feed(blank)
+            self.assertEqual(event(1) + blank, events[0].data + events[1].data + splitter.end())
+            self.assertEqual(b"", splitter.end())
+
     def test_an_end_within_an_event_is_no_end(self):
         splitter = EventSplitter()
         splitter.feed(event(1) + b"id: 2\n")
@@ -96,6 +125,40 @@
         self.assertEqual((NINE, True), (got.body, got.complete))
         self.assertEqual([1, 1], [len(backend.asked) for backend in pair.values()])
 
+    def test_a_stream_that_breaks_at_any_byte_goes_on_after_its_last_whole_event(self):
+        """With ids of one and of two digits, and the version told within the stream."""
+        text = [event(8), b"versions: 3\n" + event(9), event(10), event(11)]
+        whole_stream = b"".join(text)
+        ends = [len(b"".join(text[:count])) for count in range(5)]
+        for size in range(len(whole_stream)):
+            for ending in ("reset", "close"):
+                passed = max(end for end in ends if end <= size)
+                rest = whole_stream[passed:]
+                world = World()
+                backend = world.backend("i-1", "models")
+                backend.answers(chunks(whole_stream[:size], ending), chunks(rest, "end"))
+                got = world.run(world.ask("/turns/x", fields={"expect-version": "2"}))
+                self.assertEqual((whole_stream, True), (got.body, got.complete), (size, ending))
+                last = {0: None, ends[1]: "8", ends[2]: "9", ends[3]: "10"}[passed]
+                resumed = backend.asked[1].fields
+                self.assertEqual((last, "2"), (resumed.get("last-event-id"), resumed["expect-version"]))
+
+    def test_a_stream_is_not_resumed_behind_an_event_without_an_id(self):
+        for fields in ({}, {"last-event-id": "4"}):
+            world = World()
+            backend = world.backend("i-1", "models")
+            backend.answers(chunks(event(5) + b"data: x\n\n", "reset"), events(range(6, 8)))
+            got = world.run(world.ask("/turns/x", fields=fields))
+            self.assertEqual((event(5) + b"data: x\n\n", False), (got.body, got.complete))
+            self.assertEqual(1, len(backend.asked))
+
+    def test_bytes_round_the_events_are_passed_on(self):
+        for text in (b": hello\n\n" + event(1) + b"\n", b": hello\n\n", b"\n\n", event(1) + b"\r\n"):
+            world = World()
+            world.backend("i-1", "models").answers(chunks(text, "end", pause=0.01))
+            got = world.run(world.ask("/turns/x"))
+            self.assertEqual((text, True), (got.body, got.complete))
+
     def test_a_clients_own_last_event_id_is_the_start(self):
         self.backend.answers(breaks(), events(range(5, 7), ending="reset"), events(range(7, 10)))
         got = self.world.run(self.world.ask("/turns/x", fields={"last-event-id": "4"}))
