--- a/tests/tier/test_dataplane_search.py
+++ b/tests/tier/test_dataplane_search.py
@@ -38,6 +38,8 @@
 
     identity: str
     kind: str
+    at: float
+    ends_at: float  # by the deadline that was handed on
     sent: bytes | None = None  # the whole body of a proper answer
 
 
@@ -48,20 +50,30 @@
         self.random = random.Random(seed)
         self.world = World()
         self.runs: dict[str, list[Run]] = {}
-        self.connected: dict[str, list[Got]] = {}
+        self.ended: set[str] = set()  # it crashed at some time, or another answered at its address
         for number in range(1, 4):
             self.world.backend(f"m-{number}", "models").answers(self.stream)
             self.world.backend(f"t-{number}", "tools", slots=3).answers(self.plain)
 
     def note(self, asked: Asked, sent: bytes | None = None) -> None:
-        run = Run(asked.fields["x-kestrelbend-expect-instance"], asked.target.split("/")[1], sent)
+        left_s = int(asked.fields["x-kestrelbend-deadline-ms"]) / 1000
+        identity, kind = asked.fields["x-kestrelbend-expect-instance"], asked.target.split("/")[1]
+        run = Run(identity, kind, asked.at, asked.at + left_s, sent)
         self.runs.setdefault(asked.fields["x-kestrelbend-request-id"], []).append(run)
 
     async def trouble(self, asked: Asked) -> bool:
         """One of the troubles that streams and plain answers share; whether one came."""
         draw = self.random.random()
-        if draw < 0.15:
-            await turned_away(self.random.choice([503, 429, 421]))(asked)
+        if draw < 0.12:
+            status = self.random.choice([503, 429, 421])
+            if status == 421 and "expect-version" not in asked.fields:
+                self.ended.add(asked.fields["x-kestrelbend-expect-instance"])
+            await turned_away(status)(asked)
+        elif draw < 0.15:  # and once more, maybe when the next request has come
+            await turned_away()(asked)
+            again = head(asked, 503, b"Content-Length: 0", b"X-Kestrelbend-Not-Executed: 1")
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.random.random() * 0.06, asked.connection.send, again)
         elif draw < 0.20:
             self.note(asked)
             await breaks(self.random.choice(["reset", "close"]))(asked)
@@ -86,8 +98,14 @@
         draw = self.random.random()
         foreign = Asked("GET", "/", {"x-kestrelbend-request-id": "other"}, b"", 0, asked.connection)
         surplus = head(foreign, 200, b"Content-Length: 7") + b"surplus"
-        if draw < 0.1:
+        if draw < 0.05:
             await raw(head(asked, 200, b"Content-Length: %d" % len(body)) + body[:-1], "close")(asked)
+        elif draw < 0.07:
+            await raw(head(asked, 200) + body, "close")(asked)
+        elif draw < 0.09:
+            await raw(head(asked, 200) + body[:-1], "reset")(asked)
+        elif draw < 0.1:
+            await whole(b"zipped", 200, 0.01, b"Content-Encoding: gzip")(asked)
         elif draw < 0.2:
             asked.connection.send(surplus)
             await whole(body)(asked)
@@ -121,6 +139,7 @@
             draw = self.random.random()
             if draw < 0.3:
                 scripted.refusing = not scripted.refusing
+                self.ended.add(backend.identity)
                 for connection in scripted.connections if scripted.refusing else ():
                     connection.reset()
             elif draw < 0.5 and backend.identity in world.live:
@@ -131,21 +150,38 @@
     async def client(self) -> None:
         await asyncio.sleep(self.random.random() * 3)
         kind = self.random.choice(["turns", "turns", "once", "read", "read2", "pay"])
-        fields = {"x-kestrelbend-deadline-ms": str(self.random.choice([300, 1000, 3000]))}
+        deadline_ms = self.random.choice([300, 1000, 3000])
+        fields = {"x-kestrelbend-deadline-ms": str(deadline_ms)}
+        if self.random.random() < 0.05:
+            fields["expect-version"] = "7"
         if kind == "turns" and self.random.random() < 0.7:
             fields = {**turn(program=str(self.random.randint(1, 5))), **fields}
         leave_after = self.random.random() if self.random.random() < 0.1 else None
         number = self.world.next_number
+        begun = self.world.loop.time()
         got = await self.world.ask(f"/{kind}/x", fields=fields, leave_after=leave_after)
-        self.check(kind, self.runs.get(f"try-{number}", []), got, leave_after is not None)
+        runs = self.runs.get(f"try-{number}", [])
+        self.check(kind, runs, got, leave_after is not None)
+        self.check_times(runs, begun, deadline_ms / 1000, leave_after)
+
+    def check_times(
+        self, runs: list[Run], begun: float, deadline_s: float, leave_after: float | None
+    ) -> None:
+        """Each run was handed what was left of the deadline, and none was sent for a client that had left."""
+        for run in runs:
+            assert run.ends_at <= begun + deadline_s + 0.002, "more time than is left"
+            assert leave_after is None or run.at <= begun + leave_after + 0.001, "sent though nobody waits"
+        assert self.world.loop.time() <= begun + deadline_s + 0.002, "held beyond the deadline"
 
     def check(self, kind: str, runs: list[Run], got: Got, left: bool) -> None:
         """The rules for one request."""
         assert {run.kind for run in runs} <= {kind}
         if kind in ("once", "pay"):
             assert len(runs) <= 1, "ran twice"
-        if got.status in (429, 503):
+        if got.status in (421, 429, 503):
             assert not runs and "retry-after" in got.fields, "refused though it ran"
+        live_retries = 2 if kind == "read2" else 1
+        assert len({run.identity for run in runs} - self.ended) <= live_retries, "more backends than retries"
         assert left or got.status is not None, "no answer"
         if got.status is None or got.status >= 300:
             assert got.complete or left
