--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -10,8 +10,9 @@
 
 import attrs
 
+from .connections import Connection
 from .errors import DataPlaneError
-from .events import Events, EventSplitter
+from .events import EventSplitter
 from .exchange import Exchange, Failure
 from .gate import Gate
 from .health import Health
@@ -29,6 +30,11 @@
 
     sendings: list[Sending] = attrs.field(factory=list)
 
+    @property
+    def connections(self) -> tuple[Connection, ...]:
+        """Those that carried the request so far."""
+        return tuple(sending.connection for sending in self.sendings if sending.connection is not None)
+
     @property
     def offered(self) -> bool:
         """The request left for a backend."""
@@ -75,6 +81,7 @@
         """The outcome of one attempt; `last_id` is the last event that the client has."""
         loop = asyncio.get_running_loop()
         begun = loop.time()
+        sending.carried = progress.connections
         progress.sendings.append(sending)
         silence = self._pace.patience(exchange.route) * SUSPECT_FACTOR
         alarm = loop.call_later(silence, self._silent, sending)
@@ -141,11 +148,12 @@
 
 async def _open_events(answer: Answer, last_id: int | None) -> Opened:
     splitter = EventSplitter(last_id)
-    events = Events(b"", 0)
-    while not events.count:
+    before = b""  # comments and blank lines
+    while True:
         data = await answer.next()
         if data is None:
-            splitter.end()
-            return Opened(answer, b"", 0, True, splitter)
+            return Opened(answer, before + splitter.end(), 0, True, splitter)
         events = splitter.feed(data)
-    return Opened(answer, events.data, events.count, False, splitter)
+        before += events.data
+        if events.count:
+            return Opened(answer, before, events.count, False, splitter)
