--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -9,7 +9,8 @@
 struct VoteReply { 1: string shard, 2: string sender, 3: i64 epoch, 4: bool granted, 5: bool trial }
 struct AppendEntries { 1: string shard, 2: string sender, 3: i64 epoch, 4: i64 previous_index, 5: i64 previous_epoch, 6: list<Entry> entries, 7: i64 commit_index, 8: i64 round }
 struct AppendReply { 1: string shard, 2: string sender, 3: i64 epoch, 4: bool accepted, 5: i64 match_index, 6: i64 round }
-struct InstallSnapshot { 1: string shard, 2: string sender, 3: i64 epoch, 4: Snapshot snapshot, 5: i64 round }
+struct SnapshotPiece { 1: string shard, 2: string sender, 3: i64 epoch, 4: Snapshot snapshot, 5: i64 size, 6: binary digest, 7: i64 offset, 8: binary data, 9: i64 round }
+struct SnapshotReply { 1: string shard, 2: string sender, 3: i64 epoch, 4: binary digest, 5: i64 received, 6: i64 round }
 struct TransferOwnership { 1: string shard, 2: string sender, 3: i64 epoch }
 struct DurableRecord { 1: string shard, 2: string replica, 3: i64 epoch, 4: string voted_for, 5: list<Entry> entries, 6: optional Snapshot snapshot }
 
--- a/kestrelbend/tier/replication/follower.py
+++ b/kestrelbend/tier/replication/follower.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from .messages import AppendEntries, AppendReply, InstallSnapshot, ReplicaId
+from .messages import AppendEntries, AppendReply, ReplicaId, SnapshotPiece, SnapshotReply
 from .state import ReplicaState
 
 
@@ -37,9 +37,27 @@
         elif (self._round, self._match_index) != self._answered:
             self._accept()
 
-    def install(self, message: InstallSnapshot) -> None:
-        """Takes the snapshot in and answers, once it is on the disk."""
-        self._state.install(message.snapshot)
+    def take_piece(self, message: SnapshotPiece) -> None:
+        """Takes a piece in and tells how much is here; a whole snapshot is installed.
+
+        An installed one is acknowledged as entries are, once it is on the disk.
+        """
+        state = self._state
+        if message.snapshot.index <= state.commit_index:
+            self._hold_snapshot(message)
+            return
+        snapshot = state.incoming.take(message)
+        received = message.size if snapshot is not None else state.incoming.received(message)
+        reply = SnapshotReply(
+            state.shard, state.identity, state.epoch, message.digest, received, message.round
+        )
+        state.send(self.owner, reply)
+        if snapshot is not None:
+            state.install(snapshot)
+            self._hold_snapshot(message)
+
+    def _hold_snapshot(self, message: SnapshotPiece) -> None:
+        """All up to the snapshot's index is here, by this snapshot or by committed entries."""
         self._verify(message.snapshot.index, message.round)
         self._accept_when_durable()
 
--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -18,9 +18,9 @@
     DurableState,
     Entry,
     EntryKind,
-    InstallSnapshot,
     ReplicaId,
     ShardId,
+    SnapshotPiece,
 )
 from .replica import Replica, Timing
 
@@ -149,13 +149,19 @@
         """A message from another replica; an owner's word begins a replica where none is here."""
         hosted = self._hosted.get(message.shard)
         if hosted is None:
-            if not isinstance(message, AppendEntries | InstallSnapshot) or not self._hosts(message.shard):
+            if not isinstance(message, AppendEntries | SnapshotPiece) or not self._hosts(message.shard):
                 return
             self.open(message.shard, (), now)
             hosted = self._hosted[message.shard]
         hosted.replica.receive(message, now)
         self._work(hosted)
 
+    def reconnected(self, replica: ReplicaId) -> None:
+        """A new connection to another replica's process stands."""
+        for hosted in self._hosted.values():
+            hosted.replica.reconnected(replica)
+            self._work(hosted)
+
     def tick(self, now: float) -> None:
         """Time went on."""
         for hosted in list(self._hosted.values()):
--- a/kestrelbend/tier/replication/log.py
+++ b/kestrelbend/tier/replication/log.py
@@ -10,6 +10,7 @@
 
 from .group import Voters, decode_group
 from .messages import DurableState, Entry, EntryKind, Snapshot
+from .timing import Timing
 
 
 @attrs.define
@@ -113,19 +114,35 @@
         self.snapshot = Snapshot(voters=voters)
         self._snapshot_unwritten = True
 
-    def compact(self, index: int, state: bytes, tail: int) -> None:
-        """Takes a snapshot at the applied `index`; keeps `tail` entries before it for slow followers."""
+    def compact(self, index: int, state: bytes, timing: Timing, needed_after: int) -> None:
+        """Takes a snapshot at the applied `index`; keeps a tail before it for slow followers.
+
+        Entries after `needed_after` are kept as well, as far as they are not too many bytes.
+        """
         epoch = self.epoch_at(index)
         assert epoch is not None, "a snapshot of an entry that the log doesn't hold"
         self.snapshot = Snapshot(index=index, epoch=epoch, voters=self.voters_at(index), state=state)
         self._groups = [group for group in self._groups if group[0] > index]
         self._snapshot_unwritten = True
         self._unwritten_from = max(self._unwritten_from, index + 1)
-        new_base = max(self.base_index, index - tail)
+        tail_base = max(index - timing.tail_entries, self._base_within(index, timing.tail_bytes))
+        needed_base = max(needed_after, self._base_within(index, timing.retained_bytes))
+        new_base = max(self.base_index, min(tail_base, needed_base))
         new_epoch = self.epoch_at(new_base)
         del self.entries[: new_base - self.base_index]
         self.base_index, self.base_epoch = new_base, new_epoch
 
+    def _base_within(self, index: int, most_bytes: int) -> int:
+        """The lowest base from which the entries up to `index` are no more bytes than these."""
+        left = most_bytes
+        base = index
+        while base > self.base_index:
+            left -= len(self.entries[base - self.base_index - 1].data)
+            if left < 0:
+                break
+            base -= 1
+        return base
+
     def install(self, snapshot: Snapshot, commit_index: int) -> None:
         """Takes over the owner's snapshot, which reaches beyond `commit_index`."""
         if self.epoch_at(snapshot.index) == snapshot.epoch:
--- a/kestrelbend/tier/replication/messages.py
+++ b/kestrelbend/tier/replication/messages.py
@@ -88,13 +88,33 @@
 
 
 @attrs.frozen
-class InstallSnapshot:
-    """A snapshot in place of entries that the owner no longer keeps; answered by `AppendReply`."""
+class SnapshotPiece:
+    """Part of a snapshot in place of entries that the owner no longer keeps; answered by `SnapshotReply`.
+
+    `snapshot` is without its state; `size` and `digest` are those of the whole state.  A replica that needs
+    no more of it, and one that has installed it, answers by `AppendReply`.
+    """
 
     shard: ShardId
     sender: ReplicaId
     epoch: int
     snapshot: Snapshot
+    size: int
+    digest: bytes
+    offset: int
+    data: bytes
+    round: int
+
+
+@attrs.frozen
+class SnapshotReply:
+    """The first `received` bytes of the snapshot with this digest are at the sender, not yet on its disk."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    digest: bytes
+    received: int
     round: int
 
 
@@ -107,7 +127,9 @@
     epoch: int
 
 
-ReplicaMessage = RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | TransferOwnership
+ReplicaMessage = (
+    RequestVote | VoteReply | AppendEntries | AppendReply | SnapshotPiece | SnapshotReply | TransferOwnership
+)
 
 
 @attrs.frozen
--- a/kestrelbend/tier/replication/owner.py
+++ b/kestrelbend/tier/replication/owner.py
@@ -8,8 +8,9 @@
 import attrs
 
 from .group import has_quorum, quorum_size
-from .messages import AppendEntries, AppendReply, Entry, EntryKind, InstallSnapshot, ReplicaId
+from .messages import AppendEntries, AppendReply, Entry, EntryKind, ReplicaId, SnapshotReply
 from .progress import NEVER, Progress, Rounds
+from .snapshot_transfer import SnapshotSender, piece_message
 from .state import ReplicaState
 
 ENTRY_BYTES = 64  # what an entry costs beside its data, about
@@ -91,19 +92,64 @@
             ready.append(self._confirmations.popleft().ticket)
         return ready
 
-    def replied(self, reply: AppendReply) -> None:
+    def replied(self, reply: AppendReply, now: float) -> None:
         """Takes in a follower's reply of this epoch."""
-        progress = self.followers.get(reply.sender)
-        if progress is None or reply.round > self._rounds.current:
+        progress = self._heard(reply)
+        if progress is None:
             return
-        progress.contact = max(progress.contact, self._rounds.began(reply.round))
-        progress.acknowledged_round = max(progress.acknowledged_round, reply.round)
         if reply.accepted:
-            progress.matched(min(reply.match_index, self._log.last_index))
-        elif reply.round >= progress.fallback_round:
+            progress.matched(min(reply.match_index, self._log.last_index), now)
+        self._end_needless_transfer(progress, reply)
+        if reply.accepted or progress.transfer is not None:
+            return
+        if reply.round >= progress.fallback_round:
             self._rounds.begin(self._round_began_at)
             progress.fall_back(reply.match_index, self._rounds.current)
 
+    def snapshot_replied(self, reply: SnapshotReply, now: float) -> None:
+        """Takes in how much a follower has of the snapshot that is under way to it."""
+        progress = self._heard(reply)
+        if progress is None or progress.transfer is None:
+            return
+        progress.transfer.replied(reply, now)
+        if progress.transfer.is_whole:
+            progress.next_index = progress.transfer.snapshot.index
+            progress.sent(progress.transfer.snapshot.index, 0, now)
+            progress.transfer = None
+
+    def send_again(self, identity: ReplicaId) -> None:
+        """What is under way to this replica may be lost with its connection."""
+        progress = self.followers.get(identity)
+        if progress is not None:
+            progress.send_again()
+
+    def needed_after(self, now: float) -> int:
+        """The index after which followers that have replied lately still need entries."""
+        recent = (
+            progress
+            for progress in self.followers.values()
+            if now - progress.contact <= self._timing.retention
+        )
+        needed = (progress.needed_after for progress in recent)
+        return min((index for index in needed if index >= self._log.base_index), default=self._log.last_index)
+
+    def _heard(self, reply: AppendReply | SnapshotReply) -> Progress | None:
+        """Notes that a follower confirmed the ownership in the reply's round."""
+        progress = self.followers.get(reply.sender)
+        if progress is None or reply.round > self._rounds.current:
+            return None
+        progress.contact = max(progress.contact, self._rounds.began(reply.round))
+        progress.acknowledged_round = max(progress.acknowledged_round, reply.round)
+        return progress
+
+    def _end_needless_transfer(self, progress: Progress, reply: AppendReply) -> None:
+        """Ends a transfer to a follower that holds what the log goes on from, or has committed as much."""
+        transfer = progress.transfer
+        if transfer is None:
+            return
+        if progress.match_index >= self._log.base_index or reply.match_index >= transfer.snapshot.index:
+            progress.transfer = None
+
     def advance_commit(self) -> bool:
         """Commits what a majority's disks hold, once that reaches into this epoch; whether any was.
 
@@ -149,38 +195,49 @@
             self.begin_round(now)
         for identity, progress in self.followers.items():
             if progress.sent_round < self._rounds.current:
-                self._send_append(identity, progress, ())
+                self._send_append(identity, progress, (), now)
             if now - max(progress.contact, self.began_at) > self._timing.reply_timeout:
                 continue
             self._send_entries(identity, progress, now)
-            if progress.sent_commit < min(self._state.commit_index, progress.next_index - 1):
-                self._send_append(identity, progress, ())
+            if progress.sent_commit < min(self._state.commit_index, self._previous_index(progress, now)):
+                self._send_append(identity, progress, (), now)
 
     def _send_entries(self, identity: ReplicaId, progress: Progress, now: float) -> None:
-        while progress.next_index <= self._log.last_index:
+        while progress.transfer is None and progress.next_index <= self._log.last_index:
             if progress.outstanding_bytes >= self._timing.window_bytes:
                 return
-            if progress.next_index <= self._log.base_index:
-                self._send_snapshot(identity, progress, now)
+            if progress.is_overtaken(now, self._timing):
                 return
+            if progress.next_index <= self._log.base_index:
+                progress.transfer = SnapshotSender(self._log.snapshot, self._timing, now)
+                break
             entries = self._log.batch(progress.next_index, self._timing.append_bytes, ENTRY_BYTES)
-            self._send_append(identity, progress, entries)
+            self._send_append(identity, progress, entries, now)
             size = sum(len(entry.data) + ENTRY_BYTES for entry in entries)
-            progress.sent(entries[-1].index, size)
+            progress.sent(entries[-1].index, size, now)
+        if progress.transfer is not None:
+            self._send_pieces(identity, progress.transfer, now)
 
-    def _send_snapshot(self, identity: ReplicaId, progress: Progress, now: float) -> None:
-        if now - progress.snapshot_sent_at < self._timing.snapshot_retry:
-            return
+    def _send_pieces(self, identity: ReplicaId, transfer: SnapshotSender, now: float) -> None:
         state = self._state
-        snapshot = self._log.snapshot
-        message = InstallSnapshot(state.shard, state.identity, state.epoch, snapshot, self._rounds.current)
-        state.send(identity, message)
-        progress.snapshot_sent_at = now
-        progress.sent(snapshot.index, len(snapshot.state))
-
-    def _send_append(self, identity: ReplicaId, progress: Progress, entries: tuple[Entry, ...]) -> None:
+        for piece in transfer.due(now):
+            message = piece_message(
+                transfer, piece, state.shard, state.identity, state.epoch, self._rounds.current
+            )
+            state.send(identity, message)
+
+    def _previous_index(self, progress: Progress, now: float) -> int:
+        """The entry that a message follows: the last one sent, unless that may come after the message."""
+        index = progress.next_index - 1
+        if progress.is_overtaken(now, self._timing):
+            index = min(index, progress.match_index)
+        return max(index, self._log.base_index)
+
+    def _send_append(
+        self, identity: ReplicaId, progress: Progress, entries: tuple[Entry, ...], now: float
+    ) -> None:
         state = self._state
-        previous = max(progress.next_index - 1, self._log.base_index)
+        previous = self._previous_index(progress, now)
         progress.sent_round = self._rounds.current
         progress.sent_commit = min(state.commit_index, previous + len(entries))
         message = AppendEntries(
--- a/kestrelbend/tier/replication/progress.py
+++ b/kestrelbend/tier/replication/progress.py
@@ -10,12 +10,27 @@
 
 import attrs
 
+from .snapshot_transfer import SnapshotSender
+from .timing import Timing
+
 NEVER = float("-inf")
 
 
+@attrs.frozen
+class Outstanding:
+    """Entries that were sent together and are not acknowledged yet."""
+
+    first_index: int
+    last_index: int
+    size: int
+
+
 @attrs.define
 class Progress:
-    """One follower: `match_index` is on its disk, `next_index` is the first not yet sent."""
+    """One follower: `match_index` is on its disk, `next_index` is the first not yet sent.
+
+    `transfer` is the snapshot under way to it, in place of the entries up to its index.
+    """
 
     next_index: int
     match_index: int = 0
@@ -24,22 +39,33 @@
     sent_round: int = 0
     sent_commit: int = 0
     fallback_round: int = 0
-    snapshot_sent_at: float = NEVER
-    outstanding: deque[tuple[int, int]] = attrs.field(factory=deque)
+    transfer: SnapshotSender | None = None
+    outstanding: deque[Outstanding] = attrs.field(factory=deque)
     outstanding_bytes: int = 0
+    moved_at: float = NEVER  # when what is under way last came forward
+
+    @property
+    def needed_after(self) -> int:
+        """The index after which this follower still needs entries."""
+        if self.transfer is not None:
+            return self.transfer.snapshot.index
+        return (self.outstanding[0].first_index if self.outstanding else self.next_index) - 1
 
-    def sent(self, last_index: int, size: int) -> None:
+    def sent(self, last_index: int, size: int, now: float) -> None:
         """Entries up to `last_index`, of `size` bytes together, are under way."""
-        self.next_index = last_index + 1
-        self.outstanding.append((last_index, size))
+        if not self.outstanding:
+            self.moved_at = now
+        self.outstanding.append(Outstanding(self.next_index, last_index, size))
         self.outstanding_bytes += size
+        self.next_index = last_index + 1
 
-    def matched(self, index: int) -> None:
+    def matched(self, index: int, now: float) -> None:
         """The follower's disk holds the log up to `index`."""
         self.match_index = max(self.match_index, index)
         self.next_index = max(self.next_index, self.match_index + 1)
-        while self.outstanding and self.outstanding[0][0] <= self.match_index:
-            self.outstanding_bytes -= self.outstanding.popleft()[1]
+        while self.outstanding and self.outstanding[0].last_index <= self.match_index:
+            self.outstanding_bytes -= self.outstanding.popleft().size
+            self.moved_at = now
 
     def fall_back(self, hint: int, round_number: int) -> None:
         """The follower lacks what came before: begin again after `hint`.
@@ -48,6 +74,28 @@
         """
         self.next_index = max(self.match_index + 1, min(self.next_index, hint + 1))
         self.fallback_round = round_number
+        self._clear_outstanding()
+
+    def send_again(self) -> None:
+        """What is under way is lost: begin again after what the follower has acknowledged."""
+        if self.outstanding:
+            self.next_index = max(self.match_index + 1, self.outstanding[0].first_index)
+            self._clear_outstanding()
+        if self.transfer is not None:
+            self.transfer.resume()
+
+    def is_overtaken(self, now: float, timing: Timing) -> bool:
+        """Whether what is under way is so large that a smaller message may come before it.
+
+        Links let small messages pass large ones.  What was sent after a large message would be refused if it
+        came first, and the large one sent again.  One that is under way for too long counts as lost.
+        """
+        if not any(sent.size > timing.overtaken_bytes for sent in self.outstanding):
+            return False
+        most = timing.snapshot_retry + self.outstanding_bytes / timing.overtaken_pace
+        return now - self.moved_at <= most
+
+    def _clear_outstanding(self) -> None:
         self.outstanding.clear()
         self.outstanding_bytes = 0
 
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -18,11 +18,12 @@
     DurableRecord,
     DurableState,
     EntryKind,
-    InstallSnapshot,
     ReplicaId,
     ReplicaMessage,
     RequestVote,
     ShardId,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
     VoteReply,
 )
@@ -114,9 +115,11 @@
             self._receive_vote_request(message, now)
         elif isinstance(message, VoteReply):
             self._receive_vote(message, now)
-        elif isinstance(message, InstallSnapshot):
+        elif isinstance(message, SnapshotPiece):
             if self._hear_owner(message, now):
-                self._following.install(message)
+                self._following.take_piece(message)
+        elif isinstance(message, SnapshotReply):
+            self._receive_snapshot_reply(message, now)
         elif isinstance(message, TransferOwnership):
             self._receive_transfer(message, now)
 
@@ -180,7 +183,13 @@
         """Takes the state machine's state after the applied entry `index` in place of the entries."""
         log = self._state.log
         if log.snapshot.index < index <= self.applied_index:
-            log.compact(index, state, self._timing.tail_entries)
+            needed = self._owner.needed_after(self._now) if self._owner is not None else index
+            log.compact(index, state, self._timing, needed)
+
+    def reconnected(self, identity: ReplicaId) -> None:
+        """A new connection to a replica's process stands: what was sent over older ones may be lost."""
+        if self._owner is not None:
+            self._owner.send_again(identity)
 
     def durable_record(self) -> DurableRecord:
         """All that a disk must hold of this replica, in one record."""
@@ -261,7 +270,7 @@
 
     # Following
 
-    def _hear_owner(self, message: AppendEntries | InstallSnapshot, now: float) -> bool:
+    def _hear_owner(self, message: AppendEntries | SnapshotPiece, now: float) -> bool:
         """Whether the sender owns the present epoch; an older owner is told of the newer one."""
         if message.epoch < self.epoch:
             refusal = AppendReply(self.shard, self.identity, self.epoch, False, 0, message.round)
@@ -282,9 +291,15 @@
         if reply.epoch > self.epoch:
             self._enter_epoch(reply.epoch, now)
         elif reply.epoch == self.epoch and self._owner is not None:
-            self._owner.replied(reply)
+            self._owner.replied(reply, now)
             self._advance_commit(now)
 
+    def _receive_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
+        if reply.epoch > self.epoch:
+            self._enter_epoch(reply.epoch, now)
+        elif reply.epoch == self.epoch and self._owner is not None:
+            self._owner.snapshot_replied(reply, now)
+
     def _advance_commit(self, now: float) -> None:
         if self._owner.advance_commit():
             self._placement.follow_group(self._owner, self._now)
--- a/kestrelbend/tier/replication/state.py
+++ b/kestrelbend/tier/replication/state.py
@@ -10,6 +10,7 @@
 from .group import Voters
 from .log import ReplicaLog
 from .messages import DurableRecord, DurableState, Entry, ReplicaId, ReplicaMessage, ShardId, Snapshot
+from .snapshot_transfer import SnapshotReceiver
 from .timing import Timing
 
 
@@ -26,6 +27,7 @@
         self.log = ReplicaLog(durable)
         self.disk = DiskGate()
         self.effects = Effects()
+        self.incoming = SnapshotReceiver()
         self._after_write: list[tuple[ReplicaId, ReplicaMessage]] = []
         self._hard_state_changed = False
         self._hard_state_ticket = 0
@@ -78,12 +80,14 @@
         if index > self.commit_index:
             self.effects.applied.extend(self.log.between(self.commit_index + 1, index))
             self.commit_index = index
+            self.incoming.forget_up_to(index)
 
     def install(self, snapshot: Snapshot) -> None:
         """Takes over an owner's snapshot, where it is ahead of what is committed here."""
         if snapshot.index > self.commit_index:
             self.log.install(snapshot, self.commit_index)
             self.commit_index = snapshot.index
+            self.incoming.forget_up_to(snapshot.index)
             self.effects.restore = snapshot
             self.effects.applied.clear()
 
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -21,8 +21,9 @@
 from ..replication.messages import (
     AppendEntries,
     AppendReply,
-    InstallSnapshot,
     RequestVote,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
     VoteReply,
 )
@@ -44,7 +45,8 @@
     VoteReply,
     AppendEntries,
     AppendReply,
-    InstallSnapshot,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
 )
 
@@ -82,7 +84,7 @@
             Hello(self.address, self.replica_id, self.incarnation),
             self.log,
             self._on_message,
-            self.on_peer,
+            self._on_peer,
             self.on_lost,
         )
 
@@ -209,6 +211,12 @@
         elif link.peer.replica == receiver:
             link.send(message)
 
+    def _on_peer(self, link: Link) -> None:
+        """A new outgoing connection stands: what replicas sent over older ones may be lost."""
+        if self.host is not None and link.peer.replica:
+            self.host.reconnected(link.peer.replica)
+        self.on_peer(link)
+
     def _on_message(self, link: Link, message, sequence: int) -> None:
         if isinstance(message, REPLICA_MESSAGES):
             if self.host is not None:
--- a/tests/tier/replication_harness.py
+++ b/tests/tier/replication_harness.py
@@ -89,6 +89,24 @@
     loss: float = 0.0
     double: float = 0.0
     cut: set = attrs.field(factory=set)
+    bandwidth: float = 0.0  # bytes a second from one machine to another, in order; 0: without bound
+    free_at: dict = attrs.field(factory=dict)  # when a pair's link has sent all that was given to it
+
+    def arrival(self, pair, message, now, delay):
+        """How long a message takes."""
+        if not self.bandwidth:
+            return delay
+        start = max(now, self.free_at.get(pair, 0.0))
+        self.free_at[pair] = start + size_of(message) / self.bandwidth
+        return self.free_at[pair] - now + delay
+
+
+def size_of(message):
+    """About the bytes that a message takes of a link."""
+    entries = getattr(message, "entries", ())
+    snapshot = getattr(message, "snapshot", None)
+    data = len(getattr(message, "data", b"")) + sum(len(entry.data) + 64 for entry in entries)
+    return 100 + data + (len(snapshot.state) if snapshot else 0)
 
 
 class Cluster:
@@ -305,4 +323,5 @@
         copies = 2 if self.links.double and self.random.random() < self.links.double else 1
         for _ in range(copies):
             delay = self.links.delay + self.random.random() * self.links.spread
+            delay = self.links.arrival((node.name, name), message, self.now, delay)
             self._schedule(delay, target, 0, "message", message)
