Small messages pass large ones on a connection; chunks are acknowledged

Cause: a connection wrote in the order of sending, so heartbeats, votes and requests waited behind a 4 MB entry for as long as the link takes for it (2.2 s at 15 Mbit/s), and a request with no reply in that time closed the connection that was transferring.

Change: protocol/framing.py. Messages beyond 32 KiB leave in chunks of 16 KiB; the reader acknowledges them; the window under way halves where acknowledgements take more than 60 ms and grows where they don't. Messages of one name keep their order, but for those of replicas, which bear any. An acknowledgement counts as a word of the peer, so a request without reply closes no connection that is transferring. A request that hasn't begun to leave when its time is over is withdrawn.

test_protocol reads the frame's constants from where they are now.

--- /dev/null
+++ b/kestrelbend/tier/protocol/framing.py
@@ -0,0 +1,201 @@
+"""How messages share one connection: small ones pass large ones.
+
+A frame is a word of four bytes, its kind and the length of what follows, and that.  A message up to
+`SMALL_BYTES` is one frame and leaves at once.  A larger one is cut into chunks; the reader acknowledges
+them, and only a window of them is under way, so that a small message waits behind that window alone,
+whatever else is to be sent.  The window follows the time until acknowledgements come: it shrinks where
+chunks queue up on a narrow link, and grows where they don't.
+
+Invariant: messages of one name arrive in the order in which they were sent, unless their name is among
+those that may come in any order; a large message arrives whole or not at all.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections import deque
+from collections.abc import Iterator
+
+import attrs
+
+WORD = struct.Struct("!I")
+LENGTH_BITS = 30
+MOST_LENGTH = (1 << LENGTH_BITS) - 1
+WHOLE, CHUNK, LAST_CHUNK, ACKNOWLEDGEMENT = range(4)
+
+MOST_MESSAGE_BYTES = 32 << 20
+SMALL_BYTES = 32 * 1024
+CHUNK_BYTES = 16 * 1024
+FIRST_WINDOW = 4 * CHUNK_BYTES
+MOST_WINDOW = 64 * CHUNK_BYTES
+WINDOW_STEP = CHUNK_BYTES // 4  # for each acknowledgement that comes in time, and a chunk for an early one
+ROUND_TRIP_S = 0.06  # that chunks under way may take; beyond, they wait in a queue of the path
+
+
+class FramingError(Exception):
+    """The peer sends what no writer of this module makes."""
+
+    code = "protocol.framing"
+
+
+@attrs.define(eq=False)
+class LargeMessage:
+    """A message that waits behind others, and how much of it has gone."""
+
+    name: bytes
+    data: memoryview
+    position: int = 0
+
+    def take(self, most: int) -> memoryview:
+        """The next bytes."""
+        chunk = self.data[self.position : self.position + most]
+        self.position += len(chunk)
+        return chunk
+
+    @property
+    def left(self) -> int:
+        return len(self.data) - self.position
+
+
+class FrameWriter:
+    """What is to be written to one connection, in the order in which it should go."""
+
+    def __init__(self, any_order: frozenset[bytes] = frozenset()) -> None:
+        self._any_order = any_order
+        self._small: list[bytes] = []
+        self._large: deque[LargeMessage] = deque()
+        self._large_bytes = 0
+        self._window = FIRST_WINDOW
+        self._under_way: deque[tuple[int, float]] = deque()  # bytes of each chunk, and when it went
+        self._under_way_bytes = 0
+        self._shrunk_at = float("-inf")
+
+    @property
+    def waiting_bytes(self) -> int:
+        """What large messages have left to be written."""
+        return self._large_bytes
+
+    def add(self, data: bytes) -> LargeMessage | None:
+        """Takes a message; the handle by which one that waits can be withdrawn."""
+        name = message_name(data)
+        if len(data) <= SMALL_BYTES and (name in self._any_order or not self._waits(name)):
+            self._small += (_word(WHOLE, len(data)), data)
+            return None
+        message = LargeMessage(name, memoryview(data))
+        self._large.append(message)
+        self._large_bytes += len(data)
+        return message
+
+    def withdraw(self, message: LargeMessage) -> None:
+        """Drops a message of which nothing has gone yet."""
+        if message.position == 0 and message in self._large:
+            self._large.remove(message)
+            self._large_bytes -= len(message.data)
+
+    def acknowledge(self, count: int) -> None:
+        """To be told to the peer: chunks of so many bytes have come."""
+        self._small += (_word(ACKNOWLEDGEMENT, WORD.size), WORD.pack(count))
+
+    def acknowledged(self, count: int, now: float) -> None:
+        """The peer has got chunks of so many bytes more."""
+        if count > self._under_way_bytes:
+            raise FramingError("more bytes acknowledged than sent")
+        self._under_way_bytes -= count
+        sent_at = now
+        while self._under_way and count > 0:
+            size, sent_at = self._under_way.popleft()
+            count -= size
+        if count < 0:
+            raise FramingError("part of a chunk acknowledged")
+        self._adapt(sent_at, now)
+
+    def take(self, now: float) -> bytes:
+        """What may be written now: all small messages, and chunks as far as the window reaches."""
+        parts, self._small = self._small, []
+        while self._large and self._under_way_bytes < self._window:
+            parts += self._next_chunk(now)
+        return b"".join(parts)
+
+    def _waits(self, name: bytes) -> bool:
+        return any(message.name == name for message in self._large)
+
+    def _next_chunk(self, now: float) -> tuple[bytes, memoryview]:
+        message = self._large[0]
+        chunk = message.take(CHUNK_BYTES)
+        self._large_bytes -= len(chunk)
+        self._under_way.append((len(chunk), now))
+        self._under_way_bytes += len(chunk)
+        kind = CHUNK
+        if not message.left:
+            kind = LAST_CHUNK
+            self._large.popleft()
+        return _word(kind, len(chunk)), chunk
+
+    def _adapt(self, sent_at: float, now: float) -> None:
+        """Halves the window once for the chunks that were under way together, or lets it grow by a step."""
+        round_trip = now - sent_at
+        if round_trip <= ROUND_TRIP_S:
+            step = CHUNK_BYTES if round_trip <= ROUND_TRIP_S / 4 else WINDOW_STEP
+            self._window = min(MOST_WINDOW, self._window + step)
+        elif sent_at > self._shrunk_at:
+            self._window = max(CHUNK_BYTES, self._window // 2)
+            self._shrunk_at = now
+
+
+class FrameReader:
+    """Whole messages out of a connection's bytes."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._chunks = bytearray()
+        self.chunk_bytes = 0  # since the caller last set it back, to be acknowledged
+        self.acknowledged_bytes = 0  # the same, of the peer's acknowledgements
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Takes what has come; raises `FramingError` where it can't go on."""
+        self._buffer += data
+        position = 0
+        try:
+            while len(self._buffer) - position >= WORD.size:
+                (word,) = WORD.unpack_from(self._buffer, position)
+                length = word & MOST_LENGTH
+                if length > MOST_MESSAGE_BYTES:
+                    raise FramingError("a frame that is too long")
+                end = position + WORD.size + length
+                if len(self._buffer) < end:
+                    break
+                body = bytes(memoryview(self._buffer)[position + WORD.size : end])
+                position = end
+                message = self._message(word >> LENGTH_BITS, body)
+                if message is not None:
+                    yield message
+        finally:
+            del self._buffer[:position]
+
+    def _message(self, kind: int, body: bytes) -> bytes | None:
+        if kind == WHOLE:
+            return body
+        if kind == ACKNOWLEDGEMENT:
+            if len(body) != WORD.size:
+                raise FramingError("not an acknowledgement")
+            self.acknowledged_bytes += WORD.unpack(body)[0]
+            return None
+        self.chunk_bytes += len(body)
+        self._chunks += body
+        if len(self._chunks) > MOST_MESSAGE_BYTES:
+            raise FramingError("a message that is too long")
+        if kind == CHUNK:
+            return None
+        message = bytes(self._chunks)
+        self._chunks = bytearray()
+        return message
+
+
+def message_name(data: bytes) -> bytes:
+    """The name at the head of an encoded message, see `codec.encode`."""
+    (size,) = WORD.unpack_from(data, WORD.size)
+    return bytes(data[2 * WORD.size : 2 * WORD.size + size])
+
+
+def _word(kind: int, length: int) -> bytes:
+    return WORD.pack(kind << LENGTH_BITS | length)
--- a/kestrelbend/tier/protocol/links.py
+++ b/kestrelbend/tier/protocol/links.py
@@ -1,24 +1,34 @@
 """Long connections between processes of the tier.
 
-Each process listens on one port and keeps one outgoing connection to each peer it needs.  A frame is a
-length of four bytes and one message.  A message that cannot be sent now is dropped: what must arrive is
-repeated by the part that needs it.  Nothing here waits for a peer.
+Each process listens on one port and keeps one outgoing connection to each peer it needs.  `framing` says how
+messages share it: small ones don't wait behind large ones.  A message that cannot be sent now is dropped:
+what must arrive is repeated by the part that needs it.  Nothing here waits for a peer.
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable
 
 import attrs
 
 from ..membership.messages import Hello
+from ..replication import messages as replication
 from .codec import DecodeError, decode_with_sequence, encode
-
-LENGTH = struct.Struct("!I")
-MOST_FRAME_BYTES = 32 << 20
+from .framing import FrameReader, FrameWriter, FramingError, LargeMessage
+
+ANY_ORDER = frozenset(  # replicas bear any order of these
+    message.__name__.encode()
+    for message in (
+        replication.RequestVote,
+        replication.VoteReply,
+        replication.AppendEntries,
+        replication.AppendReply,
+        replication.SnapshotReply,
+        replication.TransferOwnership,
+    )
+)
 MOST_WAITING_BYTES = 24 << 20  # a peer that reads nothing loses its connection beyond
 UNACKNOWLEDGED_MS = 600  # a connection to a silent machine ends after this
 CONNECT_TIMEOUT_S = 0.3
@@ -45,8 +55,9 @@
         self.address = ""  # dialled, where outgoing
         self.peer: Hello | None = None
         self._transport: asyncio.Transport | None = None
-        self._buffer = bytearray()
-        self._frames: list[bytes] = []  # to be written together when the loop comes round
+        self._reader = FrameReader()
+        self._writer = FrameWriter(ANY_ORDER)
+        self._write_due = False  # once the loop comes round
         self._waiting: dict[int, asyncio.Future] = {}
         self._sequence = 0
         self.closed = False
@@ -63,22 +74,26 @@
     def data_received(self, data):
         """Takes whole frames off what has come."""
         self.heard_at = asyncio.get_running_loop().time()
-        buffer = self._buffer
-        buffer += data
-        position = 0
-        while len(buffer) - position >= LENGTH.size:
-            (size,) = LENGTH.unpack_from(buffer, position)
-            if size > MOST_FRAME_BYTES:
-                return self.close()
-            end = position + LENGTH.size + size
-            if len(buffer) < end:
-                break
-            frame = bytes(buffer[position + LENGTH.size : end])
-            position = end
-            if not self._take(frame):
-                return self.close()
-        if position:
-            del buffer[:position]
+        try:
+            for frame in self._reader.feed(data):
+                if not self._take(frame):
+                    return self.close()
+            self._follow_chunks()
+        except FramingError as fault:
+            self._owner.log.warning("connection given up: {}", fault)
+            self.close()
+
+    def _follow_chunks(self) -> None:
+        """Acknowledges the chunks that have come, and goes on with those that the peer has room for."""
+        reader = self._reader
+        if reader.chunk_bytes:
+            self._writer.acknowledge(reader.chunk_bytes)
+            reader.chunk_bytes = 0
+            self._write_soon()
+        if reader.acknowledged_bytes:
+            self._writer.acknowledged(reader.acknowledged_bytes, self.heard_at)
+            reader.acknowledged_bytes = 0
+            self._write_soon()
 
     def _take(self, frame: bytes) -> bool:
         try:
@@ -104,23 +119,38 @@
 
     def send_encoded(self, data: bytes) -> bool:
         """As `send`, for one encoding that goes to many."""
+        if not self._may_send():
+            return False
+        self._add(data)
+        return True
+
+    def _may_send(self) -> bool:
         transport = self._transport
         if transport is None or self.closed or transport.is_closing():
             return False
-        if transport.get_write_buffer_size() > MOST_WAITING_BYTES:
+        if transport.get_write_buffer_size() + self._writer.waiting_bytes > MOST_WAITING_BYTES:
             self.close()
             return False
-        if not self._frames:
-            asyncio.get_running_loop().call_soon(self._write_frames)
-        self._frames += (LENGTH.pack(len(data)), data)
-        self._owner.sent_bytes += len(data)
         return True
 
+    def _add(self, data: bytes) -> LargeMessage | None:
+        waiting = self._writer.add(data)
+        self._owner.sent_bytes += len(data)
+        self._write_soon()
+        return waiting
+
+    def _write_soon(self) -> None:
+        if not self._write_due:
+            self._write_due = True
+            asyncio.get_running_loop().call_soon(self._write_frames)
+
     def _write_frames(self) -> None:
         """One call of the system for all frames of one turn of the loop."""
-        frames = b"".join(self._frames)
-        self._frames.clear()
-        if not self.closed and not self._transport.is_closing():
+        self._write_due = False
+        if self.closed or self._transport.is_closing():
+            return
+        frames = self._writer.take(asyncio.get_running_loop().time())
+        if frames:
             self._transport.write(frames)
 
     def reply(self, sequence: int, message) -> None:
@@ -129,16 +159,21 @@
             self.send(message, -sequence)
 
     async def request(self, message, timeout: float):
-        """The reply, or None where none came in time or the connection ended."""
+        """The reply, or None where none came in time or the connection ended.
+
+        A request that has not begun to leave by then never does.
+        """
         self._sequence += 1
         sequence = self._sequence
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         future = loop.create_future()
         self._waiting[sequence] = future
+        sent = None
         try:
-            if not self.send(message, sequence):
+            if not self._may_send():
                 return None
+            sent = self._add(encode(message, sequence))
             async with asyncio.timeout(timeout):
                 return await future
         except TimeoutError:
@@ -147,6 +182,8 @@
             return None
         finally:
             self._waiting.pop(sequence, None)
+            if sent is not None:
+                self._writer.withdraw(sent)
 
     def connection_lost(self, exc):
         """Ends what waits for replies."""
--- a/tests/tier/test_protocol.py
+++ b/tests/tier/test_protocol.py
@@ -12,7 +12,8 @@
 
 from kestrelbend.tier.membership.messages import Hello
 from kestrelbend.tier.protocol.codec import MESSAGES, DecodeError, decode, decode_with_sequence, encode
-from kestrelbend.tier.protocol.links import LENGTH, MOST_FRAME_BYTES, Link
+from kestrelbend.tier.protocol.framing import MOST_MESSAGE_BYTES, WORD
+from kestrelbend.tier.protocol.links import Link
 from kestrelbend.tier.replication.messages import AppendEntries, DurableRecord, Entry, TransferOwnership
 
 PLAIN = {int: 7, str: "näme", bytes: b"\x00\xff", bool: True}
@@ -176,8 +177,8 @@
 
     def test_given_nonsense_or_a_frame_too_long_when_it_comes_then_the_connection_ends(self):
         async def play():
-            self.links[0].data_received(LENGTH.pack(MOST_FRAME_BYTES + 1))
-            self.links[1].data_received(LENGTH.pack(3) + b"abc")
+            self.links[0].data_received(WORD.pack(MOST_MESSAGE_BYTES + 1))
+            self.links[1].data_received(WORD.pack(3) + b"abc")
             self.assertEqual([True, True], [transport.aborted for transport in self.transports])
 
         self.story(play)
