Gateway: contact is counted from its own questions; cut off, turns are answered at once

Cause: a gateway counted itself in contact while any connection stood, and the control process on its own machine always answers; a reservation was given up after 1.8 s whoever could be reached.

Change: GatewayContact asks one control node and the shards' owners each heartbeat (ContactRequest, ContactWord), and all replicas where these do not confirm. While processes on other machines answer, an election is waited for, 1.5 s at most; where none answers for 0.6 s the gateway is unready, turns get SILENT (503, settled as not run), and answers close their connections, since an open connection stays with its gateway. may_refuse() tells whether the version in force was confirmed as the newest within 0.6 s. It is a question and an answer in place of a stream: a machine whose own packets are lost goes on hearing a stream.

One way, may_refuse holds for up to 2.6 s, as the control process beside it hears its owner until its connections end; that ends with a contact that counts confirmed rounds.

--- a/kestrelbend/tier/budgets/client.py
+++ b/kestrelbend/tier/budgets/client.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from kestrelbend.tier.budgets.bounds import bounded_name, bounded_reserve, bounded_settle
-from kestrelbend.tier.budgets.line import ShardLine
+from kestrelbend.tier.budgets.line import ShardLine, silent
 from kestrelbend.tier.budgets.messages import (
     BudgetReply,
     BudgetRequest,
@@ -32,6 +32,10 @@
 """The addresses that may own a shard, in the order in which they are to be tried."""
 
 
+MayWait = Callable[[str], bool]
+"""Whether an owner of a shard answers or soon will; where not, a reservation is refused at once."""
+
+
 class BudgetClient:
     """All of a gateway's budget calls, on the running event loop; does nothing while nobody calls."""
 
@@ -41,23 +45,34 @@
         replicas: Replicas,
         shard_count: int,
         settings: ClientSettings | None = None,
+        may_wait: MayWait = lambda shard: True,
     ) -> None:
         self._send = send
         self._replicas = replicas
         self._shard_count = shard_count
         self._settings = settings or ClientSettings()
+        self._may_wait = may_wait
         self._lines: dict[str, ShardLine] = {}
         self._settled_seen: dict[str, int] = {}
 
     async def reserve(self, reserve: Reserve, within: float | None = None) -> ReserveOutcome:
-        """Asks for a turn's tokens; SILENT where no owner answered within the time in seconds."""
+        """Asks for a turn's tokens; SILENT where no owner answered within the time in seconds, and at once
+        where none can be reached."""
         limit = self._settings.reserve_s if within is None else within
         reserve = bounded_reserve(reserve)
+        if not self._may_wait(shard_of(reserve.program, self._shard_count)):
+            return silent(reserve)
         outcome = await self._line(reserve.program).reserve(reserve, limit)
         if outcome.verdict != Verdict.SILENT:
             self._note_settled(reserve.program, outcome.settled)
         return outcome
 
+    def give_up_waiting(self, shard: str) -> None:
+        """No owner of the shard can be reached: whoever waits for one gets SILENT now."""
+        line = self._lines.get(shard)
+        if line is not None:
+            line.give_up_waiting()
+
     def settle(self, settle: Settle) -> None:
         """Reports how a turn ended; returns at once."""
         settle = bounded_settle(settle)
--- a/kestrelbend/tier/budgets/line.py
+++ b/kestrelbend/tier/budgets/line.py
@@ -73,11 +73,18 @@
                 return await waiting.outcome
         except TimeoutError:
             self._give_up(waiting)
-            return ReserveOutcome(reserve.reservation, Verdict.SILENT, 0, 0, 0)
+            return silent(reserve)
         except asyncio.CancelledError:
             self._give_up(waiting)
             raise
 
+    def give_up_waiting(self) -> None:
+        """Answers all reservations that wait with SILENT; those that were sent are settled as not run."""
+        for waiting in list(self._reserves.values()):
+            if not waiting.outcome.done():
+                waiting.outcome.set_result(silent(waiting.reserve))
+                self._give_up(waiting)
+
     def settle(self, settle: Settle) -> None:
         """Queues a settlement."""
         self._settles[_key(settle)] = settle
@@ -161,5 +168,10 @@
                 one.outcome.set_result(outcome)
 
 
+def silent(reserve: Reserve) -> ReserveOutcome:
+    """The outcome of a reservation that no owner has answered."""
+    return ReserveOutcome(reserve.reservation, Verdict.SILENT, 0, 0, 0)
+
+
 def _key(command: Reserve | Settle) -> _Key:
     return command.program, command.reservation
--- a/kestrelbend/tier/dataplane/life.py
+++ b/kestrelbend/tier/dataplane/life.py
@@ -1,7 +1,7 @@
 """Whether this gateway takes new connections, and whether it is leaving.
 
-Invariant: a gateway that drains is never ready again; what is in flight finishes, and each answer tells its
-client to take another connection.
+Invariant: a gateway that drains is never ready again; what is in flight finishes.  While a gateway drains, or
+is not ready any more, each answer tells its client to take another connection.
 """
 
 from __future__ import annotations
@@ -25,6 +25,11 @@
     def ready(self) -> bool:
         return self._equipped and not self.draining
 
+    @property
+    def sheds_connections(self) -> bool:
+        """Whether each answer closes its connection: the platform sends the next one to another gateway."""
+        return self.draining or (self._ready.is_set() and not self._equipped)
+
     def set_ready(self, ready: bool) -> None:
         """Whether the gateway has what it needs to serve."""
         self._equipped = ready
--- a/kestrelbend/tier/membership/messages.py
+++ b/kestrelbend/tier/membership/messages.py
@@ -97,6 +97,26 @@
     version: int
 
 
+@attrs.frozen
+class ContactRequest:
+    """A gateway asks a control node or a store whether it is in contact; the word repeats the ticket."""
+
+    ticket: int
+
+
+@attrs.frozen
+class ContactWord:
+    """The answer to a `ContactRequest`, true at some moment after the request was sent.
+
+    It is an answer and not a stream: a gateway whose own packets are lost would go on hearing a stream.
+    """
+
+    ticket: int
+    in_contact: bool  # with the owner of the configuration's shard; False where there is no replica of it
+    version: int  # of the configuration, as applied here
+    owned: tuple[str, ...]  # budget shards that this process owns and is in contact for
+
+
 @attrs.frozen
 class Hello:
     """The first message on each connection, both ways: who is there.
--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -32,6 +32,8 @@
 struct Subscribe { 1: Member member, 2: i64 config_version }
 struct ConfigUpdate { 1: i64 version, 2: bool current, 3: binary body }
 struct ConfigAck { 1: i64 version }
+struct ContactRequest { 1: i64 ticket }
+struct ContactWord { 1: i64 ticket, 2: bool in_contact, 3: i64 version, 4: list<string> owned }
 
 struct ConfigOrder { 1: i32 kind, 2: i64 base_version, 3: binary body }
 struct ConfigOutcome { 1: i32 status, 2: i64 version, 3: string reason }
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -15,12 +15,12 @@
 from ..dataplane.server import Listener
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.view import BackendView
-from ..membership.messages import ConfigAck, ConfigUpdate
+from ..membership.messages import ConfigAck, ConfigUpdate, ContactRequest, ContactWord
 from ..membership.placement import BUDGET_SHARDS, address_of, budget_shards
+from .gateway_contact import GatewayContact, Standing
 from .process import GATEWAY_PORT, TierProcess
 
 BUDGET_REPLY_S = 0.35
-SILENT_READY_S = 1.0  # without any control node or store for longer, new connections should go elsewhere
 SETTLED_BACKENDS_S = 3.0  # after this a gateway serves though some service has no backend yet
 VIEW_CHECK_S = 1.0
 LEAVE_S = 2.6  # the platform's two misses of readiness, and a little
@@ -62,7 +62,7 @@
         self.budget_client: BudgetClient | None = None
         self._current = False
         self._told_backends_at: float | None = None
-        self._heard_at = self.now()
+        self.contact = GatewayContact(settings.ip)
         self._view_checked = 0.0
         self._serving: asyncio.Task | None = None
         self.data_plane = assemble(
@@ -90,6 +90,8 @@
             self._take_configuration(link, message)
         elif isinstance(message, BackendUpdate):
             self._take_backends(link, message)
+        elif isinstance(message, ContactWord):
+            self.contact.take(link.address, message)
 
     def _take_configuration(self, link, update: ConfigUpdate) -> None:
         if update.body:
@@ -110,7 +112,9 @@
         super().on_directory()
         placed = self.directory.placements
         if self.budget_client is None and all(shard in placed for shard in budget_shards()):
-            self.budget_client = BudgetClient(self._send_budget, self._budget_addresses, BUDGET_SHARDS)
+            self.budget_client = BudgetClient(
+                self._send_budget, self._budget_addresses, BUDGET_SHARDS, may_wait=self._may_wait
+            )
 
     def wanted_links(self):
         """Control nodes, and all that may own a budget shard."""
@@ -131,8 +135,16 @@
         link = self.links.to(address)
         if link is None:
             return None
+        asked_at = self.now()
         reply = await link.request(request, BUDGET_REPLY_S)
-        return reply if isinstance(reply, BudgetReply) else None
+        if not isinstance(reply, BudgetReply):
+            return None
+        self.contact.replied(address, request.shard, reply.owner, asked_at)
+        return reply
+
+    def _may_wait(self, shard: str) -> bool:
+        """Whether an owner of the shard answers, or soon will."""
+        return self.contact.shard(shard, self.now()) is not Standing.LOST
 
     async def reserve(self, service: str, command: Reserve) -> ReserveOutcome:
         """A turn's tokens at the owner of its program's shard."""
@@ -148,6 +160,10 @@
         """Whether the last total seen already refuses the turn."""
         return self.budget_client is not None and self.budget_client.spent_locally(program, most, budget)
 
+    def may_refuse(self) -> bool:
+        """Whether 401, 403 and 404 may be given by the configuration in force: it was the newest lately."""
+        return self.contact.may_refuse(self.routing.version, self.now())
+
     # Backends
 
     def of(self, service: str):
@@ -160,19 +176,33 @@
 
     # Time
 
+    def on_tick(self, now):
+        """Readiness follows what is known and who is in contact; nothing waits for those that are not."""
+        self.contact.tick(now)
+        self.life.set_ready(self._equipped(now))
+        if self.budget_client is not None:
+            for shard in self.contact.lost_shards(now):
+                self.budget_client.give_up_waiting(shard)
+
     def on_heartbeat(self, now):
-        """Readiness follows what is known and who is in touch."""
+        """Asks who is in contact, and forgets backends that are silent."""
+        self._ask_for_contact(now)
         if now - self._view_checked >= VIEW_CHECK_S:
             self._view_checked = now
             self.view.refresh(now, self.settings.heartbeat_ms / 1000)
-        if any(self.links.to(address) for address in self.links.addresses()):
-            self._heard_at = now
-        self.life.set_ready(self._equipped(now))
+
+    def _ask_for_contact(self, now: float) -> None:
+        replicas = {shard: self._budget_addresses(shard) for shard in budget_shards()}
+        self.contact.follow(self.control_addresses(), replicas)
+        for address, ticket in self.contact.questions(now).items():
+            link = self.links.to(address)
+            if link is not None:
+                link.send(ContactRequest(ticket))
 
     def _equipped(self, now: float) -> bool:
         if not self._current or self.budget_client is None or self._told_backends_at is None:
             return False
-        if now - self._heard_at > SILENT_READY_S:
+        if not self.contact.serves(now):
             return False
         if now - self._told_backends_at > SETTLED_BACKENDS_S:
             return True
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -12,7 +12,16 @@
 
 from ..budgets.shards import SHARD_PREFIX
 from ..membership.directory import DirectoryView
-from ..membership.messages import Directory, Heartbeat, Hello, Member, ShardReport, Subscribe
+from ..membership.messages import (
+    ContactRequest,
+    ContactWord,
+    Directory,
+    Heartbeat,
+    Hello,
+    Member,
+    ShardReport,
+    Subscribe,
+)
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from ..membership.ring import monitors
 from ..protocol.codec import decode, encode
@@ -216,6 +225,8 @@
         elif isinstance(message, Directory):
             self.directory.take(link.address, message)
             self.on_directory()
+        elif isinstance(message, ContactRequest):
+            link.send(self.contact_word(message.ticket))
         else:
             self.on_message(link, message, sequence)
 
@@ -281,6 +292,25 @@
             )
         return tuple(reports)
 
+    def contact_word(self, ticket: int) -> ContactWord:
+        """What a gateway may believe of this process's replicas now."""
+        return ContactWord(
+            ticket=ticket,
+            in_contact=self._is_in_contact(CONFIGURATION_SHARD),
+            version=self.config_version(),
+            owned=tuple(shard for shard in self._budget_shards_owned() if self._is_in_contact(shard)),
+        )
+
+    def _is_in_contact(self, shard: str) -> bool:
+        replica = None if self.host is None else self.host.replica(shard)
+        return replica is not None and replica.in_touch(self.now())
+
+    def _budget_shards_owned(self) -> list[str]:
+        if self.host is None:
+            return []
+        shards = [shard for shard in self.host.shards() if shard != CONFIGURATION_SHARD]
+        return [shard for shard in shards if self.host.replica(shard).is_owner]
+
     def heartbeat(self) -> Heartbeat:
         """What this process tells its monitors now."""
         self._beat += 1
