Placements are numbered, and a group never follows a lower number than its log has seen

Cause: a restarted store begins with a directory of version -1, so a directory from a control node that was cut off moved a group back to a replaced or retired replica; a configuration owner that owned again went on towards the target of its former ownership. Entries without a number read as 0.

Steps: one voter is added, then one removed, the dead first, so a group on its way is larger than its target by one at most. Before, with a successor away, the dead stayed: a group of 5 had 6 voters, 4 alive, and a loss that Tolerate 2 allows left no majority. A learner is added once its disk holds what was committed an election timeout ago, in place of "within 64 entries", by which an empty disk counted as caught up in a young log; a live voter leaves only once the other live ones are caught up.

`catchup_entries` is gone from Timing, and from the search's settings.

--- a/kestrelbend/tier/control/placing.py
+++ b/kestrelbend/tier/control/placing.py
@@ -67,7 +67,7 @@
             available,
             lambda voter: self._silence(voter, now),
         )
-        replica.set_target(voters)
+        replica.set_target(voters, epoch=replica.epoch)
 
     def _silence(self, replica_id: str, now: float) -> float:
         """For how long a replica has been away.
--- a/kestrelbend/tier/membership/messages.py
+++ b/kestrelbend/tier/membership/messages.py
@@ -16,6 +16,9 @@
     voters: tuple[str, ...]
     applied_index: int
     commit_index: int
+    committed_voters: tuple[str, ...] = ()  # the newest group that is known to be committed
+    placement_number: int = 0  # of the placement that this group was moved towards
+    settled: bool = False  # at the owner: no change is under way and every live voter holds what is committed
 
 
 @attrs.frozen
@@ -55,11 +58,16 @@
 
 @attrs.frozen
 class ShardPlacement:
-    """Who should vote on a shard: decided in the configuration's shard, carried out by the shard's owner."""
+    """Who should vote on a shard: decided in the configuration's shard, carried out by the shard's owner.
+
+    Invariant: `number` rises by one with each change of the shard's placement, so two placements of one
+    number are equal; 0 stands for those that were written before placements had numbers.
+    """
 
     shard: str
     founders: tuple[str, ...]  # replicas that began the shard; never changes
     voters: tuple[str, ...]  # replicas that should hold it now, in the order of ownership
+    number: int = 0
 
 
 @attrs.frozen
--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -4,7 +4,7 @@
 //   thrift --gen py -out generated tier.thrift
 
 struct Entry { 1: i64 index, 2: i64 epoch, 3: i32 kind, 4: binary data }
-struct Snapshot { 1: i64 index, 2: i64 epoch, 3: list<string> voters, 4: binary state }
+struct Snapshot { 1: i64 index, 2: i64 epoch, 3: list<string> voters, 4: binary state, 5: i64 placement_number }
 struct RequestVote { 1: string shard, 2: string sender, 3: i64 epoch, 4: i64 last_index, 5: i64 last_epoch, 6: bool trial }
 struct VoteReply { 1: string shard, 2: string sender, 3: i64 epoch, 4: bool granted, 5: bool trial }
 struct AppendEntries { 1: string shard, 2: string sender, 3: i64 epoch, 4: i64 previous_index, 5: i64 previous_epoch, 6: list<Entry> entries, 7: i64 commit_index, 8: i64 round }
@@ -23,11 +23,11 @@
 struct BackendUpdate { 1: string sender, 2: i64 number, 3: bool whole, 4: list<Backend> backends }
 struct BackendAck { 1: string sender, 2: i64 number }
 
-struct ShardReport { 1: string shard, 2: string replica, 3: i64 epoch, 4: string owner, 5: list<string> voters, 6: i64 applied_index, 7: i64 commit_index }
+struct ShardReport { 1: string shard, 2: string replica, 3: i64 epoch, 4: string owner, 5: list<string> voters, 6: i64 applied_index, 7: i64 commit_index, 8: list<string> committed_voters, 9: i64 placement_number, 10: bool settled }
 struct Member { 1: string node, 2: string role, 3: string address, 4: string control_address, 5: string zone, 6: string replica, 7: bool serves_control, 8: bool serves_storage, 9: bool serves_front, 10: i64 incarnation }
 struct Heartbeat { 1: Member member, 2: i64 beat, 3: i64 config_version, 4: bool leaving, 5: list<ShardReport> shards }
 struct MemberSummary { 1: string sender, 2: list<Heartbeat> beats }
-struct ShardPlacement { 1: string shard, 2: list<string> founders, 3: list<string> voters }
+struct ShardPlacement { 1: string shard, 2: list<string> founders, 3: list<string> voters, 4: i64 number }
 struct Directory { 1: i64 version, 2: list<Member> members, 3: list<ShardPlacement> placements, 4: list<ShardReport> owners, 5: list<string> retiring }
 struct Subscribe { 1: Member member, 2: i64 config_version }
 struct ConfigUpdate { 1: i64 version, 2: bool current, 3: binary body }
--- a/kestrelbend/tier/replication/group.py
+++ b/kestrelbend/tier/replication/group.py
@@ -13,14 +13,28 @@
 Voters = tuple[ReplicaId, ...]
 
 
-def encode_group(voters: Voters) -> bytes:
-    """The data of a GROUP entry: the voters in the order of ownership."""
-    return "\n".join(voters).encode()
+NUMBER_MARK = "="  # begins the line that holds the placement's number; no replica's name begins with it
+
+
+def encode_group(voters: Voters, placement_number: int = 0) -> bytes:
+    """The data of a GROUP entry: the placement's number, then the voters in the order of ownership.
+
+    The number 0 is left out, as in entries that were written before placements had numbers.
+    """
+    head = (f"{NUMBER_MARK}{placement_number}",) if placement_number else ()
+    return "\n".join((*head, *voters)).encode()
 
 
 def decode_group(data: bytes) -> Voters:
     """The voters that a GROUP entry holds."""
-    return tuple(data.decode().split("\n")) if data else ()
+    lines = data.decode().split("\n") if data else []
+    return tuple(line for line in lines if not line.startswith(NUMBER_MARK))
+
+
+def decode_placement_number(data: bytes) -> int:
+    """The number of the placement that a GROUP entry moves towards."""
+    first = data.decode().split("\n", 1)[0]
+    return int(first[len(NUMBER_MARK) :]) if first.startswith(NUMBER_MARK) else 0
 
 
 def quorum_size(voters: Voters) -> int:
@@ -42,25 +56,54 @@
 ) -> Voters | None:
     """The next group on the way to `target`, or None where no step is safe yet or none is left.
 
-    Voters are added before others are removed, live ones first; a step is taken only where a majority
-    of its outcome lives.  The owner is never removed: it hands over first.
+    One voter is added, then one removed, the dead first: a group on its way is never larger than its
+    target by more than one, so it bears as many losses.  The owner is never removed: it hands over first.
     """
-    missing = [voter for voter in target if voter not in voters]
-    for added in missing:
+    if len(voters) <= len(target):
+        group = _with_one_more(voters, target, is_live, is_caught_up)
+    else:
+        group = _with_one_less(voters, target, owner, is_live, is_caught_up)
+    if group is not None or set(voters) != set(target):
+        return group
+    ordered = in_order(voters, target)
+    return ordered if ordered != voters else None
+
+
+def _with_one_more(
+    voters: Voters,
+    target: Voters,
+    is_live: Callable[[ReplicaId], bool],
+    is_caught_up: Callable[[ReplicaId], bool],
+) -> Voters | None:
+    """The group with the first of the missing that can be relied on from its first entry on."""
+    for added in target:
         group = in_order((*voters, added), target)
-        if is_live(added) and is_caught_up(added) and has_quorum(group, is_live):
+        ready = added not in voters and is_live(added) and is_caught_up(added)
+        if ready and has_quorum(group, is_live):
             return group
-    if missing:
-        return None
+    return None
+
+
+def _with_one_less(
+    voters: Voters,
+    target: Voters,
+    owner: ReplicaId,
+    is_live: Callable[[ReplicaId], bool],
+    is_caught_up: Callable[[ReplicaId], bool],
+) -> Voters | None:
+    """The group without one that should leave; who lives leaves only once the others can do without."""
     surplus = [voter for voter in voters if voter not in target and voter != owner]
     for removed in sorted(surplus, key=is_live):
-        group = in_order(tuple(voter for voter in voters if voter != removed), target)
-        if has_quorum(group, is_live):
+        group = without(voters, removed, target)
+        can_do_without = not is_live(removed) or all(map(is_caught_up, filter(is_live, group)))
+        if can_do_without and has_quorum(group, is_live):
             return group
-    if surplus:
-        return None
-    group = in_order(voters, target)
-    return group if group != voters else None
+    return None
+
+
+def without(voters: Voters, removed: ReplicaId, target: Voters) -> Voters:
+    """The voters but for one, in the order of `target`."""
+    return in_order(tuple(voter for voter in voters if voter != removed), target)
 
 
 def in_order(voters: Voters, target: Voters) -> Voters:
--- a/kestrelbend/tier/replication/log.py
+++ b/kestrelbend/tier/replication/log.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from .group import Voters, decode_group
+from .group import Voters, decode_group, decode_placement_number
 from .messages import DurableState, Entry, EntryKind, Snapshot
 
 
@@ -20,6 +20,15 @@
     last_index: int
 
 
+@attrs.frozen
+class NumberedGroup:
+    """The voters from the entry `index` on, and the number of the placement that they are a step towards."""
+
+    index: int
+    voters: Voters
+    placement_number: int
+
+
 class ReplicaLog:
     """Entries `base_index + 1` to `last_index`; all before are in `snapshot`, which may reach further."""
 
@@ -32,7 +41,7 @@
         self._unwritten_from = self.last_index + 1
         self._snapshot_unwritten = False
         self._pending: list[PendingWrite] = []
-        self._groups: list[tuple[int, Voters]] = []
+        self._groups: list[NumberedGroup] = []
         self._note_groups(self.entries)
 
     @property
@@ -46,20 +55,38 @@
     @property
     def voters(self) -> Voters:
         """The voters that the newest GROUP entry names, committed or not (Ongaro 2014, section 4.1)."""
-        return self._groups[-1][1] if self._groups else self.snapshot.voters
+        return self._newest_group.voters
 
     @property
     def group_index(self) -> int:
         """The index of the entry that named `voters`."""
-        return self._groups[-1][0] if self._groups else self.snapshot.index
+        return self._newest_group.index
+
+    @property
+    def placement_number(self) -> int:
+        """The number of the placement that `voters` are a step towards; it never falls along a log."""
+        return self._newest_group.placement_number
+
+    def group_at(self, index: int) -> NumberedGroup:
+        """The group as of the version `index`."""
+        group = self._snapshot_group
+        for later in self._groups:
+            if later.index <= index:
+                group = later
+        return group
 
     def voters_at(self, index: int) -> Voters:
         """The voters as of the version `index`."""
-        voters = self.snapshot.voters
-        for group_index, group in self._groups:
-            if group_index <= index:
-                voters = group
-        return voters
+        return self.group_at(index).voters
+
+    @property
+    def _newest_group(self) -> NumberedGroup:
+        return self._groups[-1] if self._groups else self._snapshot_group
+
+    @property
+    def _snapshot_group(self) -> NumberedGroup:
+        snapshot = self.snapshot
+        return NumberedGroup(snapshot.index, snapshot.voters, snapshot.placement_number)
 
     def epoch_at(self, index: int) -> int | None:
         """The epoch of the entry at `index`, or None where the log holds none."""
@@ -102,7 +129,7 @@
         """Puts `entries` in place of everything from the first of them on."""
         first = entries[0].index
         del self.entries[first - self.base_index - 1 :]
-        self._groups = [group for group in self._groups if group[0] < first]
+        self._groups = [group for group in self._groups if group.index < first]
         self._unwritten_from = min(self._unwritten_from, first)
         self._cap_durable(first - 1)
         self.entries.extend(entries)
@@ -117,8 +144,9 @@
         """Takes a snapshot at the applied `index`; keeps `tail` entries before it for slow followers."""
         epoch = self.epoch_at(index)
         assert epoch is not None, "a snapshot of an entry that the log doesn't hold"
-        self.snapshot = Snapshot(index=index, epoch=epoch, voters=self.voters_at(index), state=state)
-        self._groups = [group for group in self._groups if group[0] > index]
+        group = self.group_at(index)
+        self.snapshot = Snapshot(index, epoch, group.voters, state, group.placement_number)
+        self._groups = [later for later in self._groups if later.index > index]
         self._snapshot_unwritten = True
         self._unwritten_from = max(self._unwritten_from, index + 1)
         new_base = max(self.base_index, index - tail)
@@ -130,7 +158,7 @@
         """Takes over the owner's snapshot, which reaches beyond `commit_index`."""
         if self.epoch_at(snapshot.index) == snapshot.epoch:
             self.entries = self.entries[snapshot.index - self.base_index :]
-            self._groups = [group for group in self._groups if group[0] > snapshot.index]
+            self._groups = [group for group in self._groups if group.index > snapshot.index]
         else:
             self.entries = []
             self._groups = []
@@ -167,4 +195,6 @@
     def _note_groups(self, entries: list[Entry]) -> None:
         for entry in entries:
             if entry.kind == EntryKind.GROUP:
-                self._groups.append((entry.index, decode_group(entry.data)))
+                voters = decode_group(entry.data)
+                number = decode_placement_number(entry.data)
+                self._groups.append(NumberedGroup(entry.index, voters, number))
--- a/kestrelbend/tier/replication/messages.py
+++ b/kestrelbend/tier/replication/messages.py
@@ -30,12 +30,13 @@
 
 @attrs.frozen
 class Snapshot:
-    """The state machine's state after the version `index`, and the voters then."""
+    """The state machine's state after the version `index`, the voters then and their placement's number."""
 
     index: int = 0
     epoch: int = 0
     voters: tuple[ReplicaId, ...] = ()
     state: bytes = b""
+    placement_number: int = 0
 
 
 @attrs.frozen
--- a/kestrelbend/tier/replication/owner.py
+++ b/kestrelbend/tier/replication/owner.py
@@ -41,6 +41,7 @@
         self._confirmations: deque[Confirmation] = deque()
         self._round_began_at = NEVER
         self._round_wanted = False
+        self._milestones: deque[tuple[float, int]] = deque()  # (when, the commit index then), a round each
 
     def append(self, kind: EntryKind, data: bytes) -> int:
         """Adds an entry of this epoch; its index."""
@@ -60,6 +61,8 @@
     def begin_round(self, now: float) -> None:
         """Begins a heartbeat round; its messages go out with the next `send_due`."""
         self._rounds.begin(now)
+        self._milestones.append((now, self._state.commit_index))
+        self._forget_milestones(now - self._timing.election_timeout)
         self._round_began_at = now
         self._round_wanted = False
 
@@ -133,12 +136,29 @@
             return True
         return has_quorum(self._state.voters, lambda voter: self.is_live(voter, now))
 
-    def is_caught_up(self, identity: ReplicaId) -> bool:
-        """Whether the replica's disk lacks only the last few entries."""
-        progress = self.followers.get(identity)
-        if progress is None:
-            return False
-        return progress.match_index >= self._log.last_index - self._timing.catchup_entries
+    def is_caught_up(self, identity: ReplicaId, now: float) -> bool:
+        """Whether the replica's disk holds all that was committed an election timeout ago.
+
+        What it lacks it gets sooner than an owner could be replaced (the last round of Ongaro 2014, 4.2.1).
+        A replica that holds all that is committed now is caught up however young the ownership is.
+        """
+        return self._match_index(identity) >= self._committed_before(now - self._timing.election_timeout)
+
+    def holds(self, identity: ReplicaId, index: int) -> bool:
+        """Whether the replica's disk holds the log up to `index`."""
+        return self._match_index(identity) >= index
+
+    def _committed_before(self, moment: float) -> int:
+        """The newest commit index noted at `moment` or before; the present one where none was."""
+        self._forget_milestones(moment)
+        if not self._milestones or self._milestones[0][0] > moment:
+            return self._state.commit_index
+        return max(self.first_index, self._milestones[0][1])
+
+    def _forget_milestones(self, moment: float) -> None:
+        """Keeps the newest milestone of `moment` or before, and all later ones."""
+        while len(self._milestones) > 1 and self._milestones[1][0] <= moment:
+            self._milestones.popleft()
 
     def send_due(self, now: float) -> None:
         """Sends the followers all that is due: heartbeats, entries, snapshots, a new commit index.
--- a/kestrelbend/tier/replication/placement.py
+++ b/kestrelbend/tier/replication/placement.py
@@ -1,29 +1,57 @@
 """Where a shard should live: the voters and learners wished for, and the owner's steps towards them.
 
 Invariant: one change of the group is under way at most, and none before this epoch has committed an
-entry; while a handover runs, the group stands still.
+entry; while a handover runs, the group stands still.  No step is taken towards a placement with a lower
+number than the log has seen, and none towards a target that another ownership decided by itself.
 """
 
 from __future__ import annotations
 
-from .group import Voters, encode_group, next_group
+import attrs
+
+from .group import Voters, encode_group, has_quorum, next_group
 from .handover import Handover
 from .messages import EntryKind, ReplicaId
 from .owner import Ownership
 from .state import ReplicaState
 
 
+@attrs.frozen
+class Target:
+    """The voters wished for: by the placement `number`, or by the owner of the one epoch named."""
+
+    voters: Voters = ()
+    number: int = 0
+    epoch: int | None = None
+
+
 class Placement:
     """The wishes outlive an ownership; the handover doesn't."""
 
     def __init__(self, state: ReplicaState) -> None:
-        self.target: Voters = ()
+        self._wished = Target()
         self.learners: Voters = ()
         self._state = state
         self._handover: Handover | None = None
         self._leaving: set[ReplicaId] = set()
         self._departed: dict[ReplicaId, float] = {}
 
+    def aim(self, target: Target) -> None:
+        """Takes a target in place of the last one, unless that was a later one."""
+        if target.number >= self._wished.number:
+            self._wished = target
+
+    @property
+    def target(self) -> Voters:
+        """The voters to move towards; empty where nothing that may be followed is known."""
+        return self._wished.voters if self.may_follow(self._wished) else ()
+
+    def may_follow(self, target: Target) -> bool:
+        """Whether the group may take steps towards a target: the fence against late placements."""
+        if target.epoch is not None and target.epoch != self._state.epoch:
+            return False
+        return target.number >= self._state.log.placement_number
+
     @property
     def hands_over(self) -> bool:
         """Whether the ownership is being handed over."""
@@ -85,12 +113,37 @@
         if state.commit_index < state.log.group_index:
             return
 
-        def is_live(identity: ReplicaId) -> bool:
-            return owner.is_live(identity, now)
-
-        group = next_group(state.voters, self.target, state.identity, is_live, owner.is_caught_up)
+        group = self._next_group(owner, now)
         if group is not None:
-            owner.append(EntryKind.GROUP, encode_group(group))
+            owner.append(EntryKind.GROUP, encode_group(group, self._wished.number))
             self.follow_group(owner, now)
         elif state.identity not in self.target and set(self.target) < set(state.voters):
             self.hand_over(owner, self.target, now)
+
+    def _next_group(self, owner: Ownership, now: float) -> Voters | None:
+        """The next group; the same one anew where only its placement's number has to be noted."""
+
+        def is_live(identity: ReplicaId) -> bool:
+            return owner.is_live(identity, now)
+
+        def is_caught_up(identity: ReplicaId) -> bool:
+            return owner.is_caught_up(identity, now)
+
+        state = self._state
+        group = next_group(state.voters, self.target, state.identity, is_live, is_caught_up)
+        is_there = state.voters == self.target and self._wished.number > state.log.placement_number
+        if is_there and has_quorum(state.voters, is_live):
+            return state.voters
+        return group
+
+    def is_settled(self, owner: Ownership, now: float) -> bool:
+        """Whether no change is under way and every live voter, a majority, holds what is committed."""
+        state = self._state
+        if not owner.has_committed or state.commit_index < state.log.group_index:
+            return False
+        live = [voter for voter in state.voters if owner.is_live(voter, now)]
+        if not has_quorum(state.voters, live.__contains__):
+            return False
+        return all(owner.holds(voter, state.log.group_index) for voter in live) and all(
+            owner.is_caught_up(voter, now) for voter in live
+        )
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -27,7 +27,7 @@
     VoteReply,
 )
 from .owner import Ownership
-from .placement import Placement
+from .placement import Placement, Target
 from .state import ReplicaState
 from .timing import Timing
 
@@ -80,6 +80,25 @@
         """The group as of the newest entry here, committed or not, in the order of ownership."""
         return self._state.voters
 
+    @property
+    def committed_voters(self) -> Voters:
+        """The group as of the newest entry that is known to be committed here."""
+        return self._state.log.voters_at(self._state.commit_index)
+
+    @property
+    def committed_placement_number(self) -> int:
+        """The number of the placement that the committed group is a step towards."""
+        return self._state.log.group_at(self._state.commit_index).placement_number
+
+    @property
+    def placement_number(self) -> int:
+        """The same for the newest group here, committed or not."""
+        return self._state.log.placement_number
+
+    def is_settled(self, now: float) -> bool:
+        """As the owner: no change is under way, and every live voter's disk holds what is committed."""
+        return self._owner is not None and self._placement.is_settled(self._owner, now)
+
     @property
     def commit_index(self) -> int:
         return self._state.commit_index
@@ -164,9 +183,13 @@
         if self._owner is not None:
             self._placement.follow_group(self._owner, self._now)
 
-    def set_target(self, voters: tuple[ReplicaId, ...]) -> None:
-        """The voters wished for, in the order of ownership; moved towards while this one owns."""
-        self._placement.target = tuple(voters)
+    def set_target(self, voters: tuple[ReplicaId, ...], number: int = 0, epoch: int | None = None) -> None:
+        """The voters wished for, in the order of ownership; moved towards while this one owns.
+
+        A target with a lower number than the last one, or than the group's, is not followed.  One with an
+        epoch was decided by this replica itself, as that epoch's owner, and counts in no other.
+        """
+        self._placement.aim(Target(tuple(voters), number, epoch))
         if self._owner is not None:
             self._placement.follow_group(self._owner, self._now)
 
--- a/kestrelbend/tier/replication/timing.py
+++ b/kestrelbend/tier/replication/timing.py
@@ -28,5 +28,4 @@
     departure: float = 2.0  # that a replica which left the group still gets entries, to learn of it
     append_bytes: int = 512 * 1024  # in one AppendEntries, unless one entry is larger
     window_bytes: int = 4 * 1024 * 1024  # under way to one follower
-    catchup_entries: int = 64  # that a learner may lack when it becomes a voter
     tail_entries: int = 500  # kept before a snapshot for followers that lag
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -237,7 +237,7 @@
             if replica is None and self._belongs_here(placed):
                 replica = self.host.open(placed.shard, placed.founders, now)
             if replica is not None:
-                replica.set_target(placed.voters)
+                replica.set_target(placed.voters, placed.number)
 
     def _belongs_here(self, placed) -> bool:
         return self.replica_id in placed.founders or placed.shard in self.host.stored_shards()
@@ -265,6 +265,7 @@
         """This process's replicas, as heartbeats tell of them."""
         if self.host is None:
             return ()
+        now = self.now()
         reports = []
         for shard in self.host.shards():
             replica = self.host.replica(shard)
@@ -277,6 +278,9 @@
                     voters=tuple(replica.voters),
                     applied_index=replica.applied_index,
                     commit_index=replica.commit_index,
+                    committed_voters=replica.committed_voters,
+                    placement_number=replica.committed_placement_number,
+                    settled=replica.is_settled(now),
                 )
             )
         return tuple(reports)
--- a/tests/tier/replication_harness.py
+++ b/tests/tier/replication_harness.py
@@ -196,14 +196,27 @@
         node.replica.transfer(self.now)
         self._work(node)
 
-    def aim(self, names):
-        """Tells every replica the voters wished for."""
+    def aim(self, names, number=0):
+        """Tells every replica the voters wished for by the placement `number`."""
         target = tuple(self.nodes[name].identity for name in names)
         for node in self.nodes.values():
             if node.up:
-                node.replica.set_target(target)
+                node.replica.set_target(target, number)
                 self._work(node)
 
+    def aims(self, node, names, **rest):
+        """Tells one replica the voters wished for."""
+        node.replica.set_target(tuple(self.nodes[name].identity for name in names), **rest)
+        self._work(node)
+
+    def group_is(self, names):
+        """Whether an owner has exactly these voters, all of it committed, and lives."""
+        owner = self.owner()
+        wanted = {self.nodes[name].identity for name in names}
+        return owner is not None and set(owner.replica.committed_voters) == wanted == set(
+            owner.replica.voters
+        )
+
     def compact(self, name):
         node = self.nodes[name]
         node.replica.compact(node.applied_index, b"\n".join(node.commands))
--- /dev/null
+++ b/tests/tier/test_replication_placement.py
@@ -0,0 +1,206 @@
+"""What a group bears between the steps of a change, and which placements it follows."""
+
+import random
+
+import testtools
+
+from kestrelbend.tier.replication.group import (
+    decode_group,
+    decode_placement_number,
+    encode_group,
+    next_group,
+)
+from kestrelbend.tier.replication.messages import EntryKind
+from tests.tier.replication_harness import TICK, Cluster
+
+CATCHUP_S = 4.0  # after which a group must bear what it did before
+
+
+class PlacementStory(testtools.TestCase):
+    """A cluster with an owner and some commands."""
+
+    def given(self, names="abc", others="", **rest):
+        cluster = Cluster(names, others, **rest)
+        cluster.run_until(lambda: cluster.owner() is not None, within=2.0)
+        self.write(cluster, b"before")
+        return cluster
+
+    def write(self, cluster, command, within=3.0):
+        """Proposes until the command is committed."""
+        done = cluster.run_until(lambda: self._proposed(cluster, command), within)
+        self.assertTrue(done, f"{command} was not committed in {within} s")
+
+    def _proposed(self, cluster, command):
+        if not cluster.committed(command):
+            cluster.propose(command)
+        return cluster.committed(command)
+
+
+class TestPlacementNumbers(PlacementStory):
+    def moved(self):
+        """A group that was moved from `abc` to `abd` by the second placement."""
+        cluster = self.given(others="d")
+        cluster.aim("abc", number=1)
+        cluster.run(0.5)
+        cluster.aim("abd", number=2)
+        self.assertTrue(cluster.run_until(lambda: cluster.group_is("abd"), within=2.0))
+        return cluster
+
+    def test_given_a_restarted_owner_when_an_old_directory_comes_then_the_group_stays(self):
+        cluster = self.moved()
+        cluster.lose_power("a", "b", "d")
+        for name in "abd":
+            cluster.start(name)
+        cluster.run_until(lambda: cluster.owner() is not None, within=2.0)
+        cluster.aim("abc", number=1)
+        cluster.run(3.0)
+        self.assertTrue(cluster.group_is("abd"))
+        self.assertEqual(2, cluster.owner().replica.committed_placement_number)
+
+    def test_given_an_owner_that_knows_a_later_placement_when_an_old_one_comes_then_it_is_not_followed(self):
+        cluster = self.moved()
+        cluster.aim("abc", number=1)
+        cluster.run(2.0)
+        self.assertTrue(cluster.group_is("abd"))
+        cluster.aim("abc", number=3)
+        self.assertTrue(cluster.run_until(lambda: cluster.group_is("abc"), within=2.0))
+
+    def test_given_a_snapshot_and_no_entries_of_the_group_when_an_old_one_comes_then_the_group_stays(self):
+        cluster = self.moved()
+        for count in range(20):
+            self.write(cluster, b"%d" % count)
+        for name in "abd":
+            cluster.compact(name)
+            cluster.checkpoint(name)
+        cluster.run(0.1)
+        cluster.lose_power("a", "b", "d")
+        for name in "abd":
+            cluster.start(name)
+        cluster.run_until(lambda: cluster.owner() is not None, within=2.0)
+        cluster.aim("abc", number=1)
+        cluster.run(3.0)
+        self.assertTrue(cluster.group_is("abd"))
+
+    def test_given_an_installed_snapshot_then_its_replica_holds_the_number_of_the_group(self):
+        cluster = self.given(others="d")
+        cluster.aim("abc", number=4)
+        for count in range(600):
+            cluster.propose(b"%d" % count)
+        cluster.run(1.0)
+        for name in "abc":
+            cluster.compact(name)
+        cluster.aim("abcd", number=5)
+        self.assertTrue(cluster.run_until(lambda: cluster.group_is("abcd"), within=2.0))
+        self.assertEqual(5, cluster.nodes["d"].replica.placement_number)
+
+    def test_given_a_placement_that_the_group_meets_already_then_its_number_is_noted_once(self):
+        cluster = self.given()
+        cluster.aim("abc", number=1)
+        cluster.run(2.0)
+        groups = [entry for entry in cluster.promises.history if entry.kind == EntryKind.GROUP]
+        self.assertEqual([1], [decode_placement_number(entry.data) for entry in groups])
+        self.assertEqual(1, cluster.owner().replica.committed_placement_number)
+
+    def test_given_a_target_of_a_former_ownership_when_it_owns_again_then_it_is_not_followed(self):
+        cluster = self.given(others="d")
+        first = cluster.owner()
+        cluster.isolate(first.name)
+        cluster.aims(first, "abd", epoch=first.replica.epoch)
+        cluster.run(1.5)
+        self.assertNotEqual(first, cluster.owner())
+        cluster.join()
+        cluster.run(0.5)
+        cluster.transfer()
+        self.assertTrue(cluster.run_until(lambda: cluster.owner() is first, within=3.0))
+        cluster.run(2.0)
+        self.assertTrue(cluster.group_is("abc"))
+
+    def test_given_a_group_without_a_number_then_it_is_read_as_number_nought(self):
+        old = b"a#1\nb#1"
+        self.assertEqual((("a#1", "b#1"), 0), (decode_group(old), decode_placement_number(old)))
+        self.assertEqual(old, encode_group(("a#1", "b#1")))
+        new = encode_group(("a#1",), 7)
+        self.assertEqual((("a#1",), 7), (decode_group(new), decode_placement_number(new)))
+
+
+class TestBetweenTheSteps(PlacementStory):
+    def test_given_a_learner_whose_disk_stands_still_then_it_gets_no_vote(self):
+        for lost in "bc":
+            cluster = self.given(others="d")
+            cluster.stall_disk("d")
+            cluster.aim("abd")
+            cluster.run(1.0)
+            cluster.lose_power(lost)
+            self.write(cluster, b"with one lost")
+
+    def test_given_two_to_be_replaced_and_one_successor_gone_then_the_dead_one_does_not_count(self):
+        cluster = self.given("abcde", others="fg")
+        cluster.lose_power("d", "e")
+        cluster.lose_power("g")
+        cluster.aim("abcfg")
+        cluster.run(CATCHUP_S)
+        owner = cluster.owner()
+        cluster.lose_power(next(name for name in "abc" if name != owner.name))
+        self.write(cluster, b"with the third lost after one was replaced")
+
+    def test_given_live_ones_to_be_replaced_then_the_group_is_never_larger_by_two(self):
+        cluster = self.given("abc", others="xyz")
+        cluster.aim("xyz")
+        self.assertTrue(cluster.run_until(lambda: cluster.group_is("xyz"), within=CATCHUP_S))
+        groups = [
+            decode_group(entry.data) for entry in cluster.promises.history if entry.kind == EntryKind.GROUP
+        ]
+        self.assertEqual({3, 4}, {len(group) for group in groups})
+
+    def test_given_a_lagging_voter_then_a_live_one_leaves_only_once_the_others_can_do_without(self):
+        live = {"a", "b", "c", "d"}
+        caught_up = {"a", "b", "c"}
+        voters, target = ("a", "b", "c", "d"), ("a", "b", "d")
+        step = next_group(voters, target, "a", live.__contains__, caught_up.__contains__)
+        self.assertIsNone(step)
+        step = next_group(voters, target, "a", (live - {"c"}).__contains__, caught_up.__contains__)
+        self.assertEqual(target, step)
+
+    def test_given_a_loss_at_each_moment_of_a_planned_replacement_then_a_majority_lives(self):
+        for group, target, others in (("abc", "abd", "d"), ("abc", "xbc", "x"), ("abcde", "abcxy", "xy")):
+            for lost in target:
+                for tick in range(0, 30, 2):
+                    self.lose_one_amid(group, target, others, lost, tick)
+
+    def lose_one_amid(self, group, target, others, lost, tick):
+        cluster = self.given(group, others)
+        cluster.aim(target)
+        cluster.run(tick * TICK)
+        cluster.lose_power(lost)
+        try:
+            self.write(cluster, b"after", within=2.0)
+        except AssertionError as fault:
+            raise AssertionError(f"{group} to {target}, {lost} lost after {tick} ticks: {fault}") from None
+        self.assertTrue(cluster.committed(b"before"))
+
+    def test_given_two_losses_of_five_at_any_moments_of_a_replacement_then_a_majority_lives(self):
+        rng = random.Random(5)
+        for seed in range(60):
+            lost = rng.sample("abcd", 2)
+            ticks = (rng.randrange(30), rng.randrange(30))
+            with _Named(f"seed {seed}: {lost} lost after {ticks} ticks"):
+                cluster = self.given("abcde", "x", seed=seed)
+                cluster.aim("abcdx")
+                for name, count in zip(lost, ticks, strict=True):
+                    cluster.run(count * TICK)
+                    cluster.lose_power(name)
+                self.write(cluster, b"after", within=2.5)
+
+
+class _Named:
+    """Says which case of many a failure belongs to."""
+
+    def __init__(self, words):
+        self._words = words
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, fault, trace):
+        if kind is not None and issubclass(kind, AssertionError):
+            raise AssertionError(f"{self._words}: {fault}") from fault
--- a/tests/tier/test_replication_search.py
+++ b/tests/tier/test_replication_search.py
@@ -22,7 +22,6 @@
     disk_stall=0.5,
     snapshot_retry=0.3,
     tail_entries=0,
-    catchup_entries=4,
 )
 STORM_S = 4.0
 COMPACTION_CHANCE = 0.1
