Emptied nodes, known disks and numbered placements are committed facts of the configuration

Cause: `Retire.Get` was derived from whatever heartbeats a node had heard, so a control node that had just started answered `complete` with nothing known, and `Retire.Start` answered 404 there for a store that exists. Now the owner notes every disk that it hears of (STORE), and notes EMPTIED(node, shard, epoch, group, number) once the shard's owner has told of a committed, settled group without the node, moved there by the placement in force. `complete` needs that fact for every placed shard and the configuration's; it is asked of the confirmed owner by an order that changes nothing. 404 and 409 are given by the owner alone, after two seconds of ownership; before, and elsewhere, 503.

A placement whose number isn't the next one is refused, and so is one that adds a disk of a node to be emptied. Budgets are founded on 2 x Tolerate.Nodes + 1 disks or not at all. The placer's time as owner is counted by epoch.

--- a/kestrelbend/tier/configuration/messages.py
+++ b/kestrelbend/tier/configuration/messages.py
@@ -14,6 +14,9 @@
     PATCH = 1
     PLACEMENT = 2  # the tier's own: body is a `ShardPlacement`
     RETIRE = 3  # body is the node's name
+    STORE = 4  # the tier's own: body is a `KnownDisk`
+    EMPTIED = 5  # the tier's own: body is an `Emptied`
+    RETIRE_STATE = 6  # body is the node's name; changes nothing, so the owner answers once it is confirmed
 
 
 @attrs.frozen
--- a/kestrelbend/tier/configuration/placements.py
+++ b/kestrelbend/tier/configuration/placements.py
@@ -1,4 +1,7 @@
-"""How the placement of one shard is written inside an order of kind `PLACEMENT`."""
+"""How the placement of one shard is written inside an order of kind `PLACEMENT`.
+
+The number 0 is left out: it stands for the placements written before they had numbers.
+"""
 
 from __future__ import annotations
 
@@ -18,6 +21,8 @@
         "founders": list(placement.founders),
         "voters": list(placement.voters),
     }
+    if placement.number:
+        values["number"] = placement.number
     return json.dumps(values, separators=(",", ":")).encode()
 
 
@@ -32,7 +37,10 @@
     shard, founders, voters = values.get("shard"), values.get("founders"), values.get("voters")
     if not (is_text(shard) and _are_replicas(founders) and _are_replicas(voters)):
         return None
-    return ShardPlacement(shard, tuple(founders), tuple(voters))
+    number = values.get("number", 0)
+    if type(number) is not int or number < 0:
+        return None
+    return ShardPlacement(shard, tuple(founders), tuple(voters), number)
 
 
 def _are_replicas(value: Any) -> bool:
--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -49,6 +49,7 @@
         self._links = links
         self._now = now
         self._accepted = accepted
+        self.owner_check: Callable[[ConfigOrder], ConfigOutcome | None] = lambda order: None
 
     @property
     def is_open(self) -> bool:
@@ -85,11 +86,11 @@
 
     async def decide(self, order: ConfigOrder) -> ConfigOutcome:
         """As the owner: accept by a committed entry, refuse after a confirmation."""
-        refusal = self.state.check(order)
+        refusal = self._refusal(order)
         if refusal is not None:
             if not await self._confirmed():
                 return NOT_OWNER
-            refusal = self.state.check(order)
+            refusal = self._refusal(order)
         if refusal is not None:
             return refusal
         outcome = await self._propose(order)
@@ -99,6 +100,10 @@
             await self._accepted(outcome.version)
         return outcome
 
+    def _refusal(self, order: ConfigOrder) -> ConfigOutcome | None:
+        """The answer to an order that changes nothing, by the state or by what the owner alone can tell."""
+        return self.state.check(order) or self.owner_check(order)
+
     async def _propose(self, order: ConfigOrder) -> ConfigOutcome | None:
         future = asyncio.get_running_loop().create_future()
 
--- a/kestrelbend/tier/configuration/state.py
+++ b/kestrelbend/tier/configuration/state.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import json
+from collections.abc import Callable
 
 import attrs
 
@@ -21,13 +22,21 @@
 )
 from kestrelbend.tier.configuration.messages import ConfigOrder, ConfigOutcome, OrderKind
 from kestrelbend.tier.configuration.placements import decode_placement, encode_placement
+from kestrelbend.tier.configuration.ports import RetireState
+from kestrelbend.tier.configuration.stores import (
+    MOST_NODE_NAME,
+    StoreRecords,
+    decode_disk,
+    decode_emptied,
+    encode_disk,
+    encode_emptied,
+)
 from kestrelbend.tier.membership.messages import ShardPlacement
 
 MOST_HISTORY = 4096
 MOST_CHECKED = 16
 MOST_CHECKED_BYTES = 4 * 1024 * 1024  # of bodies whose documents are kept decoded
 MOST_RETIRING = 4096
-MOST_NODE_NAME = 256
 SNAPSHOT_FORM = 1
 
 
@@ -59,8 +68,15 @@
         self._document: Document | None = None
         self._history: dict[bytes, int] = {}
         self._placements: dict[str, ShardPlacement] = {}
-        self._retiring: dict[str, None] = {}
+        self._stores = StoreRecords()
         self._checked: dict[bytes, _Checked] = {}
+        self._own_kinds: dict[int, Callable[[ConfigOrder], ConfigOutcome | None]] = {
+            OrderKind.PLACEMENT: self._look_at_placement,
+            OrderKind.RETIRE: self._look_at_retirement,
+            OrderKind.STORE: self._look_at_disk,
+            OrderKind.EMPTIED: self._look_at_emptied,
+            OrderKind.RETIRE_STATE: self._look_at_retire_state,
+        }
 
     @property
     def version(self) -> int:
@@ -85,14 +101,18 @@
 
     @property
     def retiring(self) -> tuple[str, ...]:
-        return tuple(self._retiring)
+        return self._stores.retiring
+
+    @property
+    def stores(self) -> StoreRecords:
+        """The disks known, and how far the emptying of nodes has come."""
+        return self._stores
 
     def check(self, order: ConfigOrder) -> ConfigOutcome | None:
         """The answer to an order that changes nothing (refused or taken before); None: it must be applied."""
-        if order.kind == OrderKind.PLACEMENT:
-            return self._look_at_placement(order)
-        if order.kind == OrderKind.RETIRE:
-            return self._look_at_retirement(order)
+        look = self._own_kinds.get(order.kind)
+        if look is not None:
+            return look(order)
         looked = self._look_at(order)
         return looked if isinstance(looked, ConfigOutcome) else None
 
@@ -105,7 +125,11 @@
             placement = decode_placement(order.body)
             self._placements[placement.shard] = placement
         elif order.kind == OrderKind.RETIRE:
-            self._retiring[order.body.decode()] = None
+            self._stores.retire(order.body.decode())
+        elif order.kind == OrderKind.STORE:
+            self._stores.add_disk(decode_disk(order.body), self._placed_replicas())
+        elif order.kind == OrderKind.EMPTIED:
+            self._stores.note(decode_emptied(order.body))
         else:
             self._take(order)
         return self._outcome(200, "taken")
@@ -172,21 +196,53 @@
             return self._outcome(200, "taken before")
         if known is not None and known.founders != placement.founders:
             return self._outcome(412, f"shard {placement.shard} has other founders")
+        if not follows(placement, known):
+            return self._outcome(412, f"placement {placement.number} does not follow the one in force")
+        held = known.voters if known is not None else ()
+        if any(self._stores.must_be_emptied(voter) for voter in placement.voters if voter not in held):
+            return self._outcome(412, "a new voter is on a node to be emptied")
         return None
 
     def _look_at_retirement(self, order: ConfigOrder) -> ConfigOutcome | None:
-        try:
-            node = order.body.decode()
-        except UnicodeDecodeError:
-            node = ""
-        if not 0 < len(node) <= MOST_NODE_NAME:
+        node = _node_name(order)
+        if not node:
             return self._outcome(400, "not the name of a node")
-        if node in self._retiring:
+        if node in self.retiring:
             return self._outcome(200, "taken before")
-        if len(self._retiring) >= MOST_RETIRING:
+        if len(self.retiring) >= MOST_RETIRING:
             return self._outcome(409, "too many nodes are being emptied")
         return None
 
+    def _look_at_disk(self, order: ConfigOrder) -> ConfigOutcome | None:
+        disk = decode_disk(order.body)
+        if disk is None:
+            return self._outcome(400, "not a disk")
+        return self._outcome(200, "taken before") if self._stores.knows(disk) else None
+
+    def _look_at_emptied(self, order: ConfigOrder) -> ConfigOutcome | None:
+        fact = decode_emptied(order.body)
+        if fact is None:
+            return self._outcome(400, "not a node that is empty")
+        if self._stores.is_emptied(fact.node, fact.shard):
+            return self._outcome(200, "taken before")
+        if not self._stores.may_note(fact, self.placement(fact.shard)):
+            return self._outcome(412, f"{fact.node} may hold {fact.shard}")
+        return None
+
+    def _look_at_retire_state(self, order: ConfigOrder) -> ConfigOutcome:
+        """How far the emptying of a node has come, as the reason: never an entry of the log."""
+        node = _node_name(order)
+        if node not in self.retiring:
+            state = RetireState.NOT_ORDERED
+        elif self._stores.is_complete(node, self.placements):
+            state = RetireState.COMPLETE
+        else:
+            state = RetireState.RUNNING
+        return self._outcome(200, state.value)
+
+    def _placed_replicas(self) -> set[str]:
+        return {voter for placed in self.placements for voter in placed.voters}
+
     def _outcome(self, status: int, reason: str) -> ConfigOutcome:
         return ConfigOutcome(status, self.version, reason)
 
@@ -196,7 +252,9 @@
             "form": SNAPSHOT_FORM,
             "history": [[digest.hex(), version] for digest, version in self._history.items()],
             "placements": [encode_placement(placement).decode() for placement in self.placements],
-            "retiring": list(self._retiring),
+            "retiring": list(self.retiring),
+            "disks": [encode_disk(disk).decode() for disk in self._stores.disks],
+            "emptied": [encode_emptied(fact).decode() for fact in self._stores.emptied],
         }
         return json.dumps(head, separators=(",", ":")).encode() + b"\n" + self.body
 
@@ -209,19 +267,39 @@
                 raise SnapshotError("unknown_form", f"form {head['form']}")
             history = {bytes.fromhex(digest): int(version) for digest, version in head["history"]}
             placements = [decode_placement(text.encode()) for text in head["placements"]]
-            retiring = dict.fromkeys(str(node) for node in head["retiring"])
+            retiring = [str(node) for node in head["retiring"]]
+            disks = [decode_disk(text.encode()) for text in head.get("disks", ())]
+            emptied = [decode_emptied(text.encode()) for text in head.get("emptied", ())]
             document = read_accepted(body) if body else None
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             raise SnapshotError("unreadable", f"{type(error).__name__}: {error}") from None
-        if None in placements:
-            raise SnapshotError("unreadable", "a placement")
+        if None in (*placements, *disks, *emptied):
+            raise SnapshotError("unreadable", "a placement, a disk or an emptied node")
         self._document = document
         self._history = history
         self._placements = {placement.shard: placement for placement in placements}
-        self._retiring = retiring
+        self._stores = StoreRecords(disks, retiring, emptied)
         self._checked.clear()
 
 
+def follows(placement: ShardPlacement, known: ShardPlacement | None) -> bool:
+    """Whether a placement may take the place of the one known: its number is the next one.
+
+    Those without numbers are of journals that were begun before there were any.
+    """
+    known_number = known.number if known is not None else 0
+    return placement.number == known_number + 1 or placement.number == known_number == 0
+
+
+def _node_name(order: ConfigOrder) -> str:
+    """The node that an order names, or an empty string."""
+    try:
+        node = order.body.decode()
+    except UnicodeDecodeError:
+        return ""
+    return node if len(node) <= MOST_NODE_NAME else ""
+
+
 def _digest(order: ConfigOrder) -> bytes:
     """Names an order: the same call, base and body give the same digest."""
     head = b"%d %d " % (order.kind, order.base_version)
--- a/kestrelbend/tier/control/placing.py
+++ b/kestrelbend/tier/control/placing.py
@@ -1,6 +1,7 @@
 """Who should hold which shard: decided by the owner of the configuration's shard, kept as entries of it.
 
-Invariant: a placement of a budget shard is proposed by nobody but the owner, and counts once it is committed.
+Invariant: a placement of a budget shard is proposed by nobody but the owner, and counts once it is committed;
+every disk that it names is noted before.  The budgets are founded on a whole group or not at all.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 
 from ..configuration.messages import ConfigOrder, OrderKind
 from ..configuration.placements import encode_placement
-from ..configuration.shard_service import ConfigurationService
+from ..configuration.shard_service import NOT_OWNER, ConfigurationService
 from ..membership.messages import ShardPlacement
 from ..membership.placement import (
     SPARE_S,
@@ -21,6 +22,7 @@
 )
 from ..membership.placement_changes import due_placements
 from ..membership.table import MemberTable
+from .store_facts import due_emptied, unknown_disks
 
 LEAVING_S = SPARE_S + 0.1  # a process that leaves counts as silent for this long
 FOUNDING_WAIT_S = 2.5  # for stores to come before budgets are founded on what is there
@@ -42,30 +44,54 @@
         self._size = group_size(tolerated_nodes)
         self._spawn = spawn
         self._owner_since = 0.0
+        self._owned_epoch: int | None = None
         self._proposing = False
 
     def place(self, now: float) -> None:
         """Takes the steps that are due now."""
-        if not self._configuration.replica.is_owner:
-            self._owner_since = now
+        self._note_ownership(now)
+        if self._owned_epoch is None:
             return
         self._place_configuration(now)
-        if self._proposing or now - self._owner_since < FIRST_LOOK_S:
+        if self._proposing or self.owned_for(now) < FIRST_LOOK_S:
             return
-        orders = [self._placement_order(placed) for placed in self._due_placements(now)]
+        orders = self._due_orders(now)
         if orders:
             self._proposing = True
-            self._spawn(self._order_placements(orders))
+            self._spawn(self._decide_all(orders))
+
+    def owned_for(self, now: float) -> float:
+        """For how long the configuration's shard has been owned here; 0 where it isn't."""
+        replica = self._configuration.replica
+        is_same = replica.is_owner and replica.epoch == self._owned_epoch
+        return now - self._owner_since if is_same else 0.0
+
+    def _note_ownership(self, now: float) -> None:
+        replica = self._configuration.replica
+        epoch = replica.epoch if replica.is_owner else None
+        if epoch != self._owned_epoch:
+            self._owned_epoch = epoch
+            self._owner_since = now
+
+    def _due_orders(self, now: float) -> list[ConfigOrder]:
+        """Disks first: a placement counts on its voters' nodes being known."""
+        state = self._configuration.state
+        disks = unknown_disks(state, self._members.members(now))
+        placements = [self._placement_order(placed) for placed in self._due_placements(now)]
+        return disks + placements + due_emptied(state, self._members.reports())
 
     def _place_configuration(self, now: float) -> None:
         replica = self._configuration.replica
-        available = candidates(self._members.staying(now), (), stores_first=False)
-        replica.set_learners([candidate.replica for candidate in available])
+        stores = self._configuration.state.stores
+        learners = candidates(self._members.staying(now), (), stores_first=False)
+        replica.set_learners([candidate.replica for candidate in learners])
+        available = candidates(self._members.staying(now), stores.retiring, stores_first=False)
         voters = next_voters(
             tuple(replica.voters),
             self._size,
             available,
             lambda voter: self._silence(voter, now),
+            [voter for voter in replica.voters if stores.must_be_emptied(voter)],
         )
         replica.set_target(voters, epoch=replica.epoch)
 
@@ -75,7 +101,7 @@
         One that was never heard of here may still be starting, as may this process; one that leaves may come
         back, but a spare need not wait for that.
         """
-        silence = min(self._members.silence(replica_id, now), now - self._owner_since)
+        silence = min(self._members.silence(replica_id, now), self.owned_for(now))
         return max(silence, LEAVING_S) if self._members.is_leaving(replica_id) else silence
 
     def _due_placements(self, now: float) -> list[ShardPlacement]:
@@ -84,8 +110,7 @@
         placed_shards = {placed.shard for placed in state.placements}
         if not placed_shards.issuperset(budget_shards()):
             stores = [candidate for candidate in available if candidate.preference == 0]
-            too_early = len(stores) < self._size and now - self._owner_since < FOUNDING_WAIT_S
-            if too_early or not available:
+            if len(stores) < self._size and self.owned_for(now) < FOUNDING_WAIT_S:
                 return []
             return found_budget_shards(placed_shards, self._size, available)
         return due_placements(
@@ -102,9 +127,12 @@
     def _placement_order(placed: ShardPlacement) -> ConfigOrder:
         return ConfigOrder(OrderKind.PLACEMENT, 0, encode_placement(placed))
 
-    async def _order_placements(self, orders: list[ConfigOrder]) -> None:
+    async def _decide_all(self, orders: list[ConfigOrder]) -> None:
+        """One after the other: each counts on those before it."""
         try:
             for order in orders:
-                await self._configuration.decide(order)
+                outcome = await self._configuration.decide(order)
+                if outcome == NOT_OWNER:
+                    return
         finally:
             self._proposing = False
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -18,6 +18,7 @@
 SPARE_S = 1.5  # a silent replica is replaced after this where a spare of the preferred class is there
 LOST_S = 5.0  # and by another one after this
 BUDGET_SHARDS = 6
+FIRST_NUMBER = 1  # of a shard's placements; see `ShardPlacement`
 CONFIGURATION_SHARD = "configuration"
 
 
@@ -128,7 +129,12 @@
 
 
 def found_budget_shards(placed: Iterable[str], size: int, available: list[Candidate]) -> list[ShardPlacement]:
-    """The first placement of the budget shards not placed yet, their owners spread over the replicas."""
+    """The first placement of the budget shards not placed yet, their owners spread over the replicas.
+
+    None as long as there are fewer disks than a whole group has: what fewer held could not bear the losses.
+    """
+    if len(available) < size:
+        return []
     known = set(placed)
     chosen = next_voters((), size, available, lambda replica: 0.0)
     placements = []
@@ -136,5 +142,5 @@
         turn = number % len(chosen)
         voters = chosen[turn:] + chosen[:turn]
         if shard not in known:
-            placements.append(ShardPlacement(shard, voters, voters))
+            placements.append(ShardPlacement(shard, voters, voters, FIRST_NUMBER))
     return placements
--- a/kestrelbend/tier/membership/placement_changes.py
+++ b/kestrelbend/tier/membership/placement_changes.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from .messages import ShardPlacement
-from .placement import Candidate, next_voters
+from .placement import FIRST_NUMBER, Candidate, next_voters
 from .table import MemberTable
 
 KNOWN_S = 600.0
@@ -26,6 +26,6 @@
     due = []
     for placed in placements:
         voters = next_voters(placed.voters, size, available, silence, leaving)
-        if voters != placed.voters:
-            due.append(ShardPlacement(placed.shard, placed.founders, voters))
+        if voters != placed.voters or placed.number < FIRST_NUMBER:
+            due.append(ShardPlacement(placed.shard, placed.founders, voters, placed.number + 1))
     return due
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -57,8 +57,10 @@
             self.host, self.links, self.now, self.config_stream.until_acknowledged
         )
         tolerated_nodes = settings.tolerate_nodes
-        self.retirement = Retirement(self.configuration, self.members, tolerated_nodes, self.now)
         self._placer = ShardPlacer(self.configuration, self.members, tolerated_nodes, self.spawn)
+        self.retirement = Retirement(
+            self.configuration, self.members, tolerated_nodes, self.now, self._placer.owned_for
+        )
         self._summary_at = self.now()
         self._serving: asyncio.Task | None = None
 
--- a/tests/tier/test_configuration_state.py
+++ b/tests/tier/test_configuration_state.py
@@ -8,9 +8,11 @@
 from hypothesis import strategies
 
 from kestrelbend.tier.configuration import state as state_module
+from kestrelbend.tier.configuration import stores as stores_module
 from kestrelbend.tier.configuration.messages import ConfigOrder, OrderKind
 from kestrelbend.tier.configuration.placements import decode_placement, encode_placement
 from kestrelbend.tier.configuration.state import ConfigurationState, SnapshotError
+from kestrelbend.tier.configuration.stores import Emptied, KnownDisk, encode_disk, encode_emptied
 from kestrelbend.tier.membership.messages import ShardPlacement
 from tests.tier.test_configuration_document import body, document, route
 
@@ -38,8 +40,23 @@
     return ConfigOrder(int(OrderKind.RETIRE), 0, node)
 
 
-class OrdersTest(testtools.TestCase):
-    """What each order is answered."""
+def disk(node, replica, serves_storage=True):
+    """An order that notes a disk."""
+    return ConfigOrder(int(OrderKind.STORE), 0, encode_disk(KnownDisk(node, replica, serves_storage)))
+
+
+def emptied(node, group, number=1, shard="budget-0"):
+    """An order that notes that a shard is gone from a node."""
+    return ConfigOrder(int(OrderKind.EMPTIED), 0, encode_emptied(Emptied(node, shard, 3, group, number)))
+
+
+def retire_state(node):
+    """The question how far the emptying of a node has come."""
+    return ConfigOrder(int(OrderKind.RETIRE_STATE), 0, node)
+
+
+class OrderStory(testtools.TestCase):
+    """A state that orders are given to."""
 
     def setUp(self):
         super().setUp()
@@ -58,6 +75,10 @@
             statuses.append(outcome.status)
         return statuses
 
+
+class OrdersTest(OrderStory):
+    """What each order is answered."""
+
     def test_given_versions_that_rise_in_uneven_steps_then_the_newest_is_in_force_as_sent(self):
         orders = [put(0, 3), put(3, 7), put(7, 8)]
         self.assertEqual([200, 200, 200], self.answers(*orders))
@@ -133,11 +154,94 @@
         doubled = attrs.evolve(PLACED, voters=("a", "a"))
         self.assertIsNone(decode_placement(encode_placement(doubled)))
 
+    def test_given_a_placement_in_force_then_only_the_next_number_takes_its_place(self):
+        first = attrs.evolve(PLACED, number=1)
+        second = attrs.evolve(PLACED, voters=("c", "d"), number=2)
+        late = attrs.evolve(PLACED, voters=("a", "d"), number=1)
+        beyond = attrs.evolve(PLACED, voters=("a", "d"), number=4)
+        unnumbered = attrs.evolve(PLACED, voters=("a", "d"))
+        rivals = attrs.evolve(PLACED, voters=("a", "e"), number=2)
+        orders = map(place, (second, first, second, rivals, late, beyond, unnumbered, second))
+        self.assertEqual([412, 200, 200, 412, 412, 412, 412, 200], self.answers(*orders))
+        self.assertEqual((second,), self.state.placements)
+
+    def test_given_a_journal_without_numbers_then_the_next_placement_is_the_first(self):
+        moved = attrs.evolve(PLACED, voters=("c", "d"))
+        numbered = attrs.evolve(PLACED, voters=("a", "d"), number=1)
+        self.assertEqual([200, 200, 200, 412], self.answers(*map(place, (PLACED, moved, numbered, moved))))
+        self.assertEqual(moved, decode_placement(encode_placement(moved)))
+        self.assertNotIn(b"number", encode_placement(moved))
+
     def test_given_nodes_to_be_emptied_then_each_is_noted_once(self):
         self.assertEqual([200, 200, 400, 400], self.answers(*map(retire, (b"n1", b"n1", b"", b"\xff"))))
         self.assertEqual(("n1",), self.state.retiring)
 
 
+class EmptyingTest(OrderStory):
+    """When a node counts as empty."""
+
+    DISKS = (("n1", "a"), ("n2", "b"), ("n3", "c"), ("n4", "d"))
+
+    def setUp(self):
+        super().setUp()
+        self.answers(*(disk(*known) for known in self.DISKS))
+        self.answers(place(ShardPlacement("budget-0", ("a", "b"), ("a", "b"), 1)), retire(b"n1"))
+
+    def told(self, node=b"n1"):
+        return self.state.apply(retire_state(node)).reason
+
+    def test_given_an_order_and_nothing_heard_then_the_state_is_running(self):
+        self.assertEqual(("running", "not ordered"), (self.told(), self.told(b"n2")))
+
+    def test_given_a_group_without_the_node_for_every_shard_then_the_state_is_complete(self):
+        self.answers(place(ShardPlacement("budget-0", ("a", "b"), ("c", "b"), 2)))
+        self.assertEqual([200], self.answers(emptied("n1", ("b", "c"), 2)))
+        self.assertEqual("running", self.told())
+        self.assertEqual([200], self.answers(emptied("n1", ("d",), 0, "configuration")))
+        self.assertEqual("complete", self.told())
+
+    def test_given_a_group_of_an_older_placement_then_it_proves_nothing(self):
+        self.assertEqual([412], self.answers(emptied("n1", ("b", "c"), 1)))
+        self.answers(place(ShardPlacement("budget-0", ("a", "b"), ("c", "b"), 2)))
+        self.assertEqual([412, 412], self.answers(emptied("n1", ("b", "c"), 1), emptied("n1", ("b", "c"), 3)))
+
+    def test_given_a_group_with_a_disk_of_the_node_or_an_unknown_one_then_it_proves_nothing(self):
+        self.answers(place(ShardPlacement("budget-0", ("a", "b"), ("c", "b"), 2)))
+        self.answers(disk("n1", "a-emptied-once"))
+        for group in (("a", "b"), ("a-emptied-once", "b"), ("b", "unknown")):
+            self.assertEqual([412], self.answers(emptied("n1", group, 2)))
+        self.assertEqual([412], self.answers(emptied("n2", ("c", "d"), 2)))
+
+    def test_given_a_node_to_be_emptied_then_no_later_placement_brings_it_back(self):
+        without, again = (
+            ShardPlacement("budget-0", ("a", "b"), voters, number)
+            for voters, number in ((("c", "b"), 2), (("a", "b"), 3))
+        )
+        self.assertEqual([200, 412], self.answers(place(without), place(again)))
+
+    def test_given_a_node_to_be_emptied_when_another_voter_is_lost_then_that_one_is_replaced_first(self):
+        repaired = ShardPlacement("budget-0", ("a", "b"), ("a", "d"), 2)
+        self.assertEqual([200], self.answers(place(repaired)))
+
+    def test_given_a_snapshot_then_disks_and_facts_are_there_again(self):
+        self.answers(place(ShardPlacement("budget-0", ("a", "b"), ("c", "b"), 2)))
+        self.answers(emptied("n1", ("b", "c"), 2), emptied("n1", ("d",), 0, "configuration"))
+        restored = ConfigurationState()
+        restored.restore(self.state.snapshot())
+        self.assertEqual("complete", restored.apply(retire_state(b"n1")).reason)
+        self.assertEqual(self.state.snapshot(), restored.snapshot())
+
+    def test_given_what_is_no_disk_and_no_fact_then_it_is_invalid(self):
+        for kind in (OrderKind.STORE, OrderKind.EMPTIED):
+            for data in (b"", b"[]", b"{}", b'{"node":"n1","replica":"","shard":"","group":[]}'):
+                self.assertEqual([400], self.answers(ConfigOrder(int(kind), 0, data)))
+
+    def test_given_more_disks_than_the_bound_then_the_oldest_that_holds_nothing_is_forgotten(self):
+        self.patch(stores_module, "MOST_DISKS", 4)
+        self.answers(disk("n5", "e"))
+        self.assertEqual({"a", "b", "d", "e"}, {known.replica for known in self.state.stores.disks})
+
+
 class SnapshotTest(testtools.TestCase):
     """A restored replica goes on as the one that made the snapshot."""
 
--- a/tests/tier/test_membership_placement.py
+++ b/tests/tier/test_membership_placement.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from kestrelbend.tier.membership.placement import LOST_S, SPARE_S, Candidate, next_voters
+from kestrelbend.tier.membership.placement import LOST_S, SPARE_S, Candidate, found_budget_shards, next_voters
 
 
 def candidate(name, zone="a", preference=0):
@@ -40,3 +40,13 @@
         there = [Candidate("a:1#new", "a:1", "a", "a", 0), candidate("b"), candidate("c")]
         voters = next_voters(replicas("a", "b", "c"), 3, there, lambda replica: 0.0)
         self.assertEqual(("a:1#new", *replicas("b", "c")), voters)
+
+
+class TestFounding(testtools.TestCase):
+    def test_budgets_are_founded_on_no_fewer_disks_than_a_whole_group_has(self):
+        two = [candidate("a"), candidate("b")]
+        three = [*two, candidate("control", preference=1)]
+        self.assertEqual([], found_budget_shards((), 3, two))
+        placements = found_budget_shards((), 3, three)
+        self.assertEqual({3}, {len(placed.voters) for placed in placements})
+        self.assertEqual({1}, {placed.number for placed in placements})
