--- a/tests/tier/test_replication_placement.py
+++ b/tests/tier/test_replication_placement.py
@@ -192,6 +192,126 @@
                 self.write(cluster, b"after", within=2.5)
 
 
+class TestHandoverAmidAChange(PlacementStory):
+    """Ownership goes over while the group is on its way."""
+
+    def test_given_a_handover_at_each_moment_of_a_change_then_the_change_is_completed_by_the_next_owner(self):
+        for tick in range(0, 40):
+            with _Named(f"handed over after {tick} ticks"):
+                cluster = self.given("abc", others="xy")
+                cluster.aim("xyc", number=1)
+                cluster.run(tick * TICK)
+                if cluster.owner() is not None:
+                    cluster.transfer()
+                done = cluster.run_until(lambda c=cluster: c.group_is("xyc"), within=CATCHUP_S)
+                self.assertTrue(done, cluster.promises.group)
+
+    def test_given_the_owner_is_to_be_replaced_when_it_dies_at_each_moment_then_the_others_go_on(self):
+        for tick in range(0, 40):
+            with _Named(f"the owner lost after {tick} ticks"):
+                cluster = self.given("abc", others="x")
+                owner = cluster.owner().name
+                rest = "abc".replace(owner, "") + "x"
+                cluster.aim(rest, number=1)
+                cluster.run(tick * TICK)
+                cluster.lose_power(owner)
+                self.write(cluster, b"after", within=2.0)
+                done = cluster.run_until(lambda c=cluster, r=rest: c.group_is(r), within=CATCHUP_S)
+                self.assertTrue(done, cluster.promises.group)
+
+    def test_given_a_member_that_left_and_is_gone_with_its_disk_at_once_then_nothing_committed_is_lost(self):
+        for lagging in "abx":
+            with _Named(f"{lagging} on a slow disk"):
+                cluster = self.given("abc", others="x")
+                leaving = cluster.owner().name
+                cluster.nodes[lagging].disk_delay = 0.2
+                target = "".join(sorted("abcx".replace(leaving, "")))
+                cluster.aim(target, number=1)
+                for count in range(40):
+                    cluster.propose(b"%d" % count)
+                    cluster.run(TICK)
+                written = cluster.promises.commands()
+                self.assertTrue(
+                    cluster.run_until(lambda c=cluster, t=target: c.group_is(t), within=CATCHUP_S)
+                )
+                settled = cluster.run_until(
+                    lambda c=cluster: c.owner().replica.is_settled(c.now), within=CATCHUP_S
+                )
+                self.assertTrue(settled)
+                cluster.wipe(leaving)
+                cluster.wipe(target[0])
+                self.write(cluster, b"after", within=3.0)
+                self.assertEqual(written, cluster.promises.commands()[: len(written)])
+
+    def test_given_two_placements_at_once_then_the_later_one_is_reached_whichever_comes_first(self):
+        for order in ((1, 2), (2, 1)):
+            cluster = self.given("abc", others="xy")
+            wished = {1: "abx", 2: "axy"}
+            for number in order:
+                cluster.aim(wished[number], number=number)
+                cluster.run(0.04)
+            self.assertTrue(cluster.run_until(lambda c=cluster: c.group_is("axy"), within=CATCHUP_S))
+            self.assertEqual(2, cluster.owner().replica.committed_placement_number)
+
+    def test_given_a_learner_that_is_dropped_and_named_again_then_it_catches_up(self):
+        cluster = self.given("abc", others="x")
+        learner = (cluster.nodes["x"].identity,)
+        for wanted in (learner, (), learner):
+            for node in cluster.nodes.values():
+                node.replica.set_learners(wanted)
+            for count in range(30):
+                cluster.propose(b"%d" % count)
+                cluster.run(TICK)
+        cluster.run(0.5)
+        self.assertEqual(cluster.promises.commands(), cluster.nodes["x"].commands)
+
+
+class TestTimeUntilALossIsBorneAgain(PlacementStory):
+    """From a machine's return until its group is settled with all its voters, on slow disks under load."""
+
+    def span(self, prepare, target, disk_delay):
+        cluster = self.given("abc", others="x")
+        for count in range(600):
+            cluster.propose(b"%d" % count)
+            if count % 50 == 0:
+                cluster.run(TICK)
+        cluster.run(1.0)
+        for name in "abc":
+            cluster.compact(name)
+        for node in cluster.nodes.values():
+            node.disk_delay = disk_delay
+        prepare(cluster)
+        begun = cluster.now
+        cluster.aim(target, number=1)
+
+        def is_whole():
+            cluster.propose(b"load")
+            owner = cluster.owner()
+            if owner is None or not cluster.group_is(target) or not owner.replica.is_settled(cluster.now):
+                return False
+            return all(cluster.nodes[name].applied_index >= owner.applied_index - 50 for name in target)
+
+        self.assertTrue(cluster.run_until(is_whole, within=CATCHUP_S), f"{target}, {disk_delay}")
+        return cluster.now - begun
+
+    def test_given_slow_disks_and_load_then_a_loss_is_borne_within_the_time_that_it_counts(self):
+        for disk_delay in (0.002, 0.02, 0.1):
+            for target in ("abc", "abx"):
+                self.span(self.wiped, target, disk_delay)
+                self.span(self.lost, "abx", disk_delay)
+
+    @staticmethod
+    def wiped(cluster):
+        cluster.wipe("c")
+        cluster.run(1.0)
+        cluster.start("c")
+
+    @staticmethod
+    def lost(cluster):
+        cluster.lose_power("c")
+        cluster.run(1.5)
+
+
 class _Named:
     """Says which case of many a failure belongs to."""
 
