--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -52,6 +52,7 @@
         self._links = links
         self._now = now
         self._accepted = accepted
+        self.owner_check: Callable[[ConfigOrder], ConfigOutcome | None] = lambda order: None
 
     @property
     def is_open(self) -> bool:
@@ -93,11 +94,11 @@
         or the time is over.
         """
         ends = self._now() + within
-        refusal = self.state.check(order)
+        refusal = self._refusal(order)
         if refusal is not None:
             if not await self._confirmed():
                 return NOT_OWNER
-            refusal = self.state.check(order)
+            refusal = self._refusal(order)
         if refusal is not None:
             return refusal
         outcome = await self._propose(order, within)
@@ -105,6 +106,10 @@
             await self._accepted(outcome.version, ends - self._now())
         return outcome
 
+    def _refusal(self, order: ConfigOrder) -> ConfigOutcome | None:
+        """The answer to an order that changes nothing, by the state or by what the owner alone can tell."""
+        return self.state.check(order) or self.owner_check(order)
+
     async def _propose(self, order: ConfigOrder, within: float) -> ConfigOutcome:
         """The committed entry's outcome; UNCLEAR where it may or may not be committed, now or later."""
         future = asyncio.get_running_loop().create_future()
