Fleet stories: a store that the configuration's owner alone doesn't hear, one that starts slowly again and again

The first keeps its shards (other monitors hear it), the second loses them once and isn't moved back.

--- a/tests/tier/test_fleet_placement.py
+++ b/tests/tier/test_fleet_placement.py
@@ -12,7 +12,7 @@
 from kestrelbend.tier.fleet.fleet import Size
 from kestrelbend.tier.fleet.http import Reply
 from kestrelbend.tier.fleet.loop import run
-from kestrelbend.tier.fleet.troubles import restart
+from kestrelbend.tier.fleet.troubles import owner_machine, restart
 from kestrelbend.tier.fleet.world import World, play
 from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD, budget_shards
 
@@ -248,6 +248,42 @@
         self.tell(story)
 
 
+def placement_numbers(world):
+    """The numbers of the placements in force, as a control node has them."""
+    state = world.fleet.processes("control")[0].instance.configuration.state
+    return [placed.number for placed in state.placements]
+
+
+class TestReplacedOnlyWhereItHelps(FleetPlacement):
+    def test_given_a_store_that_the_configurations_owner_alone_does_not_hear_then_it_keeps_its_place(self):
+        async def story(world):
+            world.fleet.add_machine("storage", "zone-1", True, ("store",))
+            await asyncio.sleep(CATCHUP_S)
+            before = placement_numbers(world)
+            store, owner = world.fleet.stores()[0], owner_machine(world)
+            world.fleet.cut(store, [owner])
+            await asyncio.sleep(6.0)
+            self.assertEqual(before, placement_numbers(world))
+            world.fleet.join(store, [owner])
+
+        self.tell(story, seeds=(1, 2))
+
+    def test_given_a_store_that_starts_slowly_again_and_again_then_its_shards_move_once(self):
+        async def story(world):
+            world.fleet.add_machine("storage", "zone-1", True, ("store",))
+            await asyncio.sleep(CATCHUP_S)
+            before = placement_numbers(world)
+            store = world.fleet.stores()[0]
+            for _ in range(3):
+                world.fleet.kill(store)
+                await asyncio.sleep(2.5)
+                world.fleet.start(store)
+                await asyncio.sleep(CATCHUP_S)
+            self.assertEqual([number + 1 for number in before], placement_numbers(world))
+
+        self.tell(story)
+
+
 async def lost_for_good(world, machine, rng):
     """A store is gone, and a new one comes."""
     world.fleet.remove(machine)
@@ -315,6 +351,7 @@
             self.tell(functools.partial(story, second=second))
         late = [span for span in spans if span[-1] is None]
         self.assertEqual([], late, spans)
+        return spans
 
     def test_given_a_loss_then_the_groups_bear_another_within_their_time(self):
         self.play_pairs("loss")
