--- a/tests/tier/test_replication_placement.py
+++ b/tests/tier/test_replication_placement.py
@@ -266,6 +266,74 @@
         self.assertEqual(cluster.promises.commands(), cluster.nodes["x"].commands)
 
 
+class TestOneStepAtATime(PlacementStory):
+    def test_given_an_owner_that_reaches_its_learners_alone_then_two_steps_do_not_outvote_the_others(self):
+        cluster = self.given("abc", others="xy")
+        owner = cluster.owner()
+        owner.replica.set_learners((cluster.nodes["x"].identity, cluster.nodes["y"].identity))
+        cluster.run(0.5)
+        others = "abc".replace(owner.name, "")
+        for other in others:
+            cluster.cut(owner.name, other)
+            cluster.cut(other, owner.name)
+        cluster.aims(owner, "abcxy")
+        cluster.propose(b"on the smaller side", owner)
+        cluster.run(1.5)
+        self.assertFalse(cluster.committed(b"on the smaller side"))
+        self.write(cluster, b"on the larger side")
+        cluster.join()
+        cluster.run(2.0)
+
+
+class TestSettled(PlacementStory):
+    """What an owner says of its group: that nothing is under way and every live voter holds everything."""
+
+    def test_given_a_change_that_is_not_committed_then_the_group_before_is_told_and_it_is_not_settled(self):
+        cluster = self.given("abc", others="x")
+        owner = cluster.owner()
+        cluster.run(0.6)
+        self.assertTrue(owner.replica.is_settled(cluster.now))
+        for other in "abc".replace(owner.name, ""):
+            cluster.stall_disk(other)
+        cluster.aim("abx", number=1)
+        cluster.run_until(lambda: len(owner.replica.voters) == 4, within=1.0)
+        self.assertEqual(4, len(owner.replica.voters))
+        self.assertEqual((cluster.founders, 0), self.told(owner))
+        self.assertFalse(owner.replica.is_settled(cluster.now))
+        for other in "abc".replace(owner.name, ""):
+            cluster.mend_disk(other)
+        self.assertTrue(
+            cluster.run_until(lambda: cluster.owner().replica.is_settled(cluster.now), within=2.0)
+        )
+
+    def told(self, node):
+        return node.replica.committed_voters, node.replica.committed_placement_number
+
+    def test_given_a_live_voter_whose_disk_lags_then_the_group_is_not_settled_until_it_has_caught_up(self):
+        cluster = self.given("abc")
+        owner = cluster.owner()
+        lagging = next(name for name in "abc" if name != owner.name)
+        cluster.stall_disk(lagging)
+        self.write(cluster, b"that one lacks this")
+        cluster.run(0.7)
+        self.assertFalse(owner.replica.is_settled(cluster.now))
+        cluster.mend_disk(lagging)
+        self.assertTrue(cluster.run_until(lambda: owner.replica.is_settled(cluster.now), within=1.0))
+
+    def test_given_a_voter_that_is_down_then_the_others_are_settled_and_without_a_majority_nobody_is(self):
+        cluster = self.given("abc")
+        owner = cluster.owner()
+        first, second = (name for name in "abc" if name != owner.name)
+        cluster.lose_power(first)
+        self.write(cluster, b"one is down")
+        cluster.run(0.7)
+        self.assertTrue(owner.replica.is_settled(cluster.now))
+        self.assertFalse(cluster.nodes[second].replica.is_settled(cluster.now))
+        cluster.lose_power(second)
+        cluster.run(0.7)
+        self.assertFalse(owner.replica.is_settled(cluster.now))
+
+
 class TestTimeUntilALossIsBorneAgain(PlacementStory):
     """From a machine's return until its group is settled with all its voters, on slow disks under load."""
 
