--- a/tests/tier/test_fleet_placement.py
+++ b/tests/tier/test_fleet_placement.py
@@ -12,7 +12,7 @@
 from kestrelbend.tier.fleet.fleet import Size
 from kestrelbend.tier.fleet.http import Reply
 from kestrelbend.tier.fleet.loop import run
-from kestrelbend.tier.fleet.troubles import restart
+from kestrelbend.tier.fleet.troubles import owner_machine, restart
 from kestrelbend.tier.fleet.world import World, play
 from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD, budget_shards
 
@@ -202,6 +202,76 @@
         self.tell(story, size=Size(control=3, stores=1))
 
 
+class TestRetirementBesideOtherTroubles(FleetPlacement):
+    """Whatever goes on beside it, `complete` is told of no store that a shard's owner still counts."""
+
+    def beside(self, trouble, seeds=(1, 2)):
+        async def story(world):
+            rng = random.Random(f"beside {world.fleet.seed}")
+            world.fleet.add_machine("storage", "zone-1", True, ("store",))
+            await asyncio.sleep(CATCHUP_S)
+            leaving, other = rng.sample(world.fleet.stores()[:3], 2)
+            replica = leaving.processes["store"].instance.replica_id
+            told = []
+            asking = asyncio.create_task(ask_all_the_time(world, leaving.name, told))
+            beside = asyncio.create_task(self.after(rng.uniform(0.0, 0.5), trouble(world, other, rng)))
+            self.assertTrue(await world.operator.retire(leaving.name, 20.0))
+            asking.cancel()
+            self.assertEqual([], [state for state, held in told if state == "complete" and replica in held])
+            world.fleet.remove(leaving)
+            await beside
+
+        self.tell(story, seeds)
+
+    @staticmethod
+    async def after(seconds, trouble):
+        await asyncio.sleep(seconds)
+        await trouble
+
+    def test_given_a_store_that_is_killed_for_a_moment(self):
+        async def killed(world, other, rng):
+            world.fleet.kill(other)
+            await asyncio.sleep(rng.uniform(0.3, 1.0))
+            world.fleet.start(other)
+
+        self.beside(killed)
+
+    def test_given_a_store_that_stays_away_for_long(self):
+        async def away(world, other, rng):
+            world.fleet.lose_power(other)
+            await asyncio.sleep(9.0)
+            world.fleet.start(other)
+
+        self.beside(away)
+
+    def test_given_the_owner_of_the_configuration_cut_off(self):
+        async def cut(world, other, rng):
+            owner = owner_machine(world)
+            others = [machine for machine in world.fleet.counted() if machine is not owner]
+            world.fleet.cut(owner, others)
+            await asyncio.sleep(4.0)
+            world.fleet.join(owner, others)
+
+        self.beside(cut)
+
+    def test_given_a_retired_store_when_a_machine_of_its_name_comes_again_then_it_gets_no_shard(self):
+        async def story(world):
+            world.fleet.add_machine("storage", "zone-1", True, ("store",))
+            await asyncio.sleep(CATCHUP_S)
+            leaving = world.fleet.stores()[0]
+            self.assertTrue(await world.operator.retire(leaving.name, 20.0))
+            world.fleet.wipe(leaving)
+            await asyncio.sleep(1.0)
+            world.fleet.start(leaving)
+            await asyncio.sleep(CATCHUP_S)
+            again = leaving.processes["store"].instance.replica_id
+            self.assertNotIn(again, {voter for shard in SHARDS for voter in holders(world, shard)})
+            reply = await call(world, world.fleet.core()[0], "GET", f"/api/Retire.Get/{leaving.name}")
+            self.assertEqual("complete", json.loads(reply.body)["State"])
+
+        self.tell(story)
+
+
 class TestFounding(FleetPlacement):
     def test_given_too_few_disks_when_they_come_late_then_budgets_are_founded_on_a_whole_group(self):
         async def story(loop):
@@ -248,6 +318,42 @@
         self.tell(story)
 
 
+def placement_numbers(world):
+    """The numbers of the placements in force, as a control node has them."""
+    state = world.fleet.processes("control")[0].instance.configuration.state
+    return [placed.number for placed in state.placements]
+
+
+class TestReplacedOnlyWhereItHelps(FleetPlacement):
+    def test_given_a_store_that_the_configurations_owner_alone_does_not_hear_then_it_keeps_its_place(self):
+        async def story(world):
+            world.fleet.add_machine("storage", "zone-1", True, ("store",))
+            await asyncio.sleep(CATCHUP_S)
+            before = placement_numbers(world)
+            store, owner = world.fleet.stores()[0], owner_machine(world)
+            world.fleet.cut(store, [owner])
+            await asyncio.sleep(6.0)
+            self.assertEqual(before, placement_numbers(world))
+            world.fleet.join(store, [owner])
+
+        self.tell(story, seeds=(1, 2))
+
+    def test_given_a_store_that_starts_slowly_again_and_again_then_its_shards_move_once(self):
+        async def story(world):
+            world.fleet.add_machine("storage", "zone-1", True, ("store",))
+            await asyncio.sleep(CATCHUP_S)
+            before = placement_numbers(world)
+            store = world.fleet.stores()[0]
+            for _ in range(3):
+                world.fleet.kill(store)
+                await asyncio.sleep(2.5)
+                world.fleet.start(store)
+                await asyncio.sleep(CATCHUP_S)
+            self.assertEqual([number + 1 for number in before], placement_numbers(world))
+
+        self.tell(story)
+
+
 async def lost_for_good(world, machine, rng):
     """A store is gone, and a new one comes."""
     world.fleet.remove(machine)
@@ -315,6 +421,7 @@
             self.tell(functools.partial(story, second=second))
         late = [span for span in spans if span[-1] is None]
         self.assertEqual([], late, spans)
+        return spans
 
     def test_given_a_loss_then_the_groups_bear_another_within_their_time(self):
         self.play_pairs("loss")
