--- /dev/null
+++ b/kestrelbend/tier/budgets/saved_programs.py
@@ -0,0 +1,118 @@
+"""A program's counter as a line of a saved table, and back.
+
+A table is saved as lines of JSON: an array for each program in use, in the order of last use, then objects
+with up to `IDLE_A_LINE` laid-aside programs each, in the order in which they were laid aside: one flat list
+of names, tokens and retries, which is read faster than a list for each.
+
+Invariant: equal tables give equal bytes, however many steps they were made in; a counter that was read and
+not changed is written as the bytes that it was read from.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from itertools import islice
+
+import attrs
+
+from kestrelbend.tier.budgets.messages import TurnEnd, Verdict
+from kestrelbend.tier.budgets.program import OpenTurn, ProgramBudget, SessionTurn
+
+IDLE_A_LINE = 1_000
+
+IdleFigures = tuple[int, int]  # tokens and retries
+
+_encoder = json.JSONEncoder(separators=(",", ":"))
+_decoder = json.JSONDecoder()
+
+
+@attrs.define(eq=False)
+class KeptProgram:
+    """A program in use: its counter, its line, or both where the line is that of the counter as it is."""
+
+    name: str
+    counter: ProgramBudget | None = None
+    line: bytes | None = None
+
+    def read(self) -> ProgramBudget:
+        """The counter; it is taken from the line when it is first asked for."""
+        if self.counter is None:
+            _, *figures = json.loads(self.line)
+            self.counter = _counter(*figures)
+        return self.counter
+
+    def written(self) -> bytes:
+        """The line; it is made from the counter when it is first asked for."""
+        if self.line is None:
+            self.line = _encoder.encode([self.name, *_figures(self.counter)]).encode()
+        return self.line
+
+    def changed(self) -> None:
+        """The counter changes: its line no longer holds."""
+        self.line = None
+
+    @property
+    def size(self) -> int:
+        """About how many figures are to be written, 1 where the line is there."""
+        if self.line is not None:
+            return 1
+        counter = self.counter
+        return 1 + len(counter.open_turns) + len(counter.sessions) + len(counter.closed)
+
+
+def read_program(line: bytes) -> KeptProgram:
+    """A program of a saved table, whose counter is not looked at yet."""
+    name, _ = _decoder.raw_decode(line.decode(), 1)
+    return KeptProgram(name, line=line)
+
+
+def idle_lines(idle: list[tuple[str, IdleFigures]]) -> Iterator[bytes]:
+    """The lines of the laid-aside programs, one at a time."""
+    rows = iter(idle)
+    while part := tuple(islice(rows, IDLE_A_LINE)):
+        flat = [figure for name, figures in part for figure in (name, *figures)]
+        yield _encoder.encode({"idle": flat}).encode()
+
+
+def _read_idle(line: bytes) -> Iterable[tuple[str, IdleFigures]]:
+    flat = json.loads(line)["idle"]
+    return zip(flat[::3], zip(flat[1::3], flat[2::3], strict=True), strict=True)
+
+
+def read_table(state: bytes) -> tuple[dict[str, KeptProgram], dict[str, IdleFigures]]:
+    """The programs in use and those laid aside of a saved table; no bytes stand for an empty one."""
+    recent: dict[str, KeptProgram] = {}
+    idle: dict[str, IdleFigures] = {}
+    for line in _lines(state):
+        if line.startswith(b"["):
+            program = read_program(line)
+            recent[program.name] = program
+        else:
+            idle.update(_read_idle(line))
+    return recent, idle
+
+
+def _lines(state: bytes) -> Iterable[bytes]:
+    return state.split(b"\n") if state else ()
+
+
+def _figures(counter: ProgramBudget) -> list:
+    return [
+        counter.settled,
+        counter.retries,
+        [[name, turn.most_tokens, turn.session, turn.retry] for name, turn in counter.open_turns.items()],
+        [[name, turn.fingerprint, turn.reservation, turn.end] for name, turn in counter.sessions.items()],
+        list(counter.closed.items()),
+    ]
+
+
+def _counter(settled: int, retries: int, open_turns: list, sessions: list, closed: list) -> ProgramBudget:
+    counter = ProgramBudget(settled=settled, retries=retries)
+    for name, most_tokens, session, retry in open_turns:
+        counter.open_turns[name] = OpenTurn(most_tokens, session, retry)
+        counter.reserved += most_tokens
+    for name, fingerprint, reservation, end in sessions:
+        counter.sessions[name] = SessionTurn(fingerprint, reservation, None if end is None else TurnEnd(end))
+    counter.closed = {name: Verdict(verdict) for name, verdict in closed}
+    return counter
--- a/kestrelbend/tier/budgets/shard_service.py
+++ b/kestrelbend/tier/budgets/shard_service.py
@@ -13,6 +13,7 @@
 from .commands import decode_commands, encode_commands
 from .messages import BudgetReply, BudgetRequest, ReserveOutcome
 from .table import BudgetTable
+from .table_image import TableImage
 
 Reply = Callable[[BudgetReply], None]
 
@@ -30,6 +31,10 @@
             self.table.apply(settle)
         return tuple(self.table.apply(reserve) for reserve in reserves)
 
+    def begin_snapshot(self) -> TableImage:
+        """The table as it is now, to be saved in steps."""
+        return self.table.begin_snapshot()
+
     def snapshot(self) -> bytes:
         """The whole table."""
         return self.table.snapshot()
--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -11,10 +11,10 @@
 
 from __future__ import annotations
 
-import json
-
-from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle, TurnEnd, Verdict
-from kestrelbend.tier.budgets.program import OpenTurn, ProgramBudget, SessionTurn
+from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle
+from kestrelbend.tier.budgets.program import ProgramBudget
+from kestrelbend.tier.budgets.saved_programs import IdleFigures, KeptProgram, read_table
+from kestrelbend.tier.budgets.table_image import TableImage
 
 RECENT_PROGRAMS = 2_000
 IDLE_PROGRAMS = 60_000
@@ -27,8 +27,9 @@
     def __init__(self, recent_most: int = RECENT_PROGRAMS, idle_most: int = IDLE_PROGRAMS) -> None:
         self._recent_most = recent_most
         self._idle_most = idle_most
-        self._recent: dict[str, ProgramBudget] = {}
-        self._idle: dict[str, list[int]] = {}
+        self._recent: dict[str, KeptProgram] = {}
+        self._idle: dict[str, IdleFigures] = {}
+        self._images: list[TableImage] = []  # under way
 
     def apply(self, command: Reserve | Settle) -> ReserveOutcome | None:
         """The outcome of a reservation; a settlement has none."""
@@ -38,61 +39,56 @@
             return None
         return program.reserve(command)
 
+    def begin_snapshot(self) -> TableImage:
+        """The table as it is now, to be saved step by step while commands go on."""
+        image = TableImage(list(self._recent.values()), list(self._idle.items()))
+        self._images.append(image)
+        return image
+
     def snapshot(self) -> bytes:
-        """The whole table."""
-        recent = [[name, *_program_figures(program)] for name, program in self._recent.items()]
-        return json.dumps([recent, self._idle], separators=(",", ":")).encode()
+        """The whole table at once."""
+        return TableImage(list(self._recent.values()), list(self._idle.items())).finish()
 
     def restore(self, state: bytes) -> None:
         """Puts a saved table in this one's place; no bytes stand for an empty table."""
-        recent, idle = json.loads(state) if state else ([], {})
-        self._recent = {name: _program(*figures) for name, *figures in recent}
-        self._idle = idle
+        self._recent, self._idle = read_table(state)
+        self._images = []
 
     def _use(self, name: str) -> ProgramBudget:
+        """The counter of a program, which is about to change."""
         program = self._recent.pop(name, None)
         if program is None:
             settled, retries = self._idle.pop(name, (0, 0))
-            program = ProgramBudget(settled=settled, retries=retries)
+            program = KeptProgram(name, ProgramBudget(settled=settled, retries=retries))
             if len(self._recent) >= self._recent_most:
                 self._lay_aside(self._least_needed())
-        self._recent[name] = program
-        return program
+        counter = program.read()
+        self._recent[name] = self._changing(program)
+        return counter
+
+    def _changing(self, program: KeptProgram) -> KeptProgram:
+        """The program without its line; an image under way keeps the line as of now."""
+        if self._images:
+            self._images = [image for image in self._images if not image.is_made]
+        if not self._images:
+            program.changed()
+            return program
+        program.written()
+        return KeptProgram(program.name, program.counter)
 
     def _least_needed(self) -> str:
         """The least recently used program without an open turn, if one of the first few is such."""
         names = []
         for name, program in self._recent.items():
             names.append(name)
-            if not program.open_turns:
+            if not program.read().open_turns:
                 return name
             if len(names) == LOOKED_THROUGH:
                 break
         return names[0]
 
     def _lay_aside(self, name: str) -> None:
-        program = self._recent.pop(name)
-        self._idle[name] = [program.total, program.retries]
+        counter = self._recent.pop(name).read()
+        self._idle[name] = (counter.total, counter.retries)
         if len(self._idle) > self._idle_most:
             del self._idle[next(iter(self._idle))]
-
-
-def _program_figures(program: ProgramBudget) -> list:
-    return [
-        program.settled,
-        program.retries,
-        [[name, turn.most_tokens, turn.session, turn.retry] for name, turn in program.open_turns.items()],
-        [[name, turn.fingerprint, turn.reservation, turn.end] for name, turn in program.sessions.items()],
-        list(program.closed.items()),
-    ]
-
-
-def _program(settled: int, retries: int, open_turns: list, sessions: list, closed: list) -> ProgramBudget:
-    program = ProgramBudget(settled=settled, retries=retries)
-    for name, most_tokens, session, retry in open_turns:
-        program.open_turns[name] = OpenTurn(most_tokens, session, retry)
-        program.reserved += most_tokens
-    for name, fingerprint, reservation, end in sessions:
-        program.sessions[name] = SessionTurn(fingerprint, reservation, None if end is None else TurnEnd(end))
-    program.closed = {name: Verdict(verdict) for name, verdict in closed}
-    return program
--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import attrs
+
 from ..protocol.codec import decode, encode
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from .messages import ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
@@ -22,6 +24,17 @@
 OPERATORS_KINDS = (OrderKind.PUT, OrderKind.PATCH)
 
 
+@attrs.frozen
+class SavedState:
+    """A snapshot that was made at once."""
+
+    state: bytes
+
+    def advance(self) -> bytes:
+        """The whole state."""
+        return self.state
+
+
 class ConfigurationMachine:
     """The configuration's state as a shard's state machine."""
 
@@ -32,6 +45,10 @@
         """Applies one order."""
         return self.state.apply(decode(command))
 
+    def begin_snapshot(self) -> SavedState:
+        """The state as it is now; it takes milliseconds, since the document is kept as bytes."""
+        return SavedState(self.state.snapshot())
+
     def snapshot(self) -> bytes:
         """The whole state."""
         return self.state.snapshot()
--- a/kestrelbend/tier/fleet/disks.py
+++ b/kestrelbend/tier/fleet/disks.py
@@ -76,6 +76,14 @@
         self._step()
         file.content = content
 
+    def append(self, path: str, content: bytes | memoryview) -> None:
+        self._take_bytes()
+        file = self._files[path]
+        before = file.content
+        file.content = before + bytes(content[: self._random.randint(0, len(content))])
+        self._step()
+        file.content = before + bytes(content)
+
     def sync(self, path: str) -> None:
         self._step()
         file = self._files[path]
--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 
+from ..storage.records import LateRecord, Record
 from .durable import apply_record
 from .messages import (
     AppendEntries,
@@ -25,6 +27,16 @@
 from .replica import Replica, Timing
 
 COMPACT_ENTRIES = 2000
+COMPACT_BYTES = 16 << 20
+IMAGE_STEPS_A_TICK = 4
+LATE_RECORD_BYTES = 256 * 1024  # from which on a record is made by the journal's thread
+
+
+class SnapshotImage(Protocol):
+    """A state machine's state at one moment, on its way to bytes."""
+
+    def advance(self) -> bytes | None:
+        """A step of a few milliseconds; the whole state with the last one."""
 
 
 class StateMachine(Protocol):
@@ -33,8 +45,11 @@
     def apply(self, command: bytes) -> object:
         """Applies one command; deterministic.  The outcome goes to the proposer, if it is here."""
 
+    def begin_snapshot(self) -> SnapshotImage:
+        """The state as it is now, to be saved in steps while commands go on being applied."""
+
     def snapshot(self) -> bytes:
-        """The whole state."""
+        """The whole state at once."""
 
     def restore(self, state: bytes) -> None:
         """Replaces the state by a snapshot's."""
@@ -45,10 +60,10 @@
 
     wants_checkpoint: bool
 
-    def append(self, ticket: int, record: bytes) -> None:
+    def append(self, ticket: int, record: Record) -> None:
         """Takes a record to be written; its ticket comes back once it is durable."""
 
-    def checkpoint(self, records: list[bytes]) -> None:
+    def checkpoint(self, records: list[Record]) -> None:
         """Replaces all records so far by these."""
 
 
@@ -63,7 +78,9 @@
     machine: StateMachine
     waiting: dict[int, tuple[int, Outcome]] = attrs.field(factory=dict)
     confirming: dict[int, Callable[[bool], None]] = attrs.field(factory=dict)
-    compacted: int = 0
+    image: SnapshotImage | None = None  # under way, of the state after `image_index`
+    image_index: int = 0
+    applied_bytes: int = 0  # since the last image was begun
 
 
 class ShardHost:
@@ -167,6 +184,7 @@
         for hosted in list(self._hosted.values()):
             hosted.replica.tick(now)
             self._work(hosted)
+        self._advance_image()
         self._checkpoint_when_large()
 
     def written(self, tickets: list[int], now: float) -> None:
@@ -218,10 +236,12 @@
             ticket = self._next_ticket
             self._next_ticket += 1
             self._tickets[ticket] = (hosted, own_ticket)
-            self._journal.append(ticket, self._encode(record))
+            self._journal.append(ticket, self._journal_record(record))
         for receiver, message in effects.sends:
             self._send(receiver, message)
         if effects.restore is not None:
+            hosted.image = None
+            hosted.applied_bytes = 0
             hosted.machine.restore(effects.restore.state)
             self._fail_waiting(hosted)
         for entry in effects.applied:
@@ -233,13 +253,13 @@
         if hosted.waiting and not hosted.replica.is_owner:
             self._fail_waiting(hosted)
         if effects.applied or effects.restore is not None:
-            self._compact_when_long(hosted)
             self._on_applied(hosted.replica.shard)
 
     def _apply(self, hosted: _Hosted, entry: Entry) -> None:
         outcome = None
         if entry.kind == EntryKind.COMMAND:
             outcome = hosted.machine.apply(entry.data)
+        self._begin_image_when_due(hosted, entry)
         waiting = hosted.waiting.pop(entry.index, None)
         if waiting is None:
             return
@@ -256,13 +276,39 @@
         if callback is not None:
             callback(sure)
 
-    def _compact_when_long(self, hosted: _Hosted) -> None:
-        applied = hosted.replica.applied_index
-        if applied - hosted.compacted < COMPACT_ENTRIES:
+    def _begin_image_when_due(self, hosted: _Hosted, entry: Entry) -> None:
+        """Begins a snapshot after the entry, at the same indexes on all replicas unless entries are large.
+
+        Replicas with the same snapshots can go on with each other's transfers.
+        """
+        hosted.applied_bytes += len(entry.data)
+        due = entry.index % COMPACT_ENTRIES == 0 or hosted.applied_bytes >= COMPACT_BYTES
+        if due and hosted.image is None:
+            hosted.image = hosted.machine.begin_snapshot()
+            hosted.image_index = entry.index
+            hosted.applied_bytes = 0
+
+    def _advance_image(self) -> None:
+        """Some steps of one snapshot; the others wait for it."""
+        hosted = next((hosted for hosted in self._hosted.values() if hosted.image is not None), None)
+        if hosted is None:
             return
-        hosted.compacted = applied
-        hosted.replica.compact(applied, hosted.machine.snapshot())
-        self._work(hosted)
+        for _ in range(IMAGE_STEPS_A_TICK):
+            state = hosted.image.advance()
+            if state is not None:
+                hosted.image = None
+                hosted.replica.compact(hosted.image_index, state)
+                self._work(hosted)
+                return
+
+    def _journal_record(self, record: DurableRecord) -> Record:
+        """The record's bytes, or the means to make them where there are many."""
+        size = sum(len(entry.data) for entry in record.entries)
+        if record.snapshot is not None:
+            size += len(record.snapshot.state)
+        if size < LATE_RECORD_BYTES:
+            return self._encode(record)
+        return LateRecord(size, functools.partial(self._encode, record))
 
     def _checkpoint_when_large(self) -> None:
         if not self._journal.wants_checkpoint:
@@ -271,7 +317,7 @@
         for shard, state in self._durable.items():
             if shard not in self._hosted:
                 records.append(record_of(shard, self.identity, state))
-        self._journal.checkpoint([self._encode(record) for record in records])
+        self._journal.checkpoint([self._journal_record(record) for record in records])
 
 
 def record_of(shard: ShardId, replica: ReplicaId, state: DurableState) -> DurableRecord:
--- a/kestrelbend/tier/replication/snapshot_transfer.py
+++ b/kestrelbend/tier/replication/snapshot_transfer.py
@@ -26,7 +26,7 @@
 PATIENCE_ROUND_TRIPS = 4.0
 
 
-def digest_of(state: bytes | bytearray) -> bytes:
+def digest_of(state: bytes) -> bytes:
     """What tells a snapshot's bytes from any others."""
     return hashlib.blake2b(state, digest_size=DIGEST_BYTES).digest()
 
@@ -142,13 +142,34 @@
     digest: bytes
 
 
+class HashedBytes:
+    """Bytes that come one part after the other, and their digest so far."""
+
+    def __init__(self, state: bytes = b"") -> None:
+        self.state = bytearray()
+        self._hash = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        self.add(state)
+
+    def __reduce__(self):
+        return HashedBytes, (bytes(self.state),)
+
+    def add(self, data: bytes) -> None:
+        """Adds the next part."""
+        self.state += data
+        self._hash.update(data)
+
+    def has_digest(self, digest: bytes) -> bool:
+        """Whether these are the bytes that the owner sent."""
+        return self._hash.digest() == digest
+
+
 class SnapshotReceiver:
     """What a replica has of a snapshot that is not whole yet; it lasts beyond the owner that sent it."""
 
     def __init__(self) -> None:
         self._incoming: _Incoming | None = None
         self._epoch = 0
-        self._state = bytearray()
+        self._bytes = HashedBytes()
 
     def take(self, piece: SnapshotPiece) -> Snapshot | None:
         """Adds a piece that follows what is here; the snapshot once it is whole and its digest is right."""
@@ -156,25 +177,25 @@
             return None
         self._begin_where_new(piece)
         self._epoch = piece.epoch
-        have = len(self._state)
+        have = len(self._bytes.state)
         if piece.offset <= have:
-            self._state += piece.data[have - piece.offset :]
-        if len(self._state) < piece.size:
+            self._bytes.add(piece.data[have - piece.offset :])
+        if len(self._bytes.state) < piece.size:
             return None
-        state = bytes(self._state)
+        whole = self._bytes
         self.forget()
-        if len(state) != piece.size or not has_digest(state, piece.digest):
+        if len(whole.state) != piece.size or not whole.has_digest(piece.digest):
             return None
-        return attrs.evolve(piece.snapshot, state=state)
+        return attrs.evolve(piece.snapshot, state=bytes(whole.state))
 
     def received(self, piece: SnapshotPiece) -> int:
         """How many bytes of the piece's snapshot are here."""
-        return len(self._state) if self._incoming == _incoming(piece) else 0
+        return len(self._bytes.state) if self._incoming == _incoming(piece) else 0
 
     def forget(self) -> None:
         """Lets go of what is here."""
         self._incoming = None
-        self._state = bytearray()
+        self._bytes = HashedBytes()
 
     def forget_up_to(self, index: int) -> None:
         """Lets go of a snapshot that reaches no further than this index."""
@@ -192,12 +213,7 @@
         incoming = _incoming(piece)
         if self._incoming != incoming:
             self._incoming = incoming
-            self._state = bytearray()
-
-
-def has_digest(state: bytes, digest: bytes) -> bool:
-    """Whether these are the bytes that the owner sent."""
-    return digest_of(state) == digest
+            self._bytes = HashedBytes()
 
 
 def _incoming(piece: SnapshotPiece) -> _Incoming:
--- a/kestrelbend/tier/storage/disk.py
+++ b/kestrelbend/tier/storage/disk.py
@@ -28,6 +28,9 @@
     def write(self, path: str, content: bytes) -> None:
         """Replaces a file's whole content, making the file where it is missing."""
 
+    def append(self, path: str, content: bytes | memoryview) -> None:
+        """Adds to the end of a file that is there."""
+
     def sync(self, path: str) -> None:
         """Returns once the file's content lasts."""
 
--- a/kestrelbend/tier/storage/files.py
+++ b/kestrelbend/tier/storage/files.py
@@ -19,8 +19,10 @@
 
 from __future__ import annotations
 
+from kestrelbend.tier.storage.checkpoint_writer import SLICE_BYTES, CheckpointWriter
 from kestrelbend.tier.storage.disk import Disk
 from kestrelbend.tier.storage.errors import StorageCode, StorageDamaged
+from kestrelbend.tier.storage.records import Record
 from kestrelbend.tier.storage.versions import pack_versions, unpack_versions
 
 VERSION_SUFFIX = ".versions"
@@ -34,7 +36,14 @@
 class JournalFiles:
     """Reads and writes the folder; one user at a time, which calls `load` first."""
 
-    def __init__(self, disk: Disk, folder: str, files_at_once: int = FILES_MADE_AT_ONCE) -> None:
+    def __init__(
+        self,
+        disk: Disk,
+        folder: str,
+        files_at_once: int = FILES_MADE_AT_ONCE,
+        slice_bytes: int = SLICE_BYTES,
+    ) -> None:
+        self._slice_bytes = slice_bytes
         self._disk = disk
         self._folder = folder
         self._files_at_once = files_at_once
@@ -43,6 +52,7 @@
         self._first_number = 0  # the oldest version that is kept
         self._checkpoint_bytes = 0
         self._version_bytes = 0
+        self._version_bytes_before = 0  # of the versions that the checkpoint under way replaces
         self._replaced: list[str] = []  # paths that may go
 
     @property
@@ -84,17 +94,26 @@
 
     def write_checkpoint(self, records: list[bytes]) -> None:
         """Puts these records in place of all versions so far; returns once this lasts."""
-        number = self._next_number
-        path = self._path(number, CHECKPOINT_SUFFIX)
-        content = pack_versions(number, records)
-        self._disk.write(path + ASIDE_SUFFIX, content)
-        self._disk.sync(path + ASIDE_SUFFIX)
-        self._disk.rename(path + ASIDE_SUFFIX, path)
+        writer = self.begin_checkpoint(records)
+        while writer.step():
+            pass
+        self.end_checkpoint(writer)
+
+    def begin_checkpoint(self, records: list[Record]) -> CheckpointWriter:
+        """A checkpoint that will replace all versions so far, written in steps between later versions."""
+        path = self._path(self._next_number, CHECKPOINT_SUFFIX) + ASIDE_SUFFIX
+        self._version_bytes_before = self._version_bytes
+        self._replaced = [replaced for replaced in self._replaced if replaced != path]
+        return CheckpointWriter(self._disk, path, self._next_number, records, self._slice_bytes)
+
+    def end_checkpoint(self, writer: CheckpointWriter) -> None:
+        """Gives a checkpoint that is whole its name, and returns once that lasts."""
+        self._disk.rename(writer.path, writer.path.removesuffix(ASIDE_SUFFIX))
         self._disk.sync_folder(self._folder)
-        self._replaced = self._leftovers(self._disk.list_folder(self._folder), number)
-        self._first_number = number
-        self._checkpoint_bytes = space(len(content))
-        self._version_bytes = 0
+        self._replaced = self._leftovers(self._disk.list_folder(self._folder), writer.number)
+        self._first_number = writer.number
+        self._checkpoint_bytes = space(writer.length)
+        self._version_bytes -= self._version_bytes_before
 
     def upkeep(self) -> bool:
         """A step of what can wait: makes files ahead, removes what is replaced; whether more is to do.
--- a/kestrelbend/tier/storage/journal.py
+++ b/kestrelbend/tier/storage/journal.py
@@ -3,6 +3,9 @@
 Invariant: `on_written` names a ticket only once its record lasts, and names tickets in the order in which
 they were appended.  A caller never waits for the disk.  While the disk refuses (full, failing), nothing is
 acknowledged; the thread tries again, and `state` and `oldest_wait` tell the replicas to hand over.
+
+A large checkpoint is written in short steps between the groups, so that records never wait for all of it.
+While the disk is full it is written at once instead, and takes the place of the records before it.
 """
 
 from __future__ import annotations
@@ -15,9 +18,11 @@
 
 import attrs
 
+from kestrelbend.tier.storage.checkpoint_writer import SLICE_BYTES, CheckpointWriter
 from kestrelbend.tier.storage.disk import Disk
 from kestrelbend.tier.storage.files import JournalFiles, space
 from kestrelbend.tier.storage.os_disk import OsDisk
+from kestrelbend.tier.storage.records import Record, bytes_of, size_of
 
 SLOW_S = 0.25
 STALLED_S = 1.0
@@ -42,13 +47,17 @@
 @attrs.frozen
 class _Append:
     ticket: int
-    record: bytes
+    record: Record
     since: float
 
 
 @attrs.frozen
 class _Checkpoint:
-    records: list[bytes]
+    records: list[Record]
+
+    @property
+    def size(self) -> int:
+        return sum(size_of(record) for record in self.records)
 
 
 class DiskJournal:
@@ -75,6 +84,7 @@
         self._queue: list[_Append | _Checkpoint] = []
         self._in_flight: list[_Append | _Checkpoint] = []
         self._checkpoints_waiting = 0
+        self._checkpoint: CheckpointWriter | None = None  # the large one under way
         self._full = False
         self._failures = 0
         self._closing = False
@@ -89,14 +99,14 @@
         self._thread = threading.Thread(target=self._run, name="journal", daemon=True)
         self._thread.start()
 
-    def append(self, ticket: int, record: bytes) -> None:
+    def append(self, ticket: int, record: Record) -> None:
         """Takes a record; `on_written` names its ticket once it lasts."""
         work = _Append(ticket, record, self._clock())
         with self._changed:
             self._queue.append(work)
             self._changed.notify()
 
-    def checkpoint(self, records: list[bytes]) -> None:
+    def checkpoint(self, records: list[Record]) -> None:
         """Replaces all that was appended so far by these records, which must hold the effect of all of it."""
         with self._changed:
             self._checkpoints_waiting += 1
@@ -107,7 +117,7 @@
     def wants_checkpoint(self) -> bool:
         """Whether the versions since the last checkpoint have grown beyond what a start should replay."""
         files = self._files
-        if self._checkpoints_waiting:
+        if self._checkpoints_waiting or self._checkpoint is not None:
             return False
         if files.version_count >= CHECKPOINT_VERSIONS:
             return True
@@ -154,24 +164,55 @@
         return True
 
     def _take_group(self) -> list[_Append | _Checkpoint]:
-        """All that waits up to the last checkpoint, or else as many records as make one file."""
+        """All that waits up to the last checkpoint, or else as many records as make one file.
+
+        A large checkpoint waits until the records before it are written, unless the disk is full.
+        """
         queue = self._queue
-        end = _after_last_checkpoint(queue) or _group_end(queue)
+        end = _after_last_checkpoint(queue)
+        if not end:
+            end = _group_end(queue)
+        elif queue[end - 1].size > SLICE_BYTES and not self._full:
+            before = queue[: end - 1]
+            end = _after_last_checkpoint(before) or _group_end(before) or 1
         self._queue = queue[end:]
         return queue[:end]
 
     def _write(self, group: list[_Append | _Checkpoint]) -> None:
         last = group[-1]
         if isinstance(last, _Checkpoint):
-            # It holds the effect of the records before it, so these need no file of their own.
-            self._check_room(sum(len(record) + 4 for record in last.records))
-            self._files.write_checkpoint(last.records)
+            self._write_checkpoint(last)
             return
-        records = [work.record for work in group]
+        records = [bytes_of(work.record) for work in group]
         kept_free = max(2 * self._files.checkpoint_bytes, self._capacity_bytes // CHECKPOINT_ROOM)
         self._check_room(kept_free + sum(len(record) + 4 for record in records))
         self._files.write_version(records)
 
+    def _write_checkpoint(self, checkpoint: _Checkpoint) -> None:
+        """It holds the effect of the records before it, so these need no file of their own."""
+        self._checkpoint = None
+        self._check_room(checkpoint.size + 4 * len(checkpoint.records))
+        if checkpoint.size > SLICE_BYTES and not self._full:
+            self._checkpoint = self._files.begin_checkpoint(checkpoint.records)
+        else:
+            self._files.write_checkpoint(checkpoint.records)
+
+    def _advance_checkpoint(self) -> bool:
+        """A step of the large checkpoint under way; whether more is to do.
+
+        One that fails is given up: the versions are all there, and another checkpoint will be wanted.
+        """
+        if self._checkpoint is None:
+            return False
+        try:
+            if self._checkpoint.step():
+                return True
+            self._files.end_checkpoint(self._checkpoint)
+        except OSError as error:
+            self._full = error.errno in _FULL
+        self._checkpoint = None
+        return False
+
     def _check_room(self, length: int) -> None:
         used = self._files.checkpoint_bytes + self._files.version_bytes
         if used + space(length) > self._capacity_bytes:
@@ -209,10 +250,11 @@
             return bool(self._queue) or not self._closing
 
     def _upkeep(self) -> bool:
+        more = self._advance_checkpoint()
         try:
-            return self._files.upkeep()
+            return self._files.upkeep() or more
         except OSError:
-            return False
+            return more
 
 
 def _oldest_since(works: list[_Append | _Checkpoint], otherwise: float) -> float:
@@ -229,7 +271,7 @@
 def _group_end(queue: list[_Append | _Checkpoint]) -> int:
     length = 0
     for position, work in enumerate(queue):
-        length += len(work.record)
+        length += size_of(work.record)
         if length > GROUP_BYTES:
             return max(1, position)
     return len(queue)
--- a/kestrelbend/tier/storage/os_disk.py
+++ b/kestrelbend/tier/storage/os_disk.py
@@ -30,6 +30,13 @@
         finally:
             os.close(descriptor)
 
+    def append(self, path: str, content: bytes | memoryview) -> None:
+        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
+        try:
+            _write_all(descriptor, content)
+        finally:
+            os.close(descriptor)
+
     def sync(self, path: str) -> None:
         _sync(path, os.O_WRONLY)
 
@@ -46,7 +53,7 @@
         _sync(path, os.O_RDONLY | os.O_DIRECTORY)
 
 
-def _write_all(descriptor: int, content: bytes) -> None:
+def _write_all(descriptor: int, content: bytes | memoryview) -> None:
     view = memoryview(content)
     while view:
         written = os.write(descriptor, view)
--- /dev/null
+++ b/kestrelbend/tier/storage/records.py
@@ -0,0 +1,34 @@
+"""Records as a journal takes them: bytes, or the means to make them on the thread that writes them.
+
+Making the bytes of a large record takes long enough to hold up a serving loop, so its thread is the writer's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+
+@attrs.frozen(eq=False)
+class LateRecord:
+    """A record that is made when it is written; `make` gives the same bytes at each call.
+
+    `size` is about its length, and serves to decide what is written together.
+    """
+
+    size: int
+    make: Callable[[], bytes]
+
+
+Record = bytes | LateRecord
+
+
+def size_of(record: Record) -> int:
+    """About the length of a record."""
+    return record.size if isinstance(record, LateRecord) else len(record)
+
+
+def bytes_of(record: Record) -> bytes:
+    """The record's bytes, made now where that was put off."""
+    return record.make() if isinstance(record, LateRecord) else record
--- a/kestrelbend/tier/storage/versions.py
+++ b/kestrelbend/tier/storage/versions.py
@@ -15,14 +15,39 @@
 _LENGTH = struct.Struct("<I")
 
 
+class VersionsPacker:
+    """A file's content, a record at a time; `number` is the file's own, so no file passes for another."""
+
+    def __init__(self, number: int) -> None:
+        self._number = number
+        self._parts: list[bytes] = []
+        self._body_length = 0
+        self._checksum = _checksum(number, b"")
+
+    def add(self, record: bytes) -> None:
+        """Adds the next record."""
+        for part in (_LENGTH.pack(len(record)), record):
+            self._parts.append(part)
+            self._body_length += len(part)
+            self._checksum = zlib.crc32(part, self._checksum)
+
+    @property
+    def length(self) -> int:
+        """The length of the whole content."""
+        return _HEADER.size + self._body_length
+
+    def parts(self) -> list[bytes]:
+        """The content, to be written one part after the other."""
+        header = _HEADER.pack(_MAGIC, self._number, self._body_length, self._checksum)
+        return [header, *self._parts]
+
+
 def pack_versions(number: int, records: Iterable[bytes]) -> bytes:
-    """A file's content; `number` is the file's own, so that no file passes for another."""
-    parts: list[bytes] = []
+    """A file's content at once."""
+    packer = VersionsPacker(number)
     for record in records:
-        parts.append(_LENGTH.pack(len(record)))
-        parts.append(record)
-    body = b"".join(parts)
-    return _HEADER.pack(_MAGIC, number, len(body), _checksum(number, body)) + body
+        packer.add(record)
+    return b"".join(packer.parts())
 
 
 def unpack_versions(number: int, content: bytes) -> list[bytes] | None:
--- a/tests/tier/memory_disk.py
+++ b/tests/tier/memory_disk.py
@@ -51,6 +51,7 @@
         self.files: _Folder = files or {}
         self.lasting: _Folder = dict(self.files)
         self.changes: list[_Change] = []  # of names, since the folder's last sync
+        self.longest_write = 0
         self.fail_at = -1
         self.failure: Callable[[], Exception] = PowerLoss
 
@@ -74,6 +75,15 @@
         file.content = content[: len(content) // 2]
         self._step()
         file.content = content
+        self.longest_write = max(self.longest_write, len(content))
+
+    def append(self, path: str, content: bytes) -> None:
+        file = self.files[path]
+        before = file.content
+        file.content = before + bytes(content[: len(content) // 2])
+        self._step()
+        file.content = before + bytes(content)
+        self.longest_write = max(self.longest_write, len(content))
 
     def sync(self, path: str) -> None:
         self._step()
--- a/tests/tier/test_budgets_table.py
+++ b/tests/tier/test_budgets_table.py
@@ -1,5 +1,7 @@
 """What a program's counter admits, refuses and takes back."""
 
+import random
+
 import testtools
 
 from kestrelbend.tier.budgets.commands import decode_commands, encode_commands
@@ -36,6 +38,20 @@
         self.settle("first try", used, end)
 
 
+def play(tables, chance, count):
+    """The same commands for each table; names need escapes, and turns repeat, stay open and fail."""
+    for _ in range(count):
+        name = f'prögram "{chance.randrange(12)}"'
+        reservation, session = f"turn {chance.randrange(90)}", f"session {chance.randrange(3)}"
+        if chance.random() < 0.6:
+            command = Reserve(name, session, reservation, chance.randrange(4), MOST, 10**6, True)
+        else:
+            end = chance.choice(list(TurnEnd))
+            command = Settle(name, reservation, chance.randrange(MOST), end)
+        outcomes = {str(table.apply(command)) for table in tables}
+        assert len(outcomes) == 1, outcomes
+
+
 class BudgetTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -168,6 +184,50 @@
             self.assertEqual(outcome, programs[number].reserve("next", fingerprint=7))
         self.assertEqual(table.snapshot(), copy.snapshot())
 
+    def test_given_a_table_in_use_when_saved_step_by_step_then_it_is_the_one_of_the_beginning(self):
+        for seed in range(30):
+            chance = random.Random(seed)
+            table, other = BudgetTable(4, 20), BudgetTable(4, 20)
+            play((table, other), chance, 200)
+            expected, image, state = table.snapshot(), table.begin_snapshot(), None
+            while state is None:
+                play((table, other), chance, 3)
+                state = image.advance()
+            self.assertEqual(expected, state)
+            play((table, other), chance, 50)
+            self.assertEqual(other.snapshot(), table.snapshot())
+
+    def test_given_a_restored_table_when_used_then_it_saves_the_same_bytes_as_the_original(self):
+        for seed in range(30):
+            chance = random.Random(seed)
+            table, restored = BudgetTable(4, 20), BudgetTable(4, 20)
+            play((table,), chance, 200)
+            restored.restore(table.begin_snapshot().finish())
+            play((table, restored), chance, 60)
+            self.assertEqual(table.snapshot(), restored.snapshot())
+
+    def test_given_a_second_snapshot_when_the_first_goes_on_then_each_is_of_its_own_moment(self):
+        table = BudgetTable(4, 20)
+        chance = random.Random(1)
+        play((table,), chance, 50)
+        first, before = table.begin_snapshot(), table.snapshot()
+        play((table,), chance, 50)
+        second, after = table.begin_snapshot(), table.snapshot()
+        play((table,), chance, 50)
+        self.assertEqual(after, second.finish())
+        play((table,), chance, 50)
+        self.assertEqual(before, first.finish())
+
+    def test_given_the_largest_table_when_it_is_saved_then_no_step_writes_more_than_a_few_programs(self):
+        table = BudgetTable()
+        for number in range(400):
+            Program(table, f"program {number}", budget=10**9).turns(70)
+        image, lines, most = table.begin_snapshot(), 0, 0
+        while image.advance() is None:
+            most = max(most, image.lines_made - lines)
+            lines = image.lines_made
+        self.assertLess(most, 40)
+
     def test_given_more_programs_than_are_kept_when_one_comes_back_then_its_tokens_are_known(self):
         table = BudgetTable(recent_most=4)
         old = Program(table, "old")
--- /dev/null
+++ b/tests/tier/test_snapshot_host.py
@@ -0,0 +1,129 @@
+"""Snapshots in a process: made in steps beside the work, written by the journal's thread."""
+
+import attrs
+import testtools
+
+from kestrelbend.tier.budgets.commands import encode_commands
+from kestrelbend.tier.budgets.messages import Reserve
+from kestrelbend.tier.budgets.shard_service import BudgetMachine
+from kestrelbend.tier.protocol.codec import decode, encode
+from kestrelbend.tier.replication import Timing
+from kestrelbend.tier.replication.host import COMPACT_ENTRIES, LATE_RECORD_BYTES, ShardHost
+from kestrelbend.tier.storage.records import LateRecord, bytes_of
+
+SHARD = "budget-0"
+PROGRAMS = 150
+
+
+@attrs.define
+class Journal:
+    """Takes records; the test says when they are written."""
+
+    wants_checkpoint: bool = False
+    waiting: list = attrs.field(factory=list)
+    records: list = attrs.field(factory=list)
+    most_made_at_once: int = 0
+
+    def append(self, ticket, record):
+        self.waiting.append((ticket, record))
+        if not isinstance(record, LateRecord):
+            self.most_made_at_once = max(self.most_made_at_once, len(record))
+
+    def checkpoint(self, records):
+        self.wants_checkpoint = False
+        self.records = list(records)
+        self.most_made_at_once = max(
+            [self.most_made_at_once, *(len(one) for one in records if not isinstance(one, LateRecord))]
+        )
+
+    def take(self):
+        waiting, self.waiting = self.waiting, []
+        self.records += [record for _, record in waiting]
+        return [ticket for ticket, _ in waiting]
+
+
+class Machine(BudgetMachine):
+    """Counts the steps of its images."""
+
+    def __init__(self):
+        super().__init__()
+        self.images = []
+
+    def begin_snapshot(self):
+        image = super().begin_snapshot()
+        self.images.append((self.snapshot(), image))
+        return image
+
+
+class Process:
+    """A host that is its shard's only replica."""
+
+    def __init__(self, records=()):
+        self.now = 0.0
+        self.journal = Journal()
+        self.host = ShardHost(
+            identity="a",
+            timing=Timing(),
+            journal=self.journal,
+            encode=encode,
+            send=lambda receiver, message: None,
+            machine_for=lambda shard: Machine(),
+            hosts=lambda shard: True,
+        )
+        self.host.load([decode(bytes_of(record)) for record in records])
+        self.host.open(SHARD, ("a",), self.now)
+        self.journal.records = list(records)
+        self.run(40)
+
+    @property
+    def machine(self):
+        return self.host.machine(SHARD)
+
+    def run(self, ticks):
+        for _ in range(ticks):
+            self.now += 0.02
+            self.host.tick(self.now)
+            self.host.written(self.journal.take(), self.now)
+
+    def reserve(self, number):
+        name = f"program {number % PROGRAMS}"
+        reserve = Reserve(name, f"session {number % 64}", f"turn {number:090}", number, 100, 10**9, True)
+        outcomes = []
+        self.host.propose(SHARD, encode_commands((), (reserve,)), outcomes.append, self.now)
+        self.host.flush(SHARD)
+        return outcomes
+
+
+class HostStories(testtools.TestCase):
+    def run_until_compacted(self):
+        process = Process()
+        for number in range(COMPACT_ENTRIES + 200):
+            process.reserve(number)
+            if number % 20 == 0:
+                process.run(1)
+        process.run(60)
+        return process
+
+    def test_given_many_entries_when_a_snapshot_is_due_then_it_is_made_beside_the_work(self):
+        process = self.run_until_compacted()
+        ((expected, image),) = process.machine.images
+        snapshot = process.host.replica(SHARD).durable_record().snapshot
+        self.assertEqual(COMPACT_ENTRIES, snapshot.index)
+        self.assertEqual(expected, snapshot.state)
+        self.assertTrue(image.is_made)
+
+    def test_given_a_large_record_when_it_is_written_then_the_journals_thread_makes_it(self):
+        process = self.run_until_compacted()
+        state = process.host.replica(SHARD).durable_record().snapshot.state
+        self.assertGreater(len(state), LATE_RECORD_BYTES)
+        process.journal.wants_checkpoint = True
+        process.run(1)
+        self.assertLess(process.journal.most_made_at_once, LATE_RECORD_BYTES)
+        (record,) = process.journal.records
+        self.assertEqual(state, decode(bytes_of(record)).snapshot.state)
+
+    def test_given_a_restart_from_the_disk_when_it_has_owned_again_then_the_state_is_the_same(self):
+        process = self.run_until_compacted()
+        again = Process(process.journal.records)
+        self.assertEqual(process.machine.snapshot(), again.machine.snapshot())
+        self.assertEqual([], again.machine.images)
--- a/tests/tier/test_storage_journal.py
+++ b/tests/tier/test_storage_journal.py
@@ -8,6 +8,7 @@
 
 from kestrelbend.tier.storage import DataFolder, DiskJournal, JournalState, StorageCode, StorageDamaged
 from kestrelbend.tier.storage.files import JournalFiles
+from kestrelbend.tier.storage.records import LateRecord
 from tests.tier.memory_disk import MemoryDisk, PowerLoss, disk_full
 
 FOLDER = "journal"
@@ -19,7 +20,8 @@
     """Writes numbered records to a disk and knows which of them were acknowledged."""
 
     def __init__(self, disk):
-        self.files = JournalFiles(disk, FOLDER, FILES_AT_ONCE)
+        self.files = JournalFiles(disk, FOLDER, FILES_AT_ONCE, slice_bytes=20)
+        self.aside = None
         self.records = self.files.load()
         self.acknowledged = len(self.records)
 
@@ -33,6 +35,14 @@
                 self.files.write_version(self.records[-3:])
             elif step == "checkpoint":
                 self.files.write_checkpoint(self.records)
+            elif step == "begin":
+                self.aside = self.files.begin_checkpoint(list(self.records))
+            elif step == "slice":
+                self.aside.step()
+            elif step == "end":
+                while self.aside.step():
+                    pass
+                self.files.end_checkpoint(self.aside)
             else:
                 self.files.upkeep()
             self.acknowledged = len(self.records)
@@ -92,6 +102,26 @@
         script = ["checkpoint", "upkeep", "append", "checkpoint", "upkeep"]
         self.assertGreater(self.check_all_endings(["append"], script), 40)
 
+    def test_given_a_checkpoint_in_slices_when_power_goes_between_then_all_acknowledged_is_read(self):
+        script = ["begin", *["slice"] * 5, "append", "slice", "upkeep", "append", "end", "append", "upkeep"]
+        self.assertGreater(self.check_all_endings(["append"] * 2, script), 60)
+
+    def test_given_a_checkpoint_in_slices_when_it_is_whole_then_it_stands_for_what_came_before_alone(self):
+        disk = MemoryDisk()
+        Writer(disk).play(["append", "append", "begin", "append", "slice", "append", "end", "upkeep"])
+        self.assertEqual(
+            ["000000000002.checkpoint", "000000000002.versions", "000000000003.versions"],
+            sorted(name for name in disk.list_folder(FOLDER) if disk.files[f"{FOLDER}/{name}"].content),
+        )
+        self.assertEqual([b"record %d" % number for number in range(4)], Writer(disk).records)
+
+    def test_given_a_checkpoint_given_up_when_one_of_the_same_number_is_written_then_upkeep_leaves_it(self):
+        disk = MemoryDisk()
+        writer, _ = run_until_failure(disk, ["append", "begin", *["slice"] * 4], 9)
+        again = Writer(disk.after_kill())
+        again.play(["begin", *["slice"] * 3, "upkeep", "end"])
+        self.assertEqual(again.records, Writer(again.files._disk).records)
+
     def test_given_a_checkpoint_when_there_is_time_then_what_it_replaced_goes(self):
         disk = MemoryDisk()
         Writer(disk).play(["append"] * 5 + ["checkpoint", "upkeep", "upkeep", "append"])
@@ -201,6 +231,45 @@
         self.assertEqual([1, 2], self.written)
         self.assertEqual([b"state", b"after"], self.start(CAPACITY).load())
 
+    def test_given_a_large_checkpoint_when_records_come_then_none_waits_for_all_of_it(self):
+        self.journal = self.start(100 << 20)
+        made = []
+
+        def make():
+            made.append(1)
+            return b"s" * (8 << 20)
+
+        self.journal.append(1, b"before")
+        self.journal.checkpoint([LateRecord(8 << 20, make)])
+        self.journal.append(2, b"after")
+        for _ in range(3):
+            self.journal.write_once()
+        self.assertEqual(([1, 2], []), (self.written, made))
+        for ticket in range(3, 20):
+            self.journal._upkeep()
+            self.journal.append(ticket, b"between")
+            self.journal.write_once()
+            self.assertEqual(ticket, self.written[-1])
+            self.assertLess(self.disk.longest_write, 3 << 20)
+        self.assertFalse(self.journal.wants_checkpoint)
+        loaded = self.start(100 << 20).load()
+        self.assertEqual((8 << 20, b"after"), (len(loaded[0]), loaded[1]))
+        self.assertEqual(19, len(loaded))
+
+    def test_given_a_large_checkpoint_when_the_disk_fails_then_another_is_wanted_and_nothing_is_lost(self):
+        self.journal = self.start(4 << 20)
+        for ticket in range(9):
+            self.journal.append(ticket, b"x" * 70_000)
+            self.journal.write_once()
+        self.journal.checkpoint([b"s" * (2 << 20)])
+        self.journal.write_once()
+        self.journal._upkeep()
+        self.disk.fail_at, self.disk.failure = 2, lambda: OSError(errno.EIO, "fault")
+        while self.journal._advance_checkpoint():
+            pass
+        self.assertTrue(self.journal.wants_checkpoint)
+        self.assertEqual([b"x" * 70_000] * 9, self.start(4 << 20).load())
+
     def test_given_the_thread_and_real_files_when_closed_then_all_is_written_and_read_back(self):
         with tempfile.TemporaryDirectory() as data_dir:
             folder = DataFolder.open(data_dir, True).journal_folder
