--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import attrs
+
 from ..protocol.codec import decode, encode
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from .messages import UNCLEAR, ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
@@ -33,6 +35,17 @@
     return function()
 
 
+@attrs.frozen
+class SavedState:
+    """A snapshot that was made at once."""
+
+    state: bytes
+
+    def advance(self) -> bytes:
+        """The whole state."""
+        return self.state
+
+
 class ConfigurationMachine:
     """The configuration's state as a shard's state machine."""
 
@@ -43,6 +56,10 @@
         """Applies one order."""
         return self.state.apply(decode(command))
 
+    def begin_snapshot(self) -> SavedState:
+        """The state as it is now; it takes milliseconds, since the document is kept as bytes."""
+        return SavedState(self.state.snapshot())
+
     def snapshot(self) -> bytes:
         """The whole state."""
         return self.state.snapshot()
@@ -68,6 +85,7 @@
         self._now = now
         self._accepted = accepted
         self._run_aside = run_aside
+        self.owner_check: Callable[[ConfigOrder], ConfigOutcome | None] = lambda order: None
 
     @property
     def is_open(self) -> bool:
@@ -110,11 +128,11 @@
         """
         ends = self._now() + within
         await self._examine_aside(order)
-        refusal = self.state.check(order)
+        refusal = self._refusal(order)
         if refusal is not None:
             if not await self._confirmed():
                 return NOT_OWNER
-            refusal = self.state.check(order)
+            refusal = self._refusal(order)
         if refusal is not None:
             return refusal
         outcome = await self._propose(checked_entry(order), ends - self._now())
@@ -133,6 +151,10 @@
             version = state.version
             state.keep_examined(order, version, await self._run_aside(state.examination(order)))
 
+    def _refusal(self, order: ConfigOrder) -> ConfigOutcome | None:
+        """The answer to an order that changes nothing, by the state or by what the owner alone can tell."""
+        return self.state.check(order) or self.owner_check(order)
+
     async def _propose(self, order: ConfigOrder, within: float) -> ConfigOutcome:
         """The committed entry's outcome; UNCLEAR where it may or may not be committed, now or later."""
         future = asyncio.get_running_loop().create_future()
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -18,18 +18,19 @@
     DurableRecord,
     DurableState,
     EntryKind,
-    InstallSnapshot,
     ReadIndexReply,
     ReadIndexRequest,
     ReplicaId,
     ReplicaMessage,
     RequestVote,
     ShardId,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
     VoteReply,
 )
 from .owner import Ownership
-from .placement import Placement
+from .placement import Placement, Target
 from .progress import NEVER
 from .read_index import OWN, FollowerReads, PendingRead
 from .state import ReplicaState
@@ -87,6 +88,25 @@
         """The group as of the newest entry here, committed or not, in the order of ownership."""
         return self._state.voters
 
+    @property
+    def committed_voters(self) -> Voters:
+        """The group as of the newest entry that is known to be committed here."""
+        return self._state.log.voters_at(self._state.commit_index)
+
+    @property
+    def committed_placement_number(self) -> int:
+        """The number of the placement that the committed group is a step towards."""
+        return self._state.log.group_at(self._state.commit_index).placement_number
+
+    @property
+    def placement_number(self) -> int:
+        """The same for the newest group here, committed or not."""
+        return self._state.log.placement_number
+
+    def is_settled(self, now: float) -> bool:
+        """As the owner: no change is under way, and every live voter's disk holds what is committed."""
+        return self._owner is not None and self._placement.is_settled(self._owner, now)
+
     @property
     def commit_index(self) -> int:
         return self._state.commit_index
@@ -142,9 +162,11 @@
             self._receive_vote_request(message, now)
         elif isinstance(message, VoteReply):
             self._receive_vote(message, now)
-        elif isinstance(message, InstallSnapshot):
+        elif isinstance(message, SnapshotPiece):
             if self._hear_owner(message, now):
-                self._following.install(message)
+                self._following.take_piece(message)
+        elif isinstance(message, SnapshotReply):
+            self._receive_snapshot_reply(message, now)
         elif isinstance(message, TransferOwnership):
             self._receive_transfer(message, now)
         elif isinstance(message, ReadIndexRequest):
@@ -198,9 +220,13 @@
         if self._owner is not None:
             self._placement.follow_group(self._owner, self._now)
 
-    def set_target(self, voters: tuple[ReplicaId, ...]) -> None:
-        """The voters wished for, in the order of ownership; moved towards while this one owns."""
-        self._placement.target = tuple(voters)
+    def set_target(self, voters: tuple[ReplicaId, ...], number: int = 0, epoch: int | None = None) -> None:
+        """The voters wished for, in the order of ownership; moved towards while this one owns.
+
+        A target with a lower number than the last one, or than the group's, is not followed.  One with an
+        epoch was decided by this replica itself, as that epoch's owner, and counts in no other.
+        """
+        self._placement.aim(Target(tuple(voters), number, epoch))
         if self._owner is not None:
             self._placement.follow_group(self._owner, self._now)
 
@@ -214,7 +240,13 @@
         """Takes the state machine's state after the applied entry `index` in place of the entries."""
         log = self._state.log
         if log.snapshot.index < index <= self.applied_index:
-            log.compact(index, state, self._timing.tail_entries)
+            needed = self._owner.needed_after(self._now) if self._owner is not None else index
+            log.compact(index, state, self._timing, needed)
+
+    def reconnected(self, identity: ReplicaId) -> None:
+        """A new connection to a replica's process stands: what was sent over older ones may be lost."""
+        if self._owner is not None:
+            self._owner.send_again(identity)
 
     def durable_record(self) -> DurableRecord:
         """All that a disk must hold of this replica, in one record."""
@@ -297,7 +329,7 @@
 
     # Following
 
-    def _hear_owner(self, message: AppendEntries | InstallSnapshot, now: float) -> bool:
+    def _hear_owner(self, message: AppendEntries | SnapshotPiece, now: float) -> bool:
         """Whether the sender owns the present epoch; an older owner is told of the newer one."""
         if message.epoch < self.epoch:
             refusal = AppendReply(self.shard, self.identity, self.epoch, False, 0, message.round)
@@ -344,9 +376,15 @@
         if reply.epoch > self.epoch:
             self._enter_epoch(reply.epoch, now)
         elif reply.epoch == self.epoch and self._owner is not None:
-            self._owner.replied(reply)
+            self._owner.replied(reply, now)
             self._advance_commit(now)
 
+    def _receive_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
+        if reply.epoch > self.epoch:
+            self._enter_epoch(reply.epoch, now)
+        elif reply.epoch == self.epoch and self._owner is not None:
+            self._owner.snapshot_replied(reply, now)
+
     def _advance_commit(self, now: float) -> None:
         if self._owner.advance_commit():
             self._placement.follow_group(self._owner, self._now)
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -69,8 +69,10 @@
             self.environment.run_aside,
         )
         tolerated_nodes = settings.tolerate_nodes
-        self.retirement = Retirement(self.configuration, self.members, tolerated_nodes, self.now)
         self._placer = ShardPlacer(self.configuration, self.members, tolerated_nodes, self.spawn)
+        self.retirement = Retirement(
+            self.configuration, self.members, tolerated_nodes, self.now, self._placer.owned_for
+        )
         self._contact = ContactSpan(self.now())
         self._summary_at = self.now()
         self._serving: asyncio.Task | None = None
--- a/tests/tier/replication_harness.py
+++ b/tests/tier/replication_harness.py
@@ -90,6 +90,24 @@
     loss: float = 0.0
     double: float = 0.0
     cut: set = attrs.field(factory=set)
+    bandwidth: float = 0.0  # bytes a second from one machine to another, in order; 0: without bound
+    free_at: dict = attrs.field(factory=dict)  # when a pair's link has sent all that was given to it
+
+    def arrival(self, pair, message, now, delay):
+        """How long a message takes."""
+        if not self.bandwidth:
+            return delay
+        start = max(now, self.free_at.get(pair, 0.0))
+        self.free_at[pair] = start + size_of(message) / self.bandwidth
+        return self.free_at[pair] - now + delay
+
+
+def size_of(message):
+    """About the bytes that a message takes of a link."""
+    entries = getattr(message, "entries", ())
+    snapshot = getattr(message, "snapshot", None)
+    data = len(getattr(message, "data", b"")) + sum(len(entry.data) + 64 for entry in entries)
+    return 100 + data + (len(snapshot.state) if snapshot else 0)
 
 
 class Cluster:
@@ -201,14 +219,27 @@
         node.replica.transfer(self.now)
         self._work(node)
 
-    def aim(self, names):
-        """Tells every replica the voters wished for."""
+    def aim(self, names, number=0):
+        """Tells every replica the voters wished for by the placement `number`."""
         target = tuple(self.nodes[name].identity for name in names)
         for node in self.nodes.values():
             if node.up:
-                node.replica.set_target(target)
+                node.replica.set_target(target, number)
                 self._work(node)
 
+    def aims(self, node, names, **rest):
+        """Tells one replica the voters wished for."""
+        node.replica.set_target(tuple(self.nodes[name].identity for name in names), **rest)
+        self._work(node)
+
+    def group_is(self, names):
+        """Whether an owner has exactly these voters, all of it committed, and lives."""
+        owner = self.owner()
+        wanted = {self.nodes[name].identity for name in names}
+        return owner is not None and set(owner.replica.committed_voters) == wanted == set(
+            owner.replica.voters
+        )
+
     def compact(self, name):
         node = self.nodes[name]
         node.replica.compact(node.applied_index, b"\n".join(node.commands))
@@ -310,4 +341,5 @@
         copies = 2 if self.links.double and self.random.random() < self.links.double else 1
         for _ in range(copies):
             delay = self.links.delay + self.random.random() * self.links.spread
+            delay = self.links.arrival((node.name, name), message, self.now, delay)
             self._schedule(delay, target, 0, "message", message)
