--- a/tests/tier/test_dataplane_answers.py
+++ b/tests/tier/test_dataplane_answers.py
@@ -47,7 +47,7 @@
     """A backend that answers 421 to what names another one, and keeps what it ran."""
 
     async def check(asked: Asked) -> None:
-        if asked.fields.get("x-kestrelbend-expect-instance") != identity:
+        if asked.fields.get("x-kestrelbend-expect-instance", identity) != identity:
             await turned_away(421, marked=False)(asked)
         else:
             ran.append(asked.fields["x-kestrelbend-request-id"])
@@ -88,7 +88,9 @@
             self.assertEqual((502, 1), (self.ask().status, len(self.backend.asked)))
 
     def test_what_is_not_the_backends_own_answer_is_no_answer(self):
+        nameless = b"HTTP/1.1 200 X\r\n" + STAMP_LINE + b"\r\nContent-Length: 1\r\n\r\nx"
         scripts = {
+            "nameless": raw(nameless),
             "encoded": answer(200, b"Content-Encoding: gzip"),
             "encoded failure": answer(500, b"Content-Encoding: br"),
             "unstamped": answer(200, stamp=False),
