An answer without a length is held until it is whole for clients that know no chunks

Test first: to a client of HTTP/1.0 a stream that was cut ended like a whole one, at the end of its connection. Clients that keep their connection and leave by a close or a reset are in the story as well.

--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -83,7 +83,7 @@
     async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
         begun = asyncio.get_running_loop().time()
         request_id = next((value for name, value in scope["headers"] if name == REQUEST_ID), None)
-        client = Client(send, lambda: self.life.draining, request_id)
+        client = Client(send, lambda: self.life.draining, scope["http_version"], request_id)
         await self.life.equipped(START_WAIT_S)
         table = self.routing.current()
         if table is None:
--- a/kestrelbend/tier/dataplane/client.py
+++ b/kestrelbend/tier/dataplane/client.py
@@ -2,6 +2,8 @@
 
 Invariant: an answer that was begun either ends whole or the connection breaks; it never looks complete
 without being so.  An application that returns without the last part makes the server break the connection.
+To a client of HTTP/1.0 an end of the connection is the end of an answer without a length: it gets such an
+answer once it is whole, with its length.
 """
 
 from __future__ import annotations
@@ -23,6 +25,18 @@
     closes: bool = False  # what follows on the connection cannot be trusted
 
 
+@attrs.define
+class _HeldAnswer:
+    """An answer without a length that is kept until it is whole."""
+
+    status: int
+    headers: Headers
+    body: bytearray = attrs.field(factory=bytearray)
+
+    def headers_with_length(self) -> Headers:
+        return [*self.headers, (b"content-length", b"%d" % len(self.body))]
+
+
 class Client:
     """Sends one answer.  `closing` is asked at its start: the connection ends with it.
 
@@ -36,11 +50,14 @@
         self,
         send: Callable[[dict], Awaitable[None]],
         closing: Callable[[], bool],
+        http_version: str = "1.1",
         request_id: bytes | None = None,
     ) -> None:
         self._send = send
         self._closing = closing
         self._request_id = request_id
+        self._knows_chunks = http_version != "1.0"
+        self._held: _HeldAnswer | None = None
         self.started = False
         self.success = False
         self.finished = False
@@ -54,19 +71,30 @@
         self.success = 200 <= status < 300
         if self._closing():
             headers = [*headers, (b"connection", b"close")]
-        if self.gone:
-            return
-        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+        if self._knows_chunks or any(name.lower() == b"content-length" for name, _ in headers):
+            await self._send_start(status, headers)
+        else:
+            self._held = _HeldAnswer(status, headers)
 
     async def body(self, data: bytes, more: bool) -> None:
         """A part of the body; the last one ends the answer."""
         if not more:
             self.finished = True
             self.before_end()
+        if self._held is not None:
+            self._held.body += data
+            if more:
+                return
+            await self._send_start(self._held.status, self._held.headers_with_length())
+            data = bytes(self._held.body)
         if self.gone:
             return
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
+    async def _send_start(self, status: int, headers: Headers) -> None:
+        if not self.gone:
+            await self._send({"type": "http.response.start", "status": status, "headers": headers})
+
     async def answer(self, own: OwnAnswer) -> None:
         """Sends an own answer whole; nothing where an answer was begun."""
         if self.started:
--- a/kestrelbend/tier/dataplane/events.py
+++ b/kestrelbend/tier/dataplane/events.py
@@ -56,14 +56,16 @@
 
     def _note(self, block: bytes) -> bool:
         """Whether the block is an event; comments and other fields alone are none."""
-        names = {}
+        identity = None
+        has_data = False
         for line in block.split(b"\n"):
-            name, _, value = line.partition(b":")
-            names[name] = value.strip()
-        if b"id" not in names and b"data" not in names:
+            if line.startswith(b"id:"):
+                identity = line[3:].strip()
+            elif line.startswith(b"data:") or line == b"data":
+                has_data = True
+        if identity is None and not has_data:
             return False
-        identity = names.get(b"id", b"")
-        self._unnamed = not identity.isdigit()
+        self._unnamed = identity is None or not identity.isdigit()
         if not self._unnamed:
             self._rise(int(identity))
         return True
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -512,7 +512,8 @@
         }
         raw_path, _, query = path.partition("?")
         scope = {
-            "type": "http", "method": method, "path": raw_path, "raw_path": raw_path.encode(),
+            "type": "http", "http_version": "1.1", "method": method,
+            "path": raw_path, "raw_path": raw_path.encode(),
             "query_string": query.encode(),
             "headers": [(k.encode(), v.encode()) for k, v in headers.items() if k not in without],
         }  # fmt: skip
--- a/tests/tier/test_dataplane_server.py
+++ b/tests/tier/test_dataplane_server.py
@@ -31,13 +31,17 @@
             if not message["more_body"]:
                 break
         self.bodies.append(body)
-        client = Client(send, lambda: False)
+        client = Client(send, lambda: False, scope["http_version"])
         if scope["path"] == "/wait":
             await receive()
             self.gone.set()
         elif scope["path"] == "/cut":
             await client.start(200, [(b"content-type", b"text/event-stream")])
             await client.body(b"id: 1\n\n", more=True)
+        elif scope["path"] == "/untold":
+            await client.start(200, [(b"content-type", b"text/event-stream")])
+            await client.body(b"id: 1\n\n", more=True)
+            await client.body(b"id: 2\n\n", more=False)
         elif scope["path"] == "/short":
             await client.start(200, [(b"content-length", b"10")])
             await client.body(b"12345", more=True)
@@ -88,6 +92,15 @@
         short = self.play(lambda: self.exchange(b"GET /short" + HOST + b"\r\n"))
         self.assertTrue(short.endswith(b"content-length: 10\r\n\r\n12345"), short)
 
+    def test_an_answer_without_a_length_does_not_look_complete_to_an_older_client(self):
+        """To one that knows no chunks, the end of the connection is the end of such an answer."""
+        old = b" HTTP/1.0\r\nHost: a.example\r\n\r\n"
+        cut = self.play(lambda: self.exchange(b"GET /cut" + old))
+        self.assertNotIn(b"200", cut.split(b"\r\n")[0])
+        untold = self.play(lambda: self.exchange(b"GET /untold" + old))
+        self.assertIn(b"\r\ncontent-length: 14\r\n", untold)
+        self.assertTrue(untold.endswith(b"\r\n\r\nid: 1\n\nid: 2\n\n"), untold)
+
     def test_pipelined_requests_are_answered_in_order_and_head_has_no_body(self):
         one = b"POST /a" + HOST + b"Content-Length: 1\r\n\r\nA"
         head = b"HEAD /b" + HOST + b"Content-Length: 1\r\n\r\nB"
--- a/tests/tier/test_dataplane_sockets.py
+++ b/tests/tier/test_dataplane_sockets.py
@@ -93,8 +93,8 @@
             server.close()
             await asyncio.wait_for(serving, STORY_S)
 
-    async def ask(self, route: str):
-        """A client's connection on which a request was sent."""
+    async def ask(self, route: str, last: bool = True):
+        """A client's connection on which a request was sent, the last one or not."""
         while True:
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -102,7 +102,7 @@
             except ConnectionRefusedError:
                 await asyncio.sleep(0)
         head = b"GET /%s/x HTTP/1.1\r\nHost: a.example\r\n" % route.encode() + REQUEST_ID
-        writer.write(head + b"Connection: close\r\n\r\n")
+        writer.write(head + (b"Connection: close\r\n\r\n" if last else b"\r\n"))
         return reader, writer
 
 
@@ -163,7 +163,7 @@
             for leave in (close, reset, half_close):
 
                 async def story(stack, route=route, leave=leave):
-                    _, writer = await stack.ask(route)
+                    _, writer = await stack.ask(route, last=leave is not half_close)
                     await stack.asked.wait()
                     leave(writer)
                     await stack.left.wait()
