--- a/tests/tier/test_dataplane_every_byte.py
+++ b/tests/tier/test_dataplane_every_byte.py
@@ -20,6 +20,7 @@
 SERVICES = {"pay": "tools", "read": "tools", "once": "models", "turns": "models"}
 ONCE = ("pay", "once")
 FIELDS = {"x-kestrelbend-deadline-ms": str(int(DEADLINE_S * 1000))}
+OURS = b"X-Kestrelbend-Request-Id: try-1\r\n"
 THREE = b"".join(event(number) for number in range(1, 4))
 
 
@@ -207,3 +208,66 @@
                 for reused in (False, True):
                     seen = self.play(kind, answer, ending, reused)
                     self.assertIn((200, True), seen)
+
+
+class BodiesThatAreNotReadWhole(testtools.TestCase):
+    """The backend takes N bytes of a long request, then ends the connection, answers, or does nothing."""
+
+    BODY = bytes(range(256)) * 8
+    STEP = 61
+
+    def play(self, kind: str, reaction, window: int):
+        world = World()
+        backend = world.backend("i-1", SERVICES[kind])
+        backend.window = window
+        fields = {"x-kestrelbend-deadline-ms": "500"}
+
+        async def story():
+            asked = asyncio.ensure_future(world.ask(f"/{kind}/x", body=self.BODY, fields=fields))
+            await asyncio.sleep(0.1)
+            first = backend.connections[0]
+            backend.window = None  # of later connections
+            reaction(first)
+            got = await asked
+            first.read_on()
+            await asyncio.sleep(1)
+            return got
+
+        got = world.run(story())
+        return got, backend
+
+    def windows(self):
+        return range(0, len(self.BODY) + 400, self.STEP)
+
+    def test_it_is_sent_once_and_never_promised(self):
+        reactions = (
+            (lambda connection: connection.reset(), 502),
+            (lambda connection: connection.close(), 502),
+            (lambda connection: None, 504),
+            (lambda connection: connection.send(b"HTTP/1.1 503 X\r\n" + OURS + b"\r\n"), 502),
+            (
+                lambda connection: connection.send(
+                    b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n" + OURS + b"\r\n"
+                ),
+                500,
+            ),
+        )
+        for kind in ONCE:
+            for reaction, status in reactions:
+                for window in self.windows():
+                    got, backend = self.play(kind, reaction, window)
+                    where = (kind, status, window, got)
+                    if got.status == 200:  # all of it was read
+                        self.assertTrue(window > len(self.BODY), where)
+                    else:
+                        self.assertEqual(status, got.status, where)
+                    self.assertEqual(1, len(backend.connections), where)
+
+    def test_a_refusal_before_the_body_is_read_frees_it_for_another_connection(self):
+        refusal = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Kestrelbend-Not-Executed: 1\r\n" + OURS + b"\r\n"
+        for window in range(0, len(self.BODY), self.STEP):
+            got, backend = self.play("pay", lambda connection: connection.send(refusal), window)
+            self.assertIn(got.status, (200, 503), window)
+            first = backend.connections[0]
+            self.assertTrue(first.gateway_closed, window)
+            self.assertEqual(got.status == 200, len(backend.asked) == 1, window)
