--- a/kestrelbend/tier/dataplane/reading.py
+++ b/kestrelbend/tier/dataplane/reading.py
@@ -108,6 +108,8 @@
     fields = head.fields
     if not head.path.startswith("/"):
         return OwnAnswer(400, "the target is not a path")
+    if scope["method"] == "CONNECT":
+        return OwnAnswer(501, "no tunnels here")  # an answer to it would seem to have no body
     if route is None:
         return OwnAnswer(404, "no route")
     if not fields.get(REQUEST_ID):
--- a/tests/tier/test_dataplane_requests.py
+++ b/tests/tier/test_dataplane_requests.py
@@ -70,9 +70,10 @@
                 (await world.ask("/read/x", chunks=(b"x",), fields={"content-length": "1"})).status,
                 (await world.ask("/read/x", fields={"x-large": "x" * 20000})).status,
                 (await world.ask("/lost/x")).status,
+                (await world.ask("/read/x", method="CONNECT")).status,
             ]
 
-        self.assertEqual([404, 404, 400, 413, 413, 400, 431, 503], world.run(story()))
+        self.assertEqual([404, 404, 400, 413, 413, 400, 431, 503, 501], world.run(story()))
         self.assertEqual([], backend.asked)
 
     def test_connections_are_used_again_and_closed_when_the_backend_says_so(self):
