--- a/kestrelbend/tier/dataplane/exchange.py
+++ b/kestrelbend/tier/dataplane/exchange.py
@@ -88,9 +88,7 @@
     def headers_for(self, backend: Backend, now: float, last_event_id: bytes | None) -> Headers:
         """The head of one send: all of the client's headers, and what concerns this send."""
         headers = [pair for pair in end_to_end(self.headers) if pair[0] not in _REPLACED]
-        left_ms = max(1, math.floor((self.deadline - now) * 1000))
-        headers.append((DEADLINE_MS, b"%d" % left_ms))
-        headers.append((EXPECT_INSTANCE, backend.identity.encode()))
+        headers += _deadline_left(self.deadline - now) + _instance_check(backend)
         if last_event_id is not None:
             headers.append((LAST_EVENT_ID, last_event_id))
         if self.chunked:
@@ -100,6 +98,16 @@
         return headers
 
 
+def _deadline_left(left_s: float) -> Headers:
+    """Has the backend stop when the time is over, whenever it was sent to."""
+    return [(DEADLINE_MS, b"%d" % max(1, math.floor(left_s * 1000)))]
+
+
+def _instance_check(backend: Backend) -> Headers:
+    """Has any other backend that uses this one's address by now turn the request away."""
+    return [(EXPECT_INSTANCE, backend.identity.encode())]
+
+
 class Failure(enum.Enum):
     """How a send ended without an answer of its own."""
 
