--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -84,7 +84,8 @@
         begun = asyncio.get_running_loop().time()
         request_id = next((value for name, value in scope["headers"] if name == REQUEST_ID), None)
         client = Client(send, lambda: self.life.draining, scope["http_version"], request_id)
-        await self.life.equipped(START_WAIT_S)
+        if not self.life.was_ready:
+            await self.life.equipped(self._start_wait_s(scope))
         table = self.routing.current()
         if table is None:
             await client.answer(OwnAnswer(503, "no configuration yet", NOT_EQUIPPED_RETRY_S))
@@ -103,6 +104,13 @@
         if own is not None:
             await client.answer(own)
 
+    def _start_wait_s(self, scope: dict) -> float:
+        """How long a request waits for a gateway that is starting: no longer than it may take at all."""
+        table = self.routing.current()
+        head = RequestHead.of(scope)
+        route = None if table is None else head.route(table)
+        return START_WAIT_S if route is None else min(START_WAIT_S, head.allowed_s(route))
+
     async def _read(
         self, scope: dict, receive: Receive, table: ports.RoutingTable, begun: float
     ) -> Exchange | OwnAnswer:
--- a/kestrelbend/tier/dataplane/life.py
+++ b/kestrelbend/tier/dataplane/life.py
@@ -31,9 +31,14 @@
         if ready:
             self._ready.set()
 
+    @property
+    def was_ready(self) -> bool:
+        """The gateway has once had what it needs."""
+        return self._ready.is_set()
+
     async def equipped(self, within: float) -> None:
         """Until the gateway has once had what it needs, or for so many seconds."""
-        if self._ready.is_set():
+        if self.was_ready:
             return
         try:
             async with asyncio.timeout(within):
--- a/tests/tier/test_dataplane_answers.py
+++ b/tests/tier/test_dataplane_answers.py
@@ -450,6 +450,13 @@
         got = self.play("/pay/x", chunks=(b"a",), body_after=2.9)
         self.assertEqual((408, []), (got.status, backend.asked))
 
+    def test_a_request_at_a_gateway_that_is_starting_is_refused(self):
+        backend = self.world.backend("i-1")
+        self.world.plane.life = Life()
+        got = self.world.run(self.world.ask("/read/x", fields={"x-kestrelbend-deadline-ms": "300"}))
+        self.assertEqual((503, []), (got.status, backend.asked))
+        self.assertTrue(got.at <= 100.31, got.at)
+
     def test_a_client_that_does_not_read_holds_nothing(self):
         self.world.backend("i-1", "models").answers(events(range(1, 100), pause=0.1))
         got = self.play("/once/x", reads=False)
