--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -12,7 +12,16 @@
 
 from ..budgets.shards import SHARD_PREFIX
 from ..membership.directory import DirectoryView
-from ..membership.messages import Directory, Heartbeat, Hello, Member, ShardReport, Subscribe
+from ..membership.messages import (
+    ContactRequest,
+    ContactWord,
+    Directory,
+    Heartbeat,
+    Hello,
+    Member,
+    ShardReport,
+    Subscribe,
+)
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from ..membership.ring import monitors
 from ..protocol.codec import decode, encode
@@ -21,8 +30,11 @@
 from ..replication.messages import (
     AppendEntries,
     AppendReply,
-    InstallSnapshot,
+    ReadIndexReply,
+    ReadIndexRequest,
     RequestVote,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
     VoteReply,
 )
@@ -44,8 +56,11 @@
     VoteReply,
     AppendEntries,
     AppendReply,
-    InstallSnapshot,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
+    ReadIndexRequest,
+    ReadIndexReply,
 )
 
 
@@ -82,7 +97,7 @@
             Hello(self.address, self.replica_id, self.incarnation),
             self.log,
             self._on_message,
-            self.on_peer,
+            self._on_peer,
             self.on_lost,
         )
 
@@ -101,6 +116,7 @@
         records = [decode(data) for data in self.journal.load()]
         self.host = ShardHost(
             identity=self.replica_id,
+            first_ticket=self.incarnation,
             timing=Timing(),
             journal=self.journal,
             encode=encode,
@@ -209,6 +225,12 @@
         elif link.peer.replica == receiver:
             link.send(message)
 
+    def _on_peer(self, link: Link) -> None:
+        """A new outgoing connection stands: what replicas sent over older ones may be lost."""
+        if self.host is not None and link.peer.replica:
+            self.host.reconnected(link.peer.replica)
+        self.on_peer(link)
+
     def _on_message(self, link: Link, message, sequence: int) -> None:
         if isinstance(message, REPLICA_MESSAGES):
             if self.host is not None:
@@ -216,6 +238,8 @@
         elif isinstance(message, Directory):
             self.directory.take(link.address, message)
             self.on_directory()
+        elif isinstance(message, ContactRequest):
+            link.send(self.contact_word(message.ticket))
         else:
             self.on_message(link, message, sequence)
 
@@ -281,6 +305,25 @@
             )
         return tuple(reports)
 
+    def contact_word(self, ticket: int) -> ContactWord:
+        """What a gateway may believe of this process's replicas now."""
+        return ContactWord(
+            ticket=ticket,
+            in_contact=self._is_in_contact(CONFIGURATION_SHARD),
+            version=self.config_version(),
+            owned=tuple(shard for shard in self._budget_shards_owned() if self._is_in_contact(shard)),
+        )
+
+    def _is_in_contact(self, shard: str) -> bool:
+        replica = None if self.host is None else self.host.replica(shard)
+        return replica is not None and replica.in_touch(self.now())
+
+    def _budget_shards_owned(self) -> list[str]:
+        if self.host is None:
+            return []
+        shards = [shard for shard in self.host.shards() if shard != CONFIGURATION_SHARD]
+        return [shard for shard in shards if self.host.replica(shard).is_owner]
+
     def heartbeat(self) -> Heartbeat:
         """What this process tells its monitors now."""
         self._beat += 1
