Budgets: tries are named by their gateways; a forgotten name is refused, a program kept for RetainS

Causes, each by a test that failed before: - A reservation's name was the client's request id: three turns of one id counted once (100 tokens of 300). - 64 closed reservations a program are remembered by count. A reservation that came again past that was admitted again (its tokens held for ever), and a settlement after it counted twice (6,480 in place of 6,440); likewise one that came after its settlement as not run had been dropped, and one whose program had been laid aside. None of these handed out tokens uncounted; they take a program's budget from it. - RetainS was read and never used: the program that was idle for longest was forgotten by count, whenever its last use was, and a stopped one that came back got its budget again.

Change: a gateway names each try by its address, its life and a rising number. Of each life a table keeps the highest number that it has forgotten and refuses what is not above it (4,096 lives). An entry carries the time since its owner's last one, so the table has a time that is never ahead of the true one; a program is forgotten only when the table is full and it has been away for its RetainS.

--- a/benchmarks/tier_stream.py
+++ b/benchmarks/tier_stream.py
@@ -40,6 +40,7 @@
     retries: int = 1
     sticky: bool = True
     resumable: bool = True
+    retain_s: int = 60
     gap_aim_ms: float = 200
     targets: tuple = (("models", 1),)
 
@@ -91,6 +92,9 @@
 class Admitting:
     """A budget that admits everything."""
 
+    def reservation_name(self, request_id) -> str:
+        return request_id
+
     async def reserve(self, service, command) -> ReserveOutcome:
         return ReserveOutcome(command.reservation, Verdict.ADMITTED, 0, 0, 0)
 
--- a/kestrelbend/tier/budgets/bounds.py
+++ b/kestrelbend/tier/budgets/bounds.py
@@ -14,6 +14,7 @@
 
 NAME_BYTES = 256
 TOKENS_MOST = 2**48
+RETAIN_MOST_S = 2**31 - 1
 _FINGERPRINT_RANGE = 2**63
 
 
@@ -27,6 +28,7 @@
         fingerprint=reserve.fingerprint % _FINGERPRINT_RANGE,
         most_tokens=_bounded_tokens(reserve.most_tokens),
         budget=_bounded_tokens(reserve.budget),
+        retain_s=min(max(reserve.retain_s, 0), RETAIN_MOST_S),
     )
 
 
--- a/kestrelbend/tier/budgets/commands.py
+++ b/kestrelbend/tier/budgets/commands.py
@@ -6,14 +6,15 @@
 
 from kestrelbend.tier.budgets.messages import Reserve, Settle
 
-_COUNT = struct.Struct("<HH")  # settlements, reservations
+_HEAD = struct.Struct("<IHH")  # milliseconds since the owner's last entry, settlements, reservations
 _SETTLE = struct.Struct("<HHqB")  # lengths of the two names, tokens, end
-_RESERVE = struct.Struct("<HHHqqqB")  # lengths of the three names, fingerprint, most, budget, spare
+_RESERVE = struct.Struct("<HHHqqqBI")  # lengths of the names, fingerprint, most, budget, spare, retain_s
+_ELAPSED_MOST_MS = 2**32 - 1
 
 
-def encode_commands(settles: tuple[Settle, ...], reserves: tuple[Reserve, ...]) -> bytes:
+def encode_commands(settles: tuple[Settle, ...], reserves: tuple[Reserve, ...], elapsed_ms: int = 0) -> bytes:
     """The bytes of an entry; settlements come first, as they are applied first."""
-    parts = [_COUNT.pack(len(settles), len(reserves))]
+    parts = [_HEAD.pack(min(elapsed_ms, _ELAPSED_MOST_MS), len(settles), len(reserves))]
     for settle in settles:
         _put_settle(parts, settle)
     for reserve in reserves:
@@ -21,10 +22,15 @@
     return b"".join(parts)
 
 
+def elapsed_ms_of(data: bytes) -> int:
+    """The time since the entry before, as its owner counted it."""
+    return _HEAD.unpack_from(data)[0]
+
+
 def decode_commands(data: bytes) -> tuple[list[Settle], list[Reserve]]:
     """The settlements and reservations of an entry."""
-    settle_count, reserve_count = _COUNT.unpack_from(data)
-    position = _COUNT.size
+    _, settle_count, reserve_count = _HEAD.unpack_from(data)
+    position = _HEAD.size
     settles = []
     for _ in range(settle_count):
         settle, position = _get_settle(data, position)
@@ -58,18 +64,18 @@
     session = reserve.session.encode()
     reservation = reserve.reservation.encode()
     lengths = len(program), len(session), len(reservation)
-    figures = reserve.fingerprint, reserve.most_tokens, reserve.budget, reserve.spare
+    figures = reserve.fingerprint, reserve.most_tokens, reserve.budget, reserve.spare, reserve.retain_s
     parts.append(_RESERVE.pack(*lengths, *figures))
     parts += program, session, reservation
 
 
 def _get_reserve(data: bytes, position: int) -> tuple[Reserve, int]:
     figures = _RESERVE.unpack_from(data, position)
-    program_length, session_length, reservation_length, fingerprint, most, budget, spare = figures
+    program_length, session_length, reservation_length, fingerprint, most, budget, spare, retain_s = figures
     session_start = position + _RESERVE.size + program_length
     reservation_start = session_start + session_length
     stop = reservation_start + reservation_length
     program = data[position + _RESERVE.size : session_start].decode()
     session = data[session_start:reservation_start].decode()
     reservation = data[reservation_start:stop].decode()
-    return Reserve(program, session, reservation, fingerprint, most, budget, bool(spare)), stop
+    return Reserve(program, session, reservation, fingerprint, most, budget, bool(spare), retain_s), stop
--- a/kestrelbend/tier/budgets/messages.py
+++ b/kestrelbend/tier/budgets/messages.py
@@ -29,8 +29,9 @@
     """Adds a turn's most tokens to its program's total, or refuses.
 
     `reservation` is unique to one try of a client (a repeat of the same command changes nothing and gets the
-    same outcome).  `fingerprint` tells a turn's repeat from the session's next turn.  `spare` says that the
-    quota alone decides: a backend has room, so the retry budget does not act.
+    same outcome, or a refusal once it is forgotten; see `names.py`).  `fingerprint` tells a turn's repeat
+    from the session's next turn.  `spare` says that the quota alone decides: a backend has room, so the retry
+    budget does not act.  `retain_s` is how long the program may stay away and come back, 0 where it is unset.
     """
 
     program: str
@@ -40,6 +41,7 @@
     most_tokens: int
     budget: int
     spare: bool
+    retain_s: int = 0
 
 
 @attrs.frozen
--- a/kestrelbend/tier/budgets/program.py
+++ b/kestrelbend/tier/budgets/program.py
@@ -56,12 +56,23 @@
     open_turns: dict[str, OpenTurn] = attrs.field(factory=dict)
     sessions: dict[str, SessionTurn] = attrs.field(factory=dict)
     closed: dict[str, Verdict] = attrs.field(factory=dict)
+    used_at_ms: int = 0  # by the table's time
+    retain_s: int = 0  # as its reservations say
+    forgotten: list[str] = attrs.field(factory=list)  # names dropped since the table last looked
 
     @property
     def total(self) -> int:
         """Tokens handed out and reserved."""
         return self.settled + self.reserved
 
+    def holds(self, reservation: str) -> bool:
+        """Whether the reservation is open, or closed and not yet forgotten."""
+        return reservation in self.open_turns or reservation in self.closed
+
+    def refuse(self, reserve: Reserve) -> ReserveOutcome:
+        """Refuses and keeps nothing of it."""
+        return self._outcome(reserve, Verdict.RETRY_LATER)
+
     def reserve(self, reserve: Reserve) -> ReserveOutcome:
         """Adds a turn's most tokens, or refuses and adds nothing."""
         if reserve.reservation in self.open_turns:
@@ -111,7 +122,8 @@
             self.retries += reserve.most_tokens
         self.sessions.pop(reserve.session, None)
         self.sessions[reserve.session] = SessionTurn(reserve.fingerprint, reserve.reservation)
-        _drop_first(self.sessions, SESSIONS_KEPT)
+        if len(self.sessions) > SESSIONS_KEPT:
+            del self.sessions[next(iter(self.sessions))]
 
     def _end_turn(self, session: str, settle: Settle) -> None:
         last = self.sessions.get(session)
@@ -120,13 +132,11 @@
 
     def _close(self, reservation: str, verdict: Verdict) -> None:
         self.closed[reservation] = verdict
-        _drop_first(self.closed, CLOSED_KEPT)
+        if len(self.closed) > CLOSED_KEPT:
+            oldest = next(iter(self.closed))
+            del self.closed[oldest]
+            self.forgotten.append(oldest)
 
     def _outcome(self, reserve: Reserve, verdict: Verdict) -> ReserveOutcome:
         retry_after_ms = RETRY_AFTER_MS if verdict is Verdict.RETRY_LATER else 0
         return ReserveOutcome(reserve.reservation, verdict, self.total, self.settled, retry_after_ms)
-
-
-def _drop_first(kept: dict, most: int) -> None:
-    if len(kept) > most:
-        del kept[next(iter(kept))]
--- a/kestrelbend/tier/budgets/shard_service.py
+++ b/kestrelbend/tier/budgets/shard_service.py
@@ -9,8 +9,10 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from ..membership.placement import address_of
-from .commands import decode_commands, encode_commands
+from .commands import decode_commands, elapsed_ms_of, encode_commands
 from .messages import BudgetReply, BudgetRequest, ReserveOutcome
 from .table import BudgetTable
 
@@ -25,6 +27,7 @@
 
     def apply(self, command: bytes) -> tuple[ReserveOutcome, ...]:
         """Applies one request's commands, settlements first."""
+        self.table.advance(elapsed_ms_of(command))
         settles, reserves = decode_commands(command)
         for settle in settles:
             self.table.apply(settle)
@@ -39,12 +42,21 @@
         self.table.restore(state)
 
 
+@attrs.frozen
+class _Proposed:
+    """An owner's last entry."""
+
+    epoch: int
+    at: float
+
+
 class BudgetShards:
     """Answers gateways' requests for the shards that are owned here."""
 
     def __init__(self):
         self._host = None
         self._now = None
+        self._proposed: dict[str, _Proposed] = {}
 
     def attach(self, host, now: Callable[[], float]) -> None:
         """The process's replicas; None for a process without a disk."""
@@ -66,12 +78,37 @@
             else:
                 reply(BudgetReply(shard, True, "", outcomes))
 
-        data = encode_commands(request.settles, request.reserves)
-        if self._host is None or not self._host.propose(shard, data, done, self._now()):
+        now = 0.0 if self._host is None else self._now()
+        elapsed_ms = self._elapsed_ms(shard, now)
+        data = encode_commands(request.settles, request.reserves, elapsed_ms)
+        if self._host is None or not self._host.propose(shard, data, done, now):
             reply(self._not_owner(shard))
             return
+        self._note_proposed(shard, elapsed_ms, now)
         self._host.flush(shard)
 
+    def _elapsed_ms(self, shard: str, now: float) -> int:
+        """Milliseconds since this owner's last entry, by its steady clock; 0 for the first of its epoch.
+
+        What lies between two owners is left out, and so is what an entry carried that did not count: the
+        table's time may fall behind the true one, and is never ahead of it.
+        """
+        last = self._last_proposed(shard)
+        return 0 if last is None else max(0, int((now - last.at) * 1000))
+
+    def _note_proposed(self, shard: str, elapsed_ms: int, now: float) -> None:
+        """The rest of a millisecond goes to the next entry."""
+        last = self._last_proposed(shard)
+        at = now if last is None else last.at + elapsed_ms / 1000
+        self._proposed[shard] = _Proposed(self._host.replica(shard).epoch, at)
+
+    def _last_proposed(self, shard: str) -> _Proposed | None:
+        last = self._proposed.get(shard)
+        replica = None if self._host is None else self._host.replica(shard)
+        if last is None or replica is None or replica.epoch != last.epoch:
+            return None
+        return last
+
     def _not_owner(self, shard: str) -> BudgetReply:
         replica = self._host.replica(shard) if self._host is not None else None
         hint = address_of(replica.owner) if replica is not None and not replica.is_owner else ""
--- a/kestrelbend/tier/configuration/routing.py
+++ b/kestrelbend/tier/configuration/routing.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -34,6 +35,7 @@
     priority: int
     retries: int
     stored: bool
+    retain_s: int  # for which a program of the route may stay away and come back
     sticky: bool
     resumable: bool
     gap_aim_ms: float
@@ -144,6 +146,7 @@
         priority=_value(item, "Prio", 0),
         retries=max(1, _value(item, "Retries", 1)),
         stored=_value(item, "Stored", False),
+        retain_s=math.ceil(_value(item, "RetainS", 0)),
         sticky=_value(item, "Sticky", False),
         resumable=_value(item, "Resumable", False),
         gap_aim_ms=_value(item, "gap_aim_ms", 0),
--- a/kestrelbend/tier/dataplane/ports.py
+++ b/kestrelbend/tier/dataplane/ports.py
@@ -26,6 +26,7 @@
     retries: int
     sticky: bool
     resumable: bool
+    retain_s: int
     gap_aim_ms: float
     targets: tuple[tuple[str, int], ...]
 
@@ -80,6 +81,9 @@
     an admitted one by `settle`, which returns at once.
     """
 
+    def reservation_name(self, request_id: str) -> str:
+        """A name for one try's reservation that no other try has, whatever ids clients send."""
+
     async def reserve(self, service: str, command: Reserve) -> ReserveOutcome: ...
 
     def settle(self, service: str, command: Settle) -> None: ...
--- a/kestrelbend/tier/dataplane/turn.py
+++ b/kestrelbend/tier/dataplane/turn.py
@@ -30,7 +30,7 @@
 
     program: str
     session: str
-    reservation: str
+    request_id: str
     fingerprint: int
     most_tokens: int
     budget: int
@@ -51,7 +51,7 @@
     return Turn(
         program=fields[PROGRAM].decode("latin1"),
         session=fields.get(SESSION, b"").decode("latin1"),
-        reservation=exchange.request_id.decode("latin1"),
+        request_id=exchange.request_id.decode("latin1"),
         fingerprint=fingerprint,
         most_tokens=int(most),
         budget=int(budget),
@@ -77,14 +77,16 @@
         service = exchange.service.name
         if self._budget.spent_locally(turn.program, turn.most_tokens, turn.budget):
             return OwnAnswer(SPENT, "the program's budget is spent")
+        reservation = self._budget.reservation_name(turn.request_id)
         command = Reserve(
             program=turn.program,
             session=turn.session,
-            reservation=turn.reservation,
+            reservation=reservation,
             fingerprint=turn.fingerprint,
             most_tokens=turn.most_tokens,
             budget=turn.budget,
             spare=spare,
+            retain_s=exchange.route.retain_s,
         )
         outcome = await self._budget.reserve(service, command)
         refusal = _refusal(outcome.verdict, outcome.retry_after_ms)
@@ -95,7 +97,7 @@
         finally:
             used = client.events * max(1, exchange.service.stride)
             end = _end(client, progress)
-            self._budget.settle(service, Settle(turn.program, turn.reservation, used, int(end)))
+            self._budget.settle(service, Settle(turn.program, reservation, used, int(end)))
 
 
 def _refusal(verdict: int, retry_after_ms: int) -> OwnAnswer | None:
--- a/kestrelbend/tier/fleet/programs.py
+++ b/kestrelbend/tier/fleet/programs.py
@@ -120,6 +120,8 @@
 
     async def _serve(self, gateway, turn: Turn, reserve: Reserve) -> None:
         """What the gateway does with the turn; runs as a part of its process."""
+        reserve = attrs.evolve(reserve, reservation=gateway.reservation_name(turn.reservation))
+        turn.reservation = reserve.reservation
         if gateway.spent_locally(self.name, turn.most, self.budget):
             verdict = Verdict.SPENT
         else:
--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -13,7 +13,7 @@
 struct TransferOwnership { 1: string shard, 2: string sender, 3: i64 epoch }
 struct DurableRecord { 1: string shard, 2: string replica, 3: i64 epoch, 4: string voted_for, 5: list<Entry> entries, 6: optional Snapshot snapshot }
 
-struct Reserve { 1: string program, 2: string session, 3: string reservation, 4: i64 fingerprint, 5: i64 most_tokens, 6: i64 budget, 7: bool spare }
+struct Reserve { 1: string program, 2: string session, 3: string reservation, 4: i64 fingerprint, 5: i64 most_tokens, 6: i64 budget, 7: bool spare, 8: i32 retain_s }
 struct Settle { 1: string program, 2: string reservation, 3: i64 used_tokens, 4: i32 end }
 struct ReserveOutcome { 1: string reservation, 2: i32 verdict, 3: i64 total, 4: i64 settled, 5: i32 retry_after_ms }
 struct BudgetRequest { 1: string shard, 2: list<Reserve> reserves, 3: list<Settle> settles }
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ..budgets.client import BudgetClient
+from ..budgets.names import ReservationNames
 from ..budgets.messages import BudgetReply, BudgetRequest, Reserve, ReserveOutcome, Settle, Verdict
 from ..configuration.document import read_accepted
 from ..configuration.routing import RoutingTable
@@ -60,6 +61,7 @@
         self.view = BackendView()
         self.life = Life()
         self.budget_client: BudgetClient | None = None
+        self._reservation_names = ReservationNames(settings.ip, self.incarnation)
         self._current = False
         self._told_backends_at: float | None = None
         self.contact = GatewayContact(settings.ip)
@@ -146,6 +148,10 @@
         """Whether an owner of the shard answers, or soon will."""
         return self.contact.shard(shard, self.now()) is not Standing.LOST
 
+    def reservation_name(self, request_id: str) -> str:
+        """A name that no other try has, even where a client gives two requests one id."""
+        return self._reservation_names.next()
+
     async def reserve(self, service: str, command: Reserve) -> ReserveOutcome:
         """A turn's tokens at the owner of its program's shard."""
         if self.budget_client is None:
--- a/tests/tier/budget_fleet.py
+++ b/tests/tier/budget_fleet.py
@@ -42,6 +42,10 @@
     def is_owner(self) -> bool:
         return self.fleet.owner == self.address
 
+    @property
+    def epoch(self) -> int:
+        return self.fleet.epoch
+
     def replica(self, shard: str) -> _Host:
         return self
 
@@ -74,6 +78,7 @@
         self.chance = chance
         self.faults = faults or Faults()
         self.owner = "a"
+        self.epoch = 1
         self.requests: list[tuple[str, BudgetRequest]] = []
         self.hosts = {address: _Host(self, address) for address in ADDRESSES}
         self._services = {address: self._service(address) for address in ADDRESSES}
@@ -101,6 +106,7 @@
         del self._proposed[kept:]
         self._commit(self._committed + kept)
         self.owner = address
+        self.epoch += 1
 
     def renew(self, address: str) -> None:
         """A replica that does not own the shard starts anew from another's snapshot."""
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -286,6 +286,9 @@
         self.reserved: list[Reserve] = []
         self.settled: list[Settle] = []
 
+    def reservation_name(self, request_id: str) -> str:
+        return request_id
+
     async def reserve(self, service: str, command: Reserve) -> ReserveOutcome:
         self.reserved.append(command)
         await asyncio.sleep(self.delay)
@@ -301,7 +304,7 @@
 def route(name: str, kind: str, service: str, **changes) -> Route:
     values = dict(
         name=name, hostname="a.example", path_prefix=f"/{name}/", kind=kind, timeout_ms=2000, slo_ms=200,
-        priority=1, retries=1, stored=False, sticky=False, resumable=False, gap_aim_ms=200,
+        priority=1, retries=1, stored=False, retain_s=60, sticky=False, resumable=False, gap_aim_ms=200,
         targets=((service, 1),),
     )  # fmt: skip
     return Route(**{**values, **changes})
