Budget replies carry their epoch; replies by number, and a former owner's word, shown by tests

A hint of an earlier epoch sent a gateway to a former owner: it cost a request, not a turn, since outcomes are given for committed entries alone. A reply carries its replica's epoch now, and the route follows no hint and no owner of an earlier one. A reply is taken only where it names the request's shard and reservations, besides its number.

--- a/kestrelbend/tier/budgets/line.py
+++ b/kestrelbend/tier/budgets/line.py
@@ -145,10 +145,10 @@
         reply = await self._ask(target, request)
         if reply is None:
             self._route.no_reply(target, now, asyncio.get_running_loop().time())
-        elif not reply.owner or len(reply.outcomes) != len(waiting):
-            self._route.not_owner(target, reply.owner_hint)
+        elif not answers(request, reply):
+            self._route.not_owner(target, reply.owner_hint, reply.epoch)
         else:
-            self._route.owner(target)
+            self._route.owner(target, reply.epoch)
             self._take(reply, waiting, settles)
 
     async def _ask(self, target: str, request: BudgetRequest) -> BudgetReply | None:
@@ -168,6 +168,14 @@
                 one.outcome.set_result(outcome)
 
 
+def answers(request: BudgetRequest, reply: BudgetReply) -> bool:
+    """Whether an owner replies to this very request: its shard, and its reservations one by one."""
+    if not reply.owner or reply.shard != request.shard:
+        return False
+    asked = [reserve.reservation for reserve in request.reserves]
+    return asked == [outcome.reservation for outcome in reply.outcomes]
+
+
 def silent(reserve: Reserve) -> ReserveOutcome:
     """The outcome of a reservation that no owner has answered."""
     return ReserveOutcome(reserve.reservation, Verdict.SILENT, 0, 0, 0)
--- a/kestrelbend/tier/budgets/messages.py
+++ b/kestrelbend/tier/budgets/messages.py
@@ -76,9 +76,14 @@
 
 @attrs.frozen
 class BudgetReply:
-    """Outcomes in the order of `reserves`; not `owner`: nothing was recorded, `owner_hint` may be."""
+    """Outcomes in the order of `reserves`, of a committed entry.
+
+    Not `owner`: whether anything was recorded is not known, and `owner_hint` may own the shard, as far as the
+    replica knew in its `epoch`.
+    """
 
     shard: str
     owner: bool
     owner_hint: str
     outcomes: tuple[ReserveOutcome, ...]
+    epoch: int = 0
--- a/kestrelbend/tier/budgets/route.py
+++ b/kestrelbend/tier/budgets/route.py
@@ -2,7 +2,8 @@
 
 Each replica is asked once in a round, the one after the last first; between rounds there is a pause that
 grows.  A replica that did not reply is left out for a while, also where another still names it as the owner:
-those that were beside it learn of its loss later than the gateway that waited for it.
+those that were beside it learn of its loss later than the gateway that waited for it.  Invariant: after word
+from an epoch, nobody is asked because an earlier epoch named it, or had it as the owner.
 """
 
 from __future__ import annotations
@@ -36,6 +37,7 @@
         self._last = ""
         self._asked: set[str] = set()  # in this round
         self._rounds = 0  # without an owner
+        self._epoch = 0  # the highest that a reply came from
         self._silent_until: dict[str, float] = {}
 
     def target(self, replicas: Sequence[str], now: float) -> str | None:
@@ -57,17 +59,23 @@
             return settings.pause_most_s
         return min(settings.pause_quick_s, settings.pause_first_s * 2 ** min(self._rounds - 1, 6))
 
-    def owner(self, replica: str) -> None:
-        """The replica has replied as the owner."""
+    def owner(self, replica: str, epoch: int = 0) -> None:
+        """The replica has replied as the owner: that is committed, also where a later epoch is known."""
+        if epoch < self._epoch:
+            self._note_asked(replica)
+            return
+        self._epoch = epoch
         self._likely = self._last = replica
         self._asked.clear()
         self._silent_until.clear()
         self._rounds = 0
 
-    def not_owner(self, replica: str, hint: str) -> None:
-        """The replica does not own the shard; a hint is followed once in a round."""
+    def not_owner(self, replica: str, hint: str, epoch: int = 0) -> None:
+        """The replica does not own the shard; a hint is followed once in a round, an outdated one never."""
         self._note_asked(replica)
-        self._likely = "" if hint in self._asked else hint
+        outdated = epoch < self._epoch
+        self._epoch = max(self._epoch, epoch)
+        self._likely = "" if outdated or hint in self._asked else hint
 
     def no_reply(self, replica: str, asked_at: float, now: float) -> None:
         """The replica took too long; or it can't be reached, which is told at once and costs no time."""
--- a/kestrelbend/tier/budgets/shard_service.py
+++ b/kestrelbend/tier/budgets/shard_service.py
@@ -76,7 +76,7 @@
             if outcomes is None:
                 reply(self._not_owner(shard))
             else:
-                reply(BudgetReply(shard, True, "", outcomes))
+                reply(BudgetReply(shard, True, "", outcomes, self._host.replica(shard).epoch))
 
         now = 0.0 if self._host is None else self._now()
         elapsed_ms = self._elapsed_ms(shard, now)
@@ -112,4 +112,5 @@
     def _not_owner(self, shard: str) -> BudgetReply:
         replica = self._host.replica(shard) if self._host is not None else None
         hint = address_of(replica.owner) if replica is not None and not replica.is_owner else ""
-        return BudgetReply(shard, False, hint, ())
+        epoch = 0 if replica is None else replica.epoch
+        return BudgetReply(shard, False, hint, (), epoch)
--- a/kestrelbend/tier/protocol/links.py
+++ b/kestrelbend/tier/protocol/links.py
@@ -21,6 +21,7 @@
 MOST_FRAME_BYTES = 32 << 20
 MOST_WAITING_BYTES = 24 << 20  # a peer that reads nothing loses its connection beyond
 UNACKNOWLEDGED_MS = 600  # a connection to a silent machine ends after this
+MOST_SEQUENCE = 2**31 - 1  # a message's header has no room for more
 CONNECT_TIMEOUT_S = 0.3
 FIRST_PAUSE_S = 0.03
 LONGEST_PAUSE_S = 0.12
@@ -130,6 +131,9 @@
 
     async def request(self, message, timeout: float):
         """The reply, or None where none came in time or the connection ended."""
+        if self._sequence >= MOST_SEQUENCE:
+            self.close()  # on one connection no number comes twice
+            return None
         self._sequence += 1
         sequence = self._sequence
         loop = asyncio.get_running_loop()
--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -17,7 +17,7 @@
 struct Settle { 1: string program, 2: string reservation, 3: i64 used_tokens, 4: i32 end }
 struct ReserveOutcome { 1: string reservation, 2: i32 verdict, 3: i64 total, 4: i64 settled, 5: i32 retry_after_ms }
 struct BudgetRequest { 1: string shard, 2: list<Reserve> reserves, 3: list<Settle> settles }
-struct BudgetReply { 1: string shard, 2: bool owner, 3: string owner_hint, 4: list<ReserveOutcome> outcomes }
+struct BudgetReply { 1: string shard, 2: bool owner, 3: string owner_hint, 4: list<ReserveOutcome> outcomes, 5: i64 epoch }
 
 struct Backend { 1: string identity, 2: string service_, 3: string address, 4: string zone, 5: string software, 6: i32 slots, 7: i32 state, 8: i64 cold_left_ms, 9: i64 sequence, 10: string models }
 struct BackendUpdate { 1: string sender, 2: i64 number, 3: bool whole, 4: list<Backend> backends }
--- a/tests/tier/test_budgets_route.py
+++ b/tests/tier/test_budgets_route.py
@@ -53,3 +53,33 @@
         self.route.not_owner("c", "")
         self.route.not_owner(replica, "")
         return self.target(now)
+
+
+class EpochTest(testtools.TestCase):
+    """Word of an earlier epoch, however late it comes, sends nobody to a former owner."""
+
+    def setUp(self):
+        super().setUp()
+        self.route = OwnerRoute(ClientSettings())
+
+    def target(self):
+        return self.route.target(("a", "b", "c"), 0.0)
+
+    def test_given_an_owner_of_a_later_epoch_when_an_earlier_one_is_named_then_it_is_not_asked_for_that(self):
+        self.route.owner("b", epoch=5)
+        self.route.not_owner("b", "", epoch=5)
+        self.route.not_owner("c", "b", epoch=4)
+        self.assertEqual("a", self.target(), "the next in order, not the one that epoch 4 names")
+        self.route.not_owner("a", "c", epoch=6)
+        self.assertIsNone(self.target(), "c was asked in this round")
+        self.assertEqual("b", self.target())
+
+    def test_given_a_later_epoch_is_known_when_a_former_owner_replies_then_the_route_stays(self):
+        self.route.owner("b", epoch=5)
+        self.route.owner("a", epoch=4)
+        self.assertEqual("b", self.target())
+
+    def test_given_a_hint_of_a_later_epoch_then_it_is_followed(self):
+        self.route.owner("b", epoch=5)
+        self.route.not_owner("b", "c", epoch=6)
+        self.assertEqual("c", self.target())
