--- a/kestrelbend/tier/roles/gateway_contact.py
+++ b/kestrelbend/tier/roles/gateway_contact.py
@@ -90,6 +90,8 @@
         self._configuration.addresses = tuple(controls)
         for shard, addresses in replicas.items():
             self._shards.setdefault(shard, _Shard()).addresses = tuple(addresses)
+        known = {*controls}.union(*replicas.values())
+        self._reached = {address: at for address, at in self._reached.items() if address in known}
 
     def tick(self, now: float) -> None:
         """Time went on; to be called several times in `STALL_S`."""
--- a/tests/tier/test_budgets_repeats.py
+++ b/tests/tier/test_budgets_repeats.py
@@ -15,6 +15,7 @@
 from kestrelbend.tier.budgets.commands import elapsed_ms_of
 from kestrelbend.tier.budgets.messages import BudgetRequest, Reserve, Settle, TurnEnd, Verdict
 from kestrelbend.tier.budgets.names import LIVES_KEPT, ForgottenNames, ReservationNames
+from kestrelbend.tier.budgets.route import ClientSettings
 from kestrelbend.tier.budgets.program import CLOSED_KEPT, SESSIONS_KEPT
 from kestrelbend.tier.budgets.shard_service import BudgetShards
 from kestrelbend.tier.budgets.table import IDLE_PROGRAMS, RECENT_PROGRAMS, RETAIN_S, BudgetTable
@@ -267,7 +268,10 @@
 
 
 class RepeatsSearchTest(testtools.TestCase):
-    """Requests that arrive twice and late, while almost nothing is remembered by count."""
+    """Requests that arrive twice and late, while almost nothing is remembered by count: no token counts
+    twice, and no more than the budget is handed out."""
+
+    budget = 1500
 
     def test_given_seeded_trouble_when_two_names_are_remembered_then_no_turn_counts_twice(self):
         self.patch(program, "CLOSED_KEPT", 2)
@@ -287,11 +291,12 @@
             nonlocal handed_out
             await asyncio.sleep(chance.uniform(0, 8))
             client, given = chance.choice(gateways)
-            command = Reserve("program", str(number), given.next(), number, MOST, BUDGET, True)
+            command = Reserve("program", str(number), given.next(), number, MOST, self.budget, True)
             outcome = await client.reserve(command, within=chance.choice((0.05, 1.0)))
             if outcome.verdict == Verdict.ADMITTED:
                 used = chance.randint(0, MOST)
                 handed_out += used
+                self.assertLessEqual(handed_out, self.budget)
                 client.settle(Settle("program", command.reservation, used, TurnEnd.COMPLETE))
 
         await asyncio.gather(*(turn(number) for number in range(60)))
@@ -303,6 +308,30 @@
         self.assertEqual((handed_out, handed_out), (probe.total, probe.settled), f"seed {seed}")
 
 
+class SettlementsTest(testtools.TestCase):
+    def test_given_more_settlements_than_a_gateway_keeps_then_the_oldest_turns_count_at_their_most(self):
+        async def play():
+            fleet = BudgetFleet(random.Random(1))
+            settings = ClientSettings(settlements_most=2)
+            client = BudgetClient(fleet.send, lambda shard: ADDRESSES, 1, settings)
+            given = ReservationNames("10.0.0.1", 1)
+            commands = [Reserve("program", str(n), given.next(), n, MOST, BUDGET, True) for n in range(5)]
+            for command in commands:
+                await client.reserve(command)
+            fleet.faults = Faults(refused=1.0)
+            for command in commands:
+                client.settle(Settle("program", command.reservation, 10, TurnEnd.COMPLETE))
+            await asyncio.sleep(1.0)
+            self.assertEqual(2, client.settlements_waiting)
+            fleet.faults = Faults()
+            self.assertTrue(await client.close(within=5))
+            probe = Reserve("program", "", "probe", 0, 1, 1, False)
+            outcome = fleet.hosts["a"].machine.table.apply(probe)
+            self.assertEqual((3 * MOST + 20, 20), (outcome.total, outcome.settled))
+
+        virtual_time.run(play())
+
+
 class GatewayNamesTest(testtools.TestCase):
     def test_given_tries_of_one_client_id_then_each_has_a_reservation_of_its_own(self):
         given = ReservationNames("10.0.0.1", 5)
