--- a/kestrelbend/tier/replication/messages.py
+++ b/kestrelbend/tier/replication/messages.py
@@ -88,13 +88,33 @@
 
 
 @attrs.frozen
-class InstallSnapshot:
-    """A snapshot in place of entries that the owner no longer keeps; answered by `AppendReply`."""
+class SnapshotPiece:
+    """Part of a snapshot in place of entries that the owner no longer keeps; answered by `SnapshotReply`.
+
+    `snapshot` is without its state; `size` and `digest` are those of the whole state.  A replica that needs
+    no more of it, and one that has installed it, answers by `AppendReply`.
+    """
 
     shard: ShardId
     sender: ReplicaId
     epoch: int
     snapshot: Snapshot
+    size: int
+    digest: bytes
+    offset: int
+    data: bytes
+    round: int
+
+
+@attrs.frozen
+class SnapshotReply:
+    """The first `received` bytes of the snapshot with this digest are at the sender, not yet on its disk."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    digest: bytes
+    received: int
     round: int
 
 
@@ -107,7 +127,38 @@
     epoch: int
 
 
-ReplicaMessage = RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | TransferOwnership
+@attrs.frozen
+class ReadIndexRequest:
+    """A follower asks its owner up to where the shard is committed; `ticket` comes back with the answer."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    ticket: int
+
+
+@attrs.frozen
+class ReadIndexReply:
+    """`index` was committed when the request came, by an owner that a majority confirmed after that."""
+
+    shard: ShardId
+    sender: ReplicaId
+    epoch: int
+    ticket: int
+    index: int
+
+
+ReplicaMessage = (
+    RequestVote
+    | VoteReply
+    | AppendEntries
+    | AppendReply
+    | SnapshotPiece
+    | SnapshotReply
+    | TransferOwnership
+    | ReadIndexRequest
+    | ReadIndexReply
+)
 
 
 @attrs.frozen
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -30,8 +30,11 @@
 from ..replication.messages import (
     AppendEntries,
     AppendReply,
-    InstallSnapshot,
+    ReadIndexReply,
+    ReadIndexRequest,
     RequestVote,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
     VoteReply,
 )
@@ -53,8 +56,11 @@
     VoteReply,
     AppendEntries,
     AppendReply,
-    InstallSnapshot,
+    SnapshotPiece,
+    SnapshotReply,
     TransferOwnership,
+    ReadIndexRequest,
+    ReadIndexReply,
 )
 
 
@@ -91,7 +97,7 @@
             Hello(self.address, self.replica_id, self.incarnation),
             self.log,
             self._on_message,
-            self.on_peer,
+            self._on_peer,
             self.on_lost,
         )
 
@@ -110,6 +116,7 @@
         records = [decode(data) for data in self.journal.load()]
         self.host = ShardHost(
             identity=self.replica_id,
+            first_ticket=self.incarnation,
             timing=Timing(),
             journal=self.journal,
             encode=encode,
@@ -218,6 +225,12 @@
         elif link.peer.replica == receiver:
             link.send(message)
 
+    def _on_peer(self, link: Link) -> None:
+        """A new outgoing connection stands: what replicas sent over older ones may be lost."""
+        if self.host is not None and link.peer.replica:
+            self.host.reconnected(link.peer.replica)
+        self.on_peer(link)
+
     def _on_message(self, link: Link, message, sequence: int) -> None:
         if isinstance(message, REPLICA_MESSAGES):
             if self.host is not None:
--- a/tests/tier/replication_harness.py
+++ b/tests/tier/replication_harness.py
@@ -16,6 +16,7 @@
 
 SHARD = "budget-0"
 TICK = 0.02
+TICKETS_OF_A_LIFE = 1_000_000
 
 
 class Promises:
@@ -89,12 +90,31 @@
     loss: float = 0.0
     double: float = 0.0
     cut: set = attrs.field(factory=set)
+    bandwidth: float = 0.0  # bytes a second from one machine to another, in order; 0: without bound
+    free_at: dict = attrs.field(factory=dict)  # when a pair's link has sent all that was given to it
+
+    def arrival(self, pair, message, now, delay):
+        """How long a message takes."""
+        if not self.bandwidth:
+            return delay
+        start = max(now, self.free_at.get(pair, 0.0))
+        self.free_at[pair] = start + size_of(message) / self.bandwidth
+        return self.free_at[pair] - now + delay
+
+
+def size_of(message):
+    """About the bytes that a message takes of a link."""
+    entries = getattr(message, "entries", ())
+    snapshot = getattr(message, "snapshot", None)
+    data = len(getattr(message, "data", b"")) + sum(len(entry.data) + 64 for entry in entries)
+    return 100 + data + (len(snapshot.state) if snapshot else 0)
 
 
 class Cluster:
     """Machines, links and one clock; `seed` decides all that is left to chance."""
 
-    def __init__(self, names="abc", others="", seed=0, timing=None):
+    def __init__(self, names="abc", others="", seed=0, timing=None, watches_currency=False):
+        self.watches_currency = watches_currency
         self.random = random.Random(seed)
         self.timing = timing or Timing()
         self.now = 0.0
@@ -122,7 +142,10 @@
             durable=replay(node.records),
             timing=self.timing,
             now=self.now,
+            first_ticket=node.incarnation * TICKETS_OF_A_LIFE,
         )
+        if self.watches_currency:
+            node.replica.watch_currency()
         self._work(node)
 
     def lose_power(self, *names):
@@ -305,4 +328,5 @@
         copies = 2 if self.links.double and self.random.random() < self.links.double else 1
         for _ in range(copies):
             delay = self.links.delay + self.random.random() * self.links.spread
+            delay = self.links.arrival((node.name, name), message, self.now, delay)
             self._schedule(delay, target, 0, "message", message)
--- a/tests/tier/test_protocol_replies.py
+++ b/tests/tier/test_protocol_replies.py
@@ -20,7 +20,8 @@
     Verdict,
 )
 from kestrelbend.tier.membership.messages import ConfigAck, Hello
-from kestrelbend.tier.protocol.links import LENGTH, MOST_SEQUENCE, Link
+from kestrelbend.tier.protocol.framing import WORD
+from kestrelbend.tier.protocol.links import MOST_SEQUENCE, Link
 from tests.tier import virtual_time
 
 
@@ -166,7 +167,7 @@
             await asyncio.sleep(0)
             _, transport = connection.ends[1]
             replies, transport.written = bytes(transport.written), bytearray()
-            connection.near.data_received(LENGTH.pack(3) + b"abc" + replies)
+            connection.near.data_received(WORD.pack(3) + b"abc" + replies)
             self.assertTrue(connection.ends[0][1].aborted)
             connection.end()
             self.assertEqual([None, None], await asyncio.gather(first, second))
