Contact words go by confirmed standing; a gateway refuses by a version that was confirmed lately

Cause: a control node's word of contact went by heartbeats heard, so one whose own packets are lost gave it for some two seconds; it told the version that it had applied also where it lagged; and the data plane refused by a configuration that was current once in the gateway's life.

Change: words go by membership/standing.py; the version is told only by a current replica, and the data plane asks GatewayContact.may_refuse.

--- a/kestrelbend/tier/membership/messages.py
+++ b/kestrelbend/tier/membership/messages.py
@@ -113,7 +113,7 @@
 
     ticket: int
     in_contact: bool  # with the owner of the configuration's shard; False where there is no replica of it
-    version: int  # of the configuration, as applied here
+    version: int  # of the configuration, where the replica here is current; else 0
     owned: tuple[str, ...]  # budget shards that this process owns and is in contact for
 
 
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -75,7 +75,7 @@
             settings.zone,
             self.life,
             gateways=self._gateways,
-            may_refuse=lambda: self._current,
+            may_refuse=self.may_refuse,
         )
 
     def _gateways(self) -> int:
--- a/kestrelbend/tier/roles/gateway_contact.py
+++ b/kestrelbend/tier/roles/gateway_contact.py
@@ -38,7 +38,7 @@
     """What is known of one shard: the processes that may answer for it, and when an owner last did."""
 
     addresses: tuple[str, ...] = ()
-    confirming: str = ""  # who confirmed it last
+    confirming: str = ""  # who confirmed it last, where its word alone is enough
     confirmed_at: float = NEVER  # in running time, see `GatewayContact`
 
     def confirm(self, address: str, asked_at: float) -> None:
@@ -123,8 +123,10 @@
         del self._asked[word.ticket]
         self._reach(address, question.asked_running)
         if word.in_contact:
-            self._configuration.confirm(address, question.asked_running)
-            self._confirm_version(word.version, question.asked_at)
+            tells_version = word.version > 0
+            self._configuration.confirm(address if tells_version else "", question.asked_running)
+            if tells_version:
+                self._confirm_version(word.version, question.asked_at)
         for shard in word.owned:
             self._confirm_shard(shard, address, question.asked_running)
 
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -24,6 +25,7 @@
 )
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from ..membership.ring import monitors
+from ..membership.standing import Confirmed, in_contact, is_current
 from ..protocol.codec import decode, encode
 from ..protocol.links import Link, Links
 from ..replication.host import ShardHost
@@ -309,14 +311,16 @@
         """What a gateway may believe of this process's replicas now."""
         return ContactWord(
             ticket=ticket,
-            in_contact=self._is_in_contact(CONFIGURATION_SHARD),
-            version=self.config_version(),
-            owned=tuple(shard for shard in self._budget_shards_owned() if self._is_in_contact(shard)),
+            in_contact=self._has_standing(CONFIGURATION_SHARD, in_contact),
+            version=self.config_version() if self._has_standing(CONFIGURATION_SHARD, is_current) else 0,
+            owned=tuple(
+                shard for shard in self._budget_shards_owned() if self._has_standing(shard, in_contact)
+            ),
         )
 
-    def _is_in_contact(self, shard: str) -> bool:
+    def _has_standing(self, shard: str, standing: Callable[[Confirmed, float], bool]) -> bool:
         replica = None if self.host is None else self.host.replica(shard)
-        return replica is not None and replica.in_touch(self.now())
+        return replica is not None and standing(replica, self.now())
 
     def _budget_shards_owned(self) -> list[str]:
         if self.host is None:
--- a/tests/tier/test_gateway_contact.py
+++ b/tests/tier/test_gateway_contact.py
@@ -33,13 +33,15 @@
         self.in_contact = {*CONTROLS}
         self.owner = STORES[0]
         self.version = 7
+        self.lagging = set()
         self.delay_s = 0.0
         self._late = []
         self._beat_at = 0.0
 
     def word(self, address, ticket):
         owned = (SHARD,) if address == self.owner else ()
-        return ContactWord(ticket, address in self.in_contact, self.version, owned)
+        version = 0 if address in self.lagging else self.version
+        return ContactWord(ticket, address in self.in_contact, version, owned)
 
     def run(self, seconds):
         ends = self.now + seconds
@@ -172,6 +174,16 @@
         self.world.run(BEAT_S + TICK_S)
         self.assertTrue(self.contact.may_refuse(7, self.world.now))
 
+    def test_given_a_control_node_that_lags_then_contact_holds_and_another_one_confirms_the_version(self):
+        self.world.lagging = {*CONTROLS}
+        self.run_calm()
+        self.assertTrue(self.contact.serves(self.world.now))
+        self.assertFalse(self.contact.may_refuse(7, self.world.now))
+        self.world.lagging = {CONTROLS[2]}
+        for _ in range(10):
+            self.world.run(BEAT_S + TICK_S)
+            self.assertTrue(self.contact.may_refuse(7, self.world.now))
+
     def test_given_a_newer_version_was_confirmed_when_an_older_is_in_force_then_it_refuses_nothing(self):
         self.run_calm()
         self.assertTrue(self.contact.may_refuse(7, self.world.now))
--- a/tests/tier/test_gateway_contact_stories.py
+++ b/tests/tier/test_gateway_contact_stories.py
@@ -18,7 +18,6 @@
 UNREADY_WITHIN_S = 2.0
 ANSWER_S = 0.3
 READY_AGAIN_S = 3.0
-NO_REFUSAL_WITHIN_S = 3.0  # one way, its own control process hears the owner until its connections end
 LOOK_S = 0.05
 MOST = 16
 
@@ -115,7 +114,7 @@
         late = [now for now in observer.ready_times(name, False) if now > joined_at + READY_AGAIN_S]
         self.assertEqual([], late, "not ready again")
         refusing = [now for now, may in observer.may_refuse if may]
-        self.assertEqual([], [now for now in refusing if cut_at + NO_REFUSAL_WITHIN_S <= now <= joined_at])
+        self.assertEqual([], [now for now in refusing if cut_at + UNREADY_WITHIN_S <= now <= joined_at])
         self.assertTrue(any(now > joined_at + READY_AGAIN_S for now in refusing), "never confirmed again")
 
     def check_answers(self, observer, cut_at, joined_at):
