--- a/tests/tier/test_gateway_contact_stories.py
+++ b/tests/tier/test_gateway_contact_stories.py
@@ -150,6 +150,62 @@
         self.cut_off(one_way=False, machine_of=plain, seeds=(1,))
 
 
+class TestRefusals(FleetStory):
+    """What requests on no route are answered: 404 only where the configuration was confirmed lately."""
+
+    def refused(self, one_way):
+        async def story(world):
+            fleet = world.fleet
+            machine = owner_machine(world)
+            others = [other for other in fleet.machines.values() if other is not machine]
+            front = machine.processes["gateway"].instance.settings.listen_front
+
+            async def ask():
+                reply = await fleet.http.call(front, "GET", "/no/such/route/")
+                return reply.status
+
+            before = await ask()
+            fleet.cut(machine, others, one_way)
+            await asyncio.sleep(UNREADY_WITHIN_S)
+            during = [await ask() for _ in range(50)]
+            fleet.join(machine, others)
+            await asyncio.sleep(READY_AGAIN_S)
+            self.assertEqual((404, {503}, 404), (before, set(during), await ask()))
+
+        return story
+
+    def test_a_cut_off_gateway_refuses_no_route(self):
+        self.tell(self.refused(one_way=False), seeds=(1, 2))
+
+    def test_a_gateway_that_hears_and_is_not_heard_refuses_no_route(self):
+        self.tell(self.refused(one_way=True), seeds=(1, 2))
+
+    def test_a_gateway_started_beside_a_cut_off_control_node_refuses_no_route_and_is_not_ready(self):
+        async def story(world):
+            fleet = world.fleet
+            machine = owner_machine(world)
+            others = [other for other in fleet.machines.values() if other is not machine]
+            fleet.cut(machine, others)
+            await asyncio.sleep(UNREADY_WITHIN_S)
+            fleet.kill(machine, "gateway")
+            await asyncio.sleep(0.5)
+            machine.start()
+            fleet.contact.end(machine.name)
+            for _ in range(20):
+                await asyncio.sleep(0.3)
+                gateway = machine.processes["gateway"].instance
+                if gateway is None:
+                    continue
+                self.assertFalse(gateway.life.ready)
+                reply = await fleet.http.call(
+                    gateway.settings.listen_front, "GET", "/no/such/route/", timeout=2.0
+                )
+                self.assertNotEqual(404, getattr(reply, "status", None))
+            fleet.join(machine, others)
+
+        self.tell(story, seeds=(1, 2))
+
+
 class TestElections(FleetStory):
     def lose_owner(self, shard):
         async def story(world):
