Model of the replication core: all runs with faults at any step; guards proven by removal

Rules hold in every state: one owner an epoch, one history, logs match, majorities meet, committed entries on a majority's disks, voters join with the log, confirmed reads miss nothing, calm heals.

Guards are taken out by patches (fleet/guards.py, fleet/removals.py); a removal whose function is gone is an error.

--- a/kestrelbend/command/application.py
+++ b/kestrelbend/command/application.py
@@ -12,6 +12,7 @@
 
 from .checking import CheckVerb
 from .lab_fleet import FleetVerb
+from .lab_model import ModelVerb
 from .lab_results import CompareVerb, ReportVerb
 from .lab_runs import EmulateVerb, ExperimentVerb, GossipVerb, LoadVerb
 from .members import MembersVerb
@@ -22,7 +23,7 @@
 
 PROGRAM = "kestrelbend"
 HELP_WORDS = ("--help", "-h")
-LAB_VERBS = (EmulateVerb, GossipVerb, LoadVerb, ExperimentVerb, CompareVerb, ReportVerb, FleetVerb)
+LAB_VERBS = (EmulateVerb, GossipVerb, LoadVerb, ExperimentVerb, CompareVerb, ReportVerb, FleetVerb, ModelVerb)
 
 
 def version_line() -> str:
--- a/kestrelbend/command/lab_fleet.py
+++ b/kestrelbend/command/lab_fleet.py
@@ -41,6 +41,7 @@
         option("day", None, "Play this day alone (SEED:PLACES, as a failing one is told).", flag=False),
         option("kinds", None, "Draw from these kinds of trouble alone, with commas between.", flag=False),
         option("jobs", None, "Processes to play in.", flag=False, default=str(os.cpu_count() or 1)),
+        option("without", None, "Take this guard out, to see what finds its removal.", flag=False),
         option("shrink", None, "Leave out what a failing day doesn't need."),
     ]
 
@@ -48,9 +49,10 @@
         first = self.whole_option("first")
         seeds = self.whole_option("seeds", least=1)
         jobs = self.whole_option("jobs", least=1)
-        if self.option("day"):
-            return self._play_one(self.option("day"))
-        return self._search(first, seeds, jobs)
+        with self.guard_taken_out():
+            if self.option("day"):
+                return self._play_one(self.option("day"))
+            return self._search(first, seeds, jobs)
 
     def _play_one(self, line: str) -> int:
         try:
--- /dev/null
+++ b/kestrelbend/command/lab_model.py
@@ -0,0 +1,60 @@
+"""The laboratory's verb `lab model`: all runs of the replication core with some faults in each."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+from typing import TYPE_CHECKING
+
+from cleo.helpers import option
+
+from .outcome import DONE, FAILED, wrong
+from .verb import Verb
+
+if TYPE_CHECKING:
+    from kestrelbend.tier.model.search import Found
+
+
+def _search(asked: tuple[str, int, int | None]) -> Found:
+    from kestrelbend.tier.model.scripts import SCRIPTS
+    from kestrelbend.tier.model.search import search
+
+    name, faults, most_states = asked
+    return search(SCRIPTS[name], faults, most_states)
+
+
+class ModelVerb(Verb):
+    """Searches from each script, in several processes."""
+
+    name = "lab model"
+    description = "Search all runs of the replication core with some faults at any step for a broken rule."
+    options = [
+        option("depth", None, "Faults in a run.", flag=False, default="1"),
+        option("scripts", None, "Begin from these scripts alone, with commas between.", flag=False),
+        option("states", None, "Look at this many states of each script at most.", flag=False),
+        option("jobs", None, "Processes to search in.", flag=False, default=str(os.cpu_count() or 1)),
+        option("without", None, "Take this guard out, see `lab fleet --without`.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        from kestrelbend.tier.model.scripts import SCRIPTS
+
+        depth = self.whole_option("depth", least=0)
+        most_states = self.whole_option("states", least=1)
+        jobs = self.whole_option("jobs", least=1)
+        names = self.option("scripts").split(",") if self.option("scripts") else list(SCRIPTS)
+        unknown = [name for name in names if name not in SCRIPTS]
+        if unknown:
+            raise wrong(f"--scripts: '{unknown[0]}' is none of {', '.join(SCRIPTS)}")
+        asked = [(name, depth, most_states) for name in names]
+        with self.guard_taken_out(), multiprocessing.get_context("fork").Pool(jobs) as pool:
+            return self._tell(pool.imap(_search, asked))
+
+    def _tell(self, searches) -> int:
+        states = broken = 0
+        for found in searches:
+            states += found.states
+            broken += bool(found.broken)
+            self.say(found.told())
+        self.say(f"{states} states; {broken} scripts broke a rule")
+        return FAILED if broken else DONE
--- a/kestrelbend/command/verb.py
+++ b/kestrelbend/command/verb.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from pathlib import Path
 from typing import Any
 
@@ -64,6 +65,20 @@
         value = self.option(name)
         return None if value is None else Path(value)
 
+    def guard_taken_out(self) -> AbstractContextManager[None]:
+        """Without the guard that `--without` names, for as long as the context lasts; else as it is."""
+        from kestrelbend.tier.fleet import removals  # noqa: F401  (fills the registry)
+        from kestrelbend.tier.fleet.guards import UnknownGuard, find, without
+
+        name = self.option("without")
+        if name is None:
+            return nullcontext()
+        try:
+            find(name)
+        except UnknownGuard as error:
+            raise wrong(f"--without: {error}") from None
+        return without(name)
+
     def whole_option(self, name: str, least: int | None = None) -> int | None:
         """The whole number that an option gives, or None."""
         value = self.option(name)
--- a/kestrelbend/tier/budgets/program.py
+++ b/kestrelbend/tier/budgets/program.py
@@ -64,9 +64,7 @@
 
     def reserve(self, reserve: Reserve) -> ReserveOutcome:
         """Adds a turn's most tokens, or refuses and adds nothing."""
-        if reserve.reservation in self.open_turns:
-            return self._outcome(reserve, Verdict.ADMITTED)
-        verdict = self.closed.get(reserve.reservation)
+        verdict = self._answered_before(reserve.reservation)
         if verdict is not None:
             return self._outcome(reserve, verdict)
         last = self.sessions.get(reserve.session)
@@ -94,6 +92,12 @@
         if settle.reservation not in self.closed:
             self._close(settle.reservation, Verdict.RETRY_LATER)
 
+    def _answered_before(self, reservation: str) -> Verdict | None:
+        """The verdict on a reservation of this name, which stands however often it is asked for."""
+        if reservation in self.open_turns:
+            return Verdict.ADMITTED
+        return self.closed.get(reservation)
+
     def _judge(self, reserve: Reserve, retry: bool) -> Verdict:
         """At the limit a retry is refused as spent, before it could count as a retry."""
         total = self.total + reserve.most_tokens
--- a/kestrelbend/tier/configuration/state.py
+++ b/kestrelbend/tier/configuration/state.py
@@ -123,7 +123,7 @@
     def _look_at(self, order: ConfigOrder) -> Document | ConfigOutcome:
         """The document that the order leads to, or its answer; kept, as owners check before they apply."""
         digest = _digest(order)
-        taken = self._history.get(digest)
+        taken = self._taken_before(digest)
         if taken is not None:
             return ConfigOutcome(200, taken, "taken before")
         checked = self._checked.get(digest)
@@ -132,6 +132,10 @@
             self._keep(digest, checked)
         return checked.result
 
+    def _taken_before(self, digest: bytes) -> int | None:
+        """The version that an order of this name has led to, where it was taken before."""
+        return self._history.get(digest)
+
     def _keep(self, digest: bytes, checked: _Checked) -> None:
         """Keeps a result, and drops the oldest ones beyond the bounds."""
         self._checked.pop(digest, None)
--- /dev/null
+++ b/kestrelbend/tier/fleet/guards.py
@@ -0,0 +1,100 @@
+"""Guards of the tier: in the laboratory one of them is taken out, and a search must notice.
+
+A guard is a check without which a promise fails.  Its removal puts another function in the place of the one
+that keeps it, for as long as `without` lasts; the code that serves knows nothing of this.
+
+Invariant: a removal whose function is gone is an error, never a silent nothing.
+"""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import attrs
+
+PACKAGE = "kestrelbend."
+
+
+class UnknownGuard(Exception):
+    """No guard has this name, or the function that it names is gone."""
+
+
+@attrs.frozen
+class Guard:
+    """`target` is `module:Name.name` below `kestrelbend.tier`; `removal` takes the place of what is there."""
+
+    name: str
+    target: str
+    excludes: str  # what can go wrong without it
+    removal: Any
+
+
+@attrs.frozen
+class _Place:
+    """Where a guard's function stands: an attribute of a class or of a module."""
+
+    holder: Any
+    attribute: str
+    present: Any
+
+
+GUARDS: dict[str, Guard] = {}
+
+
+def guard(name: str, target: str, excludes: str) -> Callable[[Any], Any]:
+    """Adds the decorated function (or property) as the removal of a guard."""
+
+    def add(removal: Any) -> Any:
+        GUARDS[name] = Guard(name, target, excludes, removal)
+        return removal
+
+    return add
+
+
+def find(name: str) -> Guard:
+    """The guard of a name; raises `UnknownGuard`."""
+    if name not in GUARDS:
+        raise UnknownGuard(f"no guard is named '{name}'; there are {', '.join(sorted(GUARDS))}")
+    return GUARDS[name]
+
+
+def locate(target: str) -> _Place:
+    """The function that a guard names; raises `UnknownGuard` where it is gone."""
+    module_name, _, path = target.partition(":")
+    try:
+        holder: Any = importlib.import_module(f"kestrelbend.tier.{module_name}")
+        *owners, attribute = path.split(".")
+        for owner in owners:
+            holder = getattr(holder, owner)
+        return _Place(holder, attribute, vars(holder)[attribute])
+    except (ImportError, AttributeError, KeyError) as error:
+        raise UnknownGuard(f"{target}: {error!r}") from None
+
+
+@contextmanager
+def without(name: str) -> Iterator[None]:
+    """Takes a guard out for as long as the context lasts, wherever its function was imported."""
+    removed = find(name)
+    place = locate(removed.target)
+    places = [place, *_imported(place)]
+    try:
+        for one in places:
+            setattr(one.holder, one.attribute, removed.removal)
+        yield
+    finally:
+        for one in places:
+            setattr(one.holder, one.attribute, one.present)
+
+
+def _imported(place: _Place) -> list[_Place]:
+    """Other modules that hold the same function under any name."""
+    found = []
+    for name, module in list(sys.modules.items()):
+        if name.startswith(PACKAGE) and module is not place.holder:
+            names = [key for key, value in vars(module).items() if value is place.present]
+            found += [_Place(module, key, place.present) for key in names]
+    return found
--- /dev/null
+++ b/kestrelbend/tier/model/rules.py
@@ -0,0 +1,128 @@
+"""What must hold in every state of the model, whatever has failed up to there.
+
+One owner an epoch; one history, of which nothing is lost; logs that agree in one entry agree in all before
+it; consecutive groups whose majorities meet; a committed entry on the disks of a majority of the committed
+group; a confirmed read that misses nothing; no contact claimed without fresh replies of a majority.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from ..replication.group import Voters, decode_group, quorum_size
+from ..replication.messages import DurableState, Entry, EntryKind, ReplicaId
+from ..replication.replica import Replica
+
+if TYPE_CHECKING:
+    from .node import Node
+
+
+class RuleBroken(AssertionError):
+    """A state breaks a rule; the text names which."""
+
+
+def require(holds: bool, rule: str) -> None:
+    """Ends the run where a rule does not hold."""
+    if not holds:
+        raise RuleBroken(rule)
+
+
+class Rules:
+    """Sees every step of a run; `history` is what was committed, by whichever replica applied it first."""
+
+    def __init__(self, founders: Voters) -> None:
+        self.history: list[Entry] = []
+        self.group = founders
+        self.emptied: set[ReplicaId] = set()  # identities whose disks are lost
+        self._committed_in: list[int] = []
+        self._owners: dict[int, ReplicaId] = {}
+
+    def owns(self, replica: Replica) -> None:
+        """A replica has just become the owner of its epoch."""
+        owner = self._owners.setdefault(replica.epoch, replica.identity)
+        require(owner == replica.identity, f"{owner} and {replica.identity} own epoch {replica.epoch}")
+        held = replica.durable_record()
+        entries = {entry.index: entry for entry in held.entries}
+        for entry, epoch in zip(self.history, self._committed_in, strict=True):
+            if held.snapshot.index < entry.index and epoch < replica.epoch:
+                require(entries.get(entry.index) == entry, f"the owner lacks committed {entry}")
+
+    def applied(self, entry: Entry, epoch: int, nodes: Iterable[Node]) -> None:
+        """A replica has handed out a committed entry."""
+        if entry.index <= len(self.history):
+            known = self.history[entry.index - 1]
+            require(known == entry, f"two histories: {known} and {entry}")
+            return
+        require(entry.index == len(self.history) + 1, f"{entry} leaves a gap")
+        self.history.append(entry)
+        self._committed_in.append(epoch)
+        if entry.kind == EntryKind.GROUP:
+            self._changes_group(decode_group(entry.data))
+        self._lasts(entry, nodes)
+
+    def _changes_group(self, group: Voters) -> None:
+        require(majorities_meet(self.group, group), f"{self.group} to {group} in one step")
+        self.group = group
+
+    def _lasts(self, entry: Entry, nodes: Iterable[Node]) -> None:
+        """A committed entry outlives the loss of any minority's disks."""
+        holders = {node.identity for node in nodes if holds(node.durable(), entry)} | self.emptied
+        count = sum(1 for voter in self.group if voter in holders)
+        require(count >= quorum_size(self.group), f"committed {entry} is on the disks of {sorted(holders)}")
+
+    def joins(self, node: Node, owner: Replica, most_behind: int) -> None:
+        """A replica becomes a voter: by then its disk holds the log, but for the last few entries."""
+        state = node.durable()
+        lacks = owner.durable_record().snapshot.index + len(owner.durable_record().entries)
+        lacks -= state.snapshot.index + len(state.entries)
+        require(lacks <= most_behind + 1, f"{node.identity} votes and lacks {lacks} entries")
+
+    def read(self, applied_index: int, committed: int, how: str) -> None:
+        """A read sees the state at `applied_index`; `committed` is the history when it was asked."""
+        require(applied_index >= committed, f"a read {how} sees {applied_index} of {committed} entries")
+
+    def logs_match(self, replicas: Iterable[Replica]) -> None:
+        """Two logs that agree on the epoch of an entry agree on it and on all before it."""
+        logs = [entries_of(replica) for replica in replicas]
+        for position, log in enumerate(logs):
+            for other in logs[:position]:
+                _match(log, other)
+
+    def commands(self) -> list[bytes]:
+        """The committed commands in their order."""
+        return [entry.data for entry in self.history if entry.kind == EntryKind.COMMAND]
+
+
+def majorities_meet(group: Voters, other: Voters) -> bool:
+    """Whether every majority of one group has a member in every majority of the other."""
+    everybody = len(set(group) | set(other))
+    return quorum_size(group) + quorum_size(other) > everybody
+
+
+def holds(state: DurableState, entry: Entry) -> bool:
+    """Whether a disk holds an entry, in its log or within its snapshot."""
+    if entry.index <= state.snapshot.index:
+        return True
+    position = entry.index - state.snapshot.index - 1
+    return position < len(state.entries) and state.entries[position] == entry
+
+
+def entries_of(replica: Replica) -> dict[int, Entry]:
+    """A replica's log by index."""
+    return {entry.index: entry for entry in replica.durable_record().entries}
+
+
+def group_before(replica: Replica, index: int) -> Voters:
+    """The voters that a replica's log names up to before the entry `index`."""
+    record = replica.durable_record()
+    groups = [entry for entry in record.entries if entry.kind == EntryKind.GROUP and entry.index < index]
+    return decode_group(groups[-1].data) if groups else record.snapshot.voters
+
+
+def _match(log: dict[int, Entry], other: dict[int, Entry]) -> None:
+    agreed = [index for index in log.keys() & other.keys() if log[index].epoch == other[index].epoch]
+    last = max(agreed, default=0)
+    for index in log.keys() & other.keys():
+        if index <= last:
+            require(log[index] == other[index], f"logs differ at {index} and agree at {last}")
--- /dev/null
+++ b/kestrelbend/tier/model/scripts.py
@@ -0,0 +1,104 @@
+"""The scripts that searches begin from: each brings about one matter that the core must bear.
+
+Each line is the name of a method of `World` and its arguments.
+"""
+
+from __future__ import annotations
+
+from .world import Script
+
+ROUNDS = "; ".join(["advance a 0.1"] * 6)  # heartbeats, by which newcomers are heard and the group moves
+
+SCRIPTS: dict[str, Script] = {}
+
+
+def _script(name: str, founders: str, others: str, *parts: str) -> None:
+    lines = "; ".join(parts).split("; ")
+    SCRIPTS[name] = Script(name, founders, others, tuple(tuple(line.split()) for line in lines))
+
+
+_script("orders", "abc", "", "patience a; propose a first; read a; propose a second")
+_script(
+    "handover",
+    "abc",
+    "",
+    "patience a; propose a first; transfer a; propose b second; propose c second; read b",
+)
+_script("replace", "abc", "d", "patience a; propose a first; aim abd", ROUNDS, "propose a second; read a")
+_script(
+    "replace_owner", "abc", "d", "patience a; propose a first; aim dbc", ROUNDS, "propose d second; read d"
+)
+_script(
+    "snapshot",
+    "abc",
+    "",
+    "patience a; split c; propose a first; propose a second; compact a; join",
+    "advance a 0.1; advance a 0.1; propose a third",
+)
+_script(
+    "emptied", "abc", "", "patience a; propose a first; wipe c; aim abc", ROUNDS, "propose a second; read a"
+)
+_script(
+    "snapshot_to_newcomer",
+    "abc",
+    "d",
+    "patience a; propose a first; compact a; aim abd",
+    ROUNDS,
+    "propose a second",
+)
+_script(
+    "vote_lost_with_the_power",
+    "abc",
+    "",
+    "patience c; split ab; stall b; patience a; advance c 0.4; lose_power b; join; split bc; advance b 0.31",
+)
+_script(
+    "owner_with_a_stalled_disk", "abc", "", "patience a; propose a first; split ab; stall a; propose a second"
+)
+_script(
+    "entry_of_an_older_epoch",
+    "abc",
+    "",
+    "patience a; split a; propose a left; when_owns b split b; patience b; join",
+    "split ac; when_commits 2 split a; patience a; patience a; patience a",
+    "join; split bc; patience b; patience b",
+)
+_script(
+    "owner_cut_off_reads",
+    "abc",
+    "",
+    "patience a; propose a first; split a; patience b; propose b second; read a",
+)
+_script(
+    "new_owner_reads",
+    "abc",
+    "",
+    "patience a; when_commits 2 split a; propose a first; stall c; when_owns b read b; patience b",
+)
+_script(
+    "two_changes_at_once",
+    "abc",
+    "de",
+    "patience a; propose a first; learn a de; advance a 0.1; split ade; aim_at a abcde",
+    "advance a 0.1; propose a left; patience b; propose b right",
+)
+_script(
+    "change_in_a_new_epoch",
+    "abcd",
+    "e",
+    "patience a; propose a first; learn a e; advance a 0.1; split ae; aim_at a abcde; when_owns b split bc",
+    "patience b; aim_at b bcd; advance b 0.1; advance b 0.1; join; split ade; patience a; patience a",
+)
+_script("newcomer_with_a_stalled_disk", "abc", "d", "patience a; propose a first; stall d; aim abd", ROUNDS)
+_script(
+    "former_owner_speaks",
+    "abc",
+    "",
+    "patience a; propose a first; split a; propose a left; patience b; propose b right; join; advance a 0.1",
+)
+_script(
+    "candidate_that_lags",
+    "abc",
+    "",
+    "patience a; split c; propose a first; join; split bc; patience c; patience c",
+)
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -263,7 +263,7 @@
 
     def _hear_owner(self, message: AppendEntries | InstallSnapshot, now: float) -> bool:
         """Whether the sender owns the present epoch; an older owner is told of the newer one."""
-        if message.epoch < self.epoch:
+        if self._is_of_former_owner(message):
             refusal = AppendReply(self.shard, self.identity, self.epoch, False, 0, message.round)
             self._state.send(message.sender, refusal)
             return False
@@ -276,6 +276,10 @@
         self._elections.heard_owner(now)
         return True
 
+    def _is_of_former_owner(self, message: AppendEntries | InstallSnapshot) -> bool:
+        """Whether a newer epoch has begun here: nothing of an older one counts any more."""
+        return message.epoch < self.epoch
+
     # Owning
 
     def _receive_append_reply(self, reply: AppendReply, now: float) -> None:
