--- a/kestrelbend/tier/fleet/removals.py
+++ b/kestrelbend/tier/fleet/removals.py
@@ -152,3 +152,8 @@
 
 
 _headers_for = _Exchange.headers_for
+
+
+@guard("answer-id", "dataplane.send:_names_only", "an answer given to another caller")
+def take_any_answer(request_id, headers):
+    return True
--- a/kestrelbend/tier/model/rules.py
+++ b/kestrelbend/tier/model/rules.py
@@ -10,7 +10,9 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from ..replication.group import Voters, decode_group, quorum_size
+from ..membership import standing
+from ..membership.standing import CONTACT_S
+from ..replication.group import Voters, decode_group, has_quorum, quorum_size
 from ..replication.messages import DurableState, Entry, EntryKind, ReplicaId
 from ..replication.replica import Replica
 
@@ -82,6 +84,34 @@
         """A read sees the state at `applied_index`; `committed` is the history when it was asked."""
         require(applied_index >= committed, f"a read {how} sees {applied_index} of {committed} entries")
 
+    def owns_on(self, node: Node, election_timeout: float) -> None:
+        """An owner that no majority has answered for two election timeouts has given up."""
+        since = node.clock - 2 * election_timeout
+        if node.replica.is_owner and node.owner_since < since:
+            heard = node.heard_since(since)
+            kept = has_quorum(node.replica.voters, heard.__contains__)
+            require(kept, f"{node.name} owns on and heard {sorted(heard)} lately")
+
+    def votes_are_fresh(self, node: Node) -> None:
+        """A process that stood still begins to own by votes given since then alone."""
+        heard = node.heard_since(node.stood_until)
+        fresh = has_quorum(node.replica.voters, heard.__contains__)
+        require(fresh, f"{node.name} owns by votes from before it stood still, heard {sorted(heard)} since")
+
+    def standing(self, node: Node) -> None:
+        """Contact and currency are claimed only by what was asked, and answered, within `CONTACT_S`."""
+        replica, now = node.replica, node.clock
+        since = now - CONTACT_S
+        if standing.in_contact(replica, now):
+            heard = node.heard_since(since)
+            if replica.is_owner:
+                enough = has_quorum(replica.voters, heard.__contains__)
+            else:
+                enough = len(heard) > 1
+            require(enough, f"{node.name} claims contact and heard {sorted(heard)} lately")
+        if standing.is_current(replica, now):
+            self.read(node.applied_index, node.committed_by(since), f"as current at {node.name}")
+
     def logs_match(self, replicas: Iterable[Replica]) -> None:
         """Two logs that agree on the epoch of an entry agree on it and on all before it."""
         logs = [entries_of(replica) for replica in replicas]
