--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -321,7 +321,7 @@
         self._elections.heard_owner(now)
         return True
 
-    def _is_of_former_owner(self, message: AppendEntries | InstallSnapshot) -> bool:
+    def _is_of_former_owner(self, message: AppendEntries | SnapshotPiece) -> bool:
         """Whether a newer epoch has begun here: nothing of an older one counts any more."""
         return message.epoch < self.epoch
 
