Model: orders with two operators, contact and currency; 26 guards proven by removal

Rules: one of two orders on one version, a repeat as the first time, nothing refused is in force, and only an owner that a majority has answered since the order came refuses.

--- a/kestrelbend/command/lab_model.py
+++ b/kestrelbend/command/lab_model.py
@@ -16,10 +16,13 @@
 
 
 def _search(asked: tuple[str, int, int | None]) -> Found:
-    from kestrelbend.tier.model.scripts import SCRIPTS
+    from kestrelbend.tier.model.orders import search_orders
+    from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
     from kestrelbend.tier.model.search import search
 
     name, faults, most_states = asked
+    if name in ORDER_SCRIPTS:
+        return search_orders(name, faults)
     return search(SCRIPTS[name], faults, most_states)
 
 
@@ -31,21 +34,27 @@
     options = [
         option("depth", None, "Faults in a run.", flag=False, default="1"),
         option("scripts", None, "Begin from these scripts alone, with commas between.", flag=False),
-        option("states", None, "Look at this many states of each script at most.", flag=False),
+        option(
+            "states",
+            None,
+            "Look at this many states of a script at most.",
+            flag=False,
+        ),
         option("jobs", None, "Processes to search in.", flag=False, default=str(os.cpu_count() or 1)),
         option("without", None, "Take this guard out, see `lab fleet --without`.", flag=False),
     ]
 
     def handle(self) -> int:
-        from kestrelbend.tier.model.scripts import SCRIPTS
+        from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
 
+        known = [*SCRIPTS, *ORDER_SCRIPTS]
         depth = self.whole_option("depth", least=0)
         most_states = self.whole_option("states", least=1)
         jobs = self.whole_option("jobs", least=1)
-        names = self.option("scripts").split(",") if self.option("scripts") else list(SCRIPTS)
-        unknown = [name for name in names if name not in SCRIPTS]
+        names = self.option("scripts").split(",") if self.option("scripts") else known
+        unknown = [name for name in names if name not in known]
         if unknown:
-            raise wrong(f"--scripts: '{unknown[0]}' is none of {', '.join(SCRIPTS)}")
+            raise wrong(f"--scripts: '{unknown[0]}' is none of {', '.join(known)}")
         asked = [(name, depth, most_states) for name in names]
         with self.guard_taken_out(), multiprocessing.get_context("fork").Pool(jobs) as pool:
             return self._tell(pool.imap(_search, asked))
--- a/kestrelbend/tier/model/rules.py
+++ b/kestrelbend/tier/model/rules.py
@@ -98,6 +98,12 @@
         fresh = has_quorum(node.replica.voters, heard.__contains__)
         require(fresh, f"{node.name} owns by votes from before it stood still, heard {sorted(heard)} since")
 
+    def refuses(self, node: Node, asked_at: float) -> None:
+        """A refusal is given only by an owner that a majority has answered since it was asked."""
+        heard = node.heard_since(asked_at)
+        confirmed = has_quorum(node.replica.voters, heard.__contains__)
+        require(confirmed, f"{node.name} refuses an order and heard {sorted(heard)} since")
+
     def standing(self, node: Node) -> None:
         """Contact and currency are claimed only by what was asked, and answered, within `CONTACT_S`."""
         replica, now = node.replica, node.clock
--- a/kestrelbend/tier/model/scripts.py
+++ b/kestrelbend/tier/model/scripts.py
@@ -10,11 +10,13 @@
 ROUNDS = "; ".join(["advance a 0.1"] * 6)  # heartbeats, by which newcomers are heard and the group moves
 
 SCRIPTS: dict[str, Script] = {}
+ORDER_SCRIPTS: dict[str, Script] = {}  # with orders on the configuration, see `orders`
 
 
 def _script(name: str, founders: str, others: str, *parts: str, watches: bool = False) -> None:
-    lines = "; ".join(parts).split("; ")
-    SCRIPTS[name] = Script(name, founders, others, tuple(tuple(line.split()) for line in lines), watches)
+    lines = tuple(tuple(line.split()) for line in "; ".join(parts).split("; "))
+    into = ORDER_SCRIPTS if any(line[0] == "order" for line in lines) else SCRIPTS
+    into[name] = Script(name, founders, others, lines, watches)
 
 
 _script("orders", "abc", "", "patience a; propose a first; read a; propose a second")
@@ -141,3 +143,37 @@
     "advance a 0.1; advance c 0.1; advance a 0.1",
     watches=True,
 )
+_script(
+    "orders_race",
+    "abc",
+    "",
+    "patience a; order a first; order a x; order a y; order a x; order a y; order a z",
+)
+_script(
+    "orders_across_a_change_of_owner",
+    "abc",
+    "",
+    "patience a; order a first; order a x; transfer a; order b y; order b x; order a y; order a x",
+)
+_script(
+    "orders_at_a_former_owner",
+    "abc",
+    "",
+    "patience a; order a first; split a; patience b; order b x; order a late; order a y; order a x; join",
+    "advance b 0.1",
+    "order a x; order b x; order b y; order b x",
+)
+_script(
+    "orders_on_both_sides_of_a_cut",
+    "abc",
+    "",
+    "patience a; order a first; split a; order a x; patience b; order b y; join; advance b 0.1; order b x",
+    "order b y; order a x",
+)
+_script(
+    "orders_and_a_snapshot",
+    "abc",
+    "",
+    "patience a; order a first; split c; order a x; compact a; join; advance a 0.1; advance a 0.1; split a",
+    "patience b; patience c; order b x; order c x; order b y; order c y",
+)
--- a/kestrelbend/tier/model/search.py
+++ b/kestrelbend/tier/model/search.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ..replication.group import Voters
 from .world import Script, Step, World
 
 PROCEED: Step = ("proceed",)
@@ -25,6 +26,7 @@
     complete: bool
     broken: str = ""
     steps: tuple[Step, ...] = ()
+    group: Voters = ()  # at the end of the last run
 
     def told(self) -> str:
         """A line about the search, and the faults among the steps of a run that broke a rule."""
@@ -58,6 +60,7 @@
         self._waiting: list[list[_Reached]] = [[] for _ in range(faults + 1)]
         self._longest = 0
         self._path: tuple[Step, ...] = ()
+        self._group: Voters = ()
 
     def run(self) -> Found:
         """Looks at all runs, or at as many states as are allowed."""
@@ -78,6 +81,7 @@
             complete=complete and not broken,
             broken=broken,
             steps=self._path if broken else (),
+            group=self._group,
         )
 
     def _look_at_all(self) -> bool:
@@ -104,6 +108,7 @@
             return
         self._path = (*path, ("calm",))
         world.calm()
+        self._group = world.rules.group
 
     def _take(self, world: World, step: Step, path: tuple[Step, ...]) -> None:
         self._path = (*path, step)
--- a/kestrelbend/tier/model/world.py
+++ b/kestrelbend/tier/model/world.py
@@ -10,9 +10,9 @@
 
 import attrs
 
-from ..replication import Timing
+from ..replication import Effects, Timing
 from ..replication.group import decode_group
-from ..replication.messages import DurableRecord, EntryKind, ReplicaMessage
+from ..replication.messages import DurableRecord, Entry, EntryKind, ReplicaMessage
 from .node import SHARD, Node
 from .rules import Rules, entries_of, group_before, require
 
@@ -305,8 +305,7 @@
             made_at = self.nodes[receiver.partition("#")[0]].clock
             self.queue.append(Message(node.name, receiver, made_at, message))
         self._apply(node, effects)
-        for ticket in effects.confirmed:
-            self.rules.read(node.applied_index, node.reads.pop(ticket), f"confirmed at {node.name}")
+        self._confirmed(node, effects)
         if effects.writes:
             self.rules.logs_match(other.replica for other in self.nodes.values() if other.replica)
         if self.script.watches:
@@ -315,6 +314,10 @@
             self._do(self.when_owner.pop(node.name, None))
         self._do(self.when_committed.pop(len(self.rules.history), None))
 
+    def _confirmed(self, node: Node, effects: Effects) -> None:
+        for ticket in effects.confirmed:
+            self.rules.read(node.applied_index, node.reads.pop(ticket), f"confirmed at {node.name}")
+
     def _do(self, line: Step | None) -> None:
         if line is not None:
             getattr(self, line[0])(*line[1:])
@@ -331,15 +334,13 @@
                     if other.identity == joined:
                         self.rules.joins(other, node.replica, self.timing.catchup_entries)
 
-    def _apply(self, node: Node, effects) -> None:
+    def _apply(self, node: Node, effects: Effects) -> None:
         if effects.restore is not None:
             node.restore(effects.restore)
         for entry in effects.applied:
             require(entry.index == node.applied_index + 1, f"{node.name} applies {entry} out of order")
             node.applied_index = entry.index
-            self.rules.applied(entry, node.replica.epoch, self.nodes.values())
-            for other in self.nodes.values():
-                other.note_committed(len(self.rules.history))
+            self._note_applied(node, entry)
             if entry.kind == EntryKind.COMMAND:
                 node.commands.append(entry.data)
         if effects.applied or effects.restore is not None:
@@ -347,6 +348,11 @@
             known = [entry.data for entry in before if entry.kind == EntryKind.COMMAND]
             require(node.commands == known, f"{node.name} holds {node.commands}, committed are {known}")
 
+    def _note_applied(self, node: Node, entry: Entry) -> None:
+        self.rules.applied(entry, node.replica.epoch, self.nodes.values())
+        for other in self.nodes.values():
+            other.note_committed(len(self.rules.history))
+
     # The end
 
     def calm(self) -> None:
--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -1,11 +1,17 @@
 """Guards are proven by their removal: with one taken out, a known script of the model or a test fails."""
 
+import json
+import unittest
+
 import testtools
 
 from kestrelbend.tier.fleet import removals  # noqa: F401  (fills the registry)
 from kestrelbend.tier.fleet.guards import GUARDS, UnknownGuard, find, locate, without
+from kestrelbend.tier.model.orders import search_orders
 from kestrelbend.tier.model.scripts import SCRIPTS
 from kestrelbend.tier.model.search import search
+from kestrelbend.tier.roles.gateway import RoutingHolder
+from tests.tier.dataplane_world import STAMP, World
 
 FOUND_BY_MODEL = {  # guard: script, faults
     "vote-on-disk": ("vote_lost_with_the_power", 0),
@@ -26,6 +32,19 @@
     "current": ("cut_off_and_current", 0),
 }
 
+FOUND_BY_MODEL_OF_ORDERS = {"confirmed-refusal": "orders_at_a_former_owner", "order-name": "orders_race"}
+FOUND_BY_TEST = {
+    "emptied-identity": "test_storage_journal.DataFolderTest"
+    ".test_given_an_emptied_disk_when_started_then_it_is_another_and_stays_so",
+    "reservation-first": "test_dataplane_streams.Budgets.test_a_spent_budget_is_402_without_a_send",
+    "reservation-name": "test_budgets_table.BudgetTest"
+    ".test_given_an_outcome_when_the_command_is_repeated_then_it_is_the_same_and_adds_nothing",
+    "instance": "test_dataplane_requests.Passing"
+    ".test_method_path_query_body_and_headers_reach_the_backend_unchanged",
+    "answer-id": "test_guards.TestAnswers.test_an_answer_that_names_no_request_or_two_is_given_to_nobody",
+    "version-order": "test_guards.TestVersions.test_an_older_version_is_not_put_in_force",
+}
+
 
 class TestGuards(testtools.TestCase):
     def test_each_guard_names_a_function_that_is_there(self):
@@ -36,6 +55,10 @@
         self.assertRaises(UnknownGuard, find, "no-such-guard")
         self.assertRaises(UnknownGuard, locate, "replication.owner:Ownership.no_such_function")
 
+    def test_each_guard_is_found_by_something(self):
+        finders = [*FOUND_BY_MODEL, *FOUND_BY_MODEL_OF_ORDERS, *FOUND_BY_TEST]
+        self.assertEqual(sorted(GUARDS), sorted(finders))
+
     def test_a_guard_is_back_afterwards(self):
         for guard in GUARDS.values():
             place = locate(guard.target)
@@ -56,3 +79,56 @@
             with without(guard):
                 found = search(SCRIPTS[script], faults)
             self.assertNotEqual("", found.broken, f"nothing finds the removal of {guard}")
+
+    def test_each_removal_breaks_a_rule_of_orders(self):
+        for guard, script in FOUND_BY_MODEL_OF_ORDERS.items():
+            with without(guard):
+                found = search_orders(script, faults=0)
+            self.assertNotEqual("", found.broken, f"nothing finds the removal of {guard}")
+
+
+class TestGuardsOfTheRest(testtools.TestCase):
+    """The other guards, each found by a test that passes with it and fails without it."""
+
+    def test_each_removal_fails_its_test(self):
+        for guard, name in FOUND_BY_TEST.items():
+            self.assertTrue(passes(name), f"{name} fails")
+            with without(guard):
+                self.assertFalse(passes(name), f"{name} does not find the removal of {guard}")
+
+
+def passes(name):
+    """Whether a test of this folder passes."""
+    result = unittest.TestResult()
+    unittest.defaultTestLoader.loadTestsFromName(f"tests.tier.{name}").run(result)
+    return result.wasSuccessful()
+
+
+class TestAnswers(testtools.TestCase):
+    def test_an_answer_that_names_no_request_or_two_is_given_to_nobody(self):
+        for names in ([], ["own", "other"]):
+            world = World()
+            world.backend("i-1").answers(answer_that_names(names))
+            got = world.run(world.ask("/pay/x"))
+            self.assertNotIn(b"foreign", got.body)
+
+
+def answer_that_names(names):
+    """An answer with these request ids, "own" for the one that was asked."""
+
+    async def script(asked):
+        own = asked.fields["x-kestrelbend-request-id"]
+        lines = [f"X-Kestrelbend-Request-Id: {own if name == 'own' else name}".encode() for name in names]
+        lines += [b"X-Kestrelbend-Server-Stamp: " + STAMP, b"Content-Length: 7", b"", b"foreign"]
+        asked.connection.send(b"\r\n".join([b"HTTP/1.1 200 X", *lines]))
+
+    return script
+
+
+class TestVersions(testtools.TestCase):
+    def test_an_older_version_is_not_put_in_force(self):
+        holder = RoutingHolder()
+        for version in (2, 1):
+            document = {"Ver": version, "Routes": [], "Services": []}
+            holder.take(version, json.dumps(document).encode())
+        self.assertEqual(2, holder.version)
