Fleet: cuts of 20 s, races with lost answers, pairs of matters; the watch checks contact and catching up

New rules: a cut-off control node claims no contact, and answers orders, reads, retirements and leaving backends with 503 alone; who says that it is current holds what was acknowledged 0.6 s before; a node that counts as emptied is in no committed group; after CatchupS each voter has applied within 1 s what was committed.

--- /dev/null
+++ b/kestrelbend/tier/fleet/answers.py
@@ -0,0 +1,38 @@
+"""Rules of single answers: nothing clear out of contact, `complete` only by what is committed."""
+
+from __future__ import annotations
+
+from ..membership.placement import address_of
+from ..membership.standing import CONTACT_S
+from .fleet import Fleet
+from .http import Failure, Reply
+
+SLACK_S = 0.05
+UNAVAILABLE = 503
+
+
+def check_contact(fleet: Fleet, address: str, asked_at: float, reply: Reply | Failure) -> None:
+    """A control node that was cut off when it was asked confirms nothing and refuses nothing."""
+    if not isinstance(reply, Reply) or reply.status == UNAVAILABLE:
+        return
+    if fleet.is_cut_off(address.partition(":")[0], asked_at - CONTACT_S - SLACK_S):
+        fleet.broken(f"{address} is cut off and answers {reply.status}: {reply.body[:80]!r}")
+
+
+def check_emptied(fleet: Fleet, node: str) -> None:
+    """A node is emptied only once no shard's committed group, as its owner has it, names its replica."""
+    machine = fleet.machines.get(node)
+    if machine is None:
+        return
+    for role in ("control", "store"):
+        for process in fleet.processes(role):
+            for shard in process.instance.host.shards():
+                replica = process.instance.host.replica(shard)
+                if replica.is_owner:
+                    _check_group(fleet, machine, shard, replica)
+
+
+def _check_group(fleet: Fleet, machine, shard: str, replica) -> None:
+    group = replica._state.log.voters_at(replica.commit_index)
+    if any(address_of(voter).startswith(f"{machine.place.ip}:") for voter in group):
+        fleet.broken(f"{machine.name} counts as emptied and is in the group of {shard}: {group}")
--- a/kestrelbend/tier/fleet/backends.py
+++ b/kestrelbend/tier/fleet/backends.py
@@ -6,6 +6,7 @@
 import json
 import random
 
+from .answers import check_contact
 from .fleet import Fleet
 from .http import Reply
 
@@ -63,13 +64,20 @@
             addresses.insert(0, self._target)
         path = f"/api/Instances.{call}/{self.identity}"
         for address in addresses[:tries]:
+            asked_at = self.fleet.now()
             reply = await self.fleet.http.call(address, "POST", path, (), body, CALL_TIMEOUT_S)
+            if self.state != "ready":
+                check_contact(self.fleet, address, asked_at, reply)
             if isinstance(reply, Reply) and 200 <= reply.status < 300:
                 self._target = address
                 return True
         self._target = ""
         return False
 
+    def lure(self, address: str) -> None:
+        """The backend reports to this control node first."""
+        self._target = address
+
     def crash(self) -> None:
         """The backend falls silent."""
         self.fleet.note(f"backend {self.identity} crashes")
--- a/kestrelbend/tier/fleet/fleet.py
+++ b/kestrelbend/tier/fleet/fleet.py
@@ -50,6 +50,7 @@
         self.notes: list[str] = []
         self.failures: list[str] = []
         self.settings_version = 1
+        self._cut_off_since: dict[str, float] = {}
         self._zone_of: dict[str, str] = {}
         self._control_lists: list[tuple[float, tuple[str, ...]]] = []
         self._numbers = {"front": 0, "storage": 0}
@@ -228,15 +229,32 @@
     def cut(self, machine: Machine, others, one_way: bool = False) -> None:
         """Packets of a machine to others are dropped, and with `one_way` only these."""
         self.note(f"{machine.name} is cut off from {', '.join(other.name for other in others)}")
-        self.contact.begin(machine.name)
+        self._begin_cut(machine, others)
         for other in others:
             self.network.cut(machine.place.ip, other.place.ip)
             if not one_way:
                 self.network.cut(other.place.ip, machine.place.ip)
 
+    def deafen(self, machine: Machine, others) -> None:
+        """Packets of others to a machine are dropped."""
+        self.note(f"{machine.name} hears nothing of {', '.join(other.name for other in others)}")
+        self._begin_cut(machine, others)
+        for other in others:
+            self.network.cut(other.place.ip, machine.place.ip)
+
+    def _begin_cut(self, machine: Machine, others) -> None:
+        self.contact.begin(machine.name)
+        if machine in self.core() and all(other in others for other in self.core() if other is not machine):
+            self._cut_off_since[machine.place.ip] = self.now()
+
+    def is_cut_off(self, ip: str, since: float) -> bool:
+        """Whether a control machine is cut off, one way at least, from all others, and was at `since`."""
+        return self._cut_off_since.get(ip, float("inf")) <= since
+
     def join(self, machine: Machine, others) -> None:
         """The cut is over."""
         self.note(f"{machine.name} is joined again")
+        self._cut_off_since.pop(machine.place.ip, None)
         self.contact.end(machine.name)
         for other in others:
             self.network.join(machine.place.ip, other.place.ip)
--- a/kestrelbend/tier/fleet/operator.py
+++ b/kestrelbend/tier/fleet/operator.py
@@ -9,6 +9,7 @@
 import attrs
 
 from .fleet import Fleet
+from .answers import check_contact, check_emptied
 from .http import Failure, Reply
 
 MARKER = "marker"  # the route whose prefix names the order that brought a configuration
@@ -139,6 +140,23 @@
         """Two changes on the same version at once."""
         return await asyncio.gather(self.send(self.put()), self.send(self.put()))
 
+    def rivals(self) -> list[Order]:
+        """Two operators' changes on the same version, under one number."""
+        first, second = self.put(), self.put()
+        second.version = first.version
+        second.body = json.dumps(json.loads(second.body) | {"Ver": first.version}).encode()
+        return [first, second]
+
+    async def send_everywhere(self, order: Order) -> None:
+        """Sends an order to every control node without an answer, and then until one comes."""
+        order.sent_at = order.sent_at or self.fleet.now()
+        order.unclear = True
+        addresses = list(self.fleet.known_control_list())
+        self._random.shuffle(addresses)
+        for address in addresses:
+            await self._call(address, order)
+        await self.send(order)
+
     async def send(self, order: Order) -> Order:
         """Sends an order until it is answered, to another node after each failure."""
         order.sent_at = order.sent_at or self.fleet.now()
@@ -161,7 +179,9 @@
     async def _call(self, address: str, order: Order) -> Reply | Failure:
         headers = [(BASE_VERSION, str(order.base).encode())]
         path = f"/api/Config.{order.kind}"
+        asked_at = self.fleet.now()
         reply = await self.fleet.http.call(address, "POST", path, headers, order.body, CALL_TIMEOUT_S)
+        check_contact(self.fleet, address, asked_at, reply)
         if self._random.random() < self.lost_acknowledgements:
             return Failure.SILENT
         return reply
@@ -227,6 +247,7 @@
         while self.fleet.now() < ends:
             reply = await self._until_clear("GET", f"/api/Retire.Get/{node}", b"", ACK_S)
             if reply is not None and reply.status == 200 and json.loads(reply.body)["State"] == "complete":
+                check_emptied(self.fleet, node)
                 return True
             await asyncio.sleep(0.3)
         self.fleet.broken(f"{node} is not emptied within {within:.0f} s")
@@ -235,7 +256,9 @@
     async def _until_clear(self, method: str, path: str, body: bytes, within: float) -> Reply | None:
         ends = self.fleet.now() + within
         for address in self._addresses():
+            asked_at = self.fleet.now()
             reply = await self.fleet.http.call(address, method, path, (), body, CALL_TIMEOUT_S)
+            check_contact(self.fleet, address, asked_at, reply)
             if isinstance(reply, Reply) and (reply.status == 200 or 400 <= reply.status < 500):
                 return reply
             if self.fleet.now() > ends:
--- a/kestrelbend/tier/fleet/troubles/__init__.py
+++ b/kestrelbend/tier/fleet/troubles/__init__.py
@@ -4,7 +4,7 @@
 machines whose loss is counted keeps to what `Tolerate` allows; `day.py` keeps such troubles apart in time.
 """
 
-from . import backends, disks, machines, network, orders
+from . import backends, disks, machines, network, orders, pairs
 from .kinds import KINDS
 from .picking import acknowledged, owner_machine, pick_counted, start_all
 
@@ -17,6 +17,7 @@
     "network",
     "orders",
     "owner_machine",
+    "pairs",
     "pick_counted",
     "start_all",
 ]
--- a/kestrelbend/tier/fleet/troubles/network.py
+++ b/kestrelbend/tier/fleet/troubles/network.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 
+from ..fleet import ZONES
+from ..machines import Machine
 from ..world import World
 from .kinds import trouble
-from .picking import pick_counted, plain_gateways
+from .picking import owner_machine, pick_counted, plain_gateways
 
 
 @trouble("core_cut", counted=True)
@@ -60,3 +62,57 @@
     for machine in list(world.fleet.machines.values()):
         if rng.random() < 0.3:
             world.fleet.reset_connections(machine, rng.uniform(0.2, 0.8))
+
+
+LONG_CUT_S = (18.0, 22.0)
+
+
+@trouble("long_cut", counted=True)
+async def long_cut(world: World, rng: random.Random) -> None:
+    """A control machine is cut off for about 20 s, either way or both; others begin and change beside it."""
+    machine = (owner_machine(world) if rng.random() < 0.5 else None) or rng.choice(world.fleet.core())
+    others = [other for other in world.fleet.machines.values() if other is not machine]
+    way = rng.choice(("both", "out", "in"))
+    if way == "in":
+        world.fleet.deafen(machine, others)
+    else:
+        world.fleet.cut(machine, others, one_way=way == "out")
+    ends = world.fleet.now() + rng.uniform(*LONG_CUT_S)
+    while world.fleet.now() < ends:
+        await rng.choice(BESIDE)(world, rng, machine)
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+    world.fleet.join(machine, others)
+
+
+async def _change(world: World, rng: random.Random, machine: Machine) -> None:
+    await world.operator.change()
+
+
+async def _race(world: World, rng: random.Random, machine: Machine) -> None:
+    await asyncio.gather(*(world.operator.send_everywhere(order) for order in world.operator.rivals()))
+
+
+async def _gateway_begins_there(world: World, rng: random.Random, machine: Machine) -> None:
+    gateway = machine.processes.get("gateway")
+    if gateway is not None:
+        gateway.end(told=True)
+        gateway.start()
+
+
+async def _gateway_begins(world: World, rng: random.Random, machine: Machine) -> None:
+    plain = rng.choice(plain_gateways(world))
+    world.fleet.kill(plain)
+    await asyncio.sleep(rng.uniform(0.2, 0.6))
+    world.fleet.start(plain)
+
+
+async def _lure(world: World, rng: random.Random, machine: Machine) -> None:
+    """A backend reports to the machine first, and another one takes its place."""
+    backend = world.backends.start("model", rng.choice(ZONES))
+    backend.lure(machine.place.control_address)
+    old = rng.choice(world.backends.ready("model"))
+    old.lure(machine.place.control_address)
+    world.backends.replace(old)
+
+
+BESIDE = (_change, _race, _gateway_begins_there, _gateway_begins, _lure)
--- a/kestrelbend/tier/fleet/troubles/orders.py
+++ b/kestrelbend/tier/fleet/troubles/orders.py
@@ -8,6 +8,7 @@
 from ..fleet import ZONES
 from ..world import World
 from .kinds import trouble
+from .picking import owner_machine
 
 RETIRE_S = 20.0
 
@@ -63,3 +64,22 @@
         await world.operator.change()
         await asyncio.sleep(rng.uniform(0.0, 0.5))
     world.operator.lost_acknowledgements = 0.0
+
+
+@trouble("lost_answers", counted=True)
+async def lost_answers(world: World, rng: random.Random) -> None:
+    """Two operators race under one number, at every control node, with lost answers and a change of owner."""
+    world.operator.lost_acknowledgements = 0.5
+    rivals = world.operator.rivals()
+    sending = [asyncio.create_task(world.operator.send_everywhere(order)) for order in rivals]
+    await asyncio.sleep(rng.uniform(0.0, 0.3))
+    machine = owner_machine(world) if rng.random() < 0.7 else None
+    if machine is not None:
+        world.fleet.kill(machine, "control")
+        await asyncio.sleep(rng.uniform(0.3, 2.0))
+        world.fleet.start(machine)
+    await asyncio.gather(*sending)
+    world.operator.lost_acknowledgements = 0.0
+    for order in rivals:
+        if order.acknowledged_at is not None:
+            await world.operator.send(order)
--- a/kestrelbend/tier/fleet/watch.py
+++ b/kestrelbend/tier/fleet/watch.py
@@ -7,6 +7,8 @@
 from ..budgets.messages import Verdict
 from ..budgets.shards import shard_of
 from ..membership.placement import BUDGET_SHARDS
+from ..membership.standing import CONTACT_S, in_contact, is_current
+from .answers import SLACK_S
 from .backends import DRAIN_S, Backends
 from .fleet import Fleet
 from .machines import Process
@@ -15,6 +17,7 @@
 from .settings import ROLES_SERVE
 
 CHECK_S = 0.05
+LAG_S = 1.0  # from an entry's commit until every voter has applied it, in a calm time
 CATCH_UP_S = 4.0  # CatchupS
 GROUP = 3  # voters where the loss of one machine is to be borne
 CONFIG_S = 2.0  # ConfigMs
@@ -33,6 +36,8 @@
         self._owners: dict[tuple[str, int], str] = {}
         self._in_force: dict[object, int] = {}
         self._told: set[str] = set()
+        self._noted_at = 0.0
+        self._committed: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._task = asyncio.create_task(self._look_always())
 
     async def _look_always(self) -> None:
@@ -53,7 +58,10 @@
         for role in ("control", "store"):
             for process in self._fleet.processes(role):
                 self._look_at_owners(process)
+        for control in self._fleet.processes("control"):
+            self._look_at_standing(control)
         self._look_at_groups()
+        self._look_at_laggards()
         draining = self._drained_backends()
         for gateway in self._fleet.processes("gateway"):
             self._look_at_configuration(gateway)
@@ -87,6 +95,50 @@
                         key, f"{shard} is held by {replica.voters} after CatchupS, lost are {gone}"
                     )
 
+    def _look_at_standing(self, control: Process) -> None:
+        """Out of contact, no node counts itself in contact; a current one holds what was acknowledged."""
+        configuration = control.instance.configuration
+        if not configuration.is_open:
+            return
+        now, replica = self._fleet.now(), configuration.replica
+        cut_off = self._fleet.is_cut_off(control.machine.place.ip, now - CONTACT_S - SLACK_S)
+        if cut_off and in_contact(replica, now):
+            self._broken_once(f"contact {control.name}", f"{control.name} is cut off and claims contact")
+        if is_current(replica, now):
+            required = self._operator.required_version(now - CONTACT_S)
+            version = configuration.state.version
+            if version < required:
+                key = f"current {control.name} {version}"
+                self._broken_once(key, f"{control.name} is current by version {version}, not {required}")
+
+    def _look_at_laggards(self) -> None:
+        """After `CatchupS` each voter has applied what was committed a moment ago."""
+        now = self._fleet.now()
+        if now < self._noted_at + LAG_S:
+            return
+        quiet = self._fleet.contact.core_quiet_since() + CATCH_UP_S < self._noted_at
+        if quiet:
+            for process in self._holders():
+                self._look_at_lag(process)
+        self._noted_at = now
+        self._committed = {}
+        for process in self._holders():
+            host = process.instance.host
+            for shard in host.shards():
+                replica = host.replica(shard)
+                if replica.is_owner:
+                    self._committed[shard] = (replica.commit_index, replica.voters)
+
+    def _look_at_lag(self, process: Process) -> None:
+        host = process.instance.host
+        for shard in host.shards():
+            replica = host.replica(shard)
+            committed, voters = self._committed.get(shard, (0, ()))
+            if replica.identity in voters and replica.applied_index < committed:
+                key = f"lag {shard} {replica.identity}"
+                rule = f"{process.name} has applied {replica.applied_index} of {committed} entries of {shard}"
+                self._broken_once(key, f"{rule} after CatchupS")
+
     def _holders(self) -> list[Process]:
         return [*self._fleet.processes("control"), *self._fleet.processes("store")]
 
