--- a/kestrelbend/tier/budgets/saved_programs.py
+++ b/kestrelbend/tier/budgets/saved_programs.py
@@ -1,8 +1,9 @@
 """A program's counter as a line of a saved table, and back.
 
-A table is saved as lines of JSON: an array for each program in use, in the order of last use, then objects
-with up to `IDLE_A_LINE` laid-aside programs each, in the order in which they were laid aside: one flat list
-of names, tokens and retries, which is read faster than a list for each.
+A table is saved as lines of JSON: an object with the table's time and its forgotten names, an array for each
+program in use, in the order of last use, then objects with up to `IDLE_A_LINE` laid-aside programs each, in
+the order in which they were laid aside: one flat list of names and figures, which is read faster than a list
+for each.
 
 Invariant: equal tables give equal bytes, however many steps they were made in; a counter that was read and
 not changed is written as the bytes that it was read from.
@@ -13,6 +14,7 @@
 import json
 from collections.abc import Iterable, Iterator
 from itertools import islice
+from typing import NamedTuple
 
 import attrs
 
@@ -20,8 +22,29 @@
 from kestrelbend.tier.budgets.program import OpenTurn, ProgramBudget, SessionTurn
 
 IDLE_A_LINE = 1_000
+IDLE_COLUMNS = 5  # the name and `IdleFigures`
+
+
+class IdleFigures(NamedTuple):
+    """What is kept of a program that was laid aside."""
+
+    total: int
+    retries: int
+    used_at_ms: int
+    retain_s: int
+
+
+@attrs.frozen
+class TableHead:
+    """What a table holds besides its programs."""
+
+    now_ms: int = 0
+    forgotten: dict[str, int] = attrs.field(factory=dict)  # see `names.ForgottenNames`
+
+    def written(self) -> bytes:
+        """The first line of a saved table."""
+        return _encoder.encode({"now": self.now_ms, "forgotten": self.forgotten}).encode()
 
-IdleFigures = tuple[int, int]  # tokens and retries
 
 _encoder = json.JSONEncoder(separators=(",", ":"))
 _decoder = json.JSONDecoder()
@@ -77,24 +100,26 @@
 
 def _read_idle(line: bytes) -> Iterable[tuple[str, IdleFigures]]:
     flat = json.loads(line)["idle"]
-    return zip(flat[::3], zip(flat[1::3], flat[2::3], strict=True), strict=True)
+    columns = [flat[column::IDLE_COLUMNS] for column in range(IDLE_COLUMNS)]
+    figures = map(IdleFigures._make, zip(*columns[1:], strict=True))
+    return zip(columns[0], figures, strict=True)
 
 
-def read_table(state: bytes) -> tuple[dict[str, KeptProgram], dict[str, IdleFigures]]:
-    """The programs in use and those laid aside of a saved table; no bytes stand for an empty one."""
+def read_table(state: bytes) -> tuple[TableHead, dict[str, KeptProgram], dict[str, IdleFigures]]:
+    """The head, the programs in use and those laid aside; no bytes stand for an empty table."""
+    if not state:
+        return TableHead(), {}, {}
     recent: dict[str, KeptProgram] = {}
     idle: dict[str, IdleFigures] = {}
-    for line in _lines(state):
+    first, *lines = state.split(b"\n")
+    for line in lines:
         if line.startswith(b"["):
             program = read_program(line)
             recent[program.name] = program
         else:
             idle.update(_read_idle(line))
-    return recent, idle
-
-
-def _lines(state: bytes) -> Iterable[bytes]:
-    return state.split(b"\n") if state else ()
+    head = json.loads(first)
+    return TableHead(head["now"], head["forgotten"]), recent, idle
 
 
 def _figures(counter: ProgramBudget) -> list:
@@ -104,11 +129,21 @@
         [[name, turn.most_tokens, turn.session, turn.retry] for name, turn in counter.open_turns.items()],
         [[name, turn.fingerprint, turn.reservation, turn.end] for name, turn in counter.sessions.items()],
         list(counter.closed.items()),
+        counter.used_at_ms,
+        counter.retain_s,
     ]
 
 
-def _counter(settled: int, retries: int, open_turns: list, sessions: list, closed: list) -> ProgramBudget:
-    counter = ProgramBudget(settled=settled, retries=retries)
+def _counter(
+    settled: int,
+    retries: int,
+    open_turns: list,
+    sessions: list,
+    closed: list,
+    used_at_ms: int,
+    retain_s: int,
+) -> ProgramBudget:
+    counter = ProgramBudget(settled=settled, retries=retries, used_at_ms=used_at_ms, retain_s=retain_s)
     for name, most_tokens, session, retry in open_turns:
         counter.open_turns[name] = OpenTurn(most_tokens, session, retry)
         counter.reserved += most_tokens
