--- a/kestrelbend/tier/model/orders.py
+++ b/kestrelbend/tier/model/orders.py
@@ -19,6 +19,7 @@
 
 from ..configuration.messages import UNCLEAR, ConfigOrder, ConfigOutcome, OrderKind
 from ..configuration.shard_service import ConfigurationMachine, ConfigurationService
+from ..configuration.state import checked_entry
 from ..fleet.operator import marker_route, route, services
 from ..protocol.codec import encode
 from ..replication.messages import EntryKind
@@ -162,7 +163,7 @@
         for entry in self.rules.history:
             if entry.kind == EntryKind.COMMAND and entry.data != b"calm":
                 outcome = state.apply(entry.data)
-                names = [name for name, order in ORDERS.items() if encode(order) == entry.data]
+                names = [name for name, order in ORDERS.items() if encode(checked_entry(order)) == entry.data]
                 taken |= {name for name in names if outcome.status == OK}
         for name, answers in self.answers.items():
             require(not answers.acknowledged or name in taken, f"{name} is acknowledged and lost")
