--- a/kestrelbend/fronts/grpc/check.py
+++ b/kestrelbend/fronts/grpc/check.py
@@ -18,6 +18,7 @@
 from google.rpc import code_pb2, status_pb2
 
 from ...interface import Result
+from ...net.requests import Asked
 from ...net.tally import counters
 from ..attributes import Bad, Told, read
 from .service import Service
@@ -26,32 +27,17 @@
 MARGIN = 0.005  # seconds before a check's own deadline by which it is answered
 
 
-class Asked:
-    """A check as the owner sees it: what a `net.clients.Request` has, less its body."""
-
-    __slots__ = (
-        "operation",
-        "plan",
-        "customer",
-        "wait",
-        "units",
-        "spread",
-        "retry",
-        "came",
-        "answer",
-        "inv",
-        "front",
-        "id",
-        "delivery",
-        "timer",
-    )
+class Check(Asked):
+    """A check as the owner sees it: what a `net.requests.Request` has, less its bytes."""
+
+    __slots__ = ("front", "delivery", "timer")
 
-    def __init__(self, front, asked, came, wait, number):
-        self.operation, self.plan, self.customer = asked.operation, asked.plan, asked.customer
-        self.units, self.spread, self.retry, self.wait = asked.units, asked.spread, asked.retry, wait
-        self.came, self.front, self.id = came, front, number
-        self.answer = asyncio.get_running_loop().create_future()
-        self.inv = self.delivery = self.timer = None
+    def __init__(self, front, told, came, wait, number):
+        super().__init__(came)
+        self.operation, self.plan, self.customer = told.operation, told.plan, told.customer
+        self.units, self.spread, self.retry, self.wait = told.units, told.spread, told.retry, wait
+        self.front, self.id = front, number
+        self.delivery = self.timer = None
 
 
 class Checks(external_auth_pb2_grpc.AuthorizationServicer):
@@ -102,7 +88,7 @@
         number = (
             told.headers.get("x-request-id") or request.attributes.request.http.id or str(next(self.numbers))
         )
-        one = Asked(self, asked, self.clock(), wait, number)
+        one = Check(self, asked, self.clock(), wait, number)
         self.queue.put_nowait(("taken", one))
         try:
             return await one.answer
--- a/kestrelbend/net/backends.py
+++ b/kestrelbend/net/backends.py
@@ -10,7 +10,7 @@
 
 from ..interface import Result
 from .answers import SENDING
-from .clients import LONGEST_BODY
+from .connections import LONGEST_BODY
 from .headers import PASSED_BACK, load_report, passed_on, told
 from .links import Link
 from .sending import NotWanted, Sending, Settling, Stale
--- a/kestrelbend/net/headers.py
+++ b/kestrelbend/net/headers.py
@@ -6,7 +6,7 @@
 import math
 
 from ..config.platform import LOADS
-from .clients import bounded
+from .requests import bounded
 from .tally import counters
 
 NOT_PASSED = {
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,8 +22,8 @@
 from kestrelbend.config import platform as terms
 from kestrelbend.hosting import Task
 from kestrelbend.interface import Delivery, Invocation, Result, State
-from kestrelbend.net import accept_queue, clients, configuration, lines
-from kestrelbend.net.clients import Request
+from kestrelbend.net import accept_queue, clients, configuration, connections, lines
+from kestrelbend.net.requests import Request
 from kestrelbend.net.gateway import reload, start
 from kestrelbend.net.accept_queue import AcceptQueue, Held
 from kestrelbend.net.roster import entries
@@ -473,7 +473,7 @@
 
 
 def test_connections_that_never_ask_or_never_finish_end_soon(monkeypatch):
-    monkeypatch.setattr(clients, "QUIET_S", 0.2)
+    monkeypatch.setattr(connections, "QUIET_S", 0.2)
 
     async def test():
         async with World() as world:
