Budgets: programs that may stay away for long do not hide those whose time is over

Cause: only the first sixteen laid aside are looked through for one to forget; where these may stay away longer, a full table refused new programs though others' time was over (by a test that failed before). Change: those that may not be forgotten yet are looked at again after all others.

--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -140,10 +140,11 @@
         self._idle[name] = _Idle(program.total, program.retries, program.used_at_ms, program.retain_s)
 
     def _over(self) -> str | None:
-        """A program that may be forgotten, among those that were laid aside first."""
-        for name in islice(self._idle, LOOKED_THROUGH):
+        """A program that may be forgotten, among the next few; the others of these are looked at last."""
+        for name in list(islice(self._idle, LOOKED_THROUGH)):
             if self._idle[name].is_over(self._now_ms):
                 return name
+            self._idle[name] = self._idle.pop(name)
         return None
 
 
--- a/tests/tier/test_budgets_repeats.py
+++ b/tests/tier/test_budgets_repeats.py
@@ -187,6 +187,18 @@
         self.assertEqual([Verdict.ADMITTED] * 4, self.fill(11, 4))
         self.assertEqual(2 * MOST, self.gateway.reserve("stays", fingerprint=2).total)
 
+    def test_given_many_that_may_stay_away_longer_when_others_are_over_then_these_are_found(self):
+        table = BudgetTable(recent_most=4, idle_most=100)
+        gateway = Gateway(table)
+        for number in range(50):
+            gateway.reserve(f"long {number}", retain_s=10 * RETAIN_S)
+        for number in range(54):
+            gateway.reserve(f"short {number}")
+        table.advance(RETAIN_S * 1000 + 1)
+        verdicts = [gateway.reserve(f"new {number}").verdict for number in range(60)]
+        self.assertEqual([Verdict.ADMITTED] * 40, verdicts[10:50])
+        self.assertEqual(2 * MOST, gateway.reserve("long 0", fingerprint=2).total)
+
     def test_given_a_program_stopped_before_a_final_fault_when_it_comes_back_then_its_tokens_are_known(self):
         self.gateway.whole_turns(3, "stopped")
         self.fill(0, 11)
