--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -13,13 +13,13 @@
 
 from __future__ import annotations
 
-import json
 from itertools import islice
-from typing import NamedTuple
 
-from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle, TurnEnd, Verdict
+from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle
 from kestrelbend.tier.budgets.names import ForgottenNames
-from kestrelbend.tier.budgets.program import OpenTurn, ProgramBudget, SessionTurn
+from kestrelbend.tier.budgets.program import ProgramBudget
+from kestrelbend.tier.budgets.saved_programs import IdleFigures, KeptProgram, TableHead, read_table
+from kestrelbend.tier.budgets.table_image import TableImage
 
 RECENT_PROGRAMS = 2_000
 IDLE_PROGRAMS = 60_000
@@ -27,27 +27,15 @@
 RETAIN_S = 60  # of programs whose reservations name no time
 
 
-class _Idle(NamedTuple):
-    """A program that was laid aside; a tuple, as a snapshot writes tens of thousands of them."""
-
-    total: int
-    retries: int
-    used_at_ms: int = 0
-    retain_s: int = 0
-
-    def is_over(self, now_ms: int) -> bool:
-        """Whether the program has been away for longer than it may be."""
-        return now_ms - self.used_at_ms > (self.retain_s or RETAIN_S) * 1000
-
-
 class BudgetTable:
     """Programs' counters, in the order of their last use."""
 
     def __init__(self, recent_most: int = RECENT_PROGRAMS, idle_most: int = IDLE_PROGRAMS) -> None:
         self._recent_most = recent_most
         self._idle_most = idle_most
-        self._recent: dict[str, ProgramBudget] = {}
-        self._idle: dict[str, _Idle] = {}
+        self._recent: dict[str, KeptProgram] = {}
+        self._idle: dict[str, IdleFigures] = {}
+        self._images: list[TableImage] = []  # under way
         self._forgotten = ForgottenNames()
         self._now_ms = 0
 
@@ -71,19 +59,26 @@
         self._forget_names(program)
         return outcome
 
+    def begin_snapshot(self) -> TableImage:
+        """The table as it is now, to be saved step by step while commands go on."""
+        image = self._image()
+        self._images.append(image)
+        return image
+
     def snapshot(self) -> bytes:
-        """The whole table."""
-        recent = [[name, *_program_figures(program)] for name, program in self._recent.items()]
-        state = [recent, self._idle, self._forgotten.highest, self._now_ms]
-        return json.dumps(state, separators=(",", ":")).encode()
+        """The whole table at once."""
+        return self._image().finish()
 
     def restore(self, state: bytes) -> None:
         """Puts a saved table in this one's place; no bytes stand for an empty table."""
-        recent, idle, highest, now_ms = json.loads(state) if state else ([], {}, {}, 0)
-        self._recent = {name: _program(*figures) for name, *figures in recent}
-        self._idle = {name: _Idle._make(figures) for name, figures in idle.items()}
-        self._forgotten = ForgottenNames(highest)
-        self._now_ms = now_ms
+        head, self._recent, self._idle = read_table(state)
+        self._forgotten = ForgottenNames(head.forgotten)
+        self._now_ms = head.now_ms
+        self._images = []
+
+    def _image(self) -> TableImage:
+        head = TableHead(self._now_ms, dict(self._forgotten.highest))
+        return TableImage(head, list(self._recent.values()), list(self._idle.items()))
 
     # Names
 
@@ -111,14 +106,16 @@
         return ProgramBudget().refuse(command)
 
     def _use(self, name: str) -> ProgramBudget:
+        """The counter of a program, which is about to change."""
         program = self._recent.pop(name, None)
         if program is None:
-            program = self._taken_up(name)
+            program = KeptProgram(name, self._taken_up(name))
             if len(self._recent) >= self._recent_most:
                 self._lay_aside(self._least_needed())
-        self._recent[name] = program
-        program.used_at_ms = self._now_ms
-        return program
+        counter = program.read()
+        self._recent[name] = self._changing(program)
+        counter.used_at_ms = self._now_ms
+        return counter
 
     def _taken_up(self, name: str) -> ProgramBudget:
         idle = self._idle.pop(name, None)
@@ -126,54 +123,38 @@
             return ProgramBudget()
         return ProgramBudget(settled=idle.total, retries=idle.retries, retain_s=idle.retain_s)
 
+    def _changing(self, program: KeptProgram) -> KeptProgram:
+        """The program without its line; an image under way keeps the line as of now."""
+        if self._images:
+            self._images = [image for image in self._images if not image.is_made]
+        if not self._images:
+            program.changed()
+            return program
+        program.written()
+        return KeptProgram(program.name, program.counter)
+
     def _least_needed(self) -> str:
         """The least recently used program without an open turn, if one of the first few is such."""
         names = list(islice(self._recent, LOOKED_THROUGH))
-        return next((name for name in names if not self._recent[name].open_turns), names[0])
+        return next((name for name in names if not self._recent[name].read().open_turns), names[0])
 
     def _lay_aside(self, name: str) -> None:
-        program = self._recent.pop(name)
+        program = self._recent.pop(name).read()
         for reservation in (*program.closed, *program.open_turns):
             self._forgotten.add(reservation)
         if len(self._idle) >= self._idle_most:
             del self._idle[self._over()]
-        self._idle[name] = _Idle(program.total, program.retries, program.used_at_ms, program.retain_s)
+        figures = program.total, program.retries, program.used_at_ms, program.retain_s
+        self._idle[name] = IdleFigures._make(figures)
 
     def _over(self) -> str | None:
         """A program that may be forgotten, among the next few; the others of these are looked at last."""
         for name in list(islice(self._idle, LOOKED_THROUGH)):
-            if self._idle[name].is_over(self._now_ms):
+            if self._is_over(self._idle[name]):
                 return name
             self._idle[name] = self._idle.pop(name)
         return None
 
-
-def _program_figures(program: ProgramBudget) -> list:
-    return [
-        program.settled,
-        program.retries,
-        [[name, turn.most_tokens, turn.session, turn.retry] for name, turn in program.open_turns.items()],
-        [[name, turn.fingerprint, turn.reservation, turn.end] for name, turn in program.sessions.items()],
-        list(program.closed.items()),
-        program.used_at_ms,
-        program.retain_s,
-    ]
-
-
-def _program(
-    settled: int,
-    retries: int,
-    open_turns: list,
-    sessions: list,
-    closed: list,
-    used_at_ms: int,
-    retain_s: int,
-) -> ProgramBudget:
-    program = ProgramBudget(settled=settled, retries=retries, used_at_ms=used_at_ms, retain_s=retain_s)
-    for name, most_tokens, session, retry in open_turns:
-        program.open_turns[name] = OpenTurn(most_tokens, session, retry)
-        program.reserved += most_tokens
-    for name, fingerprint, reservation, end in sessions:
-        program.sessions[name] = SessionTurn(fingerprint, reservation, None if end is None else TurnEnd(end))
-    program.closed = {name: Verdict(verdict) for name, verdict in closed}
-    return program
+    def _is_over(self, idle: IdleFigures) -> bool:
+        """Whether a program has been away for longer than it may be."""
+        return self._now_ms - idle.used_at_ms > (idle.retain_s or RETAIN_S) * 1000
--- a/kestrelbend/tier/replication/timing.py
+++ b/kestrelbend/tier/replication/timing.py
@@ -33,7 +33,6 @@
     overtaken_pace: int = 512 * 1024  # bytes a second, below which such a message counts as lost
     piece_bytes: int = 64 * 1024  # of a snapshot, in one message
     snapshot_window: int = 128 * 1024  # of a snapshot, under way to one follower
-    catchup_entries: int = 64  # that a learner may lack when it becomes a voter
     tail_entries: int = 500  # kept before a snapshot for followers that lag
     tail_bytes: int = 4 * 1024 * 1024  # the same by their data
     retention: float = 10.0  # since its last reply, for which a follower's entries are kept beyond the tail
