--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -148,10 +148,11 @@
         self._idle[name] = IdleFigures._make(figures)
 
     def _over(self) -> str | None:
-        """A program that may be forgotten, among those that were laid aside first."""
-        for name in islice(self._idle, LOOKED_THROUGH):
+        """A program that may be forgotten, among the next few; the others of these are looked at last."""
+        for name in list(islice(self._idle, LOOKED_THROUGH)):
             if self._is_over(self._idle[name]):
                 return name
+            self._idle[name] = self._idle.pop(name)
         return None
 
     def _is_over(self, idle: IdleFigures) -> bool:
