Guards of placements, retirement and leaving backends; model fitted to the new rule of catching up

A voter joins with what was committed an election timeout ago on its disk. Calm forgets the script's pending steps: a cut that a script had planned for later was made in calm and taken for a lack of progress.

--- a/kestrelbend/tier/fleet/removals.py
+++ b/kestrelbend/tier/fleet/removals.py
@@ -79,6 +79,26 @@
     return True
 
 
+@guard("placement-number", "replication.placement:Placement.may_follow", "a group led back by an old word")
+def follow_any_placement(placement, target):
+    return True
+
+
+@guard("placement-order", "configuration.state:follows", "an old placement put in a newer one's place")
+def take_any_placement(placement, known):
+    return True
+
+
+@guard("settled", "replication.placement:Placement.is_settled", "emptied by a group that is not committed")
+def count_as_settled(placement, owner, now):
+    return True
+
+
+@guard("emptied", "configuration.stores:StoreRecords.is_emptied", "`complete` where nothing is known")
+def count_as_emptied(stores, node, shard):
+    return True
+
+
 @guard("emptied-identity", "storage.identity:_write_identity", "votes and entries forgotten by a voter")
 def write_first_identity(disk, data_dir, identity):
     _write_any_identity(disk, data_dir, FIRST_IDENTITY)
@@ -122,6 +142,16 @@
     return True
 
 
+@guard("leaving-vouched", "roles.control:ControlProcess._may_acknowledge_leaving", "sends to who left")
+def acknowledge_any_leaving(process, holders):
+    return True
+
+
+@guard("gateway-refusal", "roles.gateway:GatewayProcess.may_refuse", "refusals by an old configuration")
+def refuse_by_any_version(gateway):
+    return True
+
+
 @guard("order-name", "configuration.state:ConfigurationState._taken_before", "a repeated order refused")
 def know_no_order(state, digest):
     return None
--- a/kestrelbend/tier/model/scripts.py
+++ b/kestrelbend/tier/model/scripts.py
@@ -57,6 +57,12 @@
 _script(
     "owner_with_a_stalled_disk", "abc", "", "patience a; propose a first; split ab; stall a; propose a second"
 )
+_script(
+    "follower_with_a_stalled_disk",
+    "abc",
+    "",
+    "patience a; propose a first; split ac; stall c; propose a second",
+)
 _script(
     "entry_of_an_older_epoch",
     "abc",
@@ -91,7 +97,15 @@
     "patience a; propose a first; learn a e; advance a 0.1; split ae; aim_at a abcde; when_owns b split bc",
     "patience b; aim_at b bcd; advance b 0.1; advance b 0.1; join; split ade; patience a; patience a",
 )
-_script("newcomer_with_a_stalled_disk", "abc", "d", "patience a; propose a first; stall d; aim abd", ROUNDS)
+_script(
+    "newcomer_with_a_stalled_disk",
+    "abc",
+    "d",
+    "patience a; propose a first",
+    ROUNDS,
+    "stall d; aim abd",
+    ROUNDS,
+)
 _script(
     "former_owner_speaks",
     "abc",
