--- a/kestrelbend/tier/budgets/table_image.py
+++ b/kestrelbend/tier/budgets/table_image.py
@@ -6,18 +6,20 @@
 
 from __future__ import annotations
 
-from kestrelbend.tier.budgets.saved_programs import IdleFigures, KeptProgram, idle_lines
+from kestrelbend.tier.budgets.saved_programs import IdleFigures, KeptProgram, TableHead, idle_lines
 
 FIGURES_A_STEP = 2_000
 
 
 class TableImage:
-    """The programs in use and those laid aside, and the lines made of them so far."""
+    """The head, the programs in use and those laid aside, and the lines made of them so far."""
 
-    def __init__(self, recent: list[KeptProgram], idle: list[tuple[str, IdleFigures]]) -> None:
+    def __init__(
+        self, head: TableHead, recent: list[KeptProgram], idle: list[tuple[str, IdleFigures]]
+    ) -> None:
         self._recent = iter(recent)
         self._idle = idle_lines(idle)
-        self._lines: list[bytes] = []
+        self._lines: list[bytes] = [head.written()]
         self._recent_made = False
         self._lines_made = False
         self.is_made = False
--- a/kestrelbend/tier/fleet/http.py
+++ b/kestrelbend/tier/fleet/http.py
@@ -82,7 +82,13 @@
             return Failure.REFUSED
         call = _Call(served.execution, self._loop.create_future())
         self._calls[call] = None
-        scope = {"type": "http", "method": method, "path": path, "headers": list(headers)}
+        scope = {
+            "type": "http",
+            "http_version": "1.1",
+            "method": method,
+            "path": path,
+            "headers": list(headers),
+        }
         scope["query_string"], scope["raw_path"] = b"", path.encode()
         context = served.execution.context
         self._loop.call_soon(self._begin, call, served.application, scope, body, context=context)
--- a/tests/tier/test_snapshot_host.py
+++ b/tests/tier/test_snapshot_host.py
@@ -64,6 +64,7 @@
         self.host = ShardHost(
             identity="a",
             timing=Timing(),
+            first_ticket=1,
             journal=self.journal,
             encode=encode,
             send=lambda receiver, message: None,
