--- a/kestrelbend/tier/fleet/troubles/orders.py
+++ b/kestrelbend/tier/fleet/troubles/orders.py
@@ -11,6 +11,7 @@
 from .picking import owner_machine
 
 RETIRE_S = 20.0
+ABSENT_CHANGES = 30
 
 
 @trouble("retire", counted=True)
@@ -83,3 +84,17 @@
     for order in rivals:
         if order.acknowledged_at is not None:
             await world.operator.send(order)
+
+
+@trouble("absent", counted=True)
+async def absent(world: World, rng: random.Random) -> None:
+    """A control machine is away for many changes, and killed again at some moment of its catching up."""
+    machine = rng.choice(world.fleet.core())
+    world.fleet.kill(machine)
+    for _ in range(ABSENT_CHANGES):
+        await world.operator.change()
+    world.fleet.start(machine)
+    await asyncio.sleep(rng.uniform(0.1, 1.5))
+    world.fleet.kill(machine)
+    await asyncio.sleep(rng.uniform(0.1, 0.5))
+    world.fleet.start(machine)
--- a/tests/tier/test_model.py
+++ b/tests/tier/test_model.py
@@ -8,7 +8,10 @@
 import os
 
 import testtools
+from cleo.testers.command_tester import CommandTester
 
+from kestrelbend.command.lab_model import ModelVerb
+from kestrelbend.command.outcome import FAILED
 from kestrelbend.tier.model.orders import search_orders
 from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
 from kestrelbend.tier.model.search import search
@@ -58,3 +61,21 @@
             "snapshot_to_newcomer": ("a#1", "b#1", "d#1"),
         }
         self.assertEqual(expected, groups)
+
+
+class TestModelVerb(testtools.TestCase):
+    def run_verb(self, *words):
+        tester = CommandTester(ModelVerb())
+        code = tester.execute(" ".join(words))
+        return code, tester.io.fetch_output()
+
+    def test_a_search_tells_what_it_covered(self):
+        code, told = self.run_verb("--depth 0 --jobs 1 --scripts orders,orders_race")
+        self.assertEqual(0, code)
+        self.assertIn("orders, 0 faults: all runs", told)
+        self.assertIn("0 scripts broke a rule", told)
+
+    def test_without_a_guard_it_tells_the_rule_that_broke(self):
+        code, told = self.run_verb("--depth 0 --jobs 1 --scripts orders_race --without order-name")
+        self.assertEqual(FAILED, code)
+        self.assertIn("BROKEN", told)
