--- a/kestrelbend/tier/fleet/removals.py
+++ b/kestrelbend/tier/fleet/removals.py
@@ -112,6 +112,11 @@
     return owner._rounds.current
 
 
+@guard("read-after-first-entry", "replication.owner:Ownership._read_index", "reads of an old state")
+def read_what_is_known(owner):
+    return owner._state.commit_index
+
+
 @guard("rounds", "replication.progress:Rounds.began", "contact claimed by replies that lay in a socket")
 def began_last(rounds, number):
     return rounds._began[-1] if rounds._began else NEVER
--- a/kestrelbend/tier/model/scripts.py
+++ b/kestrelbend/tier/model/scripts.py
@@ -81,7 +81,7 @@
     "new_owner_reads",
     "abc",
     "",
-    "patience a; when_commits 2 split a; propose a first; stall c; when_owns b read b; patience b",
+    "patience a; when_commits 2 split a; propose a first; when_owns b read b; patience b",
 )
 _script(
     "two_changes_at_once",
--- a/kestrelbend/tier/replication/owner.py
+++ b/kestrelbend/tier/replication/owner.py
@@ -72,8 +72,11 @@
         self._add_read(ticket, follower)
 
     def _add_read(self, ticket: int, asker: ReplicaId) -> None:
-        index = max(self._state.commit_index, self.first_index)
-        self._reads.add(PendingRead(ticket, self._rounds.current + 1, index, asker))
+        self._reads.add(PendingRead(ticket, self._rounds.current + 1, self._read_index(), asker))
+
+    def _read_index(self) -> int:
+        """What a read must see: all that is committed now; a new owner learns that by its first entry."""
+        return max(self._state.commit_index, self.first_index)
 
     def waiting_reads(self) -> list[int]:
         """The tickets of this replica's own reads that wait for their confirmation."""
--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -29,6 +29,7 @@
     "group-step": ("two_changes_at_once", 0),
     "group-epoch": ("change_in_a_new_epoch", 0),
     "confirmed-read": ("owner_cut_off_reads", 0),
+    "read-after-first-entry": ("new_owner_reads", 0),
     "rounds": ("old_replies", 0),
     "check-quorum": ("owner_alone", 0),
     "stood-still": ("stood_still", 0),
