--- a/tests/tier/test_fleet_stories.py
+++ b/tests/tier/test_fleet_stories.py
@@ -237,3 +237,22 @@
             await replacing
 
         self.tell(story, seeds=(1, 2))
+
+
+class TestWorstDays(FleetStory):
+    """The five points of docs/design/control-safety.md, each brought about at least once."""
+
+    def test_a_control_machine_is_cut_off_for_twenty_seconds(self):
+        self.tell_kind("long_cut", seeds=(2,))
+
+    def test_two_operators_race_under_one_number_and_get_no_answers(self):
+        self.tell_kind("lost_answers", seeds=(1, 2, 3))
+
+    def test_two_matters_of_machines_follow_one_another(self):
+        self.tell_kind("pair")
+
+    def test_a_machine_is_lost_while_another_one_is_emptied(self):
+        self.tell_kind("retire_beside_loss")
+
+    def test_a_control_machine_is_away_for_many_changes(self):
+        self.tell_kind("absent", seeds=(1,))
