--- a/tests/tier/test_fleet_placement.py
+++ b/tests/tier/test_fleet_placement.py
@@ -302,18 +302,22 @@
             world.fleet.add_machine("storage", leaving.place.zone, True, ("store",))
             await asyncio.sleep(CATCHUP_S)
             self.assertTrue(await world.operator.retire(leaving.name, 20.0))
-            for machine in world.fleet.stores():
+            stores = world.fleet.stores()
+            for machine in stores:
+                world.fleet.cut(machine, world.fleet.core())
                 world.fleet.kill(machine)
                 world.fleet.start(machine)
             await asyncio.sleep(2.0)
-            for machine in world.fleet.stores():
+            for machine in stores:
                 instance = machine.processes["store"].instance
-                instance.directory.version = -1
+                self.assertEqual(-1, instance.directory.version)
                 instance.directory.take("10.9.9.9:1", old)
                 instance.follow_placements()
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(1.0)
             for shard in budget_shards():
                 self.assertNotIn(replica, holders(world, shard))
+            for machine in stores:
+                world.fleet.join(machine, world.fleet.core())
 
         self.tell(story)
 
