--- a/kestrelbend/tier/replication/log.py
+++ b/kestrelbend/tier/replication/log.py
@@ -117,17 +117,19 @@
     def compact(self, index: int, state: bytes, timing: Timing, needed_after: int) -> None:
         """Takes a snapshot at the applied `index`; keeps a tail before it for slow followers.
 
-        Entries after `needed_after` are kept as well, as far as they are not too many bytes.
+        Entries after `needed_after` are kept as well, as far as they are not too many bytes.  Nothing is
+        written for it: the disk keeps the snapshot that it has and the entries since, which give the same
+        state, until the journal's next checkpoint.  Entries that no write carries yet are kept for theirs.
         """
         epoch = self.epoch_at(index)
         assert epoch is not None, "a snapshot of an entry that the log doesn't hold"
         self.snapshot = Snapshot(index=index, epoch=epoch, voters=self.voters_at(index), state=state)
         self._groups = [group for group in self._groups if group[0] > index]
-        self._snapshot_unwritten = True
-        self._unwritten_from = max(self._unwritten_from, index + 1)
+        if self._snapshot_unwritten:  # the next write carries this snapshot in place of an installed one
+            self._unwritten_from = max(self._unwritten_from, index + 1)
         tail_base = max(index - timing.tail_entries, self._base_within(index, timing.tail_bytes))
         needed_base = max(needed_after, self._base_within(index, timing.retained_bytes))
-        new_base = max(self.base_index, min(tail_base, needed_base))
+        new_base = max(self.base_index, min(tail_base, needed_base, self._unwritten_from - 1))
         new_epoch = self.epoch_at(new_base)
         del self.entries[: new_base - self.base_index]
         self.base_index, self.base_epoch = new_base, new_epoch
--- /dev/null
+++ b/tests/tier/test_snapshot_durability.py
@@ -0,0 +1,217 @@
+"""What a replica holds on its disk while snapshots are taken and installed, and who may lead by it."""
+
+import random
+
+import testtools
+
+from kestrelbend.tier.protocol.codec import decode, encode
+from kestrelbend.tier.replication import Timing, replay
+from kestrelbend.tier.replication.log import ReplicaLog
+from kestrelbend.tier.replication.messages import DurableRecord, DurableState, Entry, EntryKind, Snapshot
+from kestrelbend.tier.storage import DiskJournal
+from tests.tier.memory_disk import MemoryDisk, PowerLoss
+from tests.tier.replication_harness import Cluster
+from tests.tier.test_snapshots import SMALL_PIECES, cluster_with_a_member_away, is_current
+
+GROUP = ("a", "b", "c")
+TIMING = Timing(tail_entries=2)
+
+
+class Disk:
+    """A log with its writes: any may be done later, or be lost with the power."""
+
+    def __init__(self, chance):
+        self.chance = chance
+        self.log = ReplicaLog(DurableState(snapshot=Snapshot(voters=GROUP)))
+        self.commit = 0
+        self.epoch = 1
+        self.ticket = 0
+        self.written = [record_of((), Snapshot(voters=GROUP))]
+        self.waiting = []
+
+    def step(self):
+        self.chance.choice(
+            (self.append, self.append, self.replace, self.advance, self.compact, self.install, self.write)
+            + (self.finish, self.finish)
+        )()
+
+    def append(self):
+        self.log.append(self.entry(self.log.last_index + 1))
+
+    def entry(self, index):
+        return Entry(index, self.epoch, EntryKind.COMMAND, b"%d of %d" % (index, self.epoch))
+
+    def replace(self):
+        """Another owner's entries come in place of what is not committed."""
+        if self.log.last_index > self.commit:
+            self.epoch += 1
+            first = self.chance.randint(self.commit + 1, self.log.last_index)
+            self.log.replace_from([self.entry(index) for index in range(first, first + 3)])
+
+    def advance(self):
+        self.commit = self.chance.randint(self.commit, self.log.last_index)
+
+    def compact(self):
+        if self.commit > self.log.snapshot.index:
+            index = self.chance.randint(self.log.snapshot.index + 1, self.commit)
+            self.log.compact(index, b"state %d" % index, TIMING, index)
+
+    def install(self):
+        """An owner's snapshot, of an entry that the log holds, or of one that it lacks or holds otherwise."""
+        index = self.commit + self.chance.randint(1, 6)
+        epoch = self.log.epoch_at(index)
+        if epoch is None or self.chance.random() < 0.5:
+            self.epoch += 1
+            epoch = self.epoch
+        self.log.install(Snapshot(index, epoch, GROUP, b"state %d" % index), self.commit)
+        self.commit = index
+
+    def write(self):
+        if self.log.has_unwritten():
+            self.ticket += 1
+            self.waiting.append((self.ticket, record_of(*self.log.begin_write(self.ticket))))
+
+    def finish(self):
+        if self.waiting:
+            ticket, record = self.waiting.pop(0)
+            self.written.append(record)
+            self.log.end_write(ticket)
+
+    def check(self):
+        """What counts as durable is on the disk, whatever part of the waiting writes is there too."""
+        for kept in range(len(self.waiting) + 1):
+            records = self.written + [record for _, record in self.waiting[:kept]]
+            held = replay(records)
+            entries = {entry.index: entry for entry in held.entries}
+            indexes = list(range(held.snapshot.index + 1, held.snapshot.index + 1 + len(held.entries)))
+            assert list(entries) == indexes, "a hole on the disk"
+            for index in range(self.log.base_index + 1, self.log.durable_index + 1):
+                epoch = self.log.epoch_at(index)
+                if index > held.snapshot.index:
+                    assert entries[index].epoch == epoch, f"{index} is another one on the disk"
+            assert held.snapshot.index + len(held.entries) >= self.log.durable_index
+
+
+def record_of(entries, snapshot):
+    return DurableRecord("shard", "a", 1, "", tuple(entries), snapshot)
+
+
+class DurabilityPromises(testtools.TestCase):
+    def test_whatever_is_taken_installed_replaced_or_lost_the_disk_holds_what_counts_as_durable(self):
+        for seed in range(600):
+            disk = Disk(random.Random(seed))
+            for _ in range(40):
+                disk.step()
+                disk.check()
+
+    def test_compacting_unwritten_entries_keeps_them_until_they_are_written(self):
+        log = ReplicaLog(DurableState(snapshot=Snapshot(voters=GROUP)))
+        for index in range(1, 6):
+            log.append(Entry(index, 1, EntryKind.COMMAND))
+        log.compact(4, b"state", Timing(tail_entries=0), 4)
+        self.assertEqual(0, log.durable_index)
+        entries, snapshot = log.begin_write(1)
+        self.assertEqual((None, [1, 2, 3, 4, 5]), (snapshot, [entry.index for entry in entries]))
+        log.end_write(1)
+        self.assertEqual(5, log.durable_index)
+
+    def test_a_large_record_torn_anywhere_is_gone_as_a_whole_and_nothing_before_it(self):
+        state = bytes(range(256)) * 64
+        records = [
+            record_of((Entry(1, 1, EntryKind.COMMAND, b"first"),), None),
+            record_of((), Snapshot(1, 1, GROUP, state)),
+            record_of((Entry(2, 1, EntryKind.COMMAND, b"second"),), None),
+        ]
+        endings = 0
+        for step in range(10):
+            disk = MemoryDisk()
+            journal_on(disk, [])._upkeep()  # the files are made ahead
+            acknowledged = []
+            disk.fail_at = step
+            try:
+                journal = journal_on(disk, acknowledged)
+                journal._files._made_until = len(records)
+                for ticket, record in enumerate(records):
+                    journal.append(ticket, encode(record))
+                    journal.write_once()
+            except PowerLoss:
+                pass
+            disk.fail_at = -1
+            for left in disk.after_power_loss():
+                self.check_replayed(journal_on(left, []).first, len(acknowledged), state)
+                endings += 1
+        self.assertGreater(endings, 20)
+
+    def check_replayed(self, loaded, acknowledged, state):
+        self.assertGreaterEqual(len(loaded), acknowledged)
+        held = replay(decode(data) for data in loaded)
+        self.assertIn(held.snapshot.state, (b"", state))
+        self.assertEqual(len(loaded) > 1, held.snapshot.state == state)
+
+
+def journal_on(disk, acknowledged):
+    def call(function, *arguments):
+        function(*arguments)
+
+    journal = DiskJournal("journal", 100 << 20, acknowledged.extend, call, disk=disk, clock=lambda: 0.0)
+    journal.first = journal.load()
+    return journal
+
+
+class LeadingStories(testtools.TestCase):
+    def test_a_member_with_a_part_of_a_snapshot_never_leads_by_its_old_log(self):
+        for share in range(1, 12):
+            cluster = cluster_with_a_member_away()
+            cluster.links.bandwidth = 20_000
+            cluster.start("c")
+            cluster.run(0.1 * share)
+            cluster.lose_power("a")
+            self.assertTrue(cluster.run_until(cluster.owner, 3.0))
+            cluster.propose(b"after the loss")
+            self.assertTrue(cluster.run_until(lambda w=cluster: w.committed(b"after the loss"), 5.0), share)
+            self.assertTrue(cluster.run_until(lambda w=cluster: is_current(w), 1.0), share)
+            self.assertEqual("b", cluster.owner().name)
+
+    def test_a_member_that_lost_an_installed_snapshot_with_the_power_votes_for_the_others_alone(self):
+        cluster = cluster_with_a_member_away()
+        cluster.stall_disk("c")
+        cluster.start("c")
+        cluster.stall_disk("c")
+        cluster.run(1.0)
+        self.assertGreater(cluster.nodes["c"].applied_index, 100)
+        cluster.lose_power("c")
+        cluster.nodes["c"].unsynced = []
+        cluster.lose_power("a")
+        cluster.start("c")
+        self.assertTrue(cluster.run_until(cluster.owner, 3.0))
+        self.assertEqual("b", cluster.owner().name)
+        self.assertTrue(cluster.run_until(lambda: is_current(cluster), 3.0))
+
+    def test_an_installed_snapshot_that_is_not_written_counts_for_no_majority(self):
+        cluster = cluster_with_a_member_away()
+        cluster.start("c")
+        cluster.stall_disk("c")
+        cluster.run(1.0)
+        self.assertGreater(cluster.nodes["c"].applied_index, 100)
+        cluster.stall_disk("b")
+        cluster.propose(b"only on one disk")
+        cluster.run(0.3)
+        self.assertFalse(cluster.committed(b"only on one disk"))
+
+    def test_a_restarted_member_that_is_alone_with_an_older_one_leads_with_all_that_was_acknowledged(self):
+        for seed in range(12):
+            cluster = Cluster("abc", timing=SMALL_PIECES, seed=seed)
+            cluster.run(1.0)
+            cluster.lose_power("c")
+            for number in range(60):
+                cluster.propose(b"%d" % number)
+                cluster.run(0.02)
+                if number % 20 == 19:
+                    cluster.compact("a")
+                    cluster.compact("b")
+            cluster.lose_power("a", "b")
+            cluster.start("b")
+            cluster.start("c")
+            self.assertTrue(cluster.run_until(cluster.owner, 3.0))
+            self.assertEqual("b", cluster.owner().name)
+            self.assertTrue(cluster.run_until(lambda world=cluster: is_current(world), 3.0))
--- a/tests/tier/test_snapshot_host.py
+++ b/tests/tier/test_snapshot_host.py
@@ -126,4 +126,18 @@
         process = self.run_until_compacted()
         again = Process(process.journal.records)
         self.assertEqual(process.machine.snapshot(), again.machine.snapshot())
+
+    def test_given_a_checkpoint_when_restarted_then_the_replica_begins_with_its_snapshot(self):
+        process = self.run_until_compacted()
+        process.journal.wants_checkpoint = True
+        process.run(1)
+        again = Process(process.journal.records)
+        self.assertEqual(process.machine.snapshot(), again.machine.snapshot())
         self.assertEqual([], again.machine.images)
+        self.assertEqual(COMPACT_ENTRIES, again.host.replica(SHARD).durable_record().snapshot.index)
+
+    def test_given_a_snapshot_of_its_own_when_it_is_taken_then_nothing_is_written_for_it(self):
+        process = self.run_until_compacted()
+        records = [decode(bytes_of(record)) for record in process.journal.records]
+        with_state = [record for record in records if record.snapshot is not None and record.snapshot.state]
+        self.assertEqual([], with_state)
