A checkpoint is wanted before the versions run into what is kept free for it

Cause: with six tables at their bounds a checkpoint takes a third of a store's share of the disk, and twice as much is kept free for the next; versions had less room than the eighth at which a checkpoint was wanted.

Change: a checkpoint is wanted at half of the room that versions have, at an eighth of the share at most and a sixty-fourth at least. The test fails on the text before: FULL instead of OK.

--- a/kestrelbend/tier/storage/journal.py
+++ b/kestrelbend/tier/storage/journal.py
@@ -30,6 +30,7 @@
 RETRY_MOST_S = 1.0
 CHECKPOINT_VERSIONS = 4000
 CHECKPOINT_SHARE_OF_CAPACITY = 8
+LEAST_SHARE_OF_CAPACITY = 64  # that versions may always take before a checkpoint is wanted
 CHECKPOINT_ROOM = 4  # a quarter of the capacity, or twice the last checkpoint, is kept for the next one
 GROUP_BYTES = 4 * 1024 * 1024
 _FULL = (errno.ENOSPC, errno.EDQUOT)
@@ -121,7 +122,17 @@
             return False
         if files.version_count >= CHECKPOINT_VERSIONS:
             return True
-        return files.version_bytes > self._capacity_bytes // CHECKPOINT_SHARE_OF_CAPACITY or self._full
+        return files.version_bytes > self._most_version_bytes() or self._full
+
+    def _most_version_bytes(self) -> int:
+        """What versions may take until a checkpoint is wanted: half of what they may take at all, at most."""
+        room = self._capacity_bytes - self._files.checkpoint_bytes - self._kept_free()
+        least = self._capacity_bytes // LEAST_SHARE_OF_CAPACITY
+        return min(self._capacity_bytes // CHECKPOINT_SHARE_OF_CAPACITY, max(room // 2, least))
+
+    def _kept_free(self) -> int:
+        """What only the next checkpoint may use."""
+        return max(2 * self._files.checkpoint_bytes, self._capacity_bytes // CHECKPOINT_ROOM)
 
     def oldest_wait(self, now: float) -> float:
         """For how long the oldest record that is not acknowledged has waited, in seconds."""
@@ -184,8 +195,7 @@
             self._write_checkpoint(last)
             return
         records = [bytes_of(work.record) for work in group]
-        kept_free = max(2 * self._files.checkpoint_bytes, self._capacity_bytes // CHECKPOINT_ROOM)
-        self._check_room(kept_free + sum(len(record) + 4 for record in records))
+        self._check_room(self._kept_free() + sum(len(record) + 4 for record in records))
         self._files.write_version(records)
 
     def _write_checkpoint(self, checkpoint: _Checkpoint) -> None:
--- a/tests/tier/test_storage_journal.py
+++ b/tests/tier/test_storage_journal.py
@@ -256,6 +256,27 @@
         self.assertEqual((8 << 20, b"after"), (len(loaded[0]), loaded[1]))
         self.assertEqual(19, len(loaded))
 
+    def test_given_the_largest_tables_when_records_go_on_then_a_checkpoint_comes_before_the_disk_is_full(
+        self,
+    ):
+        capacity = 26_000_000  # a tenth of a store's, with a tenth of six tables at their bounds
+        journal = self.start(capacity)
+        state = b"s" * 8_100_000
+        journal.checkpoint([state])
+        checkpoints = 0
+        for ticket in range(400):
+            journal.append(ticket, b"x" * 40_000)
+            journal.write_once()
+            journal._upkeep()
+            self.assertEqual(JournalState.OK, journal.state(self.now))
+            if journal.wants_checkpoint:
+                checkpoints += 1
+                journal.checkpoint([state])
+        while journal.write_once():
+            pass
+        self.assertGreater(checkpoints, 3)
+        self.assertEqual(list(range(400)), self.written)
+
     def test_given_a_large_checkpoint_when_the_disk_fails_then_another_is_wanted_and_nothing_is_lost(self):
         self.journal = self.start(4 << 20)
         for ticket in range(9):
