--- a/kestrelbend/tier/fleet/network.py
+++ b/kestrelbend/tier/fleet/network.py
@@ -21,6 +21,7 @@
 PROBE_S = 1.0
 PROBES_LOST = 3  # after so many intervals without an answer a connection at rest ends
 CONNECT_AGAIN_S = 1.0
+PACKET_BYTES = 1460
 RETRANSMISSION_S = (0.2, 0.4)
 AFTER_CUT_S = (0.02, 0.4)  # until bytes that a cut held up are sent again
 
@@ -169,8 +170,12 @@
             if data is not None:
                 self._network.later(self._delay(), self.reset, ConnectionResetError("the peer has closed"))
             return
-        now = self._loop.time()
-        self._arrives_at = max(self._arrives_at + 1e-7, now + pause + self._delay())
+        for part in self._network.packets(self.ip, self.peer.ip, data):
+            self._send_packet(part, pause)
+
+    def _send_packet(self, data: bytes | None, pause: float) -> None:
+        leaves_at = self._network.leaves_at(self.ip, self.peer.ip, data)
+        self._arrives_at = max(self._arrives_at + 1e-7, leaves_at + pause + self._delay())
         peer = self.peer
         self._loop.call_at(self._arrives_at, peer.deliver, data, context=peer.execution.context)
 
@@ -234,6 +239,8 @@
         self.random = random.Random(f"network {seed}")
         self.loss = 0.0
         self._distance = distance
+        self._bandwidth: dict[str, float] = {}
+        self._free_at: dict[tuple[str, bool], float] = {}  # of a machine's link, and whether outwards
         self._listening: dict[Address, _Listening] = {}
         self._ends: dict[End, None] = {}
         self._cut: set[tuple[str, str]] = set()
@@ -283,6 +290,30 @@
             delay += self.random.uniform(*RETRANSMISSION_S)
         return delay
 
+    def narrow(self, ip: str, bytes_a_second: float) -> None:
+        """All that a machine sends, and all that it gets, shares a link of this width from now on."""
+        self._bandwidth[ip] = bytes_a_second
+
+    def widen(self, ip: str) -> None:
+        """The machine's link has no bound any more."""
+        self._bandwidth.pop(ip, None)
+
+    def packets(self, source: str, target: str, data: bytes | None) -> list[bytes | None]:
+        """What arrives one after the other; without a bound on the way it is all at once."""
+        if not data or not (source in self._bandwidth or target in self._bandwidth):
+            return [data]
+        return [data[begin : begin + PACKET_BYTES] for begin in range(0, len(data), PACKET_BYTES)]
+
+    def leaves_at(self, source: str, target: str, data: bytes | None) -> float:
+        """When the links of both machines have taken the bytes, behind all that was sent before."""
+        leaves_at = self.loop.time()
+        for ip, outwards in ((source, True), (target, False)):
+            width = self._bandwidth.get(ip)
+            if width and data and source != target:
+                leaves_at = max(leaves_at, self._free_at.get((ip, outwards), 0.0)) + len(data) / width
+                self._free_at[ip, outwards] = leaves_at
+        return leaves_at
+
     def later(self, seconds: float, callback: Callable, *args) -> asyncio.TimerHandle:
         """A timer of the world, which no process can hold."""
         return self.loop.call_later(seconds, callback, *args, context=_WORLD)
