Stories of one large entry on a narrow link: sent once, contact goes on, lost ones sent again

4 MiB at 15 Mbit/s where small messages pass large ones: no follower is without contact for 0.2 s, the entry goes to each once, what is proposed behind it arrives in order, one lost with its connection is sent again at once, one lost without a word in the end.

--- a/tests/tier/replication_harness.py
+++ b/tests/tier/replication_harness.py
@@ -90,12 +90,15 @@
     double: float = 0.0
     cut: set = attrs.field(factory=set)
     bandwidth: float = 0.0  # bytes a second from one machine to another, in order; 0: without bound
+    passing: int = 0  # messages up to this size don't wait for larger ones
     free_at: dict = attrs.field(factory=dict)  # when a pair's link has sent all that was given to it
 
     def arrival(self, pair, message, now, delay):
         """How long a message takes."""
         if not self.bandwidth:
             return delay
+        if size_of(message) <= self.passing:
+            return size_of(message) / self.bandwidth + delay
         start = max(now, self.free_at.get(pair, 0.0))
         self.free_at[pair] = start + size_of(message) / self.bandwidth
         return self.free_at[pair] - now + delay
--- a/tests/tier/test_snapshots.py
+++ b/tests/tier/test_snapshots.py
@@ -6,7 +6,7 @@
 import testtools
 
 from kestrelbend.tier.replication import Timing
-from kestrelbend.tier.replication.messages import Snapshot, SnapshotPiece, SnapshotReply
+from kestrelbend.tier.replication.messages import AppendEntries, Snapshot, SnapshotPiece, SnapshotReply
 from kestrelbend.tier.replication.snapshot_transfer import SnapshotReceiver, SnapshotSender
 from tests.tier.replication_harness import Cluster
 
@@ -14,6 +14,7 @@
 PIECE = 1000
 SMALL_PIECES = Timing(piece_bytes=PIECE, snapshot_window=2 * PIECE, retention=0.5, tail_entries=0)
 COMMAND = b"x" * 100
+LARGE = b"z" * (4 << 20)
 
 
 def cluster_with_a_member_away(changes=100, command=COMMAND, timing=SMALL_PIECES, names="abc", **options):
@@ -166,6 +167,69 @@
         self.assertLess(max(contact[10:]), 0.25)
 
 
+class LargeEntryStories(testtools.TestCase):
+    """One entry of 4 MB on a narrow link, where small messages pass large ones."""
+
+    def given_a_large_entry_under_way(self):
+        cluster = Cluster("abc")
+        cluster.run(1.0)
+        cluster.links.bandwidth, cluster.links.passing = NARROW, 32 * 1024
+        cluster.sent.clear()
+        cluster.propose(LARGE)
+        return cluster
+
+    def large_sent(self, cluster, receiver):
+        appends = [m for _, to, m in cluster.sent if to == receiver and isinstance(m, AppendEntries)]
+        return sum(entry.data == LARGE for append in appends for entry in append.entries)
+
+    def test_it_is_sent_once_and_contact_goes_on(self):
+        cluster = self.given_a_large_entry_under_way()
+        contact = []
+        while not cluster.committed(LARGE) and cluster.now < 10:
+            cluster.run(0.02)
+            contact.append(max(cluster.now - cluster.nodes[n].replica.last_contact for n in "bc"))
+        self.assertLess(cluster.now, 1.0 + len(LARGE) / NARROW + 0.2)
+        self.assertLess(max(contact), 0.2)
+        self.assertEqual([1, 1], [self.large_sent(cluster, name) for name in "bc"])
+        self.assertEqual(("a", 1), (cluster.owner().name, cluster.owner().replica.epoch))
+
+    def test_what_is_proposed_behind_it_arrives_in_order_and_once(self):
+        cluster = self.given_a_large_entry_under_way()
+        for number in range(50):
+            cluster.propose(b"behind %d" % number)
+            cluster.run(0.02)
+        self.assertTrue(cluster.run_until(lambda: cluster.committed(b"behind 49"), 3.0))
+        self.assertEqual([1, 1], [self.large_sent(cluster, name) for name in "bc"])
+
+    def test_one_lost_with_its_connection_is_sent_again_at_once(self):
+        cluster = self.given_a_large_entry_under_way()
+        cluster.isolate("c")
+        cluster.isolate("b")
+        cluster.run(0.1)
+        cluster._events = [event for event in cluster._events if event[2][2] != "message"]
+        cluster.links.free_at.clear()
+        cluster.join()
+        owner = cluster.nodes["a"]
+        for name in "bc":
+            owner.replica.reconnected(cluster.nodes[name].identity)
+        cluster._work(owner)
+        self.assertTrue(cluster.run_until(lambda: cluster.committed(LARGE), len(LARGE) / NARROW + 0.3))
+        self.assertEqual([2, 2], [self.large_sent(cluster, name) for name in "bc"])
+
+    def test_one_lost_without_a_word_is_sent_again_in_the_end(self):
+        cluster = self.given_a_large_entry_under_way()
+        cluster.run(0.1)
+        cluster._events = [event for event in cluster._events if not carries(event, LARGE)]
+        cluster.links.free_at.clear()
+        self.assertTrue(cluster.run_until(lambda: cluster.committed(LARGE), 20.0))
+        self.assertEqual(("a", 1), (cluster.owner().name, cluster.owner().replica.epoch))
+
+
+def carries(event, data):
+    message = event[2][3]
+    return isinstance(message, AppendEntries) and any(entry.data == data for entry in message.entries)
+
+
 class ReceiverPromises(testtools.TestCase):
     def test_bytes_that_are_not_the_owners_are_refused_and_asked_for_again(self):
         pieces = pieces_of(b"right")
