--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -24,6 +25,7 @@
 )
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from ..membership.ring import monitors
+from ..membership.standing import Confirmed, in_contact, is_current
 from ..protocol.codec import decode, encode
 from ..protocol.links import Link, Links
 from ..replication.host import ShardHost
@@ -261,7 +263,7 @@
             if replica is None and self._belongs_here(placed):
                 replica = self.host.open(placed.shard, placed.founders, now)
             if replica is not None:
-                replica.set_target(placed.voters)
+                replica.set_target(placed.voters, placed.number)
 
     def _belongs_here(self, placed) -> bool:
         return self.replica_id in placed.founders or placed.shard in self.host.stored_shards()
@@ -289,6 +291,7 @@
         """This process's replicas, as heartbeats tell of them."""
         if self.host is None:
             return ()
+        now = self.now()
         reports = []
         for shard in self.host.shards():
             replica = self.host.replica(shard)
@@ -301,6 +304,9 @@
                     voters=tuple(replica.voters),
                     applied_index=replica.applied_index,
                     commit_index=replica.commit_index,
+                    committed_voters=replica.committed_voters,
+                    placement_number=replica.committed_placement_number,
+                    settled=replica.is_settled(now),
                 )
             )
         return tuple(reports)
@@ -309,14 +315,16 @@
         """What a gateway may believe of this process's replicas now."""
         return ContactWord(
             ticket=ticket,
-            in_contact=self._is_in_contact(CONFIGURATION_SHARD),
-            version=self.config_version(),
-            owned=tuple(shard for shard in self._budget_shards_owned() if self._is_in_contact(shard)),
+            in_contact=self._has_standing(CONFIGURATION_SHARD, in_contact),
+            version=self.config_version() if self._has_standing(CONFIGURATION_SHARD, is_current) else 0,
+            owned=tuple(
+                shard for shard in self._budget_shards_owned() if self._has_standing(shard, in_contact)
+            ),
         )
 
-    def _is_in_contact(self, shard: str) -> bool:
+    def _has_standing(self, shard: str, standing: Callable[[Confirmed, float], bool]) -> bool:
         replica = None if self.host is None else self.host.replica(shard)
-        return replica is not None and replica.in_touch(self.now())
+        return replica is not None and standing(replica, self.now())
 
     def _budget_shards_owned(self) -> list[str]:
         if self.host is None:
