--- a/kestrelbend/tier/replication/__init__.py
+++ b/kestrelbend/tier/replication/__init__.py
@@ -17,6 +17,12 @@
   acknowledged entry always waits.
 - A candidacy stays open beside a new trial, so that votes delayed by slow disks still count.
 - An owner whose own disk stalls hands over; one that can't gives up.
+- A snapshot travels in pieces that are acknowledged before they are written; a whole one counts once it is on
+  the disk.  The next owner goes on with what the follower has where the digest shows that the bytes are the
+  same.
+- A replica's own snapshot is written with the journal's next checkpoint only: until then its disk has an
+  older one and all entries since.
+- While a large append is under way, heartbeats follow the last acknowledged entry: they may overtake it.
 - Who leaves the group gets the entry that says so only once it is committed, and for a while after that, so
   that it neither blocks the others' votes nor goes on asking for its own.
 - A replica that its own log doesn't name as a voter never campaigns.  An emptied disk is another
