--- a/kestrelbend/tier/budgets/saved_programs.py
+++ b/kestrelbend/tier/budgets/saved_programs.py
@@ -98,26 +98,27 @@
         yield _encoder.encode({"idle": flat}).encode()
 
 
-def _read_idle(line: bytes) -> Iterable[tuple[str, IdleFigures]]:
+def read_idle(line: bytes) -> Iterable[tuple[str, IdleFigures]]:
+    """The laid-aside programs of a line, in their order."""
     flat = json.loads(line)["idle"]
     columns = [flat[column::IDLE_COLUMNS] for column in range(IDLE_COLUMNS)]
     figures = map(IdleFigures._make, zip(*columns[1:], strict=True))
     return zip(columns[0], figures, strict=True)
 
 
-def read_table(state: bytes) -> tuple[TableHead, dict[str, KeptProgram], dict[str, IdleFigures]]:
-    """The head, the programs in use and those laid aside; no bytes stand for an empty table."""
+def read_table(state: bytes) -> tuple[TableHead, dict[str, KeptProgram], list[bytes]]:
+    """The head, the programs in use and the lines of those laid aside; no bytes are an empty table."""
     if not state:
-        return TableHead(), {}, {}
+        return TableHead(), {}, []
     recent: dict[str, KeptProgram] = {}
-    idle: dict[str, IdleFigures] = {}
+    idle: list[bytes] = []
     first, *lines = state.split(b"\n")
     for line in lines:
         if line.startswith(b"["):
             program = read_program(line)
             recent[program.name] = program
         else:
-            idle.update(_read_idle(line))
+            idle.append(line)
     head = json.loads(first)
     return TableHead(head["now"], head["forgotten"]), recent, idle
 
--- a/kestrelbend/tier/budgets/table.py
+++ b/kestrelbend/tier/budgets/table.py
@@ -13,12 +13,19 @@
 
 from __future__ import annotations
 
+from collections import deque
 from itertools import islice
 
 from kestrelbend.tier.budgets.messages import Reserve, ReserveOutcome, Settle
 from kestrelbend.tier.budgets.names import ForgottenNames
 from kestrelbend.tier.budgets.program import ProgramBudget
-from kestrelbend.tier.budgets.saved_programs import IdleFigures, KeptProgram, TableHead, read_table
+from kestrelbend.tier.budgets.saved_programs import (
+    IdleFigures,
+    KeptProgram,
+    TableHead,
+    read_idle,
+    read_table,
+)
 from kestrelbend.tier.budgets.table_image import TableImage
 
 RECENT_PROGRAMS = 2_000
@@ -35,6 +42,7 @@
         self._idle_most = idle_most
         self._recent: dict[str, KeptProgram] = {}
         self._idle: dict[str, IdleFigures] = {}
+        self._idle_unread: deque[bytes] = deque()  # lines of a restored table, before all of `_idle`
         self._images: list[TableImage] = []  # under way
         self._forgotten = ForgottenNames()
         self._now_ms = 0
@@ -70,16 +78,26 @@
         return self._image().finish()
 
     def restore(self, state: bytes) -> None:
-        """Puts a saved table in this one's place; no bytes stand for an empty table."""
-        head, self._recent, self._idle = read_table(state)
+        """Puts a saved table in this one's place; no bytes stand for an empty table.
+
+        To keep it short, counters are read when they are used, and programs laid aside with the next uses.
+        """
+        head, self._recent, idle = read_table(state)
+        self._idle, self._idle_unread = {}, deque(idle)
         self._forgotten = ForgottenNames(head.forgotten)
         self._now_ms = head.now_ms
         self._images = []
 
     def _image(self) -> TableImage:
+        self._read_idle(len(self._idle_unread))
         head = TableHead(self._now_ms, dict(self._forgotten.highest))
         return TableImage(head, list(self._recent.values()), list(self._idle.items()))
 
+    def _read_idle(self, lines: int) -> None:
+        """Reads so many lines more of the programs laid aside."""
+        for _ in range(lines):
+            self._idle.update(read_idle(self._idle_unread.popleft()))
+
     # Names
 
     def _is_forgotten(self, program: ProgramBudget, reservation: str) -> bool:
@@ -94,7 +112,12 @@
     # Room
 
     def _has_room_for(self, name: str) -> bool:
-        if name in self._recent or name in self._idle or len(self._recent) < self._recent_most:
+        """Whether the program may be counted; one that is not in use needs all that was laid aside."""
+        if name in self._recent:
+            self._read_idle(min(len(self._idle_unread), 1))
+            return True
+        self._read_idle(len(self._idle_unread))
+        if name in self._idle or len(self._recent) < self._recent_most:
             return True
         return len(self._idle) < self._idle_most or self._over() is not None
 
@@ -118,6 +141,8 @@
         return counter
 
     def _taken_up(self, name: str) -> ProgramBudget:
+        """The counter of a program that is not in use, out of those laid aside."""
+        self._read_idle(len(self._idle_unread))
         idle = self._idle.pop(name, None)
         if idle is None:
             return ProgramBudget()
