--- a/kestrelbend/command/checking.py
+++ b/kestrelbend/command/checking.py
@@ -22,6 +22,7 @@
     EXPERIMENT = "experiment"
     BOOT = "boot"
     DOCUMENT = "document"
+    DAY = "day"
 
 
 KINDS = ", ".join(kind.value for kind in Kind)
@@ -61,6 +62,8 @@
         return Kind.DOCUMENT if '"Routes"' in text or '"Services"' in text else Kind.PLATFORM
     if "[[variants]]" in text or "\nscenarios" in f"\n{text}":
         return Kind.EXPERIMENT
+    if "\nfaults =" in f"\n{text}" or "[[faults]]" in text:
+        return Kind.DAY
     if "[[phases]]" in text:
         return Kind.LOAD
     return Kind.INSTALLATION if "\nlisten" in f"\n{text}" else Kind.SCENARIO
@@ -128,6 +131,16 @@
         raise wrong("\n".join(f"{path}: {fault.reason}" for fault in faults))
 
 
+def check_day(path: Path) -> None:
+    """Troubles at set times."""
+    from .day_file import DayFault, read_day
+
+    try:
+        read_day(path)
+    except DayFault as fault:
+        raise wrong(f"{path}: {fault}") from None
+
+
 CHECKS = {
     Kind.INSTALLATION: check_installation,
     Kind.PLATFORM: check_platform,
@@ -136,4 +149,5 @@
     Kind.EXPERIMENT: check_experiment,
     Kind.BOOT: check_boot,
     Kind.DOCUMENT: check_document,
+    Kind.DAY: check_day,
 }
--- a/tests/tier/test_check_command.py
+++ b/tests/tier/test_check_command.py
@@ -32,6 +32,15 @@
             code = run(["check", str(path), *words], serve)
         return code, said.getvalue().replace(f"{self.folder}/", "").splitlines()
 
+    def test_given_a_day_then_its_troubles_must_say_what_happens_and_when(self):
+        usable = 'name = "cut"\nseed = 7\nfaults = [{ at = 1.5, kind = "core_cut", for_s = 20 }]\n'
+        self.assertEqual((0, ["day.toml: a usable day file"]), self.check("day.toml", usable))
+        for broken in ("kind = 3", "at = -1", 'kind = ""', "at = 1"):
+            code, lines = self.check("day.toml", f'name = "cut"\nseed = 7\nfaults = [{{ {broken} }}]\n')
+            self.assertEqual((2, True), (code, lines[0].startswith("day.toml: ")), lines)
+        self.assertEqual(2, self.check("day.toml", 'name = "cut"\nseed = "x"\nfaults = []\n')[0])
+        self.assertEqual(2, self.check("day.toml", "faults = [", "--kind", "day")[0])
+
     def test_given_usable_files_then_their_kind_is_guessed_and_told(self):
         self.assertEqual((0, ["boot.yaml: a usable boot file"]), self.check("boot.yaml", FULL))
         text = json.dumps(document())
