Tests: one base of fleet stories, one set of doubles round a link

Cause: the base class of stories stood twice, the transport and the process round a link three times.

--- a/tests/tier/test_fleet_placement.py
+++ b/tests/tier/test_fleet_placement.py
@@ -5,16 +5,15 @@
 import json
 import random
 
-import logbook
-import testtools
 
 from kestrelbend.tier.control.retirement import SHORT_TROUBLE_S
 from kestrelbend.tier.fleet.fleet import GRACE_S, Size
 from kestrelbend.tier.fleet.http import Reply
 from kestrelbend.tier.fleet.loop import run
 from kestrelbend.tier.fleet.troubles import owner_machine
-from kestrelbend.tier.fleet.world import World, play
+from kestrelbend.tier.fleet.world import World
 from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD, budget_shards
+from tests.tier.fleet_story import FleetStory
 
 CATCHUP_S = 4.0
 POLL_S = 0.03
@@ -61,21 +60,6 @@
     return loop.time() - begun
 
 
-class FleetPlacement(testtools.TestCase):
-    """Plays a story for some seeds; no rule may be broken."""
-
-    def setUp(self):
-        super().setUp()
-        handler = logbook.NullHandler()
-        handler.push_application()
-        self.addCleanup(handler.pop_application)
-
-    def tell(self, story, seeds=(1,), size=None):
-        for seed in seeds:
-            world = play(story, seed, size)
-            self.assertEqual([], world.fleet.failures, "\n".join(world.fleet.notes[-40:]))
-
-
 async def call(world, machine, method, path, body=b""):
     """One call of the operator at one control node; its status and body, or None."""
     address = machine.place.control_address
@@ -105,7 +89,7 @@
 START = json.dumps({"DeadlineS": 20}).encode()
 
 
-class TestRetirementIsToldTruly(FleetPlacement):
+class TestRetirementIsToldTruly(FleetStory):
     def test_given_control_nodes_that_have_just_started_then_nothing_is_complete_too_soon(self):
         async def story(world):
             world.fleet.add_machine("storage", "zone-1", True, ("store",))
@@ -202,7 +186,7 @@
         self.tell(story, size=Size(control=3, stores=1))
 
 
-class TestRetirementBesideOtherTroubles(FleetPlacement):
+class TestRetirementBesideOtherTroubles(FleetStory):
     """Whatever goes on beside it, `complete` is told of no store that a shard's owner still counts."""
 
     def beside(self, trouble, seeds=(1, 2)):
@@ -272,7 +256,7 @@
         self.tell(story)
 
 
-class TestFounding(FleetPlacement):
+class TestFounding(FleetStory):
     def test_given_too_few_disks_when_they_come_late_then_budgets_are_founded_on_a_whole_group(self):
         async def story(loop):
             world = World(loop, 1, Size(control=3, stores=0, gateways=0))
@@ -292,7 +276,7 @@
         run(story)
 
 
-class TestLatePlacements(FleetPlacement):
+class TestLatePlacements(FleetStory):
     def test_given_an_owner_that_restarted_when_only_an_old_directory_reaches_it_then_the_group_stays(self):
         async def story(world):
             old = world.fleet.stores()[0].processes["store"].instance.directory
@@ -328,7 +312,7 @@
     return [placed.number for placed in state.placements]
 
 
-class TestReplacedOnlyWhereItHelps(FleetPlacement):
+class TestReplacedOnlyWhereItHelps(FleetStory):
     def test_given_a_store_that_the_configurations_owner_alone_does_not_hear_then_it_keeps_its_place(self):
         async def story(world):
             world.fleet.add_machine("storage", "zone-1", True, ("store",))
@@ -406,7 +390,7 @@
 }
 
 
-class TestPairsOfChanges(FleetPlacement):
+class TestPairsOfChanges(FleetStory):
     """Two changes to the same shards, the second as soon as the first has ceased to count."""
 
     def play_pairs(self, first):
--- a/tests/tier/test_fleet_stories.py
+++ b/tests/tier/test_fleet_stories.py
@@ -5,33 +5,10 @@
 import asyncio
 import random
 
-import logbook
-import testtools
 
 from kestrelbend.tier.fleet.fleet import Size
 from kestrelbend.tier.fleet.troubles import KINDS, owner_machine, pick_counted, start_all
-from kestrelbend.tier.fleet.world import play
-
-
-class FleetStory(testtools.TestCase):
-    """Plays a story for some seeds; no rule may be broken."""
-
-    def setUp(self):
-        super().setUp()
-        handler = logbook.NullHandler()
-        handler.push_application()
-        self.addCleanup(handler.pop_application)
-
-    def tell(self, story, seeds=(1,), size=None):
-        for seed in seeds:
-            world = play(story, seed, size)
-            self.assertEqual([], world.fleet.failures, "\n".join(world.fleet.notes[-40:]))
-
-    def tell_kind(self, name, seeds=(1, 2)):
-        async def story(world):
-            await KINDS[name].play(world, random.Random(f"{name} {world.fleet.seed}"))
-
-        self.tell(story, seeds)
+from tests.tier.fleet_story import FleetStory
 
 
 class TestBeginning(FleetStory):
--- a/tests/tier/test_former_owner.py
+++ b/tests/tier/test_former_owner.py
@@ -16,7 +16,7 @@
 from kestrelbend.tier.membership.directory import DirectoryView
 from kestrelbend.tier.membership.messages import Directory, ShardReport
 from kestrelbend.tier.membership.placement import BUDGET_SHARDS
-from tests.tier.test_fleet_stories import FleetStory
+from tests.tier.fleet_story import FleetStory
 
 SHARD = "budget-0"
 MOST = 16
--- a/tests/tier/test_framing.py
+++ b/tests/tier/test_framing.py
@@ -4,12 +4,11 @@
 
 import asyncio
 
-import attrs
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestrelbend.tier.membership.messages import ConfigUpdate, Hello
+from kestrelbend.tier.membership.messages import ConfigUpdate
 from kestrelbend.tier.protocol.codec import decode, encode
 from kestrelbend.tier.protocol.framing import (
     CHUNK_BYTES,
@@ -22,6 +21,7 @@
 from kestrelbend.tier.protocol.links import ANY_ORDER, Link
 from kestrelbend.tier.replication.messages import AppendEntries, Entry, TransferOwnership
 from tests.tier import virtual_time
+from tests.tier.link_doubles import LinkProcess, MemoryTransport
 
 NARROW = 15_000_000 / 8  # bytes a second
 PACKET_BYTES = 1460
@@ -172,61 +172,24 @@
         self.assertRaises(FramingError, list, reader.feed(chunk))
 
 
-@attrs.define
-class Process:
-    """What a link asks of its process."""
-
-    hello: Hello = attrs.field(factory=lambda: Hello("a:1", "a:1#d", 1))
-    opened: set = attrs.field(factory=set)
-    sent_bytes: int = 0
-    got: list = attrs.field(factory=list)
-
-    def greeted(self, link):
-        pass
-
-    def lost(self, link):
-        pass
-
-    def received(self, link, message, sequence):
-        self.got.append(message)
-
-
-class NarrowTransport:
+class NarrowTransport(MemoryTransport):
     """A transport whose bytes reach the other link at the pace of a narrow path, in virtual time."""
 
     def __init__(self):
+        super().__init__()
         self.far = None
-        self.aborted = False
         self._free_at = 0.0
 
-    def get_extra_info(self, name):
-        return self
-
-    def setsockopt(self, *option):
-        pass
-
-    def set_write_buffer_limits(self, high):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def is_closing(self):
-        return self.aborted
-
     def write(self, data):
         loop = asyncio.get_running_loop()
         self._free_at = max(self._free_at, loop.time()) + len(data) / NARROW
         loop.call_at(self._free_at + 0.002, self.far.data_received, data)
 
-    def abort(self):
-        self.aborted = True
-
 
 class LinkStories(testtools.TestCase):
     def test_given_a_transfer_when_a_request_gets_no_reply_then_the_connection_stays(self):
         async def play():
-            links = [Link(Process(), outgoing=True), Link(Process(), outgoing=False)]
+            links = [Link(LinkProcess(), outgoing=True), Link(LinkProcess(), outgoing=False)]
             transports = [NarrowTransport(), NarrowTransport()]
             for side in (0, 1):
                 transports[side].far = links[1 - side]
--- a/tests/tier/test_gateway_contact_stories.py
+++ b/tests/tier/test_gateway_contact_stories.py
@@ -12,7 +12,7 @@
 from kestrelbend.tier.budgets.messages import Reserve, Settle, TurnEnd, Verdict
 from kestrelbend.tier.fleet.fleet import Size
 from kestrelbend.tier.fleet.troubles import owner_machine
-from tests.tier.test_fleet_stories import FleetStory
+from tests.tier.fleet_story import FleetStory
 
 CUT_S = 20.0
 UNREADY_WITHIN_S = 2.0
--- a/tests/tier/test_orders.py
+++ b/tests/tier/test_orders.py
@@ -21,7 +21,7 @@
 from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD
 from kestrelbend.tier.protocol.codec import decode
 from tests.tier.test_configuration_state import put
-from tests.tier.test_fleet_stories import FleetStory
+from tests.tier.fleet_story import FleetStory
 from tests.tier.virtual_time import run
 
 CALL_S = 1.0
--- a/tests/tier/test_protocol.py
+++ b/tests/tier/test_protocol.py
@@ -10,11 +10,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestrelbend.tier.membership.messages import Hello
 from kestrelbend.tier.protocol.codec import MESSAGES, DecodeError, decode, decode_with_sequence, encode
 from kestrelbend.tier.protocol.framing import MOST_MESSAGE_BYTES, WORD
 from kestrelbend.tier.protocol.links import Link
 from kestrelbend.tier.replication.messages import AppendEntries, DurableRecord, Entry, TransferOwnership
+from tests.tier.link_doubles import LinkProcess, MemoryTransport
 
 PLAIN = {int: 7, str: "näme", bytes: b"\x00\xff", bool: True}
 
@@ -57,66 +57,19 @@
                 pass
 
 
-class _Transport:
-    """A transport whose far end is another link; `pump` carries what was written."""
-
-    def __init__(self):
-        self.written = bytearray()
-        self.aborted = False
-
-    def get_extra_info(self, name):
-        return _NoSocket()
-
-    def set_write_buffer_limits(self, high):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def is_closing(self):
-        return self.aborted
-
-    def write(self, data):
-        self.written += data
-
-    def abort(self):
-        self.aborted = True
-
-
-class _NoSocket:
-    def setsockopt(self, *arguments):
-        pass
-
-
-class _Owner:
-    """What a link asks of its process."""
-
-    def __init__(self, address):
-        self.hello = Hello(address, f"{address}#d", 1)
-        self.log = self
-        self.opened = set()
-        self.sent_bytes = 0
-        self.messages = []
-
-    def warning(self, *arguments):
-        pass
-
-    def greeted(self, link):
-        pass
-
-    def lost(self, link):
-        pass
+class _Echo(LinkProcess):
+    """Answers each message with itself."""
 
     def received(self, link, message, sequence):
-        self.messages.append(message)
+        super().received(link, message, sequence)
         link.reply(sequence, message)
 
 
 class LinkTest(testtools.TestCase):
     def given_two_links(self):
-        self.owners = [_Owner("a:1"), _Owner("b:1")]
+        self.owners = [_Echo("a:1"), _Echo("b:1")]
         self.links = [Link(owner, outgoing=index == 0) for index, owner in enumerate(self.owners)]
-        self.transports = [_Transport(), _Transport()]
+        self.transports = [MemoryTransport(), MemoryTransport()]
         for link, transport in zip(self.links, self.transports, strict=True):
             link.connection_made(transport)
 
@@ -143,7 +96,7 @@
             for message in sent:
                 self.links[0].send(message)
             await self.pump(chunk=1)
-            self.assertEqual(sent, self.owners[1].messages)
+            self.assertEqual(sent, [message for _, message, _ in self.owners[1].got])
             self.assertEqual("a:1", self.links[1].peer.address)
 
         self.story(play)
--- a/tests/tier/test_protocol_replies.py
+++ b/tests/tier/test_protocol_replies.py
@@ -19,62 +19,11 @@
     ReserveOutcome,
     Verdict,
 )
-from kestrelbend.tier.membership.messages import ConfigAck, Hello
+from kestrelbend.tier.membership.messages import ConfigAck
 from kestrelbend.tier.protocol.framing import WORD
 from kestrelbend.tier.protocol.links import MOST_SEQUENCE, Link
 from tests.tier import virtual_time
-
-
-class Transport:
-    """Bytes that were written, until the wire takes them."""
-
-    def __init__(self):
-        self.written = bytearray()
-        self.aborted = False
-
-    def get_extra_info(self, name):
-        return self
-
-    def setsockopt(self, *arguments):
-        pass
-
-    def set_write_buffer_limits(self, high):
-        pass
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def is_closing(self):
-        return self.aborted
-
-    def write(self, data):
-        self.written += data
-
-    def abort(self):
-        self.aborted = True
-
-
-class Process:
-    """What a link asks of its process; requests are kept until the story answers them."""
-
-    def __init__(self, address):
-        self.hello = Hello(address, f"{address}#d", 1)
-        self.log = self
-        self.opened = set()
-        self.sent_bytes = 0
-        self.requests = []
-
-    def warning(self, *arguments):
-        pass
-
-    def greeted(self, link):
-        pass
-
-    def lost(self, link):
-        pass
-
-    def received(self, link, message, sequence):
-        self.requests.append((link, message, sequence))
+from tests.tier.link_doubles import LinkProcess, MemoryTransport
 
 
 class Connection:
@@ -82,7 +31,7 @@
 
     def __init__(self, asking, answering):
         self.near, self.far = Link(asking, outgoing=True), Link(answering, outgoing=False)
-        self.ends = [(self.near, Transport()), (self.far, Transport())]
+        self.ends = [(self.near, MemoryTransport()), (self.far, MemoryTransport())]
         for link, transport in self.ends:
             link.connection_made(transport)
 
@@ -104,7 +53,7 @@
 class RepliesTest(testtools.TestCase):
     def story(self, play):
         async def run():
-            self.asking, self.answering = Process("a:1"), Process("b:1")
+            self.asking, self.answering = LinkProcess("a:1"), LinkProcess("b:1")
             await play(Connection(self.asking, self.answering))
 
         virtual_time.run(run())
@@ -121,7 +70,7 @@
             self.assertIsNone(await first)
             second = self.ask(connection, 2)
             await connection.carry()
-            (link, message, sequence), (_, other, other_sequence) = self.answering.requests
+            (link, message, sequence), (_, other, other_sequence) = self.answering.got
             link.reply(sequence, message)
             await connection.carry()
             self.assertFalse(second.done())
@@ -136,7 +85,7 @@
             first, second = self.ask(connection, 1), self.ask(connection, 2)
             await connection.carry()
             first.cancel()
-            for link, message, sequence in self.answering.requests:
+            for link, message, sequence in self.answering.got:
                 link.reply(sequence, message)
             await connection.carry()
             self.assertEqual(ConfigAck(2), await second)
@@ -147,7 +96,7 @@
         async def play(connection):
             first = self.ask(connection, 1)
             await connection.carry()
-            link, message, sequence = self.answering.requests[0]
+            link, message, sequence = self.answering.got[0]
             link.reply(sequence, message)
             link.reply(sequence, ConfigAck(9))
             second = self.ask(connection, 2)
@@ -162,7 +111,7 @@
         async def play(connection):
             first, second = self.ask(connection, 1), self.ask(connection, 2)
             await connection.carry()
-            for link, message, sequence in self.answering.requests:
+            for link, message, sequence in self.answering.got:
                 link.reply(sequence, message)
             await asyncio.sleep(0)
             _, transport = connection.ends[1]
@@ -183,7 +132,7 @@
             fresh = Connection(self.asking, self.answering)
             second = self.ask(fresh, 2)
             await fresh.carry()
-            (old_link, old, old_sequence), (link, message, sequence) = self.answering.requests
+            (old_link, old, old_sequence), (link, message, sequence) = self.answering.got
             self.assertEqual(old_sequence, sequence, "both connections count from one")
             old_link.reply(old_sequence, old)
             await connection.carry()
@@ -212,7 +161,7 @@
             connection.near._sequence = MOST_SEQUENCE - 1
             last = self.ask(connection, 1)
             await connection.carry()
-            link, message, sequence = self.answering.requests[0]
+            link, message, sequence = self.answering.got[0]
             self.assertEqual(MOST_SEQUENCE, sequence)
             link.reply(sequence, message)
             await connection.carry()
@@ -230,7 +179,7 @@
             for number in range(400):
                 pending.append((number, self.ask(connection, number, timeout=chance.uniform(0.01, 0.3))))
                 await connection.carry()
-                held = self.answering.requests
+                held = self.answering.got
                 chance.shuffle(held)
                 for _ in range(chance.randint(0, 2)):
                     if held:
--- a/tests/tier/test_snapshot_fleet.py
+++ b/tests/tier/test_snapshot_fleet.py
@@ -6,7 +6,7 @@
 from kestrelbend.tier.budgets.messages import Reserve, Settle
 from kestrelbend.tier.budgets.table import IDLE_PROGRAMS, RECENT_PROGRAMS, BudgetTable
 from kestrelbend.tier.fleet.fleet import Size
-from tests.tier.test_fleet_stories import FleetStory
+from tests.tier.fleet_story import FleetStory
 
 NARROW = 15_000_000 / 8  # bytes a second
 CATCH_UP_S = 4.0
--- a/tests/tier/test_standing.py
+++ b/tests/tier/test_standing.py
@@ -11,7 +11,7 @@
 from kestrelbend.tier.fleet.operator import BASE_VERSION
 from kestrelbend.tier.fleet.troubles import owner_machine
 from kestrelbend.tier.membership.standing import CONTACT_S, in_contact, is_current
-from tests.tier.test_fleet_stories import FleetStory
+from tests.tier.fleet_story import FleetStory
 
 LOOK_S = 0.02
 CUT_S = 20.0
