--- a/kestrelbend/tier/fleet/removals/contact.py
+++ b/kestrelbend/tier/fleet/removals/contact.py
@@ -100,3 +100,17 @@
 @guard("call-refusals", "configuration.operator_api:_allowed", "refusals that a call may not get")
 def allow_any_refusal(call, answer):
     return answer
+
+
+@guard("read-request", "replication.replica:Replica._receive_read_request", "answers in another epoch's name")
+def confirm_for_any_epoch(replica, request):
+    if replica._owner is not None:
+        replica._owner.confirm_for(request.sender, request.ticket)
+
+
+@guard("current-after-first-entry", "replication.replica:Replica.current_at", "an owner current too early")
+@property
+def be_current_once_confirmed(replica):
+    if replica._owner is None:
+        return replica._reads.current_at(replica.applied_index)
+    return replica._owner.confirmed_at
--- a/kestrelbend/tier/fleet/removals/dataplane.py
+++ b/kestrelbend/tier/fleet/removals/dataplane.py
@@ -83,3 +83,22 @@
 @guard("data-refusal", "dataplane.app:DataPlane._refused", "refusals by an old configuration")
 def refuse_by_any_configuration(plane, own):
     return own
+
+
+@guard("event-end", "dataplane.events:EventSplitter.end", "an event cut off midway taken as a proper end")
+def end_anywhere(splitter):
+    rest, splitter._rest = splitter._rest, b""
+    return rest
+
+
+@guard("named-instance", "dataplane.forward:_named", "an instance that the client did not name")
+def allow_any_instance(exchange, backends):
+    return list(backends)
+
+
+@guard("closed-here", "dataplane.network:TcpStream.abort", "our own end taken as an answer's proper end")
+def end_as_if_the_peer_did(stream):
+    stream._outgoing.clear()
+    stream._ended = True
+    stream._transport.abort()
+    stream._wake()
--- a/kestrelbend/tier/fleet/removals/gateways.py
+++ b/kestrelbend/tier/fleet/removals/gateways.py
@@ -60,3 +60,10 @@
     if not waiting.done():
         waiting.set_result(message)
     return True
+
+
+@guard("ended-connection", "protocol.links:Link.connection_lost", "callers that wait where nothing can come")
+def let_them_wait(link, exc):
+    link.closed = True
+    link._owner.opened.discard(link)
+    link._owner.lost(link)
--- a/kestrelbend/tier/fleet/removals/groups.py
+++ b/kestrelbend/tier/fleet/removals/groups.py
@@ -97,3 +97,14 @@
 def found_by_whoever_is_there(placed, size, available):
     most = min(size, len(available))
     return _found_budget_shards(placed, most, available) if most else []
+
+
+@guard("committed-group", "replication.replica:Replica.committed_voters", "emptied by an uncommitted group")
+@property
+def report_the_newest_group(replica):
+    return replica._state.log.voters
+
+
+@guard("add-before-remove", "replication.group:next_group", "a group that bears no loss on its way")
+def step_to_the_target_at_once(voters, target, owner, is_live, is_caught_up):
+    return target if target and target != voters else None
--- a/kestrelbend/tier/fleet/removals/log.py
+++ b/kestrelbend/tier/fleet/removals/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ...replication.snapshot_transfer import _incoming
 from ..guards import guard
 
 
@@ -68,3 +69,12 @@
 @guard("retained-entries", "replication.owner:Ownership.needed_after", "a follower that never catches up")
 def need_nothing(owner, now):
     return owner._log.last_index
+
+
+@guard(
+    "snapshot-mix",
+    "replication.snapshot_transfer:SnapshotReceiver._begin_where_new",
+    "bytes of two snapshots put together",
+)
+def go_on_with_what_is_here(receiver, piece):
+    receiver._incoming = _incoming(piece)
--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -1,5 +1,6 @@
 """Guards are proven by their removal: with one taken out, a known script of the model or a test fails."""
 
+import asyncio
 import contextlib
 import inspect
 import json
@@ -26,9 +27,15 @@
 from kestrelbend.tier.model.orders import search_orders
 from kestrelbend.tier.model.scripts import SCRIPTS
 from kestrelbend.tier.model.search import search
+from kestrelbend.tier.membership.messages import ConfigAck
+from kestrelbend.tier.replication.messages import ReadIndexReply, ReadIndexRequest
+from kestrelbend.tier.replication.snapshot_transfer import SnapshotReceiver
 from kestrelbend.tier.roles.gateway import RoutingHolder
 from tests.tier import virtual_time
 from tests.tier.dataplane_world import STAMP, World
+from tests.tier.replication_harness import SHARD, Cluster
+from tests.tier.test_protocol_replies import Connection, Process
+from tests.tier.test_snapshots import pieces_of
 
 FOUND_BY_MODEL = {  # guard: script, faults
     "vote-on-disk": ("vote_lost_with_the_power", 0),
@@ -128,6 +135,19 @@
     ".test_work_that_may_run_once_runs_to_its_end_and_is_not_sent_again",
     "data-refusal": "test_dataplane_answers.Refusals"
     ".test_what_an_older_configuration_refuses_is_503_with_a_time_to_come_back",
+    "snapshot-mix": "test_guards.TestSnapshots.test_a_newer_one_begins_without_the_bytes_of_an_older",
+    "event-end": "test_dataplane_streams.Splitting.test_an_end_within_an_event_is_no_end",
+    "named-instance": "test_dataplane_answers.Named"
+    ".test_the_instance_that_a_client_names_gets_the_request_and_no_other",
+    "closed-here": "test_dataplane_answers.Lengthless.test_a_local_end_is_no_end_of_an_answer",
+    "read-request": "test_guards.TestReadRequests.test_a_question_of_another_epoch_is_not_answered",
+    "current-after-first-entry": "test_read_index.CurrencyStories"
+    ".test_a_new_owner_is_not_current_before_it_has_committed",
+    "committed-group": "test_replication_placement.TestSettled"
+    ".test_given_a_change_that_is_not_committed_then_the_group_before_is_told_and_it_is_not_settled",
+    "add-before-remove": "test_replication_placement.TestBetweenTheSteps"
+    ".test_given_live_ones_to_be_replaced_then_the_group_is_never_larger_by_two",
+    "ended-connection": "test_guards.TestEndedConnections.test_who_waits_for_a_reply_hears_of_it_at_once",
 }
 
 DAY_OF_A_LONG_CUT = "1:0/long_cut"
@@ -318,3 +338,40 @@
             self.assertEqual("own", outcome.reservation)
 
         virtual_time.run(play())
+
+
+class TestReadRequests(testtools.TestCase):
+    def test_a_question_of_another_epoch_is_not_answered(self):
+        cluster = Cluster()
+        cluster.run(1.0)
+        owner = cluster.owner().replica
+        asker = next(node for node in cluster.nodes.values() if node.replica is not owner)
+        for ticket, epoch in ((1, owner.epoch - 1), (2, owner.epoch + 1), (3, owner.epoch)):
+            owner.receive(ReadIndexRequest(SHARD, asker.identity, epoch, ticket), cluster.now)
+        cluster.run(0.5)
+        replies = [message for _, _, message in cluster.sent if isinstance(message, ReadIndexReply)]
+        self.assertEqual([3], [reply.ticket for reply in replies])
+
+
+class TestEndedConnections(testtools.TestCase):
+    def test_who_waits_for_a_reply_hears_of_it_at_once(self):
+        async def play():
+            connection = Connection(Process("a:1"), Process("b:1"))
+            asked = asyncio.ensure_future(connection.near.request(ConfigAck(1), timeout=5.0))
+            await connection.carry()
+            connection.end()
+            self.assertIsNone(await asked)
+            self.assertEqual(0.0, asyncio.get_running_loop().time())
+
+        virtual_time.run(play())
+
+
+class TestSnapshots(testtools.TestCase):
+    def test_a_newer_one_begins_without_the_bytes_of_an_older(self):
+        older, newer = pieces_of(b"older", index=5), pieces_of(b"newer", index=9)
+        receiver = SnapshotReceiver()
+        receiver.take(older[0])
+        self.assertEqual(0, receiver.received(newer[0]))
+        *missing, installed = [receiver.take(piece) for piece in newer]
+        self.assertEqual([None, None], missing)
+        self.assertEqual(attrs.evolve(newer[0].snapshot, state=b"newer"), installed)
