--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -6,6 +6,7 @@
 import json
 import multiprocessing
 import unittest
+from unittest import mock
 
 import attrs
 import logbook
@@ -23,18 +24,18 @@
 from kestrelbend.tier.fleet.guards import GUARDS, UnknownGuard, find, locate, without
 from kestrelbend.tier.fleet.removals import groups
 from kestrelbend.tier.membership import placement
+from kestrelbend.tier.membership.messages import ConfigAck, Hello
 from kestrelbend.tier.membership.table import MemberTable
 from kestrelbend.tier.model.orders import search_orders
 from kestrelbend.tier.model.scripts import SCRIPTS
 from kestrelbend.tier.model.search import search
-from kestrelbend.tier.membership.messages import ConfigAck
 from kestrelbend.tier.replication.messages import ReadIndexReply, ReadIndexRequest
 from kestrelbend.tier.replication.snapshot_transfer import SnapshotReceiver
 from kestrelbend.tier.roles.gateway import RoutingHolder
 from tests.tier import virtual_time
 from tests.tier.dataplane_world import STAMP, World
 from tests.tier.replication_harness import SHARD, Cluster
-from tests.tier.test_protocol_replies import Connection, Process
+from tests.tier.test_protocol_replies import Connection
 from tests.tier.test_snapshots import pieces_of
 
 FOUND_BY_MODEL = {  # guard: script, faults
@@ -356,7 +357,7 @@
 class TestEndedConnections(testtools.TestCase):
     def test_who_waits_for_a_reply_hears_of_it_at_once(self):
         async def play():
-            connection = Connection(Process("a:1"), Process("b:1"))
+            connection = Connection(process("a:1"), process("b:1"))
             asked = asyncio.ensure_future(connection.near.request(ConfigAck(1), timeout=5.0))
             await connection.carry()
             connection.end()
@@ -366,6 +367,11 @@
         virtual_time.run(play())
 
 
+def process(address):
+    """What a link asks of its process, which does nothing."""
+    return mock.Mock(hello=Hello(address, f"{address}#d", 1), opened=set(), sent_bytes=0)
+
+
 class TestSnapshots(testtools.TestCase):
     def test_a_newer_one_begins_without_the_bytes_of_an_older(self):
         older, newer = pieces_of(b"older", index=5), pieces_of(b"newer", index=9)
