--- a/kestrelbend/tier/configuration/messages.py
+++ b/kestrelbend/tier/configuration/messages.py
@@ -20,6 +20,8 @@
     STORE = 4  # the tier's own: body is a `KnownDisk`
     EMPTIED = 5  # the tier's own: body is an `Emptied`
     RETIRE_STATE = 6  # body is the node's name; changes nothing, so the owner answers once it is confirmed
+    CHECKED_PUT = 7  # as PUT: an entry whose owner has found it valid on its base
+    CHECKED_PATCH = 8  # as PATCH, likewise
 
 
 @attrs.frozen
--- a/tests/tier/test_standing.py
+++ b/tests/tier/test_standing.py
@@ -125,6 +125,7 @@
     valid = [(BASE_VERSION, str(order.base).encode())]
     stale = [(BASE_VERSION, str(max(0, order.base - 1)).encode())]
     draining = report(State="draining", Seq=5)
+    deadline = b'{"DeadlineS":10}'
     return await asyncio.gather(
         call(world, machine, "POST", "/api/Config.Put", order.body, valid),
         call(world, machine, "POST", "/api/Config.Put", order.body, stale),
@@ -132,6 +133,9 @@
         call(world, machine, "GET", "/api/Config.Get"),
         call(world, machine, "POST", "/api/Instances.Heartbeat/i-cut", draining),
         call(world, machine, "POST", "/api/Instances.Leave/i-gone"),
+        call(world, machine, "POST", "/api/Retire.Start/storage-1", deadline),
+        call(world, machine, "POST", "/api/Retire.Start/nobody", deadline),
+        call(world, machine, "GET", "/api/Retire.Get/storage-1"),
     )
 
 
