Control: one contact span, one way to ask the owner; an empty wrapper goes

Cause: the 0.6 s for which a confirmation counts stood in membership/standing.py and again in the gateway's contact, though all parts are to ask one module; orders and reads each found the owner's connection and its time by themselves. Change: the gateway takes the span from standing.py; ConfigurationService._ask_owner serves both; ControlProcess._read_here, which only called on, is gone. Behaviour is unchanged, no test is changed.

--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -22,6 +22,7 @@
 OK = 200
 NOT_OWNER = ConfigOutcome(UNCLEAR, 0, "not the owner")
 NOT_IN_TIME = ConfigOutcome(UNCLEAR, 0, "not committed in time")
+NOT_READ = ReadReply(False, 0, b"")
 OPERATORS_KINDS = (OrderKind.PUT, OrderKind.PATCH)
 LARGE_BYTES = 64 * 1024  # of an order and the document that it changes
 MOST_EXAMINATIONS = 3  # of one order, where other changes come between
@@ -114,10 +115,7 @@
     async def _try(self, order: ConfigOrder, ends: float) -> ConfigOutcome:
         if self.replica.is_owner:
             return await self.decide(order, ends - self._now())
-        link = self._owner_link()
-        if link is None:
-            return NOT_OWNER
-        reply = await link.request(order, max(0.01, min(FORWARD_S, ends - self._now())))
+        reply = await self._ask_owner(order, ends)
         return reply if isinstance(reply, ConfigOutcome) else NOT_OWNER
 
     async def decide(self, order: ConfigOrder, within: float = float("inf")) -> ConfigOutcome:
@@ -199,19 +197,19 @@
     async def _try_read(self, ends: float) -> ReadReply:
         if self.replica.is_owner:
             return await self.read_here()
-        link = self._owner_link()
-        if link is None:
-            return ReadReply(False, 0, b"")
-        timeout = max(0.01, min(FORWARD_S, ends - self._now()))
-        reply = await link.request(ReadRequest(CONFIGURATION_SHARD), timeout)
-        return reply if isinstance(reply, ReadReply) else ReadReply(False, 0, b"")
+        reply = await self._ask_owner(ReadRequest(CONFIGURATION_SHARD), ends)
+        return reply if isinstance(reply, ReadReply) else NOT_READ
 
     async def read_here(self) -> ReadReply:
         """As the owner: the state, once confirmed to be the newest."""
         if not await self._confirmed():
-            return ReadReply(False, 0, b"")
+            return NOT_READ
         return ReadReply(True, self.state.version, self.state.body)
 
-    def _owner_link(self):
+    async def _ask_owner(self, message: ConfigOrder | ReadRequest, ends: float) -> object | None:
+        """What the owner that this replica knows replies; None without an owner, a connection or a reply."""
         owner = self.replica.owner
-        return self._links.to(address_of(owner)) if owner else None
+        link = self._links.to(address_of(owner)) if owner else None
+        if link is None:
+            return None
+        return await link.request(message, max(0.01, min(FORWARD_S, ends - self._now())))
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -157,7 +157,7 @@
         elif isinstance(message, ConfigOrder):
             self._answer(link, sequence, self._decide(message))
         elif isinstance(message, ReadRequest):
-            self._answer(link, sequence, self._read_here())
+            self._answer(link, sequence, self.configuration.read_here())
         elif isinstance(message, BudgetRequest):
             self.budgets.request(message, lambda reply: link.reply(sequence, reply))
 
@@ -172,9 +172,6 @@
             return NOT_OWNER
         return await self.configuration.decide(order, FORWARD_S)
 
-    async def _read_here(self) -> ReadReply:
-        return await self.configuration.read_here()
-
     def _subscribe(self, link: Link, message: Subscribe) -> None:
         if message.member.serves_front:
             self.config_stream.subscribe(link, message.config_version)
--- a/kestrelbend/tier/roles/gateway_contact.py
+++ b/kestrelbend/tier/roles/gateway_contact.py
@@ -17,8 +17,8 @@
 import attrs
 
 from ..membership.messages import ContactWord
+from ..membership.standing import CONTACT_S
 
-CONTACT_S = 0.6  # that an answer counts, from its question on
 ELECTION_S = 1.5  # without an owner, though others answer, until requests are no longer held
 STALL_S = 0.3  # between two ticks: this process stood still, and its silence is nobody else's
 FRESH_S = 0.2  # an answer to a question younger than this makes another question needless
