Control: a process follows the nearest settled control node; only changes cross zones

Change: heartbeats are answered, and go to the nearest control node that is settled (in contact for longer than LIVE_S), to three where none is; whole streams come from it alone. The others send notices: numbers of new versions, backends that leave, so the proof that a gateway in touch hears of both by any majority stays. A body that does not come is fetched. Control nodes tell each other changes of those that report to them; silence is told, calm is not. Backends' plain heartbeats are spread together, four times a second. The contact test named the last node that answered; the nearest one is asked now, the check is as strict. The watch of test_standing first looks before the story's trouble: a gateway that was frozen before the first look counted as beginning to serve at its thaw.

--- a/kestrelbend/tier/configuration/stream.py
+++ b/kestrelbend/tier/configuration/stream.py
@@ -1,5 +1,7 @@
 """Streams the configuration's committed versions to gateways and tracks their acknowledgements.
 
+Most gateways take bodies from another control node and get notices here: the number of each new version.
+
 Invariant: on one connection versions only rise, and `current` is said of a version only while this node's
 replica is current (see `membership.standing`).  A gateway that was never told that its version is current is
 told so as soon as that holds.
@@ -20,6 +22,7 @@
 @attrs.define(eq=False)
 class _Subscriber:
     link: object
+    with_bodies: bool
     sent: int
     acknowledged: int
     told_current: bool = False
@@ -32,9 +35,9 @@
         self._subscribers: dict[object, _Subscriber] = {}
         self._waiting: list[tuple[int, asyncio.Future]] = []
 
-    def subscribe(self, link, version: int) -> None:
-        """A gateway that serves by `version` (0: none) wants what is newer."""
-        self._subscribers[link] = _Subscriber(link, version, version)
+    def subscribe(self, link, version: int, with_bodies: bool = True) -> None:
+        """A gateway that serves by `version` (0: none) wants what is newer, or notices of it."""
+        self._subscribers[link] = _Subscriber(link, with_bodies, version, version)
 
     def lost(self, link) -> None:
         """A connection ended."""
@@ -50,18 +53,19 @@
 
     def stream(self, version: int, body: bytes, current: bool) -> None:
         """Brings every gateway to this version; one encoding serves all."""
-        whole = None
+        whole = notice = None
         for subscriber in self._subscribers.values():
             newer = version > subscriber.sent
             confirms = current and not subscriber.told_current and version >= subscriber.sent > 0
             if not newer and not confirms:
                 continue
-            if newer:
+            if newer and subscriber.with_bodies:
                 whole = whole or encode(ConfigUpdate(version, current, body))
                 subscriber.link.send_encoded(whole)
-                subscriber.sent = version
             else:
-                subscriber.link.send(ConfigUpdate(version, True, b""))
+                notice = notice or encode(ConfigUpdate(version, current, b""))
+                subscriber.link.send_encoded(notice)
+            subscriber.sent = version
             subscriber.told_current = subscriber.told_current or current
 
     async def until_acknowledged(self, version: int, within: float = ACK_WAIT_S) -> None:
--- a/kestrelbend/tier/control/backend_reports.py
+++ b/kestrelbend/tier/control/backend_reports.py
@@ -39,6 +39,7 @@
         self._now = now
         self._may_acknowledge = may_acknowledge
         self._streamed = 0  # the registry's number that subscribers were brought to
+        self._reported: set[str] = set()  # who reported here since the other control nodes were told
         self._vouched: dict[str, int] = {}  # the states of backends that leave, as a majority holds them
 
     async def beat(self, identity: str, report: dict[str, Any]) -> ReportOutcome:
@@ -54,7 +55,12 @@
         now = self._now()
         for backend in backends:
             self._registry.merge(backend, now)
-        self._exchange.stream(self._changes())
+        if self._registry.urgent_number > self._streamed:
+            self._spread(self._changes())
+
+    def spread_quiet_changes(self) -> None:
+        """Tells, all together, of the backends of which nothing is new but that they are there."""
+        self._spread(self._changes())
 
     def presume_silent_gone(self, in_contact_s: float, beat_interval_s: float) -> None:
         """Takes silent backends for gone, where this node has been in contact for long enough to say so."""
@@ -65,16 +71,24 @@
     async def _taken(self, outcome: Backend | BeatRejected) -> ReportOutcome:
         if isinstance(outcome, BeatRejected):
             return ReportOutcome.UNAVAILABLE if outcome.code == FULL else ReportOutcome.MALFORMED
+        self._reported.add(outcome.identity)
+        if self._registry.urgent_number <= self._streamed and outcome.state == BackendState.READY:
+            return ReportOutcome.TAKEN
         changes = self._changes()
         if outcome.state != BackendState.READY and self._vouched.get(outcome.identity, 0) < outcome.state:
             return await self._vouch_for(outcome, changes)
         if any(backend.state != BackendState.READY for backend in changes):
             await self._exchange.tell_all(changes)
         else:
-            self._exchange.stream(changes)
-            self._exchange.tell_peers(changes)
+            self._spread(changes)
         return ReportOutcome.TAKEN
 
+    def _spread(self, changes: list[Backend]) -> None:
+        """To the gateways all of it, to the other control nodes what backends themselves told here."""
+        self._exchange.stream(changes)
+        self._exchange.tell_peers([backend for backend in changes if backend.identity in self._reported])
+        self._reported.clear()
+
     async def _vouch_for(self, leaving: Backend, changes: list[Backend]) -> ReportOutcome:
         """Tells everybody that a backend leaves, also where it is no news here: it may be news to others."""
         ends = self._now() + ANSWER_S
--- /dev/null
+++ b/kestrelbend/tier/control/member_summaries.py
@@ -0,0 +1,110 @@
+"""How control nodes tell each other who reports to them: changes alone, in their connection's order.
+
+Who was told of and is neither quiet nor gone counts as heard at each summary, so a calm tier costs a few
+bytes a beat.  A new connection begins with everything.
+
+Invariant: nothing is told of a process but what its own heartbeats to this node said, so that no word goes
+round between control nodes after its process has ended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from ..membership.messages import Heartbeat, MemberSummary, QuietMember, ShardReport
+from ..membership.table import MemberTable
+from ..protocol.codec import encode
+from ..protocol.links import Link
+
+QUIET_S = 0.3  # without a heartbeat, from which on the silence is told: more than between two
+PROGRESS_S = 2.0  # between two tellings of nothing but how far a member's replicas have come
+
+
+@attrs.frozen
+class _Told:
+    """What was told of a member last; `lasting` leaves out what changes with each heartbeat."""
+
+    heartbeat: Heartbeat
+    lasting: Heartbeat
+    at: float
+
+
+class MemberSummaries:
+    """Sends this node's summaries, and takes those of the others into the table."""
+
+    def __init__(self, sender: str, members: MemberTable) -> None:
+        self._sender = sender
+        self._members = members
+        self._told: dict[str, _Told] = {}
+        self._begun: set[Link] = set()  # connections that hold all that was told
+        self._reported: dict[str, dict[str, int]] = {}  # by sender: incarnations by address
+
+    def send(self, links: Iterable[Link], now: float) -> None:
+        """Brings the other control nodes up to date; one encoding serves all that are."""
+        changes = self._changes(now)
+        for link in links:
+            if link in self._begun:
+                link.send_encoded(changes)
+            else:
+                self._begun.add(link)
+                link.send(self._whole(now))
+
+    def lost(self, link: Link) -> None:
+        """A connection ended."""
+        self._begun.discard(link)
+
+    def take(self, summary: MemberSummary, now: float) -> None:
+        """Takes in another node's summary."""
+        if summary.whole:
+            self._reported[summary.sender] = {}
+        reported = self._reported.setdefault(summary.sender, {})
+        for heartbeat in summary.beats:
+            reported[heartbeat.member.address] = heartbeat.member.incarnation
+        silences = {quiet.address: quiet.silent_ms / 1000 for quiet in summary.quiet}
+        for heartbeat in summary.beats:
+            silence = silences.get(heartbeat.member.address, 0.0)
+            self._members.told(heartbeat, now - silence)
+        for address in summary.gone:
+            reported.pop(address, None)
+        for address, incarnation in reported.items():
+            self._members.still_there(address, incarnation, now - silences.get(address, 0.0))
+
+    def _changes(self, now: float) -> bytes:
+        beats = []
+        live = self._members.reporting_here(now)
+        for address, heartbeat in live.items():
+            if self._is_due(address, heartbeat, now):
+                self._told[address] = _Told(heartbeat, lasting(heartbeat), now)
+                beats.append(heartbeat)
+        gone = tuple(address for address in self._told if address not in live)
+        for address in gone:
+            del self._told[address]
+        return encode(MemberSummary(self._sender, False, tuple(beats), self._quiet(now), gone))
+
+    def _whole(self, now: float) -> MemberSummary:
+        beats = tuple(told.heartbeat for told in self._told.values())
+        return MemberSummary(self._sender, True, beats, self._quiet(now), ())
+
+    def _quiet(self, now: float) -> tuple[QuietMember, ...]:
+        silences = ((address, self._members.silence_here(address, now)) for address in self._told)
+        return tuple(
+            QuietMember(address, round(silence * 1000)) for address, silence in silences if silence > QUIET_S
+        )
+
+    def _is_due(self, address: str, heartbeat: Heartbeat, now: float) -> bool:
+        told = self._told.get(address)
+        if told is None or lasting(heartbeat) != told.lasting:
+            return True
+        return now - told.at >= PROGRESS_S and heartbeat.shards != told.heartbeat.shards
+
+
+def lasting(heartbeat: Heartbeat) -> Heartbeat:
+    """A heartbeat without what changes all the time: its number, and how far replicas have come."""
+    shards = tuple(_without_indexes(report) for report in heartbeat.shards)
+    return attrs.evolve(heartbeat, beat=0, shards=shards)
+
+
+def _without_indexes(report: ShardReport) -> ShardReport:
+    return attrs.evolve(report, applied_index=0, commit_index=0)
--- a/kestrelbend/tier/discovery/exchange.py
+++ b/kestrelbend/tier/discovery/exchange.py
@@ -9,25 +9,28 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from .messages import Backend, BackendAck, BackendUpdate
+from .messages import Backend, BackendAck, BackendState, BackendUpdate
 
 ACK_WAIT_S = 0.6
 
 
 class Subscriber:
-    """A gateway's stream of backends, on one connection."""
+    """A gateway's stream of backends, on one connection: all news, or that of backends that leave alone."""
 
     def __init__(self, link, sender: str):
         self.link = link
+        self.whole = False
         self._sender = sender
         self._number = 0
         self.acknowledged = 0
         self._waiting: list[tuple[int, asyncio.Future]] = []
 
     def send(self, backends: Iterable[Backend], whole: bool) -> int:
-        """Streams one update; returns its number."""
-        self._number += 1
-        self.link.send(BackendUpdate(self._sender, self._number, whole, tuple(backends)))
+        """Streams one update, if there is anything in it for this gateway; the number of the last one."""
+        wanted = tuple(backend for backend in backends if self.whole or backend.state != BackendState.READY)
+        if wanted or whole:
+            self._number += 1
+            self.link.send(BackendUpdate(self._sender, self._number, whole, wanted))
         return self._number
 
     def take_ack(self, ack: BackendAck) -> None:
@@ -64,11 +67,14 @@
         self._peers = peers
         self._subscribers: dict[object, Subscriber] = {}
 
-    def subscribe(self, link) -> None:
-        """Begins a gateway's stream with all that is known."""
-        subscriber = Subscriber(link, self._sender)
-        self._subscribers[link] = subscriber
-        subscriber.send(self._everything(), whole=True)
+    def subscribe(self, link, whole: bool = True) -> None:
+        """Begins a gateway's stream with all that is known, or with the backends that have left.
+
+        The numbers on a connection go on where its gateway changes from one to the other.
+        """
+        subscriber = self._subscribers.setdefault(link, Subscriber(link, self._sender))
+        subscriber.whole = whole
+        subscriber.send(self._everything(), whole)
 
     def lost(self, link) -> None:
         """A connection ended."""
--- a/kestrelbend/tier/discovery/registry.py
+++ b/kestrelbend/tier/discovery/registry.py
@@ -90,6 +90,12 @@
         self._tombstones: dict[str, None] = {}
         self._freshness = Freshness()
         self._number = 0
+        self._urgent_number = 0
+
+    @property
+    def urgent_number(self) -> int:
+        """The number of the last change that shouldn't wait: of more than counters that run on."""
+        return self._urgent_number
 
     @property
     def number(self) -> int:
@@ -170,6 +176,7 @@
             self._entries[backend.identity] = entry
             self._freshness.heard(backend.identity, now)
             self._publish(entry, now)
+            self._urgent_number = self._number
             self._place(entry, None, now)
             return True
         if not supersedes(backend, entry.backend):
@@ -184,7 +191,10 @@
         entry.drained = entry.drained or backend.state == BackendState.DRAINING
         if backend.sequence > before.sequence:
             self._freshness.heard(backend.identity, now)
-        if differs(backend, before) or now - entry.streamed_at >= QUIET_STREAM_S:
+        if differs(backend, before):
+            self._publish(entry, now)
+            self._urgent_number = self._number
+        elif now - entry.streamed_at >= QUIET_STREAM_S:
             self._publish(entry, now)
         self._place(entry, before, now)
 
--- a/kestrelbend/tier/membership/messages.py
+++ b/kestrelbend/tier/membership/messages.py
@@ -48,12 +48,34 @@
     shards: tuple[ShardReport, ...]
 
 
+@attrs.frozen
+class HeartbeatAck:
+    """A control node's answer; `settled`: it has been in contact for so long that it knows who is there."""
+
+    beat: int
+    settled: bool
+
+
+@attrs.frozen
+class QuietMember:
+    """One whose heartbeats are late; `silent_ms` since the last one."""
+
+    address: str
+    silent_ms: int
+
+
 @attrs.frozen
 class MemberSummary:
-    """From one monitor to the other control nodes: the heartbeats that it received since the last one."""
+    """From a control node to another: what has changed about those that report to it.
+
+    Who was told of on a connection, and is neither quiet nor gone, was heard just now.  `whole` begins anew.
+    """
 
     sender: str
+    whole: bool
     beats: tuple[Heartbeat, ...]
+    quiet: tuple[QuietMember, ...]
+    gone: tuple[str, ...]
 
 
 @attrs.frozen
@@ -83,10 +105,15 @@
 
 @attrs.frozen
 class Subscribe:
-    """Asks a control node for its streams of configuration, backends and directory."""
+    """Asks a control node for its streams; the last word on a connection counts.
+
+    `whole`: configuration, backends and directory.  Otherwise a gateway gets notices alone: the numbers of
+    new versions, and the backends that leave.
+    """
 
     member: Member
     config_version: int
+    whole: bool
 
 
 @attrs.frozen
@@ -95,7 +122,7 @@
 
     version: int
     current: bool
-    body: bytes  # empty: nothing newer than the receiver has
+    body: bytes  # empty: a notice, be it of a version that the receiver has
 
 
 @attrs.frozen
@@ -105,6 +132,13 @@
     version: int
 
 
+@attrs.frozen
+class ConfigFetch:
+    """A gateway that serves by `version` and was told of a newer one asks for it."""
+
+    version: int
+
+
 @attrs.frozen
 class ContactRequest:
     """A gateway asks a control node or a store whether it is in contact; the word repeats the ticket."""
--- a/kestrelbend/tier/membership/table.py
+++ b/kestrelbend/tier/membership/table.py
@@ -6,20 +6,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import attrs
 
 from .messages import Heartbeat, Member, ShardReport
 
 LIVE_S = 1.2  # a process that was silent for longer isn't live
 KEPT_S = 600.0  # dead processes are forgotten after this
+NEVER = float("-inf")
 
 
 @attrs.define
 class _Row:
     heartbeat: Heartbeat
-    heard: float
+    heard: float  # here or by another control node
+    heard_here: float = NEVER
 
 
 class MemberTable:
@@ -29,16 +29,30 @@
         self._rows: dict[str, _Row] = {}
 
     def heard(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Takes a heartbeat; False where a later one is known."""
+        """Takes a process's own heartbeat; False where a later one is known."""
+        if not self.told(heartbeat, now):
+            return False
+        self._rows[heartbeat.member.address].heard_here = now
+        return True
+
+    def told(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Takes a heartbeat that another control node heard then; False where a later one is known."""
         address = heartbeat.member.address
         row = self._rows.get(address)
         if row is not None and not _is_later(heartbeat, row.heartbeat):
             same_life = heartbeat.member.incarnation == row.heartbeat.member.incarnation
             if same_life or now - row.heard <= LIVE_S:
                 return False
-        self._rows[address] = _Row(heartbeat, now)
+        heard_here = NEVER if row is None else row.heard_here
+        self._rows[address] = _Row(heartbeat, now, heard_here)
         return True
 
+    def still_there(self, address: str, incarnation: int, heard: float) -> None:
+        """Another control node heard the process then, and there is nothing new about it."""
+        row = self._rows.get(address)
+        if row is not None and row.heartbeat.member.incarnation == incarnation:
+            row.heard = max(row.heard, heard)
+
     def forget_old(self, now: float) -> None:
         """Drops what has been silent for long."""
         old = [address for address, row in self._rows.items() if now - row.heard > KEPT_S]
@@ -67,9 +81,15 @@
         """The latest heartbeat of all that are remembered, live or not, and the seconds since it came."""
         return [(row.heartbeat, now - row.heard) for _, row in sorted(self._rows.items())]
 
-    def heard_since(self, since: float) -> list[Heartbeat]:
-        """What has come since then, to tell other monitors."""
-        return [row.heartbeat for row in self._rows.values() if row.heard > since]
+    def reporting_here(self, now: float) -> dict[str, Heartbeat]:
+        """By address, the latest heartbeats of the live processes that report to this node."""
+        rows = self._rows.items()
+        return {address: row.heartbeat for address, row in rows if now - row.heard_here <= LIVE_S}
+
+    def silence_here(self, address: str, now: float) -> float:
+        """Seconds since the process reported to this node; infinite where it never did."""
+        row = self._rows.get(address)
+        return float("inf") if row is None else now - row.heard_here
 
     def silence(self, replica: str, now: float) -> float:
         """Seconds since the process with this disk was heard of; infinite for one never heard of."""
@@ -95,9 +115,3 @@
 def _weight(report: ShardReport) -> tuple:
     owns = report.replica == report.owner
     return (report.epoch, owns, bool(report.owner), report.commit_index)
-
-
-def merge(table: MemberTable, beats: Iterable[Heartbeat], now: float) -> None:
-    """Takes another monitor's summary."""
-    for heartbeat in beats:
-        table.heard(heartbeat, now)
--- a/kestrelbend/tier/protocol/tier.thrift
+++ b/kestrelbend/tier/protocol/tier.thrift
@@ -29,12 +29,15 @@
 struct ShardReport { 1: string shard, 2: string replica, 3: i64 epoch, 4: string owner, 5: list<string> voters, 6: i64 applied_index, 7: i64 commit_index, 8: list<string> committed_voters, 9: i64 placement_number, 10: bool settled }
 struct Member { 1: string node, 2: string role, 3: string address, 4: string control_address, 5: string zone, 6: string replica, 7: bool serves_control, 8: bool serves_storage, 9: bool serves_front, 10: i64 incarnation }
 struct Heartbeat { 1: Member member, 2: i64 beat, 3: i64 config_version, 4: bool leaving, 5: list<ShardReport> shards }
-struct MemberSummary { 1: string sender, 2: list<Heartbeat> beats }
+struct HeartbeatAck { 1: i64 beat, 2: bool settled }
+struct QuietMember { 1: string address, 2: i32 silent_ms }
+struct MemberSummary { 1: string sender, 2: bool whole, 3: list<Heartbeat> beats, 4: list<QuietMember> quiet, 5: list<string> gone }
 struct ShardPlacement { 1: string shard, 2: list<string> founders, 3: list<string> voters, 4: i64 number }
 struct Directory { 1: i64 version, 2: list<Member> members, 3: list<ShardPlacement> placements, 4: list<ShardReport> owners, 5: list<string> retiring }
-struct Subscribe { 1: Member member, 2: i64 config_version }
+struct Subscribe { 1: Member member, 2: i64 config_version, 3: bool whole }
 struct ConfigUpdate { 1: i64 version, 2: bool current, 3: binary body }
 struct ConfigAck { 1: i64 version }
+struct ConfigFetch { 1: i64 version }
 struct ContactRequest { 1: i64 ticket }
 struct ContactWord { 1: i64 ticket, 2: bool in_contact, 3: i64 version, 4: list<string> owned }
 
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -23,17 +23,26 @@
 from ..configuration.stream import ConfigStream
 from ..control.backend_reports import BackendReports
 from ..control.directory_stream import DirectoryStream
+from ..control.member_summaries import MemberSummaries
 from ..control.placing import ShardPlacer
 from ..control.retirement import Retirement
 from ..dataplane.server import Listener
 from ..discovery.exchange import BackendExchange
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.registry import BackendRegistry
-from ..membership.messages import ConfigAck, Heartbeat, MemberSummary, Subscribe
+from ..membership.messages import (
+    ConfigAck,
+    ConfigFetch,
+    ConfigUpdate,
+    Heartbeat,
+    HeartbeatAck,
+    MemberSummary,
+    Subscribe,
+)
 from ..membership.placement import CONFIGURATION_SHARD, address_of
 from ..membership.standing import ContactSpan, in_contact, is_current
 from ..membership.status import ShardsWanted, status
-from ..membership.table import MemberTable, merge
+from ..membership.table import LIVE_S, MemberTable
 from ..protocol.links import Link
 from ..replication.group import has_quorum
 from .process import CONTROL_PORT, TierProcess
@@ -54,6 +63,7 @@
         super().__init__(settings, settings_path, environment)
         self.budgets.attach(self.host, self.now)
         self.members = MemberTable()
+        self._summaries = MemberSummaries(self.address, self.members)
         self.registry = BackendRegistry()
         self.exchange = BackendExchange(self.address, self.registry.all, self._peer_links)
         self.backend_reports = BackendReports(
@@ -74,7 +84,6 @@
             self.configuration, self.members, tolerated_nodes, self.now, self._placer.owned_for
         )
         self._contact = ContactSpan(self.now())
-        self._summary_at = self.now()
         self._serving: asyncio.Task | None = None
 
     # The shards
@@ -135,6 +144,7 @@
     def on_lost(self, link):
         """Ends the streams of a connection."""
         super().on_lost(link)
+        self._summaries.lost(link)
         self.exchange.lost(link)
         self.config_stream.lost(link)
         self.directory_stream.lost(link)
@@ -143,12 +153,15 @@
         """What others say to a control node."""
         if isinstance(message, Heartbeat):
             self.members.heard(message, self.now())
+            link.send(HeartbeatAck(message.beat, self._is_settled()))
         elif isinstance(message, MemberSummary):
-            merge(self.members, message.beats, self.now())
+            self._summaries.take(message, self.now())
         elif isinstance(message, Subscribe):
             self._subscribe(link, message)
         elif isinstance(message, ConfigAck):
             self.config_stream.take_ack(link, message.version)
+        elif isinstance(message, ConfigFetch):
+            self._send_newer_configuration(link, message.version)
         elif isinstance(message, BackendAck):
             self.exchange.take_ack(link, message)
         elif isinstance(message, BackendUpdate):
@@ -174,39 +187,47 @@
 
     def _subscribe(self, link: Link, message: Subscribe) -> None:
         if message.member.serves_front:
-            self.config_stream.subscribe(link, message.config_version)
-            self.exchange.subscribe(link)
+            self.config_stream.subscribe(link, message.config_version, message.whole)
+            self.exchange.subscribe(link, message.whole)
             self._stream_configuration()
-        self.directory_stream.subscribe(link)
+        if message.whole:
+            self.directory_stream.subscribe(link)
+        else:
+            self.directory_stream.lost(link)
+
+    def _send_newer_configuration(self, link: Link, held: int) -> None:
+        state = self.configuration.state
+        if state.version > held:
+            current = is_current(self.configuration.replica, self.now())
+            link.send(ConfigUpdate(state.version, current, state.body))
+
+    def _is_settled(self) -> bool:
+        """Whether whoever is live can be expected to have been heard of here."""
+        now = self.now()
+        return in_contact(self.configuration.replica, now) and self._contact.seconds(now) > LIVE_S
 
     # Time
 
+    def report(self, now):
+        """Control nodes report to each other by their summaries."""
+        self.members.heard(self.heartbeat(), now)
+        self._summaries.send(self._peer_links(), now)
+
     def on_tick(self, now):
         """Gateways that wait for a current version get it as soon as this replica is current."""
         self._stream_configuration()
 
     def on_heartbeat(self, now):
-        """Tells the other monitors and all subscribers who is there, and places shards."""
+        """Tells all subscribers who is there, places shards, and spreads what can wait about backends."""
         self._contact.look(in_contact(self.configuration.replica, now), now)
-        self.members.heard(self.heartbeat(), now)
         self.members.forget_old(now)
-        self._summarize(now)
         self._refresh_directory(now)
         self.directory_stream.send()
         self._placer.place(now)
+        self.backend_reports.spread_quiet_changes()
         beat_interval_s = self.settings.heartbeat_ms / 1000
         self.backend_reports.presume_silent_gone(self._contact.seconds(now), beat_interval_s)
 
-    def _summarize(self, now: float) -> None:
-        """Tells the other monitors which heartbeats have come here."""
-        beats = self.members.heard_since(self._summary_at)
-        self._summary_at = now
-        if not beats:
-            return
-        summary = MemberSummary(self.address, tuple(beats))
-        for link in self._peer_links():
-            link.send(summary)
-
     def _refresh_directory(self, now: float) -> None:
         directory = self.directory_stream.refresh(self.configuration, self._contact.seconds(now), now)
         if directory is not None:
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -7,6 +7,7 @@
 from ..budgets.client import BudgetClient
 from ..budgets.names import ReservationNames
 from ..budgets.messages import BudgetReply, BudgetRequest, Reserve, ReserveOutcome, Settle, Verdict
+from ..configuration.announced import AnnouncedVersions
 from ..configuration.document import read_accepted
 from ..configuration.routing import RoutingTable
 from ..dataplane.app import assemble
@@ -16,7 +17,7 @@
 from ..dataplane.server import Listener
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.view import BackendView
-from ..membership.messages import ConfigAck, ConfigUpdate, ContactRequest, ContactWord
+from ..membership.messages import ConfigAck, ConfigFetch, ConfigUpdate, ContactRequest, ContactWord
 from ..membership.placement import BUDGET_SHARDS, address_of, budget_shards
 from .gateway_contact import GatewayContact, Standing
 from .process import GATEWAY_PORT, TierProcess
@@ -58,6 +59,7 @@
     def __init__(self, settings, settings_path, environment=None):
         super().__init__(settings, settings_path, environment)
         self.routing = RoutingHolder()
+        self._announced = AnnouncedVersions()
         self.view = BackendView()
         self.life = Life()
         self.budget_client: BudgetClient | None = None
@@ -97,11 +99,32 @@
             self.contact.take(link.address, message)
 
     def _take_configuration(self, link, update: ConfigUpdate) -> None:
+        before = self.routing.version
         if update.body:
             self.routing.take(update.version, update.body)
-        if update.current and self.routing.version >= update.version:
+        if self.routing.version < update.version:
+            self._announced.announced(link.address, update.version, self.now())
+            return
+        if update.current:
             self._current = True
-        link.send(ConfigAck(self.routing.version))
+        if self.routing.version > before:
+            self._acknowledge_configuration()
+        else:
+            link.send(ConfigAck(self.routing.version))
+
+    def _acknowledge_configuration(self) -> None:
+        """Each control node that streams or announces here may have an order that waits for this."""
+        for address in self.control_addresses():
+            link = self.links.to(address)
+            if link is not None:
+                link.send(ConfigAck(self.routing.version))
+
+    def _fetch_configuration(self, now: float) -> None:
+        """Asks for a version that was announced and has not come."""
+        address = self._announced.due(self.routing.version, now)
+        link = None if address is None else self.links.to(address)
+        if link is not None:
+            link.send(ConfigFetch(self.routing.version))
 
     def _take_backends(self, link, update: BackendUpdate) -> None:
         now = self.now()
@@ -186,6 +209,7 @@
     def on_tick(self, now):
         """Readiness follows what is known and who is in contact; nothing waits for those that are not."""
         self.contact.tick(now)
+        self._fetch_configuration(now)
         self.life.set_ready(self._equipped(now))
         if self.budget_client is not None:
             for shard in self.contact.lost_shards(now):
--- a/kestrelbend/tier/roles/gateway_contact.py
+++ b/kestrelbend/tier/roles/gateway_contact.py
@@ -42,11 +42,17 @@
     confirmed_at: float = NEVER  # in running time, see `GatewayContact`
 
     def confirm(self, address: str, asked_at: float) -> None:
-        """An answer to a question of that time confirms the owner."""
+        """An answer to a question of that time confirms the owner; of several the nearest is asked on."""
+        if asked_at == self.confirmed_at and self._rank(self.confirming) <= self._rank(address):
+            return
         if asked_at >= self.confirmed_at:
             self.confirmed_at = asked_at
             self.confirming = address
 
+    def _rank(self, address: str) -> int:
+        """Place among the addresses, which stand nearest first; an unknown one comes last."""
+        return self.addresses.index(address) if address in self.addresses else len(self.addresses)
+
     def due(self, running: float) -> tuple[str, ...]:
         """Whom to ask now: nobody, the one that confirmed lately, or all."""
         age = running - self.confirmed_at
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -12,19 +12,20 @@
 import logbook
 
 from ..budgets.shards import SHARD_PREFIX
+from ..membership.control_choice import ControlChoice
 from ..membership.directory import DirectoryView
 from ..membership.messages import (
     ContactRequest,
     ContactWord,
     Directory,
     Heartbeat,
+    HeartbeatAck,
     Hello,
     Member,
     ShardReport,
     Subscribe,
 )
 from ..membership.placement import CONFIGURATION_SHARD, address_of
-from ..membership.ring import monitors
 from ..membership.standing import Confirmed, in_contact, is_current
 from ..protocol.codec import decode, encode
 from ..protocol.links import Link, Links
@@ -88,6 +89,8 @@
         self.stopping = asyncio.Event()
         self.served_enough = asyncio.Event()  # ends the listeners of the role
         self._beat = 0
+        self._control_choice = ControlChoice(self.address, settings.zone, self.now())
+        self._subscribed_whole: dict[Link, bool] = {}  # what each control node was asked for last
         self._tasks: set[asyncio.Task] = set()
         self.journal = None
         self.replica_id = ""
@@ -126,6 +129,7 @@
             machine_for=self.machine_for,
             hosts=self.hosts_shard,
             on_applied=self.on_applied,
+            tells_commits=lambda shard: shard == CONFIGURATION_SHARD,  # nobody reads budgets at followers
         )
         self.host.load(records)
         self.journal.start()
@@ -172,11 +176,11 @@
 
     def on_peer(self, link: Link) -> None:
         """An outgoing connection stands: control nodes are asked for their streams."""
-        if link.address in self.control_addresses():
-            link.send(Subscribe(self.member, self.config_version()))
+        self._subscribe(self.now())
 
     def on_lost(self, link: Link) -> None:
         """A connection ended."""
+        self._subscribed_whole.pop(link, None)
         if link.outgoing and link.address:
             self.directory.forget(link.address)
 
@@ -202,10 +206,23 @@
     # Links
 
     def control_addresses(self) -> list[str]:
-        """The settings' seeds, and the directory's control nodes in the order of this process's ring."""
-        told = self.directory.control_addresses()
-        known = dict.fromkeys(self.seed_addresses() + monitors(self.address, told, len(told)))
-        return list(known)[: self.most_control_links]
+        """The directory's control nodes and the settings' seeds, nearest first."""
+        ordered = self._control_choice.order(self.directory.members, self.seed_addresses())
+        return ordered[: self.most_control_links]
+
+    def _subscribe(self, now: float) -> None:
+        """Asks the nearest settled control node for all of its streams, and the others for notices."""
+        order = self.control_addresses()
+        chosen = self._control_choice.to_stream_from(order, now)
+        for address in order:
+            link = self.links.to(address)
+            whole = address in chosen
+            if link is None or self._subscribed_whole.get(link) is whole:
+                continue
+            self._subscribed_whole[link] = whole
+            link.send(Subscribe(self.member, self.config_version(), whole))
+            if not whole:
+                self.directory.forget(address)
 
     def wanted_links(self) -> set[str]:
         """Addresses to keep connections to."""
@@ -240,6 +257,8 @@
         elif isinstance(message, Directory):
             self.directory.take(link.address, message)
             self.on_directory()
+        elif isinstance(message, HeartbeatAck):
+            self._control_choice.answered(link.address, message.beat, message.settled)
         elif isinstance(message, ContactRequest):
             link.send(self.contact_word(message.ticket))
         else:
@@ -279,7 +298,7 @@
             self.on_tick(now)
             if now >= beat_at:
                 beat_at = now + HEARTBEAT_S
-                self._send_heartbeat()
+                self.report(now)
                 self.on_heartbeat(now)
                 self.links.keep(self.wanted_links())
             if now >= settings_at:
@@ -333,14 +352,17 @@
         return [shard for shard in shards if self.host.replica(shard).is_owner]
 
     def heartbeat(self) -> Heartbeat:
-        """What this process tells its monitors now."""
+        """What this process tells the control nodes that it chose."""
         self._beat += 1
         return Heartbeat(self.member, self._beat, self.config_version(), self.leaving, self.shard_reports())
 
-    def _send_heartbeat(self) -> None:
+    def report(self, now: float) -> None:
+        """Tells control nodes that this process runs, and has them stream what it needs."""
+        self._subscribe(now)
         heartbeat = self.heartbeat()
+        self._control_choice.sent(heartbeat.beat, now)
         data = encode(heartbeat)
-        for address in monitors(self.address, self.control_addresses()):
+        for address in self._control_choice.to_report_to(self.control_addresses(), now):
             link = self.links.to(address)
             if link is not None:
                 link.send_encoded(data)
--- a/tests/tier/test_backend_reports.py
+++ b/tests/tier/test_backend_reports.py
@@ -11,7 +11,8 @@
 from kestrelbend.tier.discovery import registry as registry_module
 from kestrelbend.tier.discovery.exchange import ACK_WAIT_S, BackendExchange
 from kestrelbend.tier.discovery.messages import BackendAck, BackendState, BackendUpdate
-from kestrelbend.tier.discovery.registry import BackendRegistry
+from kestrelbend.tier.discovery.registry import QUIET_STREAM_S, BackendRegistry
+from kestrelbend.tier.discovery.report import read_report
 from tests.tier.virtual_time import run
 
 READY = {
@@ -193,6 +194,27 @@
 
         self.play(story)
 
+    def test_given_plain_heartbeats_then_they_are_spread_together_later(self):
+        async def story():
+            await self.beat()
+            told = len(self.near.news)
+            await asyncio.sleep(QUIET_STREAM_S)
+            await self.beat(Seq=2)
+            self.assertEqual(told, len(self.near.news))
+            self.reports.spread_quiet_changes()
+            self.assertEqual(2, self.near.news[-1].backends[0].sequence)
+
+        self.play(story)
+
+    def test_given_what_another_node_told_then_it_is_not_told_on(self):
+        async def story():
+            backend = read_report("i-9", READY)
+            self.reports.merge([backend])
+            self.reports.spread_quiet_changes()
+            self.assertEqual([], self.near.news)
+
+        self.play(story)
+
     def test_given_a_gateway_that_does_not_answer_then_the_word_waits_for_it_only_so_long(self):
         async def story():
             gateway = Gateway()
--- a/tests/tier/test_standing.py
+++ b/tests/tier/test_standing.py
@@ -37,6 +37,7 @@
         self._confirmed = set()
         self.expelled = None
         self.current = 0
+        self._look()  # a story may begin with a trouble: who serves by now has begun before it
         self._task = asyncio.create_task(self._look_always())
 
     def stop(self):
@@ -44,12 +45,15 @@
 
     async def _look_always(self):
         while True:
-            for process in self._fleet.processes("control"):
-                self._look_at_control(process)
-            for process in self._fleet.processes("gateway"):
-                self._look_at_gateway(process)
+            self._look()
             await asyncio.sleep(LOOK_S)
 
+    def _look(self):
+        for process in self._fleet.processes("control"):
+            self._look_at_control(process)
+        for process in self._fleet.processes("gateway"):
+            self._look_at_gateway(process)
+
     def _look_at_control(self, process):
         configuration = process.instance.configuration
         if not configuration.is_open:
--- a/tests/tier/test_streams.py
+++ b/tests/tier/test_streams.py
@@ -61,6 +61,11 @@
         self.stream.stream(3, b"{}", current=True)
         self.assertEqual([], self.link.sent)
 
+    def test_given_a_gateway_that_takes_bodies_elsewhere_then_it_is_told_the_number_alone(self):
+        self.stream.subscribe(self.link, 2, with_bodies=False)
+        self.stream.stream(3, b"{}", current=True)
+        self.assertEqual([ConfigUpdate(3, True, b"")], self.link.sent)
+
     def test_given_two_gateways_when_both_acknowledge_or_leave_then_the_wait_ends(self):
         async def play():
             other = FakeLink()
@@ -96,6 +101,23 @@
         ]
         self.assertEqual(expected, self.gateway.sent)
 
+    def test_given_a_gateway_that_wants_notices_then_it_hears_of_those_that_leave_alone(self):
+        self.given_an_exchange()
+        other = FakeLink()
+        self.exchange.subscribe(other, whole=False)
+        self.exchange.stream([backend(0), backend(1)])
+        self.exchange.stream([backend(0, 3)])
+        self.assertEqual([BackendUpdate("c:1", 1, False, (backend(1),))], other.sent)
+
+    def test_given_a_gateway_that_wants_all_later_then_it_gets_everything_and_numbers_go_on(self):
+        self.given_an_exchange()
+        other = FakeLink()
+        self.exchange.subscribe(other, whole=False)
+        self.exchange.stream([backend(1)])
+        self.exchange.subscribe(other, whole=True)
+        self.assertEqual([1, 2], [update.number for update in other.sent])
+        self.assertEqual((backend(0),), other.sent[-1].backends)
+
     def test_given_a_backend_that_leaves_when_all_have_acknowledged_then_not_before_it_may_be_told(self):
         async def play():
             self.given_an_exchange()
