Replication: commit indexes with the next entries, rounds with entries; thrift's compact protocol

Change: followers of budget shards learn what is committed by the next entries or round, as nobody reads there; entries that leave when the next round is half due carry it; messages use the compact protocol. The configuration's followers are told at once, as before. Disks written before are not read: the tier is founded anew.

--- a/kestrelbend/tier/protocol/codec.py
+++ b/kestrelbend/tier/protocol/codec.py
@@ -1,4 +1,4 @@
-"""Messages of the tier as bytes, by thrift's binary protocol.
+"""Messages of the tier as bytes, by thrift's compact protocol.
 
 A message is an attrs class of `kestrelbend/tier/*/messages.py`; the thrift struct of the same name in
 `tier.thrift` carries it.  Encoded, a message begins with thrift's own message header: its name, and a
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 
 import attrs
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -119,7 +119,7 @@
 def encode(message, sequence: int = 0) -> bytes:
     """One message, with the sequence number that a reply to it repeats (0: none is expected)."""
     buffer = TMemoryBuffer()
-    protocol = TBinaryProtocolAccelerated(buffer)
+    protocol = TCompactProtocolAccelerated(buffer)
     protocol.writeMessageBegin(type(message).__name__, ONEWAY, sequence)
     _to_struct(message).write(protocol)
     protocol.writeMessageEnd()
@@ -130,7 +130,7 @@
     """(message, sequence number).  Raises `DecodeError` for anything else than what `encode` makes."""
     try:
         buffer = TMemoryBuffer(data)
-        protocol = TBinaryProtocolAccelerated(buffer)
+        protocol = TCompactProtocolAccelerated(buffer)
         name, _, sequence = protocol.readMessageBegin()
         message_class = MESSAGES[name]
         struct = getattr(ttypes, name)()
--- a/kestrelbend/tier/protocol/framing.py
+++ b/kestrelbend/tier/protocol/framing.py
@@ -25,6 +25,8 @@
 
 MOST_MESSAGE_BYTES = 32 << 20
 SMALL_BYTES = 32 * 1024
+HEADER_BYTES = 2  # of an encoded message: the protocol, its version and the kind of message
+VARINT_BITS = 0x7F  # of each byte of a number of variable length; the highest bit says that more follow
 CHUNK_BYTES = 16 * 1024
 FIRST_WINDOW = 4 * CHUNK_BYTES
 MOST_WINDOW = 64 * CHUNK_BYTES
@@ -192,9 +194,18 @@
 
 
 def message_name(data: bytes) -> bytes:
-    """The name at the head of an encoded message, see `codec.encode`."""
-    (size,) = WORD.unpack_from(data, WORD.size)
-    return bytes(data[2 * WORD.size : 2 * WORD.size + size])
+    """The name at the head of an encoded message (thrift's compact protocol), see `codec.encode`."""
+    start = _varint_end(data, HEADER_BYTES)  # of the name's length, behind the sequence number
+    end = _varint_end(data, start)
+    size = sum((byte & VARINT_BITS) << (7 * place) for place, byte in enumerate(data[start:end]))
+    return bytes(data[end : end + size])
+
+
+def _varint_end(data: bytes, position: int) -> int:
+    """The position behind the number of variable length that begins here."""
+    while data[position] > VARINT_BITS:
+        position += 1
+    return position + 1
 
 
 def _word(kind: int, length: int) -> bytes:
--- a/kestrelbend/tier/replication/host.py
+++ b/kestrelbend/tier/replication/host.py
@@ -88,6 +88,7 @@
 
     `first_ticket` rises with each life of the process, see `read_index`.  `send(replica_id, message)` hands a
     message to the process of another replica; `machine_for(shard)` makes an empty state machine;
+    `tells_commits(shard)`: the owner tells what is committed at once, not with the next entries or round;
     `on_applied(shard)` is called after commands were applied.
     """
 
@@ -103,6 +104,7 @@
         machine_for: Callable[[ShardId], StateMachine],
         hosts: Callable[[ShardId], bool],
         on_applied: Callable[[ShardId], None] = lambda shard: None,
+        tells_commits: Callable[[ShardId], bool] = lambda shard: True,
     ):
         self.identity = identity
         self._first_ticket = first_ticket
@@ -113,6 +115,7 @@
         self._machine_for = machine_for
         self._hosts = hosts
         self._on_applied = on_applied
+        self._tells_commits = tells_commits
         self._hosted: dict[ShardId, _Hosted] = {}
         self._durable: dict[ShardId, DurableState] = {}
         self._tickets: dict[int, tuple[_Hosted, int]] = {}
@@ -158,6 +161,7 @@
             timing=self._timing,
             now=now,
             first_ticket=self._first_ticket,
+            tells_commits=self._tells_commits(shard),
         )
         hosted = _Hosted(replica, self._machine_for(shard))
         self._hosted[shard] = hosted
--- a/kestrelbend/tier/replication/owner.py
+++ b/kestrelbend/tier/replication/owner.py
@@ -21,7 +21,8 @@
     Invariant: nothing counts as held by a follower but what a reply of this epoch has acknowledged.
     """
 
-    def __init__(self, state: ReplicaState, now: float) -> None:
+    def __init__(self, state: ReplicaState, now: float, tells_commits: bool) -> None:
+        self._tells_commits = tells_commits  # at once, not with the next entries or round
         self.first_index = state.log.last_index + 1
         self.began_at = now
         self.followers: dict[ReplicaId, Progress] = {}
@@ -62,6 +63,12 @@
         if now - self._round_began_at >= self._timing.heartbeat:
             self.begin_round(now)
 
+    def _may_carry_round(self, now: float) -> bool:
+        """Whether new entries are about to leave that can carry the next round, due soon anyway."""
+        newest = max((progress.next_index for progress in self.followers.values()), default=0)
+        soon = now - self._round_began_at >= self._timing.heartbeat / 2
+        return soon and 0 < newest <= self._log.last_index
+
     def confirm(self, ticket: int) -> None:
         """Adds a read of what is committed now, or of this epoch's first entry where that is later."""
         self._add_read(ticket, OWN)
@@ -212,7 +219,7 @@
 
         A follower that has not replied for a while gets heartbeats alone, until it does.
         """
-        if self._round_wanted:
+        if self._round_wanted or self._may_carry_round(now):
             self.begin_round(now)
         for identity, progress in self.followers.items():
             if progress.sent_round < self._rounds.current:
@@ -220,9 +227,13 @@
             if now - max(progress.contact, self.began_at) > self._timing.reply_timeout:
                 continue
             self._send_entries(identity, progress, now)
-            if progress.sent_commit < min(self._state.commit_index, self._previous_index(progress, now)):
+            if self._tells_commits and self._lacks_commit(progress, now):
                 self._send_append(identity, progress, (), now)
 
+    def _lacks_commit(self, progress: Progress, now: float) -> bool:
+        """Whether the follower could commit more than it was told of."""
+        return progress.sent_commit < min(self._state.commit_index, self._previous_index(progress, now))
+
     def _send_entries(self, identity: ReplicaId, progress: Progress, now: float) -> None:
         while progress.transfer is None and progress.next_index <= self._log.last_index:
             if progress.outstanding_bytes >= self._timing.window_bytes:
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -50,10 +50,12 @@
         timing: Timing,
         now: float,
         first_ticket: int = 1,
+        tells_commits: bool = True,
     ) -> None:
         self.shard = shard
         self.identity = identity
         self._timing = timing
+        self._tells_commits = tells_commits
         self._state = ReplicaState(shard, identity, durable, timing)
         self._elections = Elections(self._state, now)
         self._owner: Ownership | None = None
@@ -302,7 +304,7 @@
     def _begin_ownership(self, now: float) -> None:
         self._follow_nobody()
         self._elections.end_campaigns()
-        self._owner = Ownership(self._state, now)
+        self._owner = Ownership(self._state, now, self._tells_commits)
         self._state.effects.ownership_changed = True
         self._placement.follow_group(self._owner, self._now)
         self._owner.begin_round(now)
