Data plane: load as backends tell it; a backend of another zone must be clearly less busy

Change: reports are smoothed and fade with their age, without this gateway's own requests; plain services draw two backends of this zone and one of the others, which count as half of their slots busier.

--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -39,6 +39,7 @@
     check_head,
     read_body,
 )
+from .reported_load import ReportedLoad
 from .send import Sender
 from .split import Split
 from .turn import Turns, turn_of
@@ -62,6 +63,7 @@
     chooser: Chooser
     health: Health
     pace: Pace
+    reported: ReportedLoad
     gate: Gate
     forwarder: Forwarder
     turns: Turns
@@ -197,6 +199,7 @@
         self.connections.prune(live)
         self.health.keep_only(live)
         self.pace.keep_only(live)
+        self.reported.keep_only(live)
 
     def close_intake(self) -> None:
         """The listener is being closed: a request that still arrives is refused, since its connection may be
@@ -260,7 +263,6 @@
     zone: str,
     life: Life,
     gateways: Callable[[], int] = lambda: 10,
-    external_load: Callable[[str], float] = lambda identity: 0.0,
     rng: random.Random | None = None,
     may_refuse: Callable[[], bool] = lambda: True,
 ) -> DataPlane:
@@ -270,12 +272,13 @@
     force is known to be the newest, so that a refusal by it may be final.
     """
     rng = rng or random.Random()
-    health, pace = Health(), Pace()
+    health, pace, reported = Health(), Pace(), ReportedLoad()
     connections = Connections(network, gateways)
-    chooser = Chooser(zone, health, pace, connections, external_load, rng)
+    chooser = Chooser(zone, health, pace, connections, reported, rng)
     admission = Admission()
     gate = Gate(Limits(), admission, backends, gateways, rng)
-    attempter = Attempter(Sender(backends, connections), health, pace, gate)
+    sender = Sender(backends, connections)
+    attempter = Attempter(sender, health, pace, gate, reported, chooser.in_flight)
     forwarder = Forwarder(backends, attempter, chooser, Hedger(pace), admission, gate)
     return DataPlane(
         routing=routing,
@@ -284,6 +287,7 @@
         chooser=chooser,
         health=health,
         pace=pace,
+        reported=reported,
         gate=gate,
         forwarder=forwarder,
         turns=Turns(budget),
--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 
 import attrs
 
 from .connections import Connection
 from .errors import DataPlaneError
 from .events import EventSplitter
-from .exchange import Exchange, Failure
+from .exchange import SERVER_LOAD, Exchange, Failure
 from .gate import Gate
 from .health import Health
 from .pace import Pace
+from .reported_load import ReportedLoad
 from .send import Answer, Sender, Sending
 
 WHOLE_ANSWER_BYTES = 256 * 1024  # a plain answer up to this size is held until it is whole
@@ -69,8 +71,18 @@
 class Attempter:
     """Makes attempts and keeps what they tell of the backends."""
 
-    def __init__(self, sender: Sender, health: Health, pace: Pace, gate: Gate) -> None:
+    def __init__(
+        self,
+        sender: Sender,
+        health: Health,
+        pace: Pace,
+        gate: Gate,
+        reported: ReportedLoad,
+        in_flight: Mapping[str, int],
+    ) -> None:
         self._sender = sender
+        self._reported = reported
+        self._in_flight = in_flight  # this gateway's requests at each backend
         self._gate = gate
         self._health = health
         self._pace = pace
@@ -107,6 +119,7 @@
         answer = await self._sender.send(exchange, sending)
         if isinstance(answer, Failure):
             return answer
+        self._note_load(sending.backend.identity, answer)
         opened = None
         try:
             opened = await (_open_events(answer, last_id) if answer.events else _open_plain(answer))
@@ -117,6 +130,11 @@
                 answer.close()
         return opened
 
+    def _note_load(self, identity: str, answer: Answer) -> None:
+        report = next((value for name, value in answer.headers if name == SERVER_LOAD), None)
+        now = asyncio.get_running_loop().time()
+        self._reported.note(identity, report, self._in_flight.get(identity, 0), now)
+
     def _learn(self, exchange: Exchange, identity: str, outcome: Opened | Failure, begun: float) -> None:
         now = asyncio.get_running_loop().time()
         if isinstance(outcome, Opened):
--- a/kestrelbend/tier/dataplane/choice.py
+++ b/kestrelbend/tier/dataplane/choice.py
@@ -2,8 +2,8 @@
 
 Model services and routes with `Sticky`: requests about one thing go to the first backend in the thing's own
 order (rendezvous hashing, this gateway's zone first) that is not clearly busier than the least busy one, as
-it is the likeliest to hold the thing's parts.  Other services: of two at random the one that should answer
-first; at equal load one in this zone, or one to which a connection rests.
+it is the likeliest to hold the thing's parts.  Other services: of a few at random the one that should answer
+first, where one in another zone must be clearly less busy; at equal load one to which a connection rests.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import random
 import zlib
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from ..discovery.messages import Backend
 from . import ports
@@ -19,8 +19,9 @@
 from .exchange import AFFINITY_KEY, PREFIX_HASH, PROGRAM, SESSION, Exchange
 from .health import Health
 from .pace import Pace
+from .reported_load import ReportedLoad
 
-OTHER_ZONE_LOAD = 0.04  # how much busier a backend in another zone counts
+OTHER_ZONE_LOAD = 0.5  # how much busier a backend in another zone counts: bytes between zones are dear
 NEW_CONNECTION_LOAD = 0.04  # how much busier one counts that needs a new connection
 TRIED_SHARE = 0.1  # of choices that look at load alone, or a faster backend would stay unknown
 COLD_LOAD = 0.5  # how much busier one that is slow from its start counts
@@ -40,10 +41,7 @@
 
 
 class Chooser:
-    """Keeps this gateway's requests in flight at each backend, and chooses by them.
-
-    `external_load` gives the requests that other gateways have at a backend, where that is known.
-    """
+    """Keeps this gateway's requests in flight at each backend, and chooses by them and backends' reports."""
 
     def __init__(
         self,
@@ -51,14 +49,14 @@
         health: Health,
         pace: Pace,
         connections: Connections,
-        external_load: Callable[[str], float] = lambda identity: 0.0,
+        reported: ReportedLoad,
         rng: random.Random | None = None,
     ) -> None:
         self._zone = zone
         self._health = health
         self._pace = pace
         self._connections = connections
-        self._external_load = external_load
+        self._reported = reported
         self._rng = rng or random.Random()
         self.in_flight: Counter[str] = Counter()
 
@@ -72,15 +70,18 @@
         if self.in_flight[identity] <= 0:
             del self.in_flight[identity]
 
-    def _busy(self, backend: Backend, service: ports.Service) -> float:
-        """The share of the backend's slots that is taken, by this gateway's view."""
+    def _busy(self, backend: Backend, service: ports.Service, now: float) -> float:
+        """The share of the backend's slots that is taken, as far as this gateway knows."""
         slots = backend.slots or service.slots or 1
-        return (self.in_flight[backend.identity] + self._external_load(backend.identity)) / slots
+        return (self.in_flight[backend.identity] + self._reported.others(backend.identity, now)) / slots
+
+    def _occupied(self, backend: Backend, service: ports.Service, now: float) -> float:
+        """As `_busy`, with the price of another zone."""
+        other_zone = 0.0 if backend.zone == self._zone else OTHER_ZONE_LOAD
+        return self._busy(backend, service, now) + other_zone
 
     def _load(self, backend: Backend, service: ports.Service, now: float) -> float:
-        load = self._busy(backend, service)
-        if backend.zone != self._zone:
-            load += OTHER_ZONE_LOAD
+        load = self._occupied(backend, service, now)
         if backend.cold_left_ms > 0:
             load += COLD_LOAD
         slower = (self._pace.ratio(backend.identity, now) or 1.0) - 1
@@ -91,7 +92,7 @@
     def has_room(self, backend: Backend, service: ports.Service, now: float) -> bool:
         """By this gateway's view a request sent there now would run at once."""
         return (
-            self._busy(backend, service) < 1
+            self._busy(backend, service, now) < 1
             and not self._health.full(backend.identity, now)
             and self._connections.room(backend, service)
         )
@@ -111,10 +112,17 @@
         key = affinity_key(exchange) if service.is_model or exchange.route.sticky else None
         if key is not None or service.is_model:
             return self._by_affinity(service, key, candidates, now)
-        pair = self._rng.sample(candidates, 2)
+        sampled = self._sample(candidates)
         if self._rng.random() < TRIED_SHARE:
-            return min(pair, key=lambda backend: self._busy(backend, service))
-        return min(pair, key=lambda backend: self._expected(backend, service, now))
+            return min(sampled, key=lambda backend: self._occupied(backend, service, now))
+        return min(sampled, key=lambda backend: self._expected(backend, service, now))
+
+    def _sample(self, candidates: list[Backend]) -> list[Backend]:
+        """Two of this zone's backends and one of the others', at random."""
+        near = [backend for backend in candidates if backend.zone == self._zone]
+        far = [backend for backend in candidates if backend.zone != self._zone]
+        near_count = min(len(near), 2)
+        return self._rng.sample(near, near_count) + self._rng.sample(far, min(len(far), 3 - near_count))
 
     def _by_affinity(
         self, service: ports.Service, key: bytes | None, candidates: list[Backend], now: float
@@ -134,9 +142,7 @@
     def _expected(self, backend: Backend, service: ports.Service, now: float) -> float:
         """In proportion to the time in which an answer may be expected."""
         slots = backend.slots or service.slots or 1
-        load = self._busy(backend, service) + 1 / slots
-        if backend.zone != self._zone:
-            load += OTHER_ZONE_LOAD
+        load = self._occupied(backend, service, now) + 1 / slots
         if backend.cold_left_ms > 0:
             load += COLD_LOAD
         if not self._connections.rests(backend.identity):
