--- a/kestrelbend/tier/control/member_summaries.py
+++ b/kestrelbend/tier/control/member_summaries.py
@@ -19,7 +19,7 @@
 from ..protocol.links import Link
 
 QUIET_S = 0.3  # without a heartbeat, from which on the silence is told: more than between two
-PROGRESS_S = 2.0  # between two tellings of nothing but how far a member's replicas have come
+PROGRESS_S = 5.0  # between two tellings of nothing but how far a member's replicas have come
 
 
 @attrs.frozen
--- a/kestrelbend/tier/membership/control_choice.py
+++ b/kestrelbend/tier/membership/control_choice.py
@@ -21,6 +21,7 @@
 
 ANSWER_S = 0.45  # for which an answer counts, from its heartbeat on
 SETTLING_S = 3.0  # that a node which answers may take to settle before another one's streams are wanted
+FIRST_SETTLING_S = 8.0  # the same where none was settled yet: the tier as a whole is starting
 MOST_CHOSEN = 3
 MOST_REMEMBERED = 16  # heartbeats whose answers may still come
 NEVER = float("-inf")
@@ -47,6 +48,7 @@
         self._address = address
         self._zone = zone
         self._settled_at = now  # when a settled node was last known, or the beginning
+        self._settling_s = FIRST_SETTLING_S
         self._beats: deque[_SentBeat] = deque(maxlen=MOST_REMEMBERED)
         self._answers: dict[str, _Answer] = {}
 
@@ -78,9 +80,10 @@
         chosen = self._up_to_settled(order, now)
         if chosen is not None:
             self._settled_at = now
+            self._settling_s = SETTLING_S
             return chosen
         heard = any(self._answered(address, now) for address in order[:MOST_CHOSEN])
-        patience = SETTLING_S if heard else ANSWER_S
+        patience = self._settling_s if heard else ANSWER_S
         return list(order[: min(MOST_CHOSEN, 1 + int((now - self._settled_at) / patience))])
 
     def _up_to_settled(self, order: Sequence[str], now: float) -> list[str] | None:
--- a/tests/tier/test_control_choice.py
+++ b/tests/tier/test_control_choice.py
@@ -4,7 +4,13 @@
 
 import testtools
 
-from kestrelbend.tier.membership.control_choice import ANSWER_S, MOST_CHOSEN, SETTLING_S, ControlChoice
+from kestrelbend.tier.membership.control_choice import (
+    ANSWER_S,
+    FIRST_SETTLING_S,
+    MOST_CHOSEN,
+    SETTLING_S,
+    ControlChoice,
+)
 from kestrelbend.tier.membership.messages import Member
 
 HERE, ELSEWHERE, FURTHER = "10.0.0.1:7", "10.0.1.1:7", "10.0.2.1:7"
@@ -81,11 +87,18 @@
         self.assertEqual([HERE], self.streams())
 
     def test_given_nobody_settles_then_more_are_chosen_and_never_more_than_a_few(self):
+        self.run_for(5.0, settled=[HERE])
         self.run_for(2 * SETTLING_S + BEAT_S, answering=self.order)
         self.assertEqual(MOST_CHOSEN, len(self.streams()))
         self.run_for(60.0)
         self.assertEqual(MOST_CHOSEN, len(self.streams()))
 
+    def test_given_the_whole_tier_starts_then_the_nearest_is_waited_for_longer(self):
+        self.run_for(FIRST_SETTLING_S - BEAT_S, answering=self.order)
+        self.assertEqual([HERE], self.streams())
+        self.run_for(2 * BEAT_S, answering=self.order)
+        self.assertEqual(self.order[:2], self.streams())
+
     def test_given_an_answer_to_an_old_heartbeat_then_it_proves_nothing(self):
         self.run_for(5.0, settled=[HERE])
         old = self.beat
