Roles: what a process says to control nodes in a module of its own; seeds are always dialled

Need: roles/process.py was the largest file of the roles; the choice of control nodes, the subscriptions and the heartbeats are one job. Change: roles/control_reports.py; the seeds stay among the links also where eight nearer control nodes are known, as before the choice came; a method of the directory that nobody called is gone. Behaviour is otherwise unchanged.

--- a/kestrelbend/tier/membership/directory.py
+++ b/kestrelbend/tier/membership/directory.py
@@ -57,10 +57,6 @@
         """Everybody that some control node holds for live."""
         return list(self._members.values())
 
-    def control_addresses(self) -> list[str]:
-        """Internal addresses of the live control nodes."""
-        return [member.address for member in self._members.values() if member.serves_control]
-
     def owner_of(self, shard: str) -> str:
         """The replica last known to own a shard, or an empty string."""
         report = self.reports.get(shard)
--- a/kestrelbend/tier/roles/process.py
+++ b/kestrelbend/tier/roles/process.py
@@ -43,6 +43,7 @@
 )
 from ..replication.replica import Timing
 from ..storage.identity import DataFolder
+from .control_reports import ControlReports
 from .environment import Environment, SystemEnvironment
 from .settings import Settings, SettingsError
 
@@ -73,7 +74,7 @@
 
     role = ""
     port_offset = 0
-    most_control_links: int | None = MOST_CONTROL_LINKS  # None: all
+    most_control_links: int | None = MOST_CONTROL_LINKS  # beside the seeds; None: all
     holds_replicas = False  # whether the role uses the machine's disk
 
     def __init__(self, settings: Settings, settings_path: str, environment: Environment | None = None):
@@ -91,7 +92,6 @@
         self.served_enough = asyncio.Event()  # ends the listeners of the role
         self._beat = 0
         self._control_choice = ControlChoice(self.address, settings.zone, self.now())
-        self._subscribed_whole: dict[Link, bool] = {}  # what each control node was asked for last
         self._tasks: set[asyncio.Task] = set()
         self.journal = None
         self.replica_id = ""
@@ -106,6 +106,7 @@
             self._on_peer,
             self.on_lost,
         )
+        self._reports = ControlReports(self._control_choice, self.links, self.directory.forget)
 
     # Beginning
 
@@ -181,7 +182,7 @@
 
     def on_lost(self, link: Link) -> None:
         """A connection ended."""
-        self._subscribed_whole.pop(link, None)
+        self._reports.lost(link)
         if link.outgoing and link.address:
             self.directory.forget(link.address)
 
@@ -207,23 +208,18 @@
     # Links
 
     def control_addresses(self) -> list[str]:
-        """The directory's control nodes and the settings' seeds, nearest first."""
-        ordered = self._control_choice.order(self.directory.members, self.seed_addresses())
-        return ordered[: self.most_control_links]
+        """The directory's control nodes, nearest first and not too many, and the settings' seeds."""
+        seeds = self.seed_addresses()
+        ordered = self._control_choice.order(self.directory.members, seeds)
+        return list(dict.fromkeys(ordered[: self.most_control_links] + seeds))
 
     def _subscribe(self, now: float) -> None:
-        """Asks the nearest settled control node for all of its streams, and the others for notices."""
-        order = self.control_addresses()
-        chosen = self._control_choice.to_stream_from(order, now)
-        for address in order:
-            link = self.links.to(address)
-            whole = address in chosen
-            if link is None or self._subscribed_whole.get(link) is whole:
-                continue
-            self._subscribed_whole[link] = whole
-            link.send(Subscribe(self.member, self.config_version(), whole))
-            if not whole:
-                self.directory.forget(address)
+        """Asks control nodes for their streams, as far as they are wanted now."""
+        self._reports.subscribe(
+            self.control_addresses(),
+            lambda whole: Subscribe(self.member, self.config_version(), whole),
+            now,
+        )
 
     def wanted_links(self) -> set[str]:
         """Addresses to keep connections to."""
@@ -259,7 +255,7 @@
             self.directory.take(link.address, message)
             self.on_directory()
         elif isinstance(message, HeartbeatAck):
-            self._control_choice.answered(link.address, message.beat, message.settled)
+            self._reports.answered(link, message)
         elif isinstance(message, ContactRequest):
             link.send(self.contact_word(message.ticket))
         else:
@@ -361,13 +357,7 @@
     def report(self, now: float) -> None:
         """Tells control nodes that this process runs, and has them stream what it needs."""
         self._subscribe(now)
-        heartbeat = self.heartbeat()
-        self._control_choice.sent(heartbeat.beat, now)
-        data = encode(heartbeat)
-        for address in self._control_choice.to_report_to(self.control_addresses(), now):
-            link = self.links.to(address)
-            if link is not None:
-                link.send_encoded(data)
+        self._reports.report(self.control_addresses(), self.heartbeat(), now)
 
     def _follow_settings(self) -> None:
         changed = self.environment.settings_changed_at(self._settings_path)
