Data plane: another zone's backends cost more only where backends tell their load

Change: services whose answers carried a load are chosen as before this commit; all others as before the price came.

--- a/kestrelbend/tier/dataplane/attempt.py
+++ b/kestrelbend/tier/dataplane/attempt.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from ..discovery.messages import Backend
 from .connections import Connection
 from .errors import DataPlaneError
 from .events import EventSplitter
@@ -119,7 +120,7 @@
         answer = await self._sender.send(exchange, sending)
         if isinstance(answer, Failure):
             return answer
-        self._note_load(sending.backend.identity, answer)
+        self._note_load(sending.backend, answer)
         opened = None
         try:
             opened = await (_open_events(answer, last_id) if answer.events else _open_plain(answer))
@@ -130,10 +131,11 @@
                 answer.close()
         return opened
 
-    def _note_load(self, identity: str, answer: Answer) -> None:
+    def _note_load(self, backend: Backend, answer: Answer) -> None:
         report = next((value for name, value in answer.headers if name == SERVER_LOAD), None)
         now = asyncio.get_running_loop().time()
-        self._reported.note(identity, report, self._in_flight.get(identity, 0), now)
+        own = self._in_flight.get(backend.identity, 0)
+        self._reported.note(backend.service, backend.identity, report, own, now)
 
     def _learn(self, exchange: Exchange, identity: str, outcome: Opened | Failure, begun: float) -> None:
         now = asyncio.get_running_loop().time()
--- a/kestrelbend/tier/dataplane/choice.py
+++ b/kestrelbend/tier/dataplane/choice.py
@@ -3,7 +3,7 @@
 Model services and routes with `Sticky`: requests about one thing go to the first backend in the thing's own
 order (rendezvous hashing, this gateway's zone first) that is not clearly busier than the least busy one, as
 it is the likeliest to hold the thing's parts.  Other services: of a few at random the one that should answer
-first, where one in another zone must be clearly less busy; at equal load one to which a connection rests.
+first; where they tell their load, one in another zone must be clearly less busy.
 """
 
 from __future__ import annotations
@@ -22,6 +22,9 @@
 from .reported_load import ReportedLoad
 
 OTHER_ZONE_LOAD = 0.5  # how much busier a backend in another zone counts: bytes between zones are dear
+BLIND_OTHER_ZONE_LOAD = (
+    0.04  # the same where backends don't tell their load, so that a queue here is not seen
+)
 NEW_CONNECTION_LOAD = 0.04  # how much busier one counts that needs a new connection
 TRIED_SHARE = 0.1  # of choices that look at load alone, or a faster backend would stay unknown
 COLD_LOAD = 0.5  # how much busier one that is slow from its start counts
@@ -77,8 +80,11 @@
 
     def _occupied(self, backend: Backend, service: ports.Service, now: float) -> float:
         """As `_busy`, with the price of another zone."""
-        other_zone = 0.0 if backend.zone == self._zone else OTHER_ZONE_LOAD
-        return self._busy(backend, service, now) + other_zone
+        busy = self._busy(backend, service, now)
+        if backend.zone == self._zone:
+            return busy
+        told = self._reported.told_by(backend.service)
+        return busy + (OTHER_ZONE_LOAD if told else BLIND_OTHER_ZONE_LOAD)
 
     def _load(self, backend: Backend, service: ports.Service, now: float) -> float:
         load = self._occupied(backend, service, now)
@@ -118,7 +124,9 @@
         return min(sampled, key=lambda backend: self._expected(backend, service, now))
 
     def _sample(self, candidates: list[Backend]) -> list[Backend]:
-        """Two of this zone's backends and one of the others', at random."""
+        """At random two, or where they tell their load two of this zone's and one of the others'."""
+        if not self._reported.told_by(candidates[0].service):
+            return self._rng.sample(candidates, 2)
         near = [backend for backend in candidates if backend.zone == self._zone]
         far = [backend for backend in candidates if backend.zone != self._zone]
         near_count = min(len(near), 2)
--- a/kestrelbend/tier/dataplane/reported_load.py
+++ b/kestrelbend/tier/dataplane/reported_load.py
@@ -26,12 +26,14 @@
 
     def __init__(self) -> None:
         self._means: dict[str, _Mean] = {}
+        self._services: set[str] = set()
 
-    def note(self, identity: str, report: bytes | None, own: int, now: float) -> None:
+    def note(self, service: str, identity: str, report: bytes | None, own: int, now: float) -> None:
         """Takes an answer's report; `own` requests were this gateway's.  A malformed one says nothing."""
         taken = _taken(report)
         if taken is None:
             return
+        self._services.add(service)
         others = max(0.0, taken - own)
         mean = self._means.get(identity)
         if mean is None or now - mean.as_of > FADED_S:
@@ -47,6 +49,10 @@
             return 0.0
         return mean.others * max(0.0, 1 - (now - mean.as_of) / FADED_S)
 
+    def told_by(self, service: str) -> bool:
+        """Whether the service's backends tell their load."""
+        return service in self._services
+
     def keep_only(self, live: set[str]) -> None:
         """Drops what is known of backends that are no more."""
         self._means = {identity: mean for identity, mean in self._means.items() if identity in live}
--- a/tests/tier/test_reported_load.py
+++ b/tests/tier/test_reported_load.py
@@ -39,28 +39,28 @@
         self.reported = ReportedLoad()
 
     def test_given_reports_then_this_gateways_own_requests_are_not_counted(self):
-        self.reported.note("i-1", b"4,2,6", 2, 10.0)
+        self.reported.note("s", "i-1", b"4,2,6", 2, 10.0)
         self.assertEqual(4.0, self.reported.others("i-1", 10.0))
 
     def test_given_an_old_report_then_it_fades_to_nothing(self):
-        self.reported.note("i-1", b"4,2,6", 0, 10.0)
+        self.reported.note("s", "i-1", b"4,2,6", 0, 10.0)
         self.assertEqual(3.0, self.reported.others("i-1", 10.0 + FADED_S / 2))
         self.assertEqual(0.0, self.reported.others("i-1", 10.0 + 2 * FADED_S))
 
     def test_given_one_report_out_of_line_then_it_does_not_count_alone(self):
         for _ in range(10):
-            self.reported.note("i-1", b"0,0,6", 0, 10.0)
-        self.reported.note("i-1", b"6,0,6", 0, 10.0)
+            self.reported.note("s", "i-1", b"0,0,6", 0, 10.0)
+        self.reported.note("s", "i-1", b"6,0,6", 0, 10.0)
         self.assertTrue(self.reported.others("i-1", 10.0) < 3.0)
 
     @given(st.binary(max_size=40))
     def test_whatever_a_report_holds_then_nothing_fails(self, report):
-        self.reported.note("i-1", report, 0, 1.0)
+        self.reported.note("s", "i-1", report, 0, 1.0)
         self.assertTrue(self.reported.others("i-1", 1.0) >= 0.0)
 
     def test_given_malformed_reports_then_they_say_nothing(self):
         for report in (None, b"", b"1,2", b"1,2,3,4", b"a,b,c", b"-1,0,6", b"9999999,0,6"):
-            self.reported.note("i-1", report, 0, 1.0)
+            self.reported.note("s", "i-1", report, 0, 1.0)
         self.assertEqual(0.0, self.reported.others("i-1", 1.0))
 
 
@@ -86,16 +86,20 @@
             chosen[self.chooser.choose(self.exchange, self.near + self.far, 1.0).identity] += 1
         return chosen
 
+    def test_given_backends_that_do_not_tell_then_all_zones_are_used(self):
+        self.assertEqual(6, len(self.shares()))
+
     def test_given_room_in_this_zone_then_nothing_leaves_it(self):
+        self.reported.note("s", "i-1", b"0,0,6", 0, 1.0)
         self.assertEqual({"i-1", "i-2"}, set(self.shares()))
 
     def test_given_this_zone_is_full_by_report_then_the_others_are_used(self):
         for near in self.near:
-            self.reported.note(near.identity, b"6,3,6", 0, 1.0)
+            self.reported.note("s", near.identity, b"6,3,6", 0, 1.0)
         self.assertEqual({far.identity for far in self.far}, set(self.shares()))
 
     def test_given_one_is_busier_by_report_then_the_other_one_gets_more(self):
-        self.reported.note("i-1", b"2,0,6", 0, 1.0)
+        self.reported.note("s", "i-1", b"2,0,6", 0, 1.0)
         shares = self.shares()
         self.assertTrue(shares["i-2"] > 2 * shares["i-1"], shares)
 
