Protocol: each message has a writer of its own, as threads encode side by side

Cause: `encode` kept one protocol object for all messages and put its buffer into it. Test: four threads encode side by side; it failed on the shared writer and passes now. A constant's comment is on one line again.

--- a/kestrelbend/tier/dataplane/choice.py
+++ b/kestrelbend/tier/dataplane/choice.py
@@ -22,9 +22,7 @@
 from .reported_load import ReportedLoad
 
 OTHER_ZONE_LOAD = 0.5  # how much busier a backend in another zone counts: bytes between zones are dear
-BLIND_OTHER_ZONE_LOAD = (
-    0.04  # the same where backends don't tell their load, so that a queue here is not seen
-)
+BLIND_OTHER_ZONE_LOAD = 0.04  # the same where backends don't tell their load: a queue here is not seen
 NEW_CONNECTION_LOAD = 0.04  # how much busier one counts that needs a new connection
 TRIED_SHARE = 0.1  # of choices that look at load alone, or a faster backend would stay unknown
 COLD_LOAD = 0.5  # how much busier one that is slow from its start counts
--- a/kestrelbend/tier/protocol/codec.py
+++ b/kestrelbend/tier/protocol/codec.py
@@ -45,7 +45,6 @@
 
 
 MESSAGES = _message_classes()
-_WRITER = TCompactProtocolAccelerated(TMemoryBuffer())  # keeps nothing between two messages but its buffer
 
 
 def _field_kind(annotation) -> tuple[type | None, bool]:
@@ -118,11 +117,13 @@
 
 
 def encode(message, sequence: int = 0) -> bytes:
-    """One message, with the sequence number that a reply to it repeats (0: none is expected)."""
+    """One message, with the sequence number that a reply to it repeats (0: none is expected).
+
+    Called by several threads: the journal's writer encodes large records itself.
+    """
     buffer = TMemoryBuffer()
     buffer.write(write_header(type(message).__name__, sequence))
-    _WRITER.trans = buffer
-    _to_struct(message).write(_WRITER)
+    _to_struct(message).write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
 
 
--- a/tests/tier/test_protocol.py
+++ b/tests/tier/test_protocol.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 import typing
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 import testtools
@@ -42,6 +44,19 @@
             message = example(message_class)
             self.assertEqual((message, 5), decode_with_sequence(encode(message, 5)), name)
 
+    def test_given_several_threads_when_each_encodes_then_no_message_holds_bytes_of_another(self):
+        interval = sys.getswitchinterval()
+        self.addCleanup(sys.setswitchinterval, interval)
+        sys.setswitchinterval(1e-6)
+
+        def encode_many(name):
+            message = TransferOwnership(name * 50, name, 1)
+            wanted = encode(message)
+            return sum(encode(message) != wanted for _ in range(4000))
+
+        with ThreadPoolExecutor(4) as threads:
+            self.assertEqual([0] * 4, list(threads.map(encode_many, "abcd")))
+
     def test_given_no_snapshot_when_decoded_then_there_is_none(self):
         record = DurableRecord("s", "r", 1, "", (Entry(1, 1, 0, b"x"),), None)
         self.assertEqual(record, decode(encode(record)))
