--- a/kestrelbend/tier/control/member_summaries.py
+++ b/kestrelbend/tier/control/member_summaries.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from ..membership.messages import Heartbeat, MemberSummary, QuietMember, ShardReport
+from ..membership.messages import Heartbeat, MemberSummary, QuietMember
 from ..membership.table import MemberTable
 from ..protocol.codec import encode
 from ..protocol.links import Link
@@ -102,9 +102,5 @@
 
 def lasting(heartbeat: Heartbeat) -> Heartbeat:
     """A heartbeat without what changes all the time: its number, and how far replicas have come."""
-    shards = tuple(_without_indexes(report) for report in heartbeat.shards)
+    shards = tuple(report.without_indexes() for report in heartbeat.shards)
     return attrs.evolve(heartbeat, beat=0, shards=shards)
-
-
-def _without_indexes(report: ShardReport) -> ShardReport:
-    return attrs.evolve(report, applied_index=0, commit_index=0)
--- a/kestrelbend/tier/membership/messages.py
+++ b/kestrelbend/tier/membership/messages.py
@@ -20,6 +20,10 @@
     placement_number: int = 0  # of the placement that this group was moved towards
     settled: bool = False  # at the owner: no change is under way and every live voter holds what is committed
 
+    def without_indexes(self) -> ShardReport:
+        """The report without what changes with each command."""
+        return attrs.evolve(self, applied_index=0, commit_index=0)
+
 
 @attrs.frozen
 class Member:
