--- a/kestrelbend/tier/replication/snapshot_transfer.py
+++ b/kestrelbend/tier/replication/snapshot_transfer.py
@@ -25,6 +25,7 @@
 MAX_SNAPSHOT_BYTES = 1 << 30  # a chunk of a larger one is not taken
 SMOOTHING = 0.25  # the weight of the newest round trip
 TIMEOUT_ROUND_TRIPS = 4.0  # without progress, until what is under way counts as lost
+MAX_BACKOFF_DOUBLINGS = 32  # a follower may stay stuck for as long as its machine is frozen
 
 
 def digest_of(state: bytes) -> bytes:
@@ -130,7 +131,7 @@
         if not self._round_trip:
             return timing.snapshot_retry
         usual = TIMEOUT_ROUND_TRIPS * self._round_trip
-        backed_off = usual * float(2**self._retries)
+        backed_off = usual * float(1 << min(self._retries, MAX_BACKOFF_DOUBLINGS))
         longest = max(usual, timing.snapshot_retry)
         return min(max(backed_off, timing.reply_timeout), longest)
 
