--- a/kestrelbend/gateway/external_authorization/authoriser.py
+++ b/kestrelbend/gateway/external_authorization/authoriser.py
@@ -47,8 +47,8 @@
 ANSWERED_CALL_EVIDENCE: Final = math.log((1 - UNHEALTHY_FAILURE_RATE) / (1 - HEALTHY_FAILURE_RATE))
 """Log-likelihood ratios, unhealthy over healthy, of one call; the second is negative."""
 
-VerdictKey: TypeAlias = tuple[str, str, str]
-"""What a cached verdict holds for: customer, plan, operation."""
+VerdictKey: TypeAlias = bytes
+"""What a cached verdict holds for: a digest of all that the authoriser was shown and may judge by."""
 
 
 class AuthoriserSettings(Struct):
@@ -154,7 +154,7 @@
         return int(min(self.settings.budget * SECOND, self.settings.part * remaining))
 
     def call_started(self) -> None:
-        """A call goes out; `call_ended` must follow, whatever becomes of it."""
+        """A call goes out; `call_ended` or `call_abandoned` must follow, whatever becomes of it."""
         self.in_flight += 1
         self.trial_in_flight = bool(self.ejections)
         self.recent_calls += 1
@@ -175,6 +175,11 @@
         if self.failure_evidence >= EVIDENCE_LIMIT and now >= self.ejected_until:
             self._eject(now)
 
+    def call_abandoned(self) -> None:
+        """A call ended because its client left: that tells nothing of the authoriser."""
+        self.in_flight -= 1
+        self.trial_in_flight = False
+
     def _eject(self, now: int) -> None:
         doublings = min(self.ejections, MAX_EJECTION_DOUBLINGS)
         self.ejected_until = now + min(MAX_EJECTION_TIME, EJECTION_TIME << doublings)
--- a/kestrelbend/gateway/external_authorization/grpc/authorisers.py
+++ b/kestrelbend/gateway/external_authorization/grpc/authorisers.py
@@ -27,7 +27,7 @@
     AuthoriserState,
     Verdict,
 )
-from .messages import check_request, read_denial
+from .messages import check_request, read_denial, verdict_key
 
 log = logging.getLogger(__name__)
 MICROSECONDS_OF_SECOND: Final = 1_000_000
@@ -168,8 +168,7 @@
     async def _ask(self, connection: AuthoriserConnection, delivery: Delivery, request: Request) -> Verdict:
         """The verdict of one authoriser, within its part of the client's time."""
         state = connection.state
-        key = (request.customer, request.plan, request.operation)
-        cached = state.cached_verdict(self.clock(), key, request.retry)
+        cached = self._cached_verdict(state, request)
         if cached is not None:
             counters["authoriser_remembered"] += 1
             return cached
@@ -190,6 +189,12 @@
             if self.clock() >= end or not state.may_retry(attempts):
                 return state.verdict_without_answer(NO_ANSWER)
 
+    def _cached_verdict(self, state: AuthoriserState, request: Request) -> Verdict | None:
+        """The verdict on the same request, where this one is a marked retry of it."""
+        if not state.settings.remember or not request.retry:
+            return None
+        return state.cached_verdict(self.clock(), verdict_key(request), request.retry)
+
     async def _call(
         self, connection: AuthoriserConnection, request: Request, timeout_s: float
     ) -> Verdict | None:
@@ -197,25 +202,36 @@
         state = connection.state
         state.call_started()
         answered = False
+        abandoned = False  # its client has left
         try:
             response = await connection.stub().Check(
                 check_request(request), timeout=max(MIN_CALL_TIMEOUT_S, timeout_s)
             )
             answered = True
             verdict = self._verdict(state, response)
-            key = (request.customer, request.plan, request.operation)
-            state.cache_verdict(self.clock(), key, verdict)
+            if state.settings.remember:
+                state.cache_verdict(self.clock(), verdict_key(request), verdict)
             counters["authoriser_allowed" if verdict.allowed else "authoriser_denied"] += 1
             return verdict
         except grpc.aio.AioRpcError as error:
             answered = error.code() not in CALL_FAILURES
             counters["authoriser_failed"] += 1
             return state.denial(DEFAULT_DENIAL_STATUS, (), b"") if answered else None
+        except asyncio.CancelledError:
+            abandoned = True
+            raise
         finally:
-            state.call_ended(self.clock(), answered)
-            replaced = connection.record_call(answered)
-            if replaced is not None:
-                self._close(replaced)
+            if abandoned:
+                state.call_abandoned()
+            else:
+                self._record_end(connection, answered)
+
+    def _record_end(self, connection: AuthoriserConnection, answered: bool) -> None:
+        """A call ended by its answer, its failure or its time."""
+        connection.state.call_ended(self.clock(), answered)
+        replaced = connection.record_call(answered)
+        if replaced is not None:
+            self._close(replaced)
 
     @staticmethod
     def _verdict(state: AuthoriserState, response: Any) -> Verdict:
--- a/kestrelbend/gateway/external_authorization/grpc/messages.py
+++ b/kestrelbend/gateway/external_authorization/grpc/messages.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -25,6 +26,9 @@
 NANOSECONDS_OF_MICROSECOND = 1000
 TOO_MANY_REQUESTS = 429
 FIRST_SERVER_ERROR = 500  # HTTP's statuses from here on are failures of the backend
+RETRIES_OWN_HEADERS = ("x-request-id", "x-retried", "x-timeout")
+"""By the clients' protocol: a retry has an id of its own, its mark, and the time that is left."""
+KEY_BYTES = 16
 SCALAR_KINDS = ("string_value", "number_value", "bool_value")
 """The kinds of a `google.protobuf.Value` that an attribute may be read from."""
 
@@ -160,6 +164,18 @@
     return message
 
 
+def verdict_key(request: Request) -> bytes:
+    """A digest of all that a `CheckRequest` shows, but for what differs between a request and its retries."""
+    message = check_request(request)
+    http = message.attributes.request.http
+    http.id = ""
+    for name in RETRIES_OWN_HEADERS:
+        http.headers.pop(name, None)
+    del message.attributes.context_extensions["retry"]
+    shown = message.SerializeToString(deterministic=True)
+    return hashlib.blake2b(shown + request.body, digest_size=KEY_BYTES).digest()
+
+
 @dataclass(frozen=True, slots=True)
 class Denial:
     """A denial as an authoriser stated it."""
--- a/kestrelbend/gateway/gossip/shared_results.py
+++ b/kestrelbend/gateway/gossip/shared_results.py
@@ -10,7 +10,9 @@
 from .dissemination import MAX_CANDIDATES
 from .member import LocalMember
 from .messages import GossipMessage, SharedResult
-from .parameters import MILLISECOND_US
+from .parameters import MILLISECOND_US, SECOND_US
+
+NEW_PROCESS_AFTER_US = 10 * SECOND_US  # longer than a datagram is under way
 
 
 class ResultKey(NamedTuple):
@@ -43,6 +45,17 @@
         return SharedResult(result.kind, result.subject, result.origin, result.sequence, age_ms, result.body)
 
 
+def _is_newer(sequence: int, made_at_us: int, old: KeptResult) -> bool:
+    """Whether a result of the same origin and subject comes after another.
+
+    Numbers tell, but for those of two processes: the later one's may be lower, where its clock was set back.
+    """
+    later_us = made_at_us - old.made_at_us
+    if abs(later_us) >= NEW_PROCESS_AFTER_US:
+        return later_us > 0
+    return sequence > old.result.sequence
+
+
 class SharedResults:
     """The results known; at most `max_results`, the oldest go first."""
 
@@ -65,9 +78,9 @@
         old = self.kept.get(ResultKey(result.kind, result.subject, result.origin))
         if result.origin == self._local.name or result.age_ms < 0:
             return
-        if old is not None and old.result.sequence >= result.sequence:
-            return
         made_at_us = self._local.now_us - result.age_ms * MILLISECOND_US
+        if old is not None and not _is_newer(result.sequence, made_at_us, old):
+            return
         self._keep(result, made_at_us)
         self.received.append(ReceivedResult(result, made_at_us))
 
--- a/kestrelbend/gateway/net/gateway.py
+++ b/kestrelbend/gateway/net/gateway.py
@@ -38,6 +38,18 @@
 ACCEPT_AFTER_SIGTERM_S: Final = 0.5  # new connections go on coming so long
 MICROSECONDS_OF_SECOND: Final = 1e6
 NANOSECONDS_OF_MICROSECOND: Final = 1000
+HOLD_FROM_THE_NEXT_START: Final = (
+    "name",
+    "listen",
+    "seed",
+    "settings",
+    "logs",
+    "members",
+    "news",
+    "checks",
+    "authorisers",
+)
+"""Parts of the configuration that SIGHUP leaves as they are; `known` is of use at a start alone."""
 UPSTREAM: Final = EndpointRow("upstream", "", "", 0, State.READY, 1.0, 0)
 """The one backend where a proxy routes what is let in."""
 
@@ -158,9 +170,8 @@
 def reload(given: GatewayConfiguration, owner: Owner) -> None:
     """SIGHUP: the configuration file was replaced.
 
-    Addresses and limits hold from now on; settings, by which customers and backends are already known, from
-    the next start, and so does all else in the file, of which no line tells (`listen`, `logs`, members, news,
-    checks, authorisers). A file that cannot be used changes nothing.
+    Addresses and limits hold from now on; all else from the next start, and a line names each such key that
+    changed. A file that cannot be used changes nothing.
     """
     counters["reloads"] += 1
     assert given.again is not None  # whoever read the configuration has set it
@@ -172,8 +183,9 @@
     owner.discovery.move(new.discovery)
     owner.counter.move(new.counter)
     owner.clients.sockets.most = new.sockets
-    if repr(new.settings) != repr(given.settings):
-        logging.warning("settings changed: they hold from the next start")
+    for key in HOLD_FROM_THE_NEXT_START:
+        if repr(getattr(new, key)) != repr(getattr(given, key)):
+            logging.warning("changed, holds from the next start", extra={"key": key})
     counter = configuration.format_address(new.counter) if new.counter else "none"
     logging.info("configuration taken", extra={"discovery": new.discovery, "counter": counter})
 
--- a/kestrelbend/gateway/net/peers.py
+++ b/kestrelbend/gateway/net/peers.py
@@ -202,10 +202,13 @@
     def hold(self, task: str) -> LeaseHolder[bytes]:
         """Try to hold a singleton task from now on; `holds` says whether this gateway does."""
         voters = [pack_address(_split(peer)) for peer in voters_for(task, self.static)]
-        identity = HolderId(self.core.local.name, self.core.local.generation)
-        self.holders[task] = LeaseHolder(task, identity, voters)
+        self.holders[task] = LeaseHolder(task, self._identity(), voters)
         return self.holders[task]
 
+    def _identity(self) -> HolderId:
+        """As whom this gateway holds tasks now: the core may have taken another name or generation."""
+        return HolderId(self.core.local.name, self.core.local.generation)
+
     def holds(self, task: str) -> int | None:
         """Its fencing token, or None."""
         holder = self.holders.get(task)
@@ -214,6 +217,7 @@
     def _request_lease(self, holder: LeaseHolder[bytes]) -> None:
         """Ask the voters for a lease, or for more of it, if it is time."""
         now = self.now()
+        holder.identify(self._identity())
         if not holder.voters or not holder.is_request_due(now):
             return
         token = holder.begin_request(now, time.time_ns() // NANOSECONDS_OF_MS)
@@ -339,6 +343,7 @@
                 )
                 for voter in holder.voters:
                     self.core.send_lease(voter, given)
+        self.holders.clear()  # who has left asks for none, though datagrams still come while it drains
         self.core.leave(self.now())
         self._flush()
         if self.timer is not None:
--- a/kestrelbend/gateway/singleton_tasks/leases.py
+++ b/kestrelbend/gateway/singleton_tasks/leases.py
@@ -28,6 +28,8 @@
 CLOCK_DRIFT_DIVISOR = 10  # a holder's lease is shorter by this part
 RENEWALS_PER_LEASE = 4  # requests that a holder sends in one lease
 VOTER_COUNT = 5
+MAX_TASKS = 4096  # that a voter remembers beyond their leases
+FORGET_AFTER_LEASES = 360  # a grant that ended so long ago, an hour, is forgotten with its token
 
 VoterT = TypeVar("VoterT", bound=Hashable)
 
@@ -81,10 +83,28 @@
             return VoterReply(False, highest, grant.expires_at_us - now_us)
         if fencing_token < highest or fencing_token == highest and not is_holder:
             return VoterReply(False, highest, 0)
+        if task not in self.grants:
+            self._forget_old_tasks(now_us)
         self.grants[task] = Grant(fencing_token, holder, now_us + self.lease_us)
         self.highest_tokens[task] = fencing_token
         return VoterReply(True, fencing_token, self.lease_us)
 
+    def _forget_old_tasks(self, now_us: int) -> None:
+        """Makes room for one more task.
+
+        What is forgotten is what a restart of this voter forgets as well: a grant that is over, and a token
+        that later ones exceed by Unix time.
+        """
+        ends = {task: grant.expires_at_us for task, grant in self.grants.items()}
+        over_us = now_us - FORGET_AFTER_LEASES * self.lease_us
+        excess = len(ends) + 1 - MAX_TASKS
+        for task in sorted(ends, key=ends.__getitem__):
+            if ends[task] > now_us or ends[task] > over_us and excess <= 0:
+                return
+            del self.grants[task]
+            self.highest_tokens.pop(task, None)
+            excess -= 1
+
     def release(self, task: str, fencing_token: int, holder: HolderId) -> None:
         """A holder gives a task back: the next one need not wait."""
         grant = self.grants.get(task)
@@ -107,6 +127,13 @@
         self.grants: dict[VoterT, int] = {}  # by voter: until when
         self.next_request_us = 0
 
+    def identify(self, identity: HolderId) -> None:
+        """This member goes on as another process would: the former one's grants are not its own."""
+        if identity != self.identity:
+            self.identity = identity
+            self.grants = {}
+            self.next_request_us = 0
+
     def majority(self) -> int:
         """How many voters have to grant."""
         return len(self.voters) // 2 + 1
--- a/kestrelbend/gateway/usage_sharing/exchange.py
+++ b/kestrelbend/gateway/usage_sharing/exchange.py
@@ -139,6 +139,8 @@
         ):
             return
         assembly = self._assembly
+        if assembly is not None and self._is_late(assembly, number, announcement, now_us):
+            return
         if assembly is None or assembly.meter_number != number or assembly.period != announcement.period:
             assembly = self._assembly = _Assembly(number, announcement.period)
         assembly.rows.update(announcement.rows)
@@ -149,6 +151,18 @@
         is_complete = len(assembly.parts) == announcement.parts
         self.shares = assembly.rows if is_complete else self.shares | assembly.rows
 
+    def _is_late(
+        self, assembly: _Assembly, number: int, announcement: UsageAnnouncement, now_us: int
+    ) -> bool:
+        """Whether an announcement is of a period before the one that is known of the same meter.
+
+        Numbers of periods wrap around (RFC 1982). A meter that starts anew counts from 1: its former process
+        is no longer compared with once it has been silent for as long as its shares hold.
+        """
+        ahead = (announcement.period - assembly.period) & messages.PERIOD_MASK
+        is_known = now_us - self.meter_heard_us < STALE_PERIODS * self.period_us
+        return assembly.meter_number == number and ahead > messages.PERIOD_MASK // 2 and is_known
+
     def _become_meter(self, now_us: int) -> None:
         self.meter = UsageMeter(self._plans, now_us - self.period_us)
         self.meter_number = self.number
--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -168,7 +168,7 @@
         await self._evaluate_off_loop(order)
         rejection = self._rejection(order)
         if rejection is not None:
-            if not await self._confirmed():
+            if not await self._confirmed(deadline - self._now()):
                 return NOT_OWNER
             rejection = self._rejection(order)
         if rejection is not None:
@@ -211,8 +211,8 @@
         except TimeoutError:
             return NOT_IN_TIME
 
-    async def _confirmed(self) -> bool:
-        """Whether a majority has answered this owner since the call."""
+    async def _confirmed(self, within: float) -> bool:
+        """Whether a majority has answered this owner since the call, in `within` seconds."""
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
 
         def done(is_confirmed: bool) -> None:
@@ -222,7 +222,7 @@
         if not self._host.confirm(CONFIGURATION_SHARD, done, self._now()):
             return False
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(max(0.0, min(within, ANSWER_TIMEOUT_S))):
                 return await future
         except TimeoutError:
             return False
@@ -238,13 +238,13 @@
 
     async def _attempt_read(self, deadline: float) -> ReadReply:
         if self.replica.is_leader:
-            return await self.read_here()
+            return await self.read_here(deadline - self._now())
         reply = await self._ask_owner(ReadRequest(CONFIGURATION_SHARD), deadline)
         return reply if isinstance(reply, ReadReply) else NOT_READ
 
-    async def read_here(self) -> ReadReply:
-        """As the owner: the state, once confirmed to be the newest."""
-        if not await self._confirmed():
+    async def read_here(self, within: float = ANSWER_TIMEOUT_S) -> ReadReply:
+        """As the owner: the state, once confirmed within so many seconds to be the newest."""
+        if not await self._confirmed(within):
             return NOT_READ
         return ReadReply(True, self.state.version, self.state.body)
 
--- a/kestrelbend/tier/control/member_summaries.py
+++ b/kestrelbend/tier/control/member_summaries.py
@@ -54,7 +54,7 @@
         self._members = members
         self._published: dict[str, _Published] = {}  # by address
         self._up_to_date: set[PeerConnection] = set()  # connections that hold all that was published
-        self._reported: dict[str, dict[str, int]] = {}  # by sender: incarnations by address
+        self._reported: dict[PeerConnection, dict[str, int]] = {}  # incarnations by address
 
     def send(self, connections: Iterable[PeerConnection], now: float) -> None:
         """Brings the other control nodes up to date; one encoding serves all that are."""
@@ -66,15 +66,21 @@
                 self._up_to_date.add(connection)
                 connection.send(self._complete(now))
 
+    @property
+    def sender_count(self) -> int:
+        """How many connections brought summaries and stand."""
+        return len(self._reported)
+
     def lost(self, connection: PeerConnection) -> None:
-        """A connection ended."""
+        """A connection ended; the sender's next one begins with a complete summary."""
         self._up_to_date.discard(connection)
+        self._reported.pop(connection, None)
 
-    def merge(self, summary: MemberSummary, now: float) -> None:
-        """Takes in another node's summary."""
+    def merge(self, connection: PeerConnection, summary: MemberSummary, now: float) -> None:
+        """Takes in another node's summary, from the connection that it came by."""
         if summary.complete:
-            self._reported[summary.sender] = {}
-        reported = self._reported.setdefault(summary.sender, {})
+            self._reported[connection] = {}
+        reported = self._reported.setdefault(connection, {})
         for heartbeat in summary.heartbeats:
             reported[heartbeat.member.address] = heartbeat.member.incarnation
         ages = {late.address: late.heartbeat_age_ms / MS_PER_S for late in summary.unresponsive}
--- a/kestrelbend/tier/discovery/registry.py
+++ b/kestrelbend/tier/discovery/registry.py
@@ -83,7 +83,7 @@
         backend = read_report(identity, report)
         if isinstance(backend, HeartbeatRejected):
             return backend
-        if self._is_full_for(identity):
+        if self._is_full_for(backend):
             return HeartbeatRejected(RejectionCode.REGISTRY_FULL, "too many backends are known")
         if self._apply(backend, now):
             self._displace_others(backend, now)
@@ -100,7 +100,7 @@
 
     def merge(self, backend: Backend, now: float) -> bool:
         """Takes what another control node sent; True if it was newer than what was known."""
-        if self._is_full_for(backend.identity):
+        if self._is_full_for(backend):
             return False
         return self._apply(backend, now)
 
@@ -154,8 +154,15 @@
 
     # How entries move
 
-    def _is_full_for(self, identity: str) -> bool:
-        return identity not in self._entries and self._live.count >= MAX_LIVE
+    def _is_full_for(self, backend: Backend) -> bool:
+        """Whether the report would make one live backend too many; one that leaves always has room."""
+        if self._live.count < MAX_LIVE:
+            return False
+        entry = self._entries.get(backend.identity)
+        if entry is None:
+            return True
+        is_return = entry.backend.state == BackendState.DEPARTED != backend.state
+        return is_return and supersedes(backend, entry.backend)
 
     def _apply(self, backend: Backend, now: float) -> bool:
         """Moves the incarnation's entry forward to a report; False where the report is not newer."""
--- a/kestrelbend/tier/fleet/connection.py
+++ b/kestrelbend/tier/fleet/connection.py
@@ -10,12 +10,13 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from ..protocol.peer_connection import SILENCE_LIMITS
 from .loop import Execution
 
 if TYPE_CHECKING:
     from .network import Network
 
-UNACKNOWLEDGED_TIMEOUT_S = 1.5  # until bytes that nobody acknowledges end a connection here
+UNACKNOWLEDGED_TIMEOUT_S = SILENCE_LIMITS.unacknowledged_ms / 1000  # as the sockets' TCP_USER_TIMEOUT
 PROBE_INTERVAL_S = 1.0  # between two keepalive probes
 MAX_LOST_PROBES = 3  # after so many intervals without an answer a connection at rest ends
 AFTER_PARTITION_S = (0.02, 0.4)  # until bytes that a partition held up are sent again
--- a/kestrelbend/tier/fleet/mutations/contact.py
+++ b/kestrelbend/tier/fleet/mutations/contact.py
@@ -72,7 +72,7 @@
 
 
 @guard("confirmed-refusal", "configuration.shard_service:ConfigurationService._confirmed", "wrong refusals")
-async def count_as_confirmed(service: ConfigurationService) -> bool:
+async def count_as_confirmed(service: ConfigurationService, within: float) -> bool:
     """Rejects without a majority's confirmation."""
     return True
 
--- a/kestrelbend/tier/fleet/mutations/gateways.py
+++ b/kestrelbend/tier/fleet/mutations/gateways.py
@@ -89,5 +89,5 @@
 def let_them_wait(connection: PeerConnection, exc: Exception | None) -> None:
     """Ends a connection without ending what waits for its replies."""
     connection.closed = True
-    connection._endpoint.opened.discard(connection)
+    connection._endpoint.opened.pop(connection, None)
     connection._endpoint.lost(connection)
--- a/kestrelbend/tier/protocol/peer_connection.py
+++ b/kestrelbend/tier/protocol/peer_connection.py
@@ -53,7 +53,7 @@
 
     hello: Hello
     log: Log
-    opened: set[PeerConnection]
+    opened: dict[PeerConnection, None]
     sent_bytes: int
 
     def greeted(self, connection: PeerConnection) -> None:
@@ -93,7 +93,7 @@
         configure_socket(stream.get_extra_info("socket"), SILENCE_LIMITS)
         stream.set_write_buffer_limits(high=MAX_WAITING_BYTES)
         self.send(self._endpoint.hello)
-        self._endpoint.opened.add(self)
+        self._endpoint.opened[self] = None
 
     def data_received(self, data: bytes) -> None:
         """Takes complete frames off what has come."""
@@ -114,7 +114,7 @@
             if not future.done():
                 future.set_result(None)
         self._pending_replies.clear()
-        self._endpoint.opened.discard(self)
+        self._endpoint.opened.pop(self, None)
         self._endpoint.lost(self)
 
     # Receiving
--- a/kestrelbend/tier/protocol/peer_connections.py
+++ b/kestrelbend/tier/protocol/peer_connections.py
@@ -64,7 +64,7 @@
         self.received = on_message  # no method of its own: it is called for each message
         self._on_peer = on_peer
         self._on_lost = on_lost
-        self.opened: set[PeerConnection] = set()
+        self.opened: dict[PeerConnection, None] = {}  # in the order in which they were opened
         self.sent_bytes = 0
         self._peers: dict[str, _Peer] = {}
         self._server: asyncio.Server | None = None
@@ -84,9 +84,9 @@
     def keep(self, addresses: Iterable[str]) -> None:
         """Keeps outgoing connections to exactly these addresses (and never to itself)."""
         wanted = set(addresses) - {self.hello.address, ""}
-        for address in wanted - self._peers.keys():
+        for address in sorted(wanted - self._peers.keys()):  # in an order that a whole run repeats
             self._connect(address)
-        for address in self._peers.keys() - wanted:
+        for address in sorted(self._peers.keys() - wanted):
             self._drop(address)
 
     def add(self, address: str) -> None:
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -167,7 +167,7 @@
                 self.members.record_heartbeat(message, self.now())
                 connection.send(HeartbeatAck(message.sequence, self._is_stable()))
             case MemberSummary():
-                self._summaries.merge(message, self.now())
+                self._summaries.merge(connection, message, self.now())
             case Subscribe():
                 self._streams.subscribe(connection, message)
             case ConfigAck():
--- a/kestrelbend/tier/roles/start.py
+++ b/kestrelbend/tier/roles/start.py
@@ -39,12 +39,15 @@
     except SettingsError as fault:
         print(fault, file=sys.stderr)
         return WRONG_SETTINGS
-    asyncio.run(_run(role, settings, path))
+    process_class = load_role(role)
+    if process_class.holds_replicas and not settings.data_dir:
+        print(f"{path}: DataDir: is missing: a {role} process keeps replicas on a disk", file=sys.stderr)
+        return WRONG_SETTINGS
+    asyncio.run(_run(process_class, settings, path))
     return 0
 
 
-async def _run(role: str, settings: Settings, path: str) -> None:
-    process_class = load_role(role)
+async def _run(process_class: type[TierProcess], settings: Settings, path: str) -> None:
     gc.freeze()
     gc.set_threshold(COLLECT_AFTER)
     await process_class(settings, path).run()
--- a/tests/test_authorisation.py
+++ b/tests/test_authorisation.py
@@ -207,6 +207,49 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"path": "/op/00000000000000c1?account=other"},
+        {"more": "X-Retried: 1\r\nAuthorization: another\r\n"},
+        {"method": "POST"},
+        {"body": b"another order", "method": "POST"},
+        {"terms": "units=0.5,spread=2,first=0"},
+    ],
+    ids=["path", "header", "method", "body", "units"],
+)
+def test_a_verdict_on_one_request_is_none_on_another_that_is_marked_as_its_retry(other):
+    async def test():
+        async with Guarded("allow", remember=5.0) as (world, stand):
+            assert (await world.ask())[0] == 200
+            stand.usual = "deny"
+            same = await world.ask(more="X-Retried: 1\r\n", wait="0.9")
+            assert same[0] in (200, 429) and len(stand.seen) == 1
+            assert (await world.ask(**({"more": "X-Retried: 1\r\n"} | other)))[0] == 402
+            assert len(stand.seen) == 2
+
+    run(test())
+
+
+def test_clients_that_leave_tell_nothing_of_the_authoriser_they_waited_for():
+    """Impatient clients could eject a healthy one, and have its connection made anew."""
+
+    async def test():
+        async with Guarded("stall", budget=10.0) as (world, stand):
+            connection = world.owner.authorisers.connections[0]
+            for n in range(12):
+                on = await connect(*world.listen)
+                asked = asyncio.create_task(world.ask(f"/op/{n + 1:016x}", on=on, wait="20"))
+                await world.until(lambda: connection.state.in_flight)
+                on[1].close()
+                await world.until(lambda: not connection.state.in_flight)
+                asked.cancel()
+            assert not connection.state.failure_evidence and not connection.state.ejections
+            assert not counters["authoriser_links_remade"]
+
+    run(test())
+
+
 # Without sockets.
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -27,7 +27,10 @@
 from kestrelbend.gateway.gossip import codec as wire
 from kestrelbend.gateway.gossip.addresses import pack_address
 from kestrelbend.gateway.gossip.errors import UnreadableMessage
-from kestrelbend.gateway.gossip.parameters import SwimParameters
+from kestrelbend.gateway.gossip.member import LocalMember
+from kestrelbend.gateway.gossip.messages import SharedResult
+from kestrelbend.gateway.gossip.parameters import SECOND_US, SwimParameters
+from kestrelbend.gateway.gossip.shared_results import NEW_PROCESS_AFTER_US, SharedResults
 from kestrelbend.gateway.gossip.swim import SwimNode
 from kestrelbend.gateway.gossip.update_rules import UpdateRules
 from kestrelbend.gateway.net import configuration
@@ -641,6 +644,46 @@
     assert fence.accepts(second.fencing_token) and not fence.accepts(first.fencing_token)
 
 
+def test_a_voter_forgets_tasks_that_are_long_over_and_none_that_is_held(monkeypatch):
+    monkeypatch.setattr(leases, "MAX_TASKS", 8)
+    now, length = 0, leases.LEASE_US
+    voter, holder = leases.Voter(-length), leases.HolderId("a", 1)
+    assert all(voter.request(now, f"task {n}", 1, holder).granted for n in range(20))
+    assert len(voter.grants) == 20  # all are held
+    now = length
+    assert voter.request(now, "one more", 1, holder).granted
+    assert len(voter.grants) == len(voter.highest_tokens) == 8
+    now += (leases.FORGET_AFTER_LEASES + 2) * length
+    assert voter.request(now, "much later", 1, holder).granted
+    assert list(voter.grants) == ["much later"] and list(voter.highest_tokens) == ["much later"]
+
+
+def test_a_holder_of_another_name_or_generation_starts_without_what_the_former_one_was_granted():
+    first, second = leases.HolderId("a", 1), leases.HolderId("a", 2)
+    holder = leases.LeaseHolder("renew", first, range(3))
+    token = holder.begin_request(0, 1)
+    for voter in range(3):
+        holder.record_grant(voter, token, 0)
+    holder.identify(first)
+    assert holder.holds(1)
+    holder.identify(second)
+    assert not holder.holds(1) and holder.identity == second and holder.is_request_due(1)
+
+
+def test_results_of_a_process_whose_clock_was_set_back_are_seen_again():
+    now = 100 * SECOND_US
+    local = LocalMember("here", b"\x7f\0\0\1\0\1", 1, now, now, 8)
+    results = SharedResults(local, 10)
+    results.receive(SharedResult("probe", "s1", "there", 5000, 0, b"before"))
+    local.now_us += SECOND_US
+    results.receive(SharedResult("probe", "s1", "there", 4999, 0, b"late"))
+    assert [each.result.body for each in results.received] == [b"before"]
+    local.now_us += NEW_PROCESS_AFTER_US
+    results.receive(SharedResult("probe", "s1", "there", 4000, 0, b"of the new process"))
+    results.receive(SharedResult("probe", "s1", "there", 5000, 11_000, b"before"))
+    assert [each.result.body for each in results.received] == [b"before", b"of the new process"]
+
+
 LONGEST_S = 60  # of a test with processes
 
 
@@ -711,6 +754,9 @@
             second.holders["renew"].next_request_us = 0  # it need not wait for its next turn
             await comes_true(lambda: second.holds("renew"))
             assert second.holds("renew") > token
+            second.core.local.generation += 1  # as where a clock stepped back before its start
+            token = second.holds("renew")
+            await comes_true(lambda: (second.holds("renew") or 0) > token)
             await comes_true(lambda: "n0" not in third.core.view.live_names())
 
     run(test(), LONGEST_S)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -886,6 +886,22 @@
     run(test())
 
 
+def test_sighup_names_each_changed_key_that_holds_only_from_the_next_start(caplog):
+    async def test():
+        async with World() as world:
+            told = replace(world.told)
+            others = {"listen": ("127.0.0.1", 9), "logs": ("json", "debug"), "authorisers": ("another",)}
+            told.again = lambda: replace(world.told, **others)
+            with caplog.at_level(logging.WARNING):
+                reload(told, world.owner)
+                named = [record.key for record in caplog.records]
+                told.again = lambda: world.told
+                reload(told, world.owner)
+            assert named == [record.key for record in caplog.records] == ["listen", "logs", "authorisers"]
+
+    run(test())
+
+
 def test_a_gateway_waits_for_the_address_that_its_former_life_still_holds():
     async def test():
         async with World() as world:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -244,3 +244,16 @@
     assert platform_news({"KESTRELBEND_NEWS": "off"}, given_) is None
     given_["settings"]["policyLimits"]["peers"] = False
     assert platform_news({}, given_) is None
+
+
+def test_an_announcement_that_comes_late_does_not_replace_a_later_one():
+    end = MeteredUsageExchange(2, 1, PLANS, 60, 0)
+    early, late = ({7: QuotaShare(fraction, True)} for fraction in (0.1, 0.8))
+    (delayed,) = messages.encode_announcement(messages.PERIOD_MASK, early)
+    (newer,) = messages.encode_announcement(messages.PERIOD_MASK + 1, late)  # its number wraps around
+    end.receive(0, newer, 1)
+    end.receive(0, delayed, 2)
+    assert end.quota_share(7, 3).fraction > 0.7
+    again = int(2.6 * end.period_us)  # the meter is a new process, which counts from 1
+    end.receive(0, messages.encode_announcement(messages.PERIOD_MASK - 9, early)[0], again)
+    assert end.quota_share(7, again).fraction < 0.2
--- a/tests/tier/dataplane_world.py
+++ b/tests/tier/dataplane_world.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 import selectors
+import weakref
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -407,6 +408,7 @@
 
     def __init__(self) -> None:
         self.loop = VirtualLoop()
+        weakref.finalize(self, self.loop.close)  # also of a world that is never run
         self.table: RoutingTable | None = RoutingTable(1, ROUTES, SERVICES, Limits())
         self.budget = FakeBudget()
         self.lifecycle = Lifecycle()
--- a/tests/tier/link_doubles.py
+++ b/tests/tier/link_doubles.py
@@ -41,7 +41,7 @@
     def __init__(self, address="a"):
         self.hello = Hello(address, f"{address}#d", 1)
         self.log = self
-        self.opened = set()
+        self.opened = {}
         self.sent_bytes = 0
         self.got = []
 
--- a/tests/tier/test_dataplane_server.py
+++ b/tests/tier/test_dataplane_server.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import testtools
 
+from kestrelbend.lab.addresses import AddressReservations
 from kestrelbend.tier.dataplane.lifecycle import Lifecycle
 from kestrelbend.tier.dataplane.ready import ReadyApplication
 from kestrelbend.tier.dataplane.server import Listener, serve_all
@@ -55,9 +55,8 @@
 
     def play(self, story):
         async def main():
-            with socket.socket() as sock:
-                sock.bind(("127.0.0.1", 0))
-                self.port = sock.getsockname()[1]
+            reservations, self.writers = AddressReservations(), []
+            _, self.port = reservations.reserve(host="127.0.0.1")
             self.application, self.over, self.told = Application(), asyncio.Event(), []
             listener = Listener(
                 self.application, f"127.0.0.1:{self.port}", self.over.wait, lambda: self.told.append(1)
@@ -67,16 +66,22 @@
                 return await asyncio.wait_for(story(), 20)
             finally:
                 self.over.set()
+                for writer in self.writers:
+                    writer.close()
                 await asyncio.wait_for(serving, 20)
+                reservations.close()
 
         return asyncio.run(main())
 
     async def connect(self):
         while True:
             try:
-                return await asyncio.open_connection("127.0.0.1", self.port)
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
             except ConnectionRefusedError:
                 await asyncio.sleep(0)
+                continue
+            self.writers.append(writer)
+            return reader, writer
 
     async def exchange(self, data: bytes) -> bytes:
         """All that comes until the server closes."""
--- a/tests/tier/test_dataplane_sockets.py
+++ b/tests/tier/test_dataplane_sockets.py
@@ -10,6 +10,7 @@
 import attrs
 import testtools
 
+from kestrelbend.lab.addresses import AddressReservations
 from kestrelbend.tier.configuration.routing import Limits, RoutingTable
 from kestrelbend.tier.dataplane.app import assemble
 from kestrelbend.tier.dataplane.lifecycle import Lifecycle
@@ -80,9 +81,8 @@
         server = await asyncio.start_server(self.serve_backend, "127.0.0.1", 0)
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         self.backend = Backend("i-1", self._service, address, ZONE, "v1", 4, 0, 0, 1)
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            self.port = sock.getsockname()[1]
+        reservations, self.writers = AddressReservations(), []
+        _, self.port = reservations.reserve(host="127.0.0.1")
         over = asyncio.Event()
         listener = Listener(self.plane, f"127.0.0.1:{self.port}", over.wait)
         serving = asyncio.ensure_future(serve_all([listener]))
@@ -91,7 +91,10 @@
         finally:
             over.set()
             server.close()
+            for writer in self.writers:
+                writer.close()
             await asyncio.wait_for(serving, STORY_S)
+            reservations.close()
 
     async def ask(self, route: str, last: bool = True):
         """A client's connection on which a request was sent, the last one or not."""
@@ -101,6 +104,7 @@
                 break
             except ConnectionRefusedError:
                 await asyncio.sleep(0)
+        self.writers.append(writer)
         head = b"GET /%s/x HTTP/1.1\r\nHost: a.example\r\n" % route.encode() + REQUEST_ID
         writer.write(head + (b"Connection: close\r\n\r\n" if last else b"\r\n"))
         return reader, writer
--- a/tests/tier/test_discovery_registry.py
+++ b/tests/tier/test_discovery_registry.py
@@ -226,6 +226,19 @@
         self.assertEqual("full", self.registry.heartbeat("i-2", other, 0.0).code)
         self.assertEqual(2, self.registry.heartbeat("i-1", report(2), 0.0).sequence)
 
+    def test_given_too_many_backends_when_one_returns_that_was_presumed_departed_then_it_is_rejected(self):
+        self.patch(registry_module, "MAX_LIVE", 2)
+        for name in ("i-1", "i-2"):  # at one address
+            self.registry.heartbeat(name, report(1), 0.0)
+        self.registry.heartbeat("i-3", report(1, address="10.0.0.8:80"), 0.0)
+        self.assertEqual(DEPARTED, self.registry.get("i-1").state)
+        moved = report(2, address="10.0.0.7:80")
+        self.assertEqual("full", self.registry.heartbeat("i-1", moved, 1.0).code)
+        self.assertFalse(self.registry.merge(self.backend(2, READY), 1.0))
+        self.assertEqual(DEPARTED, self.registry.get("i-1").state)
+        self.registry.leave("i-3", 1.0)
+        self.assertEqual(READY, self.registry.heartbeat("i-1", moved, 1.0).state)
+
 
 class SilenceTest(testtools.TestCase):
     """Backends that become unresponsive."""
--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -370,7 +370,7 @@
 
 def process(address):
     """The endpoint of a connection, which does nothing."""
-    return mock.Mock(hello=Hello(address, f"{address}#d", 1), opened=set(), sent_bytes=0)
+    return mock.Mock(hello=Hello(address, f"{address}#d", 1), opened={}, sent_bytes=0)
 
 
 class TestSnapshots(testtools.TestCase):
--- a/tests/tier/test_member_summaries.py
+++ b/tests/tier/test_member_summaries.py
@@ -36,7 +36,7 @@
         message = decode(data)
         self.messages.append(message)
         if not self.cut:
-            self.receiver.summaries.merge(message, self.receiver.now)
+            self.receiver.summaries.merge(self, message, self.receiver.now)
 
 
 class Node:
@@ -130,6 +130,18 @@
         self.run_for(HEARTBEAT_S, ["c1"], applied=5)
         self.assertTrue(self.nodes["c2"].knows(GATEWAY))
 
+    def test_given_connections_that_end_then_nothing_is_kept_of_their_senders(self):
+        self.run_for(1.0, ["c1"])
+        receiver = self.nodes["c2"].summaries
+        for _ in range(3):
+            old = self.connection("c1", "c2")
+            self.nodes["c1"].connections[id(self.nodes["c2"])] = Connection(self.nodes["c2"])
+            self.run_for(HEARTBEAT_S, ["c1"])
+            receiver.lost(old)  # later than the next one's complete summary
+            self.run_for(1.0, ["c1"])
+            self.assertTrue(self.nodes["c2"].knows(GATEWAY))
+        self.assertEqual(2, receiver.sender_count)
+
     def test_given_a_node_that_stood_still_then_its_members_heartbeat_age_is_published_truly(self):
         self.run_for(5.0, ["c1"])
         self.run_for(3 * HEARTBEAT_S)
--- a/tests/tier/test_orders.py
+++ b/tests/tier/test_orders.py
@@ -241,6 +241,7 @@
         self._machine = machine
         self.pending = []
         self.owns = True
+        self.is_cut_off = False
         self.is_leader = True
         self.leader = ""
 
@@ -256,7 +257,7 @@
         return self.owns
 
     def confirm(self, shard, outcome, now):
-        if self.owns:
+        if self.owns and not self.is_cut_off:
             asyncio.get_running_loop().call_soon(outcome, True)
         return self.owns
 
@@ -307,6 +308,14 @@
 
         run(whole())
 
+    def evaluate_beside_the_loop(self, seconds):
+        async def aside(function):
+            await asyncio.sleep(seconds)
+            return function()
+
+        now = asyncio.get_running_loop().time
+        self.service = ConfigurationService(self.host, None, now, self.accept, aside)
+
     async def accept(self, version, within):
         self.accepted.append((version, within))
 
@@ -370,14 +379,8 @@
         self.play(story)
 
     def test_given_a_large_order_then_it_is_checked_beside_the_loop_and_others_go_on(self):
-        async def aside(function):
-            await asyncio.sleep(0.5)
-            return function()
-
         async def story():
-            self.service = ConfigurationService(
-                self.host, None, asyncio.get_running_loop().time, self.accept, aside
-            )
+            self.evaluate_beside_the_loop(0.4)
             large = put(0, 5, Padding="x" * LARGE_BYTES)
             tasks = self.begin(large, put(0, 3))
             await asyncio.sleep(0.01)
@@ -385,12 +388,35 @@
             self.assertEqual(200, (await tasks[1]).status)
             self.assertEqual([200, 412], await self.statuses(tasks[1:] + tasks[:1]))
             tasks = self.begin(put(3, 5, Padding="x" * LARGE_BYTES))
-            await asyncio.sleep(0.51)
+            await asyncio.sleep(0.41)
             self.host.commit()
             self.assertEqual([200], await self.statuses(tasks))
 
         self.play(story)
 
+    def test_given_a_check_that_takes_all_the_time_then_the_order_is_refused_when_it_comes_again(self):
+        async def story():
+            self.evaluate_beside_the_loop(0.5)
+            large = put(0, 5, Padding="x" * LARGE_BYTES)
+            tasks = self.begin(large, put(0, 3))
+            await asyncio.sleep(0.01)
+            self.host.commit()
+            self.assertEqual([UNDETERMINED, 200], await self.statuses(tasks))
+            began = asyncio.get_running_loop().time()
+            self.assertEqual([412], await self.statuses(self.begin(large)))
+            self.assertEqual(began, asyncio.get_running_loop().time())
+
+        self.play(story)
+
+    def test_given_a_majority_that_is_silent_then_a_refusal_waits_no_longer_than_its_caller(self):
+        async def story():
+            self.host.is_cut_off = True
+            outcome = await self.service.decide(ConfigOrder(int(OrderKind.PUT), 0, b"{"), 0.2)
+            self.assertEqual(UNDETERMINED, outcome.status)
+            self.assertAlmostEqual(0.2, asyncio.get_running_loop().time() - self.began, 3)
+
+        self.play(story)
+
     def test_given_a_large_order_that_is_checked_then_its_entry_says_so(self):
         async def story():
             tasks = self.begin(put(0, 3))
--- a/tests/tier/test_protocol_replies.py
+++ b/tests/tier/test_protocol_replies.py
@@ -19,9 +19,10 @@
     ReserveOutcome,
     Verdict,
 )
-from kestrelbend.tier.membership.messages import ConfigAck
+from kestrelbend.tier.membership.messages import ConfigAck, Hello
 from kestrelbend.tier.protocol.framing import HEADER_WORD
 from kestrelbend.tier.protocol.peer_connection import MAX_SEQUENCE, PeerConnection
+from kestrelbend.tier.protocol.peer_connections import PeerConnections
 from tests.tier import virtual_time
 from tests.tier.link_doubles import EndpointDouble, MemoryTransport
 
@@ -216,3 +217,31 @@
             BudgetReply("budget-0", True, "", outcomes[::-1]),
         )
         self.assertEqual([False] * 4, [answers(request, reply) for reply in others])
+
+
+class OrderTest(testtools.TestCase):
+    """A whole run repeats only if connections are made and closed in an order of their own."""
+
+    def test_given_addresses_in_any_order_then_they_are_dialled_in_that_of_their_names(self):
+        async def story():
+            hello = Hello("10.0.0.1:7", "", 1)
+            connections = PeerConnections(hello, None, *([lambda *_: None] * 3))
+            names = [f"10.0.0.{number}:7" for number in range(2, 9)]
+            connections.keep(reversed(names))
+            dialled = connections.addresses()
+            await connections.close()
+            return names, dialled
+
+        names, dialled = virtual_time.run(story())
+        self.assertEqual(names, dialled)
+
+    def test_given_connections_that_stand_then_they_are_closed_in_the_order_they_were_opened(self):
+        async def story():
+            endpoint = EndpointDouble("a:1")
+            opened = [PeerConnection(endpoint, outgoing=False) for _ in range(8)]
+            for connection in opened:
+                connection.connection_made(MemoryTransport())
+            return opened, list(endpoint.opened)
+
+        opened, to_close = virtual_time.run(story())
+        self.assertEqual(opened, to_close)
--- a/tests/tier/test_settings.py
+++ b/tests/tier/test_settings.py
@@ -1,7 +1,10 @@
 """The settings file: complete settings, or every fault at once."""
 
+import os
 import pathlib
 import shutil
+import subprocess
+import sys
 import tempfile
 
 import hypothesis
@@ -45,6 +48,26 @@
     return ()
 
 
+class StartTest(testtools.TestCase):
+    """What a role needs of its settings besides."""
+
+    def start(self, role, **values):
+        folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        path = folder / "boot.yaml"
+        path.write_text(yaml.safe_dump({**LEAST, **values}))
+        environment = {**os.environ, "KESTRELBEND_SETTINGS": str(path)}
+        command = [sys.executable, "-m", "kestrelbend", role]
+        return subprocess.run(command, env=environment, capture_output=True, text=True, check=False)
+
+    def test_given_no_folder_for_data_then_a_role_with_replicas_ends_with_one_line(self):
+        for role in ("control", "store"):
+            ended = self.start(role, Seeds=["127.0.0.1:1"])
+            self.assertEqual(2, ended.returncode)
+            [line] = ended.stderr.splitlines()
+            self.assertIn("boot.yaml: DataDir: is missing", line)
+
+
 class SettingsTest(testtools.TestCase):
     """Reading settings."""
 
