--- a/benchmarks/tier_stream.py
+++ b/benchmarks/tier_stream.py
@@ -169,7 +169,9 @@
 async def _serve(port: int, backend_port: int, clients: multiprocessing.Process) -> None:
     backend = Backend("i-1", "models", f"127.0.0.1:{backend_port}", "a", "v1", 64, 0, 0, 1)
     fixed = Fixed((backend,))
-    plane = assemble(Surroundings(fixed, fixed, Admitting(), TcpNetwork(), "a"), Lifecycle())
+    lifecycle = Lifecycle()
+    lifecycle.set_ready(True)
+    plane = assemble(Surroundings(fixed, fixed, Admitting(), TcpNetwork(), "a"), lifecycle)
 
     async def done() -> None:
         await asyncio.sleep(0.3)
--- a/kestrelbend/command/lab_fleet.py
+++ b/kestrelbend/command/lab_fleet.py
@@ -15,8 +15,17 @@
 
 if TYPE_CHECKING:
     from kestrelbend.tier.fleet.day import Result
+    from kestrelbend.tier.fleet.played_days import PlayedDays
 
 MAX_VIOLATIONS_SHOWN = 5  # of one day
+PROGRESS_INTERVAL_S = 30.0  # between two lines that say how far a search is
+
+
+def _play_timed(line: str) -> tuple[str, Result, float]:
+    """A day's line, its result, and the seconds of processor time that it took."""
+    begun = time.process_time()
+    result = _play_line(line)
+    return line, result, time.process_time() - begun
 
 
 def _play_line(line: str) -> Result:
@@ -43,6 +52,7 @@
         option("jobs", None, "Processes to play in.", flag=False, default=str(os.cpu_count() or 1)),
         option("without", None, "Take this guard out, to see what finds its removal.", flag=False),
         option("shrink", None, "Leave out what a failing day doesn't need."),
+        option("out", "o", "Keep each played day in this file, and go on where it ends.", flag=False),
     ]
 
     def handle(self) -> int:
@@ -55,8 +65,12 @@
             return self._search(first, seeds, jobs)
 
     def _play_one(self, line: str) -> int:
+        from kestrelbend.tier.fleet.day import UnknownKind
+
         try:
             result = _play_line(line)
+        except UnknownKind as unknown:
+            raise wrong(f"--day: {unknown}") from None
         except ValueError:
             raise wrong(f"--day: '{line}' names no day") from None
         self.say(result.day.describe())
@@ -65,21 +79,45 @@
         return FAILED if result.violations else DONE
 
     def _search(self, first: int, count: int, jobs: int) -> int:
-        begun = time.monotonic()
-        kinds = f"/{self.option('kinds')}" if self.option("kinds") else ""
-        lines = [f"{seed}{kinds}" for seed in range(first, first + count)]
-        failed = turns = orders = 0
+        from kestrelbend.tier.fleet.played_days import PlayedDay, PlayedDays
+
+        lines = self._lines(first, count)
+        played = PlayedDays(self.path_option("out"))
+        missing = [line for line in lines if line not in played]
+        begun = told = time.monotonic()
         with multiprocessing.get_context("fork").Pool(jobs) as pool:
-            for result in pool.imap(_play_line, lines):
-                turns += result.turns
-                orders += result.orders
+            days = pool.imap_unordered(_play_timed, missing)
+            for number, (line, result, seconds) in enumerate(days, 1):
+                played.add(PlayedDay.of(line, result, seconds))
                 if result.violations:
-                    failed += 1
                     self._show_violations(result)
+                if time.monotonic() - told >= PROGRESS_INTERVAL_S:
+                    told = time.monotonic()
+                    self.say_error(f"{number} of {len(missing)} days, {told - begun:.0f} s")
+        return self._tell_search(first, lines, played, time.monotonic() - begun)
+
+    def _lines(self, first: int, count: int) -> list[str]:
+        """The days to be played; ends the verb where `--kinds` names an unknown one."""
+        from kestrelbend.tier.fleet.day import Day, UnknownKind
+
+        kinds = f"/{self.option('kinds')}" if self.option("kinds") else ""
+        try:
+            Day.read(f"{first}{kinds}")
+        except UnknownKind as unknown:
+            raise wrong(f"--kinds: {unknown}") from None
+        return [f"{seed}{kinds}" for seed in range(first, first + count)]
+
+    def _tell_search(self, first: int, lines: list[str], played: PlayedDays, seconds: float) -> int:
+        wanted = set(lines)
+        days = [day for day in played.all() if day.line in wanted]
+        failed = [day for day in days if day.violations]
         self.say(
-            f"{count} days from seed {first}: {failed} broke a rule; {turns} tries of turns, {orders} orders,"
-            f" {time.monotonic() - begun:.0f} s"
+            f"{len(days)} days from seed {first}: {len(failed)} broke a rule;"
+            f" {sum(day.turns for day in days)} tries of turns, {sum(day.orders for day in days)} orders,"
+            f" {seconds:.0f} s"
         )
+        for day in failed:
+            self.say(f"    --day {day.line}: {day.violations[0]}")
         return FAILED if failed else DONE
 
     def _show_violations(self, result: Result) -> None:
--- a/kestrelbend/tier/fleet/day.py
+++ b/kestrelbend/tier/fleet/day.py
@@ -21,6 +21,13 @@
 CLOSINGS = ("none", "none", "power_off_all", "kill_all", "wipe_after_ack")
 
 
+class UnknownKind(ValueError):
+    """A name of no kind of fault."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"'{name}' is none of {', '.join(sorted(KINDS))}")
+
+
 @attrs.frozen
 class Fault:
     """One fault of a day; `place` is where it stands in the seed's whole list."""
@@ -52,10 +59,14 @@
 
     @classmethod
     def read(cls, line: str) -> Day:
-        """The day that `str` names; raises `ValueError` where the seed is no number."""
+        """The day that `str` names; raises `ValueError` where the seed is no number or a kind is unknown."""
         head, _, names = line.partition("/")
         seed, _, places = head.partition(":")
-        whole = cls.draw(int(seed), tuple(names.split(",")) if names else ())
+        kinds = tuple(names.split(",")) if names else ()
+        unknown = [kind for kind in kinds if kind not in KINDS]
+        if unknown:
+            raise UnknownKind(unknown[0])
+        whole = cls.draw(int(seed), kinds)
         if not places:
             return whole
         kept = places.split(",")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -39,6 +39,37 @@
     return reader, writer
 
 
+class WorkingTime:
+    """Seconds in which this process's loop had turns: a machine that holds the process up stops the clock.
+
+    On a quiet machine it is the steady clock, to one step.  Each step counts for twice its length at most.
+    """
+
+    STEP_S = 0.005
+
+    async def __aenter__(self):
+        self.now = 0.0
+        self._counting = asyncio.create_task(self._count())
+        return self
+
+    async def __aexit__(self, *_):
+        self._counting.cancel()
+
+    async def _count(self):
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(self.STEP_S)
+            now = time.monotonic()
+            self.now += min(now - last, 2 * self.STEP_S)
+            last = now
+
+
+async def timed(work):
+    """What the work gives, and the working time that it took."""
+    async with WorkingTime() as clock:
+        return await work, clock.now
+
+
 def run(test, seconds=20):
     """Runs a test's coroutine on a loop of its own, for so long at most; nothing of it stays open.
 
--- a/tests/tier/test_fleet_search.py
+++ b/tests/tier/test_fleet_search.py
@@ -1,13 +1,21 @@
 """A seeded search over days of mixed troubles; a failing day is told as one line for `lab fleet --day`."""
 
 import gc
+import json
 import os
+import pathlib
+import shutil
+import tempfile
 
 import logbook
 import testtools
+from cleo.testers.command_tester import CommandTester
 
+from kestrelbend.command.lab_fleet import FleetVerb
+from kestrelbend.command.outcome import DONE, FAILED, WRONG, CommandFailed
 from kestrelbend.tier.fleet.day import Day, play_day
 from kestrelbend.tier.fleet.disks import MemoryDisk
+from kestrelbend.tier.fleet.played_days import PlayedDay, PlayedDays
 from tests.tier.forked_pool import forked_pool
 
 SEEDS = 200
@@ -50,3 +58,47 @@
         with forked_pool(1) as pool:
             result = pool.map(play_with_disks_that_forget, (1,))[0]
         self.assertNotEqual((), result.violations)
+
+
+class TestFleetVerb(testtools.TestCase):
+    """`kestrelbend lab fleet` as it is called."""
+
+    def setUp(self):
+        super().setUp()
+        folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        self.file = folder / "days.jsonl"
+
+    def run_verb(self, words):
+        tester = CommandTester(FleetVerb())
+        try:
+            return tester.execute(words), tester.io.fetch_output()
+        except CommandFailed as failed:
+            return failed.code, str(failed)
+
+    def test_a_kind_that_is_unknown_is_named_beside_those_that_are_known(self):
+        for words in ("--kinds power,nonsense", "--day 1:0/nonsense"):
+            code, told = self.run_verb(words)
+            self.assertEqual(WRONG, code)
+            self.assertIn("'nonsense' is none of absent, ", told)
+
+    def test_a_search_that_was_ended_plays_only_what_is_missing(self):
+        options = f"--seeds 2 --first 3 --kinds gateway_kill --jobs 1 --out {self.file}"
+        code, told = self.run_verb(options)
+        self.assertEqual((DONE, True), (code, told.startswith("2 days from seed 3: 0 broke a rule")))
+        whole = self.file.read_text()
+        first, second = whole.splitlines(keepends=True)
+        self.file.write_text(first + second[:40])  # killed as it wrote
+        self.run_verb(options)
+        kept = self.file.read_text().splitlines(keepends=True)
+        self.assertEqual([first, second[:40] + "\n"], kept[:2])
+        self.assertEqual([json.loads(second)["line"]], [json.loads(line)["line"] for line in kept[2:]])
+        self.assertEqual(told.rpartition(",")[0], self.run_verb(options)[1].rpartition(",")[0])
+        self.assertEqual(3, len(self.file.read_text().splitlines()))
+
+    def test_a_day_that_broke_a_rule_is_told_again_by_a_search_that_plays_nothing(self):
+        day = PlayedDay("3/gateway_kill", "gateway_kill at 1.0", ("a rule",), 1, 1, 1.0)
+        PlayedDays(self.file).add(day)
+        code, told = self.run_verb(f"--seeds 1 --first 3 --kinds gateway_kill --jobs 1 --out {self.file}")
+        self.assertEqual(FAILED, code)
+        self.assertIn("--day 3/gateway_kill: a rule", told)
