--- a/kestrelbend/tier/fleet/faults/machines.py
+++ b/kestrelbend/tier/fleet/faults/machines.py
@@ -8,6 +8,7 @@
 
 from ..fleet import GRACE_S
 from ..machines import Machine
+from ..rules.groups import CATCH_UP_S
 from ..topology import ZONES
 from ..world import World
 from .kinds import fault
@@ -20,6 +21,7 @@
     start_all,
 )
 
+MAX_ROLLED = 3  # machines of one rolling restart
 LONG_S = 9.0  # long enough for others to take the place of what is gone
 
 
@@ -198,3 +200,27 @@
 async def add_gateway(world: World, rng: random.Random) -> None:
     """A front machine without a disk comes."""
     world.fleet.add_machine("front", rng.choice(ZONES), False, ("gateway",))
+
+
+@fault("roll_term", affects_quorum=True)
+async def roll_term(world: World, rng: random.Random) -> None:
+    """SIGTERM to some machines that count, one after the other, each once the one before has caught up."""
+    machines = rng.sample(world.fleet.quorum_machines(), MAX_ROLLED)
+    for machine in machines:
+        if machine.has_power:
+            await restart(world, machine)
+            await asyncio.sleep(CATCH_UP_S + 0.5)
+
+
+@fault("hup", affects_quorum=False)
+async def hup(world: World, rng: random.Random) -> None:
+    """SIGHUP to some processes one after the other; their settings may name the seeds in another order."""
+    if rng.random() < 0.5:
+        seeds = list(world.fleet.seeds)
+        rng.shuffle(seeds)
+        world.fleet.change_seeds(tuple(seeds))
+    for machine in list(world.fleet.machines.values()):
+        for process in machine.processes.values():
+            if process.running and rng.random() < 0.3:
+                world.fleet.reload(process)
+                await asyncio.sleep(rng.uniform(0.0, 0.2))
--- a/kestrelbend/tier/fleet/fleet.py
+++ b/kestrelbend/tier/fleet/fleet.py
@@ -281,6 +281,12 @@
         self.contact.fault_began(machine.name)
         machine.terminate()
 
+    def reload(self, process: Process) -> None:
+        """SIGHUP: the process reads its settings file again."""
+        self.log(f"{process.name} gets SIGHUP")
+        assert process.reload is not None, "a process that runs has set what SIGHUP does"
+        self.loop.call_soon(process.reload, context=process.current().context)
+
     def step_clock(self, machine: Machine, seconds: float) -> None:
         """The time of day jumps."""
         self.log(f"the clock of {machine.name} jumps by {seconds:.1f} s")
