--- a/kestrelbend/command/lab_model.py
+++ b/kestrelbend/command/lab_model.py
@@ -4,8 +4,10 @@
 
 import multiprocessing
 import os
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+import attrs
 from cleo.helpers import option
 
 from .outcome import DONE, FAILED, wrong
@@ -15,15 +17,33 @@
     from kestrelbend.tier.model.search import Found
 
 
-def _search(asked: tuple[str, int, int | None]) -> Found:
+@attrs.frozen
+class _Part:
+    """One process's part of the search from a script."""
+
+    script: str
+    faults: int
+    max_states: int | None
+    index: int
+    count: int
+
+
+def _search(part: _Part) -> Found:
     from kestrelbend.tier.model.orders import search_orders
     from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
-    from kestrelbend.tier.model.search import search
+    from kestrelbend.tier.model.search import Share, search
+
+    if part.script in ORDER_SCRIPTS:
+        return search_orders(part.script, part.faults)
+    return search(SCRIPTS[part.script], part.faults, part.max_states, Share(part.index, part.count))
+
+
+def _parts(name: str, faults: int, max_states: int | None, processes: int) -> list[_Part]:
+    """The parts of a script's search; a search of orders, or without a fault, is one."""
+    from kestrelbend.tier.model.scripts import SCRIPTS
 
-    name, faults, max_states = asked
-    if name in ORDER_SCRIPTS:
-        return search_orders(name, faults)
-    return search(SCRIPTS[name], faults, max_states)
+    count = processes if faults and name in SCRIPTS else 1
+    return [_Part(name, faults, max_states, index, count) for index in range(count)]
 
 
 class ModelVerb(Verb):
@@ -46,6 +66,7 @@
 
     def handle(self) -> int:
         from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
+        from kestrelbend.tier.model.search import merge
 
         known = [*SCRIPTS, *ORDER_SCRIPTS]
         depth = self.whole_option("depth", least=0)
@@ -55,11 +76,12 @@
         unknown = [name for name in names if name not in known]
         if unknown:
             raise wrong(f"--scripts: '{unknown[0]}' is none of {', '.join(known)}")
-        asked = [(name, depth, max_states) for name in names]
+        parts = {name: _parts(name, depth, max_states, -(-jobs // len(names))) for name in names}
         with self.guard_taken_out(), multiprocessing.get_context("fork").Pool(jobs) as pool:
-            return self._tell(pool.imap(_search, asked))
+            running = {name: [pool.apply_async(_search, (part,)) for part in parts[name]] for name in names}
+            return self._tell(merge([one.get() for one in running[name]]) for name in names)
 
-    def _tell(self, searches) -> int:
+    def _tell(self, searches: Iterable[Found]) -> int:
         states = broken = 0
         for found in searches:
             states += found.states
--- a/tests/tier/test_model.py
+++ b/tests/tier/test_model.py
@@ -13,7 +13,9 @@
 from kestrelbend.command.outcome import FAILED
 from kestrelbend.tier.model.orders import search_orders
 from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
-from kestrelbend.tier.model.search import search
+from kestrelbend.tier.fleet import mutations  # noqa: F401  (fills the registry)
+from kestrelbend.tier.fleet.guards import without
+from kestrelbend.tier.model.search import Share, merge, search
 from tests.tier.forked_pool import forked_pool
 
 DEPTH = int(os.environ.get("MODEL", "0"))
@@ -63,6 +65,22 @@
         self.assertEqual(expected, groups)
 
 
+class TestShares(testtools.TestCase):
+    def test_the_shares_of_a_search_cover_what_one_search_does(self):
+        whole = search(SCRIPTS["old_replies"], 1)
+        parts = [search(SCRIPTS["old_replies"], 1, share=Share(index, 3)) for index in range(3)]
+        merged = merge(parts)
+        alone = search(SCRIPTS["old_replies"], 0).states
+        self.assertEqual((True, "", whole.longest), (merged.complete, merged.broken, merged.longest))
+        self.assertGreaterEqual(merged.states - 2 * alone, whole.states)  # no state is left out
+        self.assertTrue(all(alone < part.states < whole.states for part in parts))
+
+    def test_what_one_share_finds_is_told(self):
+        with without("own-epoch"):
+            parts = [search(SCRIPTS["entry_of_an_older_epoch"], 1, share=Share(index, 2)) for index in (0, 1)]
+        self.assertNotEqual("", merge(parts).broken)
+
+
 class TestModelVerb(testtools.TestCase):
     def run_verb(self, *words):
         tester = CommandTester(ModelVerb())
