--- a/tests/tier/test_fleet_stories.py
+++ b/tests/tier/test_fleet_stories.py
@@ -8,6 +8,7 @@
 
 from kestrelbend.tier.fleet.fleet import Size
 from kestrelbend.tier.fleet.faults import KINDS, owner_machine, pick_quorum_machine, start_all
+from kestrelbend.tier.protocol.peer_connection import SILENCE_LIMITS
 from tests.tier.fleet_story import FleetStory
 
 
@@ -65,6 +66,28 @@
         self.tell(story)
 
 
+class TestSilence(FleetStory):
+    """A connection in memory ends after the silence that the sockets' options allow."""
+
+    def test_a_connection_whose_peer_is_cut_off_ends_after_as_long_as_on_sockets(self):
+        async def story(world):
+            machine = pick_quorum_machine(world, random.Random(1))
+            others = [other for other in world.fleet.machines.values() if other is not machine]
+            [process, *_] = machine.processes.values()
+            connections = process.instance.connections
+            internal = [address for address in connections.addresses() if connections.to(address)]
+            self.assertNotEqual([], internal)
+            world.fleet.partition(machine, others)
+            limit_s = SILENCE_LIMITS.unacknowledged_ms / 1000
+            await asyncio.sleep(limit_s / 2)
+            self.assertTrue(any(connections.to(address) for address in internal))
+            await asyncio.sleep(limit_s)
+            self.assertFalse(any(connections.to(address) for address in internal))
+            world.fleet.heal(machine, others)
+
+        self.tell(story)
+
+
 class TestCutsAndPauses(FleetStory):
     def cut_the_owner(self, one_way):
         async def story(world):
