--- a/kestrelbend/command/lab_model.py
+++ b/kestrelbend/command/lab_model.py
@@ -33,16 +33,15 @@
     from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
     from kestrelbend.tier.model.search import Share, search
 
+    share = Share(part.index, part.count)
     if part.script in ORDER_SCRIPTS:
-        return search_orders(part.script, part.faults)
-    return search(SCRIPTS[part.script], part.faults, part.max_states, Share(part.index, part.count))
+        return search_orders(part.script, part.faults, share)
+    return search(SCRIPTS[part.script], part.faults, part.max_states, share)
 
 
 def _parts(name: str, faults: int, max_states: int | None, processes: int) -> list[_Part]:
-    """The parts of a script's search; a search of orders, or without a fault, is one."""
-    from kestrelbend.tier.model.scripts import SCRIPTS
-
-    count = processes if faults and name in SCRIPTS else 1
+    """The parts of a script's search; one without a fault is whole."""
+    count = processes if faults else 1
     return [_Part(name, faults, max_states, index, count) for index in range(count)]
 
 
--- a/kestrelbend/tier/model/orders.py
+++ b/kestrelbend/tier/model/orders.py
@@ -30,7 +30,7 @@
 from .node import Node
 from .rules import require
 from .scripts import ORDER_SCRIPTS
-from .search import Found
+from .search import WHOLE, Found, Share
 from .world import Script, Step, World
 
 BASE = 1  # the version that the racing orders are made on
@@ -244,11 +244,11 @@
     longest: int = 0
 
 
-def search_orders(name: str, faults: int) -> Found:
-    """All runs of a script of orders with up to `faults` faults, each at any step."""
+def search_orders(name: str, faults: int, share: Share = WHOLE) -> Found:
+    """All runs of a script of orders with up to `faults` faults, each at any step; or a share of them."""
     begun = time.perf_counter()
     counted = RunCounters()
-    broken, steps = asyncio.run(_search(ORDER_SCRIPTS[name], faults, counted))
+    broken, steps = asyncio.run(_search(ORDER_SCRIPTS[name], faults, counted, share))
     return Found(
         script=name,
         faults=faults,
@@ -261,7 +261,9 @@
     )
 
 
-async def _search(script: Script, faults: int, counted: RunCounters) -> tuple[str, tuple[Step, ...]]:
+async def _search(
+    script: Script, faults: int, counted: RunCounters, share: Share
+) -> tuple[str, tuple[Step, ...]]:
     waiting: list[tuple[tuple[int, Step], ...]] = [()]
     while waiting:
         chosen = waiting.pop()
@@ -274,7 +276,8 @@
             world.end()
         if len(chosen) < faults:
             after = chosen[-1][0] if chosen else -1
-            waiting += [(*chosen, (at, step)) for at, step in alternatives if at > after]
+            later = [(*chosen, (at, step)) for at, step in alternatives if at > after]
+            waiting += later if chosen else [run for number, run in enumerate(later) if share.holds(number)]
     return "", ()
 
 
--- a/tests/tier/test_model.py
+++ b/tests/tier/test_model.py
@@ -75,6 +75,13 @@
         self.assertGreaterEqual(merged.states - 2 * alone, whole.states)  # no state is left out
         self.assertTrue(all(alone < part.states < whole.states for part in parts))
 
+    def test_the_shares_of_a_search_of_orders_play_each_run_once(self):
+        whole = search_orders("orders_race", 0)
+        parts = [search_orders("orders_race", 1, Share(index, 400)) for index in (0, 1)]
+        self.assertEqual(["", ""], [part.broken for part in parts])
+        self.assertTrue(all(part.states > whole.states for part in parts))
+        self.assertNotEqual(*(part.states for part in parts))
+
     def test_what_one_share_finds_is_told(self):
         with without("own-epoch"):
             parts = [search(SCRIPTS["entry_of_an_older_epoch"], 1, share=Share(index, 2)) for index in (0, 1)]
