--- a/kestrelbend/__main__.py
+++ b/kestrelbend/__main__.py
@@ -11,7 +11,7 @@
 TIER_ROLES = ("gateway", "control", "store")
 
 
-def serve(path=None):
+def serve(path: str | None = None) -> None:
     """Serve until SIGTERM, told by a TOML file or by the platform's environment."""
     # A fleet that starts at once has little CPU for each: none of what is imported is garbage, and looking
     # for some takes a seventh of the start.  Collecting begins when the gateway serves.
@@ -25,13 +25,15 @@
     serving(early, accept_queue, path)
 
 
-def main():
+def main() -> int | None:
     """Carries out what the command line says; returns the exit code, or None for 0."""
     arguments = sys.argv[1:]
     if not arguments:
-        return serve()
+        serve()
+        return None
     if arguments[0] == "serve" and len(arguments) < 3 and not arguments[-1].startswith("-"):
-        return serve(*arguments[1:])
+        serve(*arguments[1:])
+        return None
     if len(arguments) == 1 and arguments[0] in TIER_ROLES:
         from .tier.roles.start import serve_role
 
--- a/kestrelbend/command/application.py
+++ b/kestrelbend/command/application.py
@@ -41,6 +41,7 @@
     description = "The version of this program."
 
     def handle(self) -> int:
+        """Print the program and its version."""
         self.say(version_line())
         return DONE
 
@@ -53,6 +54,7 @@
     help = "Verbs:\n" + "\n".join(f"  {verb.name:16} {verb.description}" for verb in LAB_VERBS)
 
     def handle(self) -> int:
+        """Print which verbs the laboratory has."""
         self.say(f"Usage: {PROGRAM} lab VERB\n\n{self.help}")
         return WRONG
 
@@ -68,10 +70,12 @@
 
     @property
     def help(self) -> str:
+        """What the list of verbs begins with."""
         return "A quota gateway that keeps each customer of a shared back end to its plan."
 
     @property
     def long_version(self) -> str:
+        """What `--version` prints."""
         return version_line()
 
 
--- a/kestrelbend/command/checking.py
+++ b/kestrelbend/command/checking.py
@@ -4,8 +4,11 @@
 
 import enum
 from pathlib import Path
+from typing import ClassVar
 
 from cleo.helpers import option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
 
 from .outcome import DONE, wrong
 from .reading import read
@@ -33,10 +36,11 @@
 
     name = "check"
     description = "Say everything that is wrong with a file, each fault with its place."
-    arguments = [file_argument("The file to check.")]
-    options = [option("kind", None, f"What the file states: {KINDS}.", flag=False)]
+    arguments: ClassVar[list[Argument]] = [file_argument("The file to check.")]
+    options: ClassVar[list[Option]] = [option("kind", None, f"What the file states: {KINDS}.", flag=False)]
 
     def handle(self) -> int:
+        """Print every fault of the file with its place; exit code 2 where there is one."""
         path = self.existing_path()
         kind = self._kind() or guess(path)
         CHECKS[kind](path)
--- a/kestrelbend/command/lab_fleet.py
+++ b/kestrelbend/command/lab_fleet.py
@@ -6,9 +6,10 @@
 import multiprocessing
 import os
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 from cleo.helpers import option
+from cleo.io.inputs.option import Option
 
 from .outcome import DONE, FAILED, wrong
 from .verb import Verb
@@ -44,7 +45,7 @@
 
     name = "lab fleet"
     description = "Play days of mixed troubles on the whole tier in memory, and find those that break a rule."
-    options = [
+    options: ClassVar[list[Option]] = [
         option("seeds", None, "How many days to play.", flag=False, default="200"),
         option("first", None, "The first seed.", flag=False, default="1"),
         option("day", None, "Play this day alone (SEED:PLACES, as a failing one is told).", flag=False),
@@ -56,6 +57,7 @@
     ]
 
     def handle(self) -> int:
+        """Play one day, or a search over seeds; exit code 1 where a rule was broken."""
         first = self.whole_option("first")
         seeds = self.whole_option("seeds", least=1)
         jobs = self.whole_option("jobs", least=1)
--- a/kestrelbend/command/lab_model.py
+++ b/kestrelbend/command/lab_model.py
@@ -5,10 +5,11 @@
 import multiprocessing
 import os
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 import attrs
 from cleo.helpers import option
+from cleo.io.inputs.option import Option
 
 from .outcome import DONE, FAILED, wrong
 from .verb import Verb
@@ -50,7 +51,7 @@
 
     name = "lab model"
     description = "Search all runs of the replication core with some faults at any step for a broken rule."
-    options = [
+    options: ClassVar[list[Option]] = [
         option("depth", None, "Faults in a run.", flag=False, default="1"),
         option("scripts", None, "Begin from these scripts alone, with commas between.", flag=False),
         option(
@@ -64,6 +65,7 @@
     ]
 
     def handle(self) -> int:
+        """Search from each script; exit code 1 where a rule was broken."""
         from kestrelbend.tier.model.scripts import ORDER_SCRIPTS, SCRIPTS
         from kestrelbend.tier.model.search import merge
 
--- a/kestrelbend/command/lab_results.py
+++ b/kestrelbend/command/lab_results.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import ClassVar
 
 from cleo.helpers import option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
 
 from .outcome import DONE, wrong
 from .verb import Verb, file_argument
@@ -17,13 +20,14 @@
 
     name = "lab compare"
     description = "Paired differences between variants, with an interval."
-    arguments = [file_argument("A result file.", "results")]
-    options = [
+    arguments: ClassVar[list[Argument]] = [file_argument("A result file.", "results")]
+    options: ClassVar[list[Option]] = [
         option("base", None, "The variant that others are compared with.", flag=False),
         option("figure", None, "A figure to compare; may be told several times.", flag=False, multiple=True),
     ]
 
     def handle(self) -> int:
+        """Print the paired differences of a result file."""
         from kestrelbend.lab import experiment
 
         path = self.existing_path("results", folders=True)
@@ -37,10 +41,13 @@
 
     name = "lab report"
     description = "One self-contained HTML file with plots of all runs in a result file."
-    arguments = [file_argument("A result file.", "results")]
-    options = [option("out", "o", "The HTML file to write.", flag=False, default="report.html")]
+    arguments: ClassVar[list[Argument]] = [file_argument("A result file.", "results")]
+    options: ClassVar[list[Option]] = [
+        option("out", "o", "The HTML file to write.", flag=False, default="report.html")
+    ]
 
     def handle(self) -> int:
+        """Write the page of a result file."""
         from kestrelbend.lab import results
         from kestrelbend.lab.report import write
 
--- a/kestrelbend/command/lab_runs.py
+++ b/kestrelbend/command/lab_runs.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 from json import dumps
-from typing import Any
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, ClassVar
 
 from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
 
 from .outcome import DONE, FAILED, CommandFailed, wrong
 from .progress import progress
 from .reading import read
 from .verb import Verb, file_argument, results_option, seed_option, switch_options
 
+if TYPE_CHECKING:
+    from kestrelbend.lab.scenario import Scenario
+
 MOST_GOSSIPING = 500
 
 
@@ -20,8 +26,8 @@
 
     name = "lab emulate"
     description = "Run one scenario and say what it came to."
-    arguments = [file_argument()]
-    options = [
+    arguments: ClassVar[list[Argument]] = [file_argument()]
+    options: ClassVar[list[Option]] = [
         seed_option(),
         results_option(),
         *switch_options(
@@ -32,6 +38,7 @@
     ]
 
     def handle(self) -> int:
+        """Run the scenario; exit code 1 where a rule was broken or the figures are void."""
         from kestrelbend.lab import results
         from kestrelbend.lab.scenario import Scenario
 
@@ -47,7 +54,7 @@
         self._report(row, f"{scenario.name}, seed {row['seed']}")
         return self._verdict(figures)
 
-    def _run(self, path, scenario, sockets: bool):
+    def _run(self, path: Path, scenario: Scenario, sockets: bool) -> tuple[Any, dict[str, Any]]:
         from kestrelbend.lab.clock import NotOnSockets, Stuck
 
         if sockets:
@@ -89,13 +96,14 @@
 
     name = "lab gossip"
     description = "Measure membership alone, in simulated time: detection, false deaths, datagrams."
-    arguments = [argument("gateways", f"How many, 2 to {MOST_GOSSIPING}.")]
-    options = [
+    arguments: ClassVar[list[Argument]] = [argument("gateways", f"How many, 2 to {MOST_GOSSIPING}.")]
+    options: ClassVar[list[Option]] = [
         option("loss", None, "Part of the datagrams lost, 0 to 0.9.", flag=False, default="0"),
         option("seed", None, "Chance is drawn from it.", flag=False, default="1"),
     ]
 
     def handle(self) -> int:
+        """Run the membership of so many gateways and print what was measured."""
         gateways = self.whole_argument("gateways", least=2, most=MOST_GOSSIPING)
         loss = self.number_option("loss", least=0.0, most=0.9)
         seed = self.whole_option("seed")
@@ -110,13 +118,14 @@
 
     name = "lab load"
     description = "Send requests at their intended times, whatever comes back (open loop)."
-    arguments = [
+    arguments: ClassVar[list[Argument]] = [
         argument("target", "http://host:port, of a gateway or any HTTP server."),
         file_argument("A load file.", "file"),
     ]
-    options = [seed_option(), results_option()]
+    options: ClassVar[list[Option]] = [seed_option(), results_option()]
 
     def handle(self) -> int:
+        """Send the load and print what came back."""
         from kestrelbend.lab import load, results
 
         path = self.existing_path("file", folders=True)
@@ -139,8 +148,8 @@
 
     name = "lab experiment"
     description = "Run scenarios, seeds and variants over all cores; pairs share seeds."
-    arguments = [file_argument()]
-    options = [
+    arguments: ClassVar[list[Argument]] = [file_argument()]
+    options: ClassVar[list[Option]] = [
         option(
             "out",
             "o",
@@ -151,6 +160,7 @@
     ]
 
     def handle(self) -> int:
+        """Run what the result file has not yet, and print the table."""
         from kestrelbend.gateway.settings.toml_files import InvalidFile
         from kestrelbend.lab import experiment
 
--- a/kestrelbend/command/members.py
+++ b/kestrelbend/command/members.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
 
 from .asking import ask
 from .outcome import DONE
@@ -18,11 +19,12 @@
 
     name = "members"
     description = "Which gateways one gateway sees: state, incarnation, since when, how many duties."
-    arguments = [
+    arguments: ClassVar[list[Argument]] = [
         argument("where", "host:port where a gateway on this machine serves clients, or its TOML file.")
     ]
 
     def handle(self) -> int:
+        """Print the members as one gateway sees them."""
         where = self.argument("where")
         if where.endswith(".toml"):
             from kestrelbend.gateway.settings.installation import Installation
--- a/kestrelbend/command/serving.py
+++ b/kestrelbend/command/serving.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import ClassVar
 
 from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
 
 from .outcome import DONE
 from .verb import Verb
@@ -18,13 +20,14 @@
         "Serve as one gateway until SIGTERM; without a file, told by the platform's environment "
         "(ROUTER_CONFIG)."
     )
-    arguments = [argument("file", "An installation's TOML file.", optional=True)]
+    arguments: ClassVar[list[Argument]] = [argument("file", "An installation's TOML file.", optional=True)]
 
     def __init__(self, serve: Callable[[str | None], None]) -> None:
         self._serve = serve
         super().__init__()
 
     def handle(self) -> int:
+        """Serve until SIGTERM."""
         self._serve(self.argument("file"))
         return DONE
 
@@ -33,6 +36,7 @@
     """A role of the tier, told by the settings file that KESTRELBEND_SETTINGS names."""
 
     def handle(self) -> int:
+        """Run the role until SIGTERM; its exit code."""
         from kestrelbend.tier.roles.start import serve_role
 
         return serve_role(self.name)
--- a/kestrelbend/command/status.py
+++ b/kestrelbend/command/status.py
@@ -4,9 +4,11 @@
 
 import json
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, ClassVar
 
 from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
 
 from .asking import ask
 from .outcome import DONE, CommandFailed
@@ -20,10 +22,13 @@
 
     name = "status"
     description = "What a control process of the tier knows: processes, shards, versions, lag, backends."
-    arguments = [argument("address", "host:port of a control process's operator API.")]
-    options = [option("json", None, "Print the answer as it came.")]
+    arguments: ClassVar[list[Argument]] = [
+        argument("address", "host:port of a control process's operator API.")
+    ]
+    options: ClassVar[list[Option]] = [option("json", None, "Print the answer as it came.")]
 
     def handle(self) -> int:
+        """Print the status that one control process tells."""
         address = self.argument("address")
         told = ask(address, "/api/Status", "is it the operator's address of a control process?")
         if self.option("json"):
