--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -78,6 +78,7 @@
     """Plays a day on one text; raises `UnreadablePlay` where the bench gives no score."""
     load_before = os.getloadavg()[0]
     command = [str(comparison.bench), "run", str(comparison.site), day, "--seed", str(seed), "--jobs", "1"]
+    command += ["--why", f"paired days: {day} with seed {seed}, the text {text}"]
     done = subprocess.run(
         command, cwd=comparison.checkouts[text], capture_output=True, text=True, check=False
     )
--- a/tests/test_paired_days.py
+++ b/tests/test_paired_days.py
@@ -12,6 +12,7 @@
 
 BENCH = """#!{python}
 import sys
+open("why", "w").write(sys.argv[sys.argv.index("--why") + 1])
 score = {{"before": 0.5, "after": 0.75}}[open("text").read()]
 print("trouble-1            13/21   %.2f  0.820  0.976   0.000  0.010  worst windows 0.73" % score)
 print("to play it took 130.0 s: 7.8 s for the world, 112.8 s in the processes' own code, 9.3 s in the kernel")
@@ -37,6 +38,8 @@
     paired_days.play_pair(comparison, journal, 1, "trouble-1", 7)
     first, second = journal.plays.values()
     assert (first.text, first.score, second.text, second.score) == ("after", 0.75, "before", 0.5)  # odd pairs
+    why = (comparison.checkouts["after"] / "why").read_text()
+    assert why == "paired days: trouble-1 with seed 7, the text after"
     assert (first.worth, first.served, first.failed, first.own_code_s) == (0.82, 0.976, 0.01, 112.8)
 
 
--- a/tools/prove_packages.py
+++ b/tools/prove_packages.py
@@ -39,7 +39,7 @@
     """A package, a program or a start is missing; the text says which."""
 
 
-def installed_version(package: str) -> bool:
+def is_installed(package: str) -> bool:
     """Whether dpkg knows the package as installed."""
     asked = ["dpkg-query", "-W", "-f=${db:Status-Status}", package]
     return subprocess.run(asked, capture_output=True, text=True, check=False).stdout == "installed"
@@ -52,7 +52,7 @@
     found = []
     for clause in filter(None, (part.strip() for part in said.split(","))):
         names = [alternative.split("(")[0].split(":")[0].strip() for alternative in clause.split("|")]
-        found += [name for name in names if installed_version(name)][:1]
+        found += [name for name in names if is_installed(name)][:1]
     return found
 
 
@@ -64,7 +64,7 @@
         package = waiting.pop()
         if package in found:
             continue
-        if not installed_version(package):
+        if not is_installed(package):
             raise NotProven(f"{package} is not installed on this machine")
         found[package] = None
         waiting += dependencies_of(package)
