--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -27,6 +27,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
+from kestrelbend.json_lines import append_lines  # noqa: E402
 from kestrelbend.lab.experiment import interval  # noqa: E402
 
 TEXTS = ("before", "after")
@@ -111,7 +112,10 @@
         self.plays: dict[tuple[str, str, int, str], PlayedDay] = {}
         if path is not None and path.exists():
             for line in path.read_text().splitlines():
-                played = PlayedDay(**json.loads(line))
+                try:
+                    played = PlayedDay(**json.loads(line))
+                except (ValueError, TypeError):
+                    continue  # cut off by a kill: it is played again
                 self.plays[played.key] = played
 
     def add(self, played: PlayedDay) -> None:
@@ -119,8 +123,7 @@
         with self._lock:
             self.plays[played.key] = played
             if self._path is not None:
-                with self._path.open("a") as file:
-                    file.write(json.dumps(asdict(played)) + "\n")
+                append_lines(self._path, [json.dumps(asdict(played)).encode()])
             print(f"{played.site} {played.day} {played.seed} {played.text}: {played.score:.2f}", flush=True)
 
 
--- a/kestrelbend/lab/results.py
+++ b/kestrelbend/lab/results.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ..json_lines import append_lines
+
 VERSION = 1
 
 
@@ -41,14 +43,7 @@
 
 def write(path, rows):
     """Add lines at the end; a line is written whole or, when the run is killed, left to be passed over."""
-    with open(path, "ab+") as file:
-        if file.tell():
-            file.seek(-1, 2)
-            if file.read(1) != b"\n":  # a killed run left half a line: the next must not join it
-                file.write(b"\n")
-        for each in rows:
-            file.write(msgspec.json.encode(each) + b"\n")
-            file.flush()
+    append_lines(path, map(msgspec.json.encode, rows))
 
 
 def read(path):
--- a/kestrelbend/tier/fleet/played_days.py
+++ b/kestrelbend/tier/fleet/played_days.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from kestrelbend.json_lines import append_lines
+
 from .day import Result
 
 
@@ -39,11 +41,8 @@
         self._path = path
         self._days: dict[str, PlayedDay] = {}
         if path is not None and path.exists():
-            text = path.read_text()
-            for line in text.splitlines():
+            for line in path.read_text().splitlines():
                 self._read(line)
-            if text and not text.endswith("\n"):
-                path.write_text(text + "\n")  # the next line doesn't join one that is cut off
 
     def __contains__(self, line: str) -> bool:
         return line in self._days
@@ -56,8 +55,7 @@
         """Keeps one more day."""
         self._days[day.line] = day
         if self._path is not None:
-            with self._path.open("a") as file:
-                file.write(json.dumps(attrs.asdict(day)) + "\n")
+            append_lines(self._path, [json.dumps(attrs.asdict(day)).encode()])
 
     def _read(self, line: str) -> None:
         try:
--- a/tests/test_paired_days.py
+++ b/tests/test_paired_days.py
@@ -48,6 +48,9 @@
     held = comparison.out.read_text()
     paired_days.play_pair(comparison, paired_days.Journal(comparison.out), 0, "trouble-1", 7)
     assert comparison.out.read_text() == held and len(held.splitlines()) == 2
+    comparison.out.write_text(held[:-40])  # killed as it wrote
+    paired_days.play_pair(comparison, paired_days.Journal(comparison.out), 0, "trouble-1", 7)
+    assert len(paired_days.Journal(comparison.out).plays) == 2
 
 
 def test_a_play_without_a_score_is_named_and_no_pair(comparison, capsys):
