Authorisers: whether verdicts are kept is asked in one place

The check on remember and on the retry stood in AuthoriserState and again before the digest is made. tests/test_authorisation.py: 44 passed; linter and types clean.

--- a/kestrelbend/gateway/external_authorization/authoriser.py
+++ b/kestrelbend/gateway/external_authorization/authoriser.py
@@ -123,17 +123,18 @@
 
     # Cached verdicts.
 
-    def cached_verdict(self, now: int, key: VerdictKey, retry: bool) -> Verdict | None:
-        """The verdict on a marked retry, where it may be cached and is."""
-        if not retry or not self.settings.remember:
-            return None
+    @property
+    def caches_verdicts(self) -> bool:
+        """Whether the settings state for how long verdicts are kept, for marked retries."""
+        return self.settings.remember > 0
+
+    def cached_verdict(self, now: int, key: VerdictKey) -> Verdict | None:
+        """The verdict that is kept under the key, where it still holds."""
         cached = self._verdicts.get(key)
         return cached.verdict if cached is not None and now < cached.expires_at else None
 
     def cache_verdict(self, now: int, key: VerdictKey, verdict: Verdict) -> None:
-        """Keep an authoriser's verdict, where the settings state for how long."""
-        if not self.settings.remember:
-            return
+        """Keep an authoriser's verdict for as long as the settings state."""
         self._verdicts.pop(key, None)
         self._verdicts[key] = CachedVerdict(verdict, now + int(self.settings.remember * SECOND))
         while len(self._verdicts) > MAX_CACHED_VERDICTS:
--- a/kestrelbend/gateway/external_authorization/grpc/authorisers.py
+++ b/kestrelbend/gateway/external_authorization/grpc/authorisers.py
@@ -191,9 +191,9 @@
 
     def _cached_verdict(self, state: AuthoriserState, request: Request) -> Verdict | None:
         """The verdict on the same request, where this one is a marked retry of it."""
-        if not state.settings.remember or not request.retry:
+        if not state.caches_verdicts or not request.retry:
             return None
-        return state.cached_verdict(self.clock(), verdict_key(request), request.retry)
+        return state.cached_verdict(self.clock(), verdict_key(request))
 
     async def _call(
         self, connection: AuthoriserConnection, request: Request, timeout_s: float
@@ -209,7 +209,7 @@
             )
             answered = True
             verdict = self._verdict(state, response)
-            if state.settings.remember:
+            if state.caches_verdicts:
                 state.cache_verdict(self.clock(), verdict_key(request), verdict)
             counters["authoriser_allowed" if verdict.allowed else "authoriser_denied"] += 1
             return verdict
