--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -3,13 +3,13 @@
 python benchmarks/paired_days.py --bench FLEETBENCH --site SITE --before DIR --after DIR \\
     --day trouble-1:7301 --day scale-2:7312 --out pairs.jsonl
 
-Each pair is one day with one seed, played once on either checkout, one right after the other; which one goes first
-alternates.  No more than a quarter of the cores are busy with plays (`--jobs`).  Printed are each pair, the
-mean of the differences (after minus before) with its interval, processor time and the machine's load beside each
-play.  A change counts as a gain or a fall only where the interval leaves zero out.
+Each pair is one day with one seed, played once on either checkout, one right after the other; which one goes
+first alternates.  No more than a quarter of the cores are busy with plays (`--jobs`).  Printed are each pair,
+the mean of the differences (after minus before) with its interval, processor time and the machine's load
+beside each play.  A change counts as a gain or a fall only where the interval leaves zero out.
 
-`--out` keeps each play in a line of JSON; plays that it holds already are not repeated, so a run that was ended
-goes on where it was.  `--read FILE` prints what such a file holds and plays nothing.
+`--out` keeps each play in a line of JSON; plays that it holds already are not repeated, so a run that was
+ended goes on where it was.  `--read FILE` prints what such a file holds and plays nothing.
 """
 
 from __future__ import annotations
@@ -31,7 +31,8 @@
 
 TEXTS = ("before", "after")
 SCORE_LINE = re.compile(
-    r"^(?P<day>\S+) +\d+/\d+ +(?P<score>[\d.]+) +(?P<worth>[\d.]+) +(?P<served>[\d.]+) +\S+ +(?P<failed>[\d.]+)",
+    r"^(?P<day>\S+) +\d+/\d+ +(?P<score>[\d.]+) +(?P<worth>[\d.]+)"
+    r" +(?P<served>[\d.]+) +\S+ +(?P<failed>[\d.]+)",
     re.MULTILINE,
 )
 TIME_LINE = re.compile(r"to play it took (?P<wall>[\d.]+) s: .*?(?P<own>[\d.]+) s in the processes' own code")
@@ -77,7 +78,9 @@
     """Plays a day on one text; raises `UnreadablePlay` where the bench gives no score."""
     load_before = os.getloadavg()[0]
     command = [str(comparison.bench), "run", str(comparison.site), day, "--seed", str(seed), "--jobs", "1"]
-    done = subprocess.run(command, cwd=comparison.checkouts[text], capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        command, cwd=comparison.checkouts[text], capture_output=True, text=True, check=False
+    )
     said = done.stdout + done.stderr
     score = SCORE_LINE.search(said)
     took = TIME_LINE.search(said)
@@ -145,7 +148,10 @@
 def report(plays: Iterable[PlayedDay]) -> str:
     """The table of pairs and, for each figure, the mean difference with its 95% interval."""
     pairs = pairs_of(plays)
-    lines = ["| site | day | seed | score | worth | own code, s | load |", "| --- | --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        "| site | day | seed | score | worth | own code, s | load |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for before, after in pairs:
         lines.append(
             f"| {before.site} | {before.day} | {before.seed} | {before.score:.2f} / {after.score:.2f} "
--- a/kestrelbend/lab/loopback.py
+++ b/kestrelbend/lab/loopback.py
@@ -14,7 +14,6 @@
 import os
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -27,6 +26,7 @@
 from ..gateway.decisions import Gateway
 from ..gateway.settings.platform import flatten, settings
 from . import failures
+from .addresses import AddressReservations
 from .clock import LATE, LoopClock, NotOnSockets
 from .network import Party
 from .plant import LINGER, SWEEP
@@ -73,7 +73,8 @@
         self.folder, self.ended, self.text = None, False, None
         self.counter_wait = Gateway(settings(dict(flatten(stated(world.scenario, 0)))), 0, 0).counter.timeout
         self.lost_before, self.failed = False, []
-        self.datagrams = [free_address(n) for n in range(count)]
+        self.reservations = AddressReservations()
+        self.datagrams = [self.reservations.reserve(n) for n in range(count)]
 
     def keep(self, work):
         task = asyncio.get_running_loop().create_task(work)
@@ -179,7 +180,7 @@
 
     async def starting(self, index, life):
         if self.places[index] is None:
-            self.places[index] = free_address(index)
+            self.places[index] = self.reservations.reserve(index)
         seed = int(self.world.streams.of(f"gateway {index} life {life.number}").integers(0, 2**62))
         given = {
             "name": f"n{index}",
@@ -383,6 +384,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         if hasattr(self, "session"):
             await self.session.close()
+        self.reservations.close()
         self.broken = self.said_broken()
         if self.folder is not None and not self.failed and not self.broken:
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -403,13 +405,6 @@
         return found
 
 
-def free_address(number=0):
-    """An address of this process alone: the port is let go for a moment before a gateway takes it."""
-    with socket.socket() as free:
-        free.bind((f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.{1 + number % 250}", 0))
-        return free.getsockname()
-
-
 async def running(scenario, seed, progress, text):
     began, spent = time.monotonic(), time.process_time()
     world = World(scenario, LoopClock(), SocketPlant, seed)
--- a/kestrelbend/lab/results.py
+++ b/kestrelbend/lab/results.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import sys
+from pathlib import Path
 
 import msgspec
 
@@ -52,7 +53,7 @@
 
 def read(path):
     """All whole lines, in order; what is not a line of results is passed over with a warning."""
-    rows, text = [], open(path, "rb").read()
+    rows, text = [], Path(path).read_bytes()
     for number, line in enumerate(text.split(b"\n"), 1):
         if not line.strip():
             continue
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,9 +10,11 @@
 
 import os
 import pathlib
+import sys
 
 import pytest
 
+HELPERS = "tests.helpers"
 FILE = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 MOST = 3
 
@@ -42,6 +44,14 @@
         raise pytest.UsageError(f"{FILE.name}: names no test: {self.name}")
 
 
+@pytest.fixture(autouse=True)
+def release_addresses():
+    """What a test has reserved is free again after it."""
+    yield
+    if HELPERS in sys.modules:
+        sys.modules[HELPERS].reservations.close()
+
+
 def pytest_configure():
     """Wrong lines end the run before it begins, also where workers collect."""
     known_red()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,17 +7,59 @@
 import time
 
 import hiredis
+import uvloop
 
 from kestrelbend.gateway.settings import platform as terms
 from kestrelbend.gateway.simulator_adapter import codec
 from kestrelbend.gateway.simulator_adapter.host import Instance
 from kestrelbend.gateway.interface import Result
-from kestrelbend.lab.loopback import free_address
+from kestrelbend.lab.addresses import AddressReservations
 from kestrelbend.gateway.net import configuration
 from kestrelbend.gateway.net.configuration import GatewayConfiguration
 from kestrelbend.gateway.net.gateway import start
 
 MS = 1000
+reservations = AddressReservations()
+"""Of the running test: tests/conftest.py closes them at its end."""
+
+
+def reserve_address(number=0, host=None):
+    """A TCP address on loopback that nobody else gets while this test runs."""
+    return reservations.reserve(number, host)
+
+
+_opened = []  # writers of clients' connections
+_listening = []  # stand-ins
+
+
+async def connect(host, port):
+    """(reader, writer) of a client's connection, that `run` closes if the test doesn't."""
+    reader, writer = await asyncio.open_connection(host, port)
+    _opened.append(writer)
+    return reader, writer
+
+
+def run(test, seconds=20):
+    """Runs a test's coroutine on a loop of its own, for so long at most; nothing of it stays open.
+
+    Hazard: where a warning is an error, uvloop hangs as it closes a loop with a listener that is open.
+    """
+
+    async def whole():
+        try:
+            await asyncio.wait_for(test, seconds)
+        finally:
+            for writer in _opened:
+                writer.transport.abort()
+            for stand in _listening:
+                stand.close()
+            _opened.clear()
+            _listening.clear()
+            await asyncio.sleep(0.01)  # transports and servers that were closed end in a later turn
+
+    uvloop.run(whole())
+
+
 BASE = {
     "classes.count": 1,
     "classes.0.name": "op",
@@ -124,11 +166,16 @@
 class Stand:
     """A TCP server on loopback with its connections; closed at the end of a test."""
 
-    async def open(self, port=0):
+    port = None
+
+    async def open(self):
+        """Listens; once closed it may be opened again, at the same address."""
         self.writers = set()
-        self.server = await asyncio.start_server(self.met, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        if self.port is None:
+            _, self.port = reserve_address(host="127.0.0.1")
         self.address = f"127.0.0.1:{self.port}"
+        self.server = await asyncio.start_server(self.met, "127.0.0.1", self.port)
+        _listening.append(self)
         return self
 
     async def met(self, reader, writer):
@@ -246,8 +293,8 @@
     }
 
 
-class World:
-    """A gateway on loopback sockets between stand-ins."""
+class StandIns:
+    """What a gateway on loopback speaks to, and an address for it to listen at."""
 
     def __init__(self, backends=1, **changes):
         self.pairs = {
@@ -265,41 +312,12 @@
             await backend.open()
         self.rows = [row(f"s{n}", backend) for n, backend in enumerate(self.backends)]
         self.discovery = await StandDiscovery(*self.rows).open()
-        self.listen = free_address()
-        self.told = GatewayConfiguration(
-            "n0",
-            self.listen,
-            self.discovery.address,
-            ("127.0.0.1", self.counter.port),
-            7,
-            256,
-            None,
-            terms.settings({k: str(v) for k, v in self.pairs.items()}),
-            again=lambda: configuration.read(os.environ, anew=True),
-        )
-        self.owner, self.serving = await start(self.told)
-        await self.until(lambda: len(self.owner.listed) == len(self.rows))
+        self.listen = reserve_address()
         return self
 
     async def __aexit__(self, *_):
         for stand in (self.counter, self.discovery, *self.backends):
             stand.close()
-        await self.end(self.owner, self.serving)
-
-    @staticmethod
-    async def end(owner, serving):
-        """End a gateway that was started in this process."""
-        for task in (serving, owner.discovery.watching, owner.clients.accepting, owner.clients.looking):
-            task.cancel()
-        owner.clients.listener.close()
-        await owner.discovery.session.close()
-        peer = owner.backend_client
-        for delivery in peer.running.values():
-            delivery.cancel()
-        await asyncio.gather(*peer.running.values(), return_exceptions=True)
-        for backend in list(peer.links):
-            peer.unlisted(backend)
-        await asyncio.gather(*peer.tasks, return_exceptions=True)
 
     async def until(self, held, seconds=3.0):
         async with asyncio.timeout(seconds):
@@ -320,7 +338,7 @@
         listen=None,
     ):
         """(status, headers, body) of one request, on a connection of its own unless one is given."""
-        reader, writer = on or await asyncio.open_connection(*(listen or self.listen))
+        reader, writer = on or await connect(*(listen or self.listen))
         number = next(self.numbers) if number is None else number
         writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: api\r\n"
@@ -335,3 +353,43 @@
             if on is None:
                 writer.close()
         return int(line.split()[1]), headers, answer
+
+
+class World(StandIns):
+    """A gateway in this process between its stand-ins."""
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        self.told = GatewayConfiguration(
+            "n0",
+            self.listen,
+            self.discovery.address,
+            ("127.0.0.1", self.counter.port),
+            7,
+            256,
+            None,
+            terms.settings({k: str(v) for k, v in self.pairs.items()}),
+            again=lambda: configuration.read(os.environ, anew=True),
+        )
+        self.owner, self.serving = await start(self.told)
+        await self.until(lambda: len(self.owner.listed) == len(self.rows))
+        return self
+
+    async def __aexit__(self, *_):
+        await super().__aexit__()
+        await self.end(self.owner, self.serving)
+
+    @staticmethod
+    async def end(owner, serving):
+        """End a gateway that was started in this process."""
+        for task in (serving, owner.discovery.watching, owner.clients.accepting, owner.clients.looking):
+            task.cancel()
+        owner.clients.listener.close()
+        await owner.discovery.session.close()
+        peer = owner.backend_client
+        for delivery in peer.running.values():
+            delivery.cancel()
+        await asyncio.gather(*peer.running.values(), return_exceptions=True)
+        for backend in list(peer.links):
+            peer.unlisted(backend)
+        await asyncio.gather(*peer.tasks, return_exceptions=True)
--- a/tests/test_authorisation.py
+++ b/tests/test_authorisation.py
@@ -11,7 +11,6 @@
 
 import grpc
 import pytest
-import uvloop
 from grpc_health.v1 import health_pb2, health_pb2_grpc
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -31,7 +30,7 @@
 from kestrelbend.gateway.external_authorization.grpc.check import Checks as Front
 from kestrelbend.lab.grpc_stands import StandAuthoriser, StandProxy
 from kestrelbend.gateway.net.metrics import counters
-from tests.helpers import World, free_address
+from tests.helpers import World, connect, reserve_address, run
 from tests.test_configuration import EXAMPLE
 
 S = 1_000_000
@@ -44,10 +43,6 @@
     counters.clear()
 
 
-def run(test):
-    uvloop.run(asyncio.wait_for(test, 30))
-
-
 class Guarded:
     """A gateway on loopback that asks these stand-ins before its first deliveries."""
 
@@ -169,7 +164,7 @@
 def test_a_client_that_leaves_while_it_is_asked_for_is_not_sent_on():
     async def test():
         async with Guarded("stall", budget=1.0) as (world, stand):
-            on = await asyncio.open_connection(*world.listen)
+            on = await connect(*world.listen)
             asked = asyncio.create_task(world.ask(on=on, wait="2"))
             await world.until(lambda: stand.seen)
             on[1].close()
@@ -502,7 +497,7 @@
 
 def test_the_program_answers_checks_without_a_list_of_backends(tmp_path):
     async def test():
-        listen, checks = free_address(0), free_address(1)
+        listen, checks = reserve_address(0), reserve_address(1)
         text = EXAMPLE.read_text() + FRONTS.partition("[[authorisers]]")[0]
         text = text.replace('listen = "127.0.0.1:8080"', 'listen = "%s:%d"' % listen)
         text = text.replace('listen = "127.0.0.1:9001"', 'listen = "%s:%d"' % checks)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -19,8 +19,7 @@
 from kestrelbend.gateway.settings.installation import Installation
 from kestrelbend.gateway.net import configuration
 from kestrelbend.gateway.net.accept_queue import listen_address
-from tests.helpers import World
-from tests.test_net import run
+from tests.helpers import StandIns, run
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "gateway.toml"
 
@@ -166,10 +165,7 @@
     path = tmp_path / "gateway.toml"
 
     async def test():
-        async with World() as world:
-            await world.__aexit__()
-            for stand in (world.counter, world.discovery, world.backends[0]):
-                await stand.open(stand.port)
+        async with StandIns() as world:
             text = EXAMPLE.read_text().replace('name = "lookup"', 'name = "op"')
             for key, value in (
                 ("listen", "%s:%d" % world.listen),
@@ -193,7 +189,6 @@
                 stderr=asyncio.subprocess.PIPE,
             )
             try:
-                world.discovery.asked.clear()
                 await world.until(lambda: world.discovery.asked, 10)
                 assert (await world.ask(plan="starter", wait="3"))[0] == 200
                 path.write_text(text.replace("sockets = 1024", "sockets = 0"))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -30,8 +30,8 @@
 from kestrelbend.gateway.net.metrics import counters
 from kestrelbend.gateway.net.trust import FIRST_RESTS, REST_S
 
-from .helpers import StandDiscovery, World, free_address, read_request, row
-from .test_net import asked_for, nested, run
+from .helpers import StandDiscovery, StandIns, World, connect, read_request, row, run
+from .test_net import asked_for, nested
 
 C1 = "/op/00000000000000c1"
 
@@ -88,9 +88,9 @@
 class ScriptedDiscovery(StandDiscovery):
     """Each call meets the next of `play`; then the list as it is."""
 
-    async def open(self, port=0):
+    async def open(self):
         self.play, self.stuck, self.slow = [], False, 0
-        return await super().open(port)
+        return await super().open()
 
     async def talk(self, reader, writer):
         while True:
@@ -499,7 +499,7 @@
         async with World() as world:
             good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
             world.backends[0].play = [b"raw " + good + b"good<a moment later>" + good + b"late"]
-            on = await asyncio.open_connection(*world.listen)
+            on = await connect(*world.listen)
             assert (await world.ask(on=on))[2] == b"good"
             assert (await world.ask(on=on))[2] == b"fine"  # well within that moment
             assert (await world.ask(on=on))[2] == b"fine"
@@ -518,7 +518,7 @@
     async def test():
         async with World() as world:
             await trusted(world)
-            kept, on = set(world.backends[0].writers), await asyncio.open_connection(*world.listen)
+            kept, on = set(world.backends[0].writers), await connect(*world.listen)
             for n in range(5):
                 assert (await world.ask(f"/op/{n:016x}", on=on))[2] == b"fine"
             assert world.backends[0].writers == kept and len(kept) == 1
@@ -536,7 +536,7 @@
                 b"raw " + good + b"good" + noise,
                 b"raw " + good + b"good<a moment later>" + good + b"late",
             ]
-            on = await asyncio.open_connection(*world.listen)
+            on = await connect(*world.listen)
             assert (await world.ask(on=on))[2] == b"good"
             await asyncio.sleep(2 * REST_S)
             assert (await world.ask(on=on))[2] == b"good"
@@ -552,7 +552,7 @@
             await trusted(world)
             good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
             world.backends[0].play = [b"raw " + good + b"good<a moment later>" + good + b"late"]
-            on = await asyncio.open_connection(*world.listen)
+            on = await connect(*world.listen)
             assert (await world.ask(on=on))[2] == b"good"
             assert (await world.ask(on=on))[2] == b"fine"  # well within that moment
 
@@ -569,7 +569,7 @@
 
     async def test():
         async with World() as world:
-            backend, on = world.backends[0], await asyncio.open_connection(*world.listen)
+            backend, on = world.backends[0], await connect(*world.listen)
             backend.play = [slow(4)] * 3
             await trusted(world)
             kept = set(backend.writers)
@@ -586,7 +586,7 @@
         async with World(classes__0__effect="at_most_once") as world:
             await trusted(world)
             world.backends[0].play = [LATE]
-            doubtful, on = counters["answers_doubtful"], await asyncio.open_connection(*world.listen)
+            doubtful, on = counters["answers_doubtful"], await connect(*world.listen)
             assert (await world.ask(on=on))[2] == b"good"
             seen = len(world.backends[0].seen)
             assert (await world.ask(on=on))[2] == b"fine"
@@ -602,7 +602,7 @@
     async def test():
         async with World() as world:
             await trusted(world)
-            backend, on = world.backends[0], await asyncio.open_connection(*world.listen)
+            backend, on = world.backends[0], await connect(*world.listen)
             backend.play = [b"raw " + GOOD + b"good"]
             assert (await world.ask(on=on))[2] == b"good"
             backend.play, seen = ["hang"], len(backend.seen)
@@ -639,7 +639,7 @@
     async def test():
         async with World(1) as world:
             backend, met = world.backends[0], []
-            on, sockets = await asyncio.open_connection(*world.listen), world.owner.clients.sockets
+            on, sockets = await connect(*world.listen), world.owner.clients.sockets
             for n in range(4):
                 sockets.most, sockets.held = (256, lambda: 0) if n == 0 else (40, lambda: 39)
                 assert (await world.ask(f"/op/{n:016x}", on=on))[0] == 200
@@ -775,14 +775,15 @@
     async def test():
         async with World() as world:
             waits = socket.create_server(("127.0.0.1", 0))
-            ends = [plain(waits.getsockname()), await asyncio.open_connection(*world.listen)]
-            await world.owner.clients.adopt(waits.accept()[0], HeldConnection(plain(world.listen)))
+            ends = [plain(waits.getsockname()), await connect(*world.listen)]
+            spoken_for = plain(world.listen)
+            await world.owner.clients.adopt(waits.accept()[0], HeldConnection(spoken_for))
             assert (await world.ask(on=ends[1]))[0] == 200
             for handler in world.owner.clients.server.open:
                 connection = handler.transport.get_extra_info("socket")
                 assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
             assert len(world.owner.clients.server.open) >= 2
-            for end in (waits, ends[0]):
+            for end in (waits, ends[0], spoken_for):
                 end.close()
 
     run(test())
@@ -1029,7 +1030,7 @@
     async def test():
         async with World() as world:
             server, sockets = world.owner.clients.server, world.owner.clients.sockets
-            idle = [await asyncio.open_connection(*world.listen) for _ in range(12)]
+            idle = [await connect(*world.listen) for _ in range(12)]
             for n, on in enumerate(idle):
                 assert (await world.ask(f"/op/{n:016x}", on=on))[0] == 200
             world.backends[0].play = ["hang"]
@@ -1070,9 +1071,7 @@
 async def started(folder, sockets=1024, known=None, rows=None, **changes):
     """(world, process): the stand-ins of a world, and a gateway between them whose descriptors are limited by
     the system as well."""
-    async with World(**changes) as world:
-        await world.end(world.owner, world.serving)
-        world.discovery.asked.clear()
+    async with StandIns(**changes) as world:
         if rows is not None:
             world.discovery.rows = rows
         told = {
@@ -1111,7 +1110,7 @@
     async with asyncio.timeout(seconds):
         while True:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection(*world.listen)
+                reader, writer = await connect(*world.listen)
                 writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
                 line = await reader.readline()
                 writer.close()
@@ -1145,7 +1144,7 @@
             await asyncio.sleep(0.4)
             ones += crowd(world, 50, say)
             asked = len(world.discovery.asked)
-            await world.discovery.open(world.discovery.port)
+            await world.discovery.open()
             world.discovery.tell(*world.rows)
             await world.until(lambda: len(world.discovery.asked) > asked, 6)
             assert (await world.ask(wait="2"))[0] == 200 and len(world.backends[0].seen) == 1
@@ -1235,7 +1234,7 @@
         told = [
             replace(
                 world.told,
-                listen=free_address(),
+                listen=(world.listen[0], 0),
                 seed=n,
                 sockets=1 << 16,
                 settings={**world.told.settings, "gateway": n},
@@ -1243,7 +1242,7 @@
             for n in range(1, number)
         ]
         started_ = await asyncio.gather(*(start(one) for one in told))
-        others = [(one.listen, *rest) for one, rest in zip(told, started_, strict=True)]
+        others = [(owner.clients.listener.getsockname(), owner, serving) for owner, serving in started_]
         try:
             yield world, [(world.listen, world.owner, world.serving), *others]
         finally:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,8 +11,8 @@
 
 from kestrelbend.gateway.interface import Result, State
 
-from .helpers import MS, Front, World, free_address
-from .test_net import nested, run
+from .helpers import MS, Front, StandIns, connect, reserve_address, run
+from .test_net import nested
 
 
 @pytest.mark.parametrize("gateways", [2, 20, 200])
@@ -71,11 +71,8 @@
     """Three of four are killed at once under clients and come back; what a live one took is answered."""
 
     async def test():
-        async with World(2) as world:
-            await world.__aexit__()
-            for stand in (world.counter, world.discovery, *world.backends):
-                await stand.open(stand.port)
-            places, running, answers = [free_address(n) for n in range(4)], {}, []
+        async with StandIns(2) as world:
+            places, running, answers = [reserve_address(n) for n in range(4)], {}, []
 
             async def begin(n):
                 given = {
@@ -106,7 +103,7 @@
                     n, at = (number + at) % 4, at + 1
                     life, began = running[n], time.monotonic()
                     try:
-                        on = await asyncio.open_connection(*places[n])
+                        on = await connect(*places[n])
                     except OSError:
                         await asyncio.sleep(0.02)
                         continue
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -33,7 +33,7 @@
 from kestrelbend.gateway.net import configuration
 from kestrelbend.gateway.net.events import MembershipDue
 from kestrelbend.gateway.net.peers import Peers
-from tests.helpers import World, free_address
+from tests.helpers import StandIns, World, connect, reserve_address, run
 from tests.test_configuration import EXAMPLE
 from tests.test_net import nested
 
@@ -641,11 +641,14 @@
     assert fence.accepts(second.fencing_token) and not fence.accepts(first.fencing_token)
 
 
+LONGEST_S = 60  # of a test with processes
+
+
 class Trio:
     """Three carriers of membership on loopback, each with its queue worked by a task."""
 
     def __init__(self):
-        places = [free_address(n) for n in range(3)]
+        places = [reserve_address(n) for n in range(3)]
         gateway = SimpleNamespace(
             background=SimpleNamespace(load_reported=lambda *_: None),
             slow_start=SimpleNamespace(is_warming_up=lambda backend: False),
@@ -710,7 +713,7 @@
             assert second.holds("renew") > token
             await comes_true(lambda: "n0" not in third.core.view.live_names())
 
-    run_long(test())
+    run(test(), LONGEST_S)
 
 
 # Configuration.
@@ -775,13 +778,10 @@
         self.folder, self.running = folder, {}
 
     async def __aenter__(self):
-        self.world = world = await World(
+        self.world = world = await StandIns(
             2, feedback__how="probe", policyLimits__probing="true", feedback__fields="queue,inflight,util"
         ).__aenter__()
-        await world.__aexit__()
-        for stand in (world.counter, world.discovery, *world.backends):
-            await stand.open(stand.port)
-        self.places, self.udp = [free_address(n) for n in range(5)], [free_address(n) for n in range(5)]
+        self.places, self.udp = [reserve_address(n) for n in range(5)], [reserve_address(n) for n in range(5)]
         now = int(time.time() * 1000)
         self.rows = [row | {"boot_ms": now} for row in world.rows]
         world.discovery.rows = self.rows
@@ -828,11 +828,10 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
-        for stand in (self.world.counter, self.world.discovery, *self.world.backends):
-            stand.close()
+        await self.world.__aexit__()
 
     async def view(self, n):
-        reader, writer = await asyncio.open_connection(*self.places[n])
+        reader, writer = await connect(*self.places[n])
         writer.write(b"GET /_members HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         answer = await asyncio.wait_for(reader.read(), 3)
         writer.close()
@@ -909,13 +908,7 @@
                 # Due every half a second: missed for less than two seconds.
                 assert max(b - a for a, b in zip(times, times[1:], strict=False)) < 2.5
 
-    run_long(test())
-
-
-def run_long(test):
-    import uvloop
-
-    uvloop.run(asyncio.wait_for(test, 60))
+    run(test(), LONGEST_S)
 
 
 def test_a_wrong_key_a_doubled_name_and_a_return_under_its_own_name(tmp_path, timed):
@@ -941,7 +934,7 @@
             assert names[0] == "n0" and names[1].startswith("n0~") and names[2:] == ["n1", "n2"]
             assert "two gateways have one name" in (tmp_path / "0.log").read_text()
             assert "why=forged" in (tmp_path / "1.log").read_text()
-            answer = await five.world.ask(wait="2", on=await asyncio.open_connection(*five.places[0]))
+            answer = await five.world.ask(wait="2", on=await connect(*five.places[0]))
             assert answer[0] in (200, 429)  # both serve on: a cold backend takes little
 
-    run_long(test())
+    run(test(), LONGEST_S)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,6 @@
 from dataclasses import astuple, replace
 
 import pytest
-import uvloop
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from multidict import CIMultiDict
@@ -32,11 +31,7 @@
 from kestrelbend.gateway.net.endpoint_discovery import entries
 from kestrelbend.gateway.net.metrics import counters
 
-from .helpers import BASE, StandCounter, StandDiscovery, World, free_address, row
-
-
-def run(test, seconds=20):
-    uvloop.run(asyncio.wait_for(test, seconds))
+from .helpers import BASE, StandCounter, StandDiscovery, StandIns, World, connect, reserve_address, row, run
 
 
 def asked_for(owner, customer):
@@ -63,7 +58,7 @@
 def test_headers_go_on_but_for_those_of_the_connection():
     async def test():
         async with World() as world:
-            reader, writer = await asyncio.open_connection(*world.listen)
+            reader, writer = await connect(*world.listen)
             writer.write(
                 b"POST /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
                 b"X-Request-ID: 1\r\nX-Timeout: 1\r\n"
@@ -241,7 +236,7 @@
             world.backends[0].play = ["hang"] * 3
             out = asyncio.create_task(world.ask(wait="0.6"))
             await asyncio.sleep(0)
-            reader, writer = await asyncio.open_connection(*world.listen)
+            reader, writer = await connect(*world.listen)
             writer.write(
                 b"GET /op/00000000000000c2 HTTP/1.1\r\nHost: x\r\nApi-Plan: plan\r\n"
                 b"X-Request-ID: 2\r\nX-Timeout: 1\r\n\r\n"
@@ -314,7 +309,7 @@
             world.discovery.close()  # the agent is gone, then back
             await world.until(lambda: counters["discovery_failed"])
             world.discovery.rows = rows
-            await world.discovery.open(world.discovery.port)
+            await world.discovery.open()
             world.discovery.tell(*rows)
             await world.until(lambda: len(owner.listed) == 2)
 
@@ -359,19 +354,19 @@
                     }.items()
                 }
             )
-            listen = free_address()
+            listen = reserve_address()
             owner, serving = await start(replace(told, listen=listen, known=known, settings=settings))
             owner.gateway.context.started_at = (
                 owner.clock() + 100_000
             )  # its start took a while; none was dealt since
-            on = await asyncio.open_connection(*listen)
+            on = await connect(*listen)
             status, headers, _ = await world.ask(on=on)
             assert status == 429 and "retry-after" not in headers  # no unit of the ceiling comes along
             owner.gateway.context.started_at -= 10_000_000
             for customer in owner.customers.values():
                 customer.limit_dealt = None
             before = [len(b.seen) for b in world.backends]
-            on = await asyncio.open_connection(*listen)
+            on = await connect(*listen)
             assert (await world.ask(on=on))[0] == 200
             assert [len(b.seen) for b in world.backends] == [before[0], before[1] + 1]
             assert not owner.backends["s0"].latencies.count
@@ -439,7 +434,7 @@
 
     async def test():
         async with World(familyInfo__mostUnits=6) as world:
-            on = await asyncio.open_connection(*world.listen)
+            on = await connect(*world.listen)
             assert (await world.ask(**given, on=on))[0] == 400
             assert await asyncio.wait_for(on[0].read(), 1) == b""  # and its connection ends
             assert not world.backends[0].seen and not world.owner.customers
@@ -463,7 +458,7 @@
     async def test():
         async with World() as world:
             for later in (False, True):
-                reader, writer = await asyncio.open_connection(*world.listen)
+                reader, writer = await connect(*world.listen)
                 asked = [
                     f"GET {C1} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {n}{later}\r\nApi-Plan: plan\r\n\r\n"
                     for n in range(9)
@@ -485,14 +480,14 @@
 
     async def test():
         async with World() as world:
-            kept = await asyncio.open_connection(*world.listen)
+            kept = await connect(*world.listen)
             assert (await world.ask(on=kept))[0] == 200
             for said in (
                 b"",
                 b"GET " + C1.encode() + b" HTTP/1.1\r\nX-Pad: ",
                 b"POST " + C1.encode() + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf",
             ):
-                reader, writer = await asyncio.open_connection(*world.listen)
+                reader, writer = await connect(*world.listen)
                 writer.write(said)
                 came = await asyncio.wait_for(reader.read(), 1)
                 assert came.startswith(b"HTTP/1.1 408 ") if said else came == b""
@@ -588,7 +583,7 @@
             assert (await world.ask())[0] == 200 and len(world.backends[0].seen) == 2
             logging.getLogger("aiohttp.server").addFilter(key_value_logging.no_bad_requests)
             for garbage in (b"\x00garbage\r\n\r\n", b"GET /op/c1 HTTP/1.1\r\n\r\n"):
-                reader, writer = await asyncio.open_connection(*world.listen)
+                reader, writer = await connect(*world.listen)
                 writer.write(garbage)
                 assert b" 400 " in await asyncio.wait_for(reader.readline(), 1)
 
@@ -621,9 +616,9 @@
         async with World() as world:
             world.owner.clients.sockets.most = 2 * 2
             world.owner.clients.sockets.held = lambda: 0
-            first = await asyncio.open_connection(*world.listen)
+            first = await connect(*world.listen)
             assert (await world.ask(on=first))[0] == 200
-            others = [await asyncio.open_connection(*world.listen) for _ in range(2)]
+            others = [await connect(*world.listen) for _ in range(2)]
             assert await asyncio.wait_for(first[0].read(), 1) == b""
             assert [(await world.ask(on=other))[0] for other in others] == [200] * 2
 
@@ -636,7 +631,7 @@
 
     async def test():
         async with World() as world:
-            on, server = await asyncio.open_connection(*world.listen), world.owner.clients.server
+            on, server = await connect(*world.listen), world.owner.clients.server
             assert (await world.ask(on=on))[0] == 200
             server.hang_up(next(iter(server.open)))
             with pytest.raises(asyncio.IncompleteReadError) as seen:
@@ -653,7 +648,7 @@
     async def test():
         async with World() as world:
             peer, target = world.owner.backend_client, world.owner.backends["s0"]
-            on = await asyncio.open_connection(*world.listen)
+            on = await connect(*world.listen)
             await world.until(lambda: world.owner.clients.server.open)
             allowed, peer.sockets.most = peer.sockets.most, 40
             held, peer.sockets.held = peer.sockets.held, lambda: 39
@@ -702,11 +697,7 @@
         self.folder = folder
 
     async def __aenter__(self):
-        self.world = world = await World().__aenter__()
-        await world.__aexit__()
-        for stand in (world.counter, world.discovery, world.backends[0]):
-            await stand.open(stand.port)
-        world.discovery.asked.clear()
+        self.world = world = await StandIns().__aenter__()
         given = {
             "name": "n0",
             "listen": "%s:%d" % world.listen,
@@ -737,7 +728,7 @@
 async def connected(world):
     for _ in range(400):
         try:
-            return await asyncio.open_connection(*world.listen)
+            return await connect(*world.listen)
         except OSError:
             await asyncio.sleep(0.01)
     raise TimeoutError
@@ -787,20 +778,23 @@
             b"GET / HTTP/1.1\r\nX-Timeout: no.\r\n\r\n",
             b"a" * (1 << 15),
         ):
-            on.append(await asyncio.open_connection(*at))
+            on.append(await connect(*at))
             on[-1][1].write(said)
-        refused = await asyncio.open_connection(*at)
+        refused = await connect(*at)
         refused[1].write(b"GET / HTTP/1.1\r\nX-Timeout: 1.0\r\n\r\n")
         assert b" 503 " in await asyncio.wait_for(refused[0].readline(), 1)  # well before its time is over
-        more = [await asyncio.open_connection(*at) for _ in range(100)]
+        more = [await connect(*at) for _ in range(100)]
         before = time.monotonic_ns()
         await asyncio.sleep(0.1)
         listener, held = accept_queue.hand_over()
-        assert len(held) == 64 and accept_queue.refused == 1 and listener.accept()
+        left, _ = listener.accept()
+        assert len(held) == 64 and accept_queue.refused == 1
         assert [bytes(h.data[:5]) for h in held[:4]] == [b"GET /"] * 3 + [b"aaaaa"]
         assert all(h.came < before for h in held[:4]) and len(held[3].data) <= 2 << 14
         for each in (*on, *more, refused):
             each[1].close()
+        for each in (left, listener, *(connection.socket for connection in held)):
+            each.close()
 
     run(test())
 
@@ -822,7 +816,7 @@
             before = world.owner.clock()
 
             async def ask(n, connection=None):
-                on.append(connection or await asyncio.open_connection(*at))
+                on.append(connection or await connect(*at))
                 on[-1][1].write(
                     b"GET /op/00000000000000c1 HTTP/1.1\r\nHost: api\r\nApi-Plan: plan\r\n"
                     b"X-Request-ID: %d\r\nX-Timeout: 9\r\n\r\n" % n
@@ -830,7 +824,7 @@
 
             for n in range(3):
                 await ask(n)
-            silent = await asyncio.open_connection(*at)  # waits as long, and asks later
+            silent = await connect(*at)  # waits as long, and asks later
             await asyncio.sleep(0.3)
             owner, queue = world.owner, asyncio.Queue()
             server = clients.Clients(
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -18,8 +18,7 @@
 from kestrelbend.gateway.usage_sharing.messages import CustomerUsage, QuotaShare
 from kestrelbend.gateway.usage_sharing.meter import UsageMeter
 
-from .helpers import Front, free_address
-from .test_net import run
+from .helpers import Front, reserve_address, run
 
 SECOND = 1_000_000
 PLANS = Front(contracts__0__refill=2, contracts__0__storeSize=6).inst.settings["plans"]
@@ -198,7 +197,7 @@
 
 def test_two_gateways_on_sockets_share_what_they_saw():
     async def scene():
-        places, fronts = [free_address(), free_address()], [Front(index=n) for n in (0, 1)]
+        places, fronts = [reserve_address(), reserve_address()], [Front(index=n) for n in (0, 1)]
         peers, queues = [], [asyncio.Queue(), asyncio.Queue()]
         for n, front in enumerate(fronts):
             told = UsageExchangeAddresses(places[n], places, places[1 - n], 600.0)
