--- a/review/common/tier.py
+++ b/review/common/tier.py
@@ -168,7 +168,9 @@
     @property
     def controls(self) -> list[str]:
         """The addresses of the operator's API."""
-        return [f"{each.ip}:{self.control_port}" for each in self.machines.values() if "control" in each.roles]
+        return [
+            f"{each.ip}:{self.control_port}" for each in self.machines.values() if "control" in each.roles
+        ]
 
     @property
     def gateways(self) -> list[Machine]:
@@ -191,7 +193,7 @@
         values: dict[str, Any] = {
             "Node": machine.name, "Role": role, "Class": "storage" if role == "store" else "front",
             "Serves": serves, "Ip": ip, "Zone": machine.zone, "Region": "east",
-            "Zones": {zone: "east" for zone in ZONES}, "Listen": listen,
+            "Zones": dict.fromkeys(ZONES, "east"), "Listen": listen,
             "PortRange": [self.first_port, self.first_port + 15], "Seeds": self.controls,
             "Bootstrap": bootstrap, "CountsForQuorum": has_disk,
             "Limits": {
@@ -311,11 +313,12 @@
         self._sequence = 0
         self._server: asyncio.Server | None = None
         self._task: asyncio.Task[None] | None = None
+        self._connections: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Listens, and begins to report."""
         host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._server = await asyncio.start_server(self._accept, host, int(port))
         self._task = asyncio.create_task(self._report())
 
     def heartbeat_body(self, state: str = "ready") -> bytes:
@@ -343,6 +346,11 @@
             await self.report("Instances.Heartbeat", self.heartbeat_body())
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._connections.add(task)
+        task.add_done_callback(self._connections.discard)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
             while True:
@@ -369,6 +377,10 @@
             self._task.cancel()
         if self._server is not None:
             self._server.close()
+        tasks = [*self._connections]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def plain_answer(
@@ -392,6 +404,31 @@
     return {"Ver": version, "Routes": routes, "Services": services, "Limits": limits}
 
 
+def run_case(folder: pathlib.Path, play: Callable[[Record], Awaitable[bool]]) -> int:
+    """Plays a case and writes `record.txt`; 0: the rule held, 1: it was broken, 2: the case could not run."""
+
+    async def within_limit() -> bool:
+        """The whole case, in less than the 120 seconds that a script may take."""
+        async with asyncio.timeout(110):
+            return await play(record)
+
+    record = Record(folder / "record.txt")
+    try:
+        held = asyncio.run(within_limit())
+    except (CannotRun, OSError) as reason:
+        record.line(f"cannot run: {reason!r}")
+        print(f"cannot run: {reason!r}")
+        return 2
+    record.line("the rule held" if held else "the rule is broken")
+    print("held" if held else "broken")
+    return 0 if held else 1
+
+
+def has_trouble() -> bool:
+    """Whether the disruption is to be played: `TROUBLE=0` leaves it out."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
 def new_request_id() -> str:
     """An id that no other request has."""
     return f"{random.randrange(16**16):016x}"
