--- a/review/common/tier.py
+++ b/review/common/tier.py
@@ -148,6 +148,7 @@
     """The processes of the deploy file: three control machines with a gateway, gateways, three stores."""
 
     def __init__(self, record: Record, gateways: int = 1, disk_mb: int = 64) -> None:
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)  # processes inherit an ignored signal, as below `nohup`
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kestrelbend-review-"))
         self._disk_mb = disk_mb
