--- a/review/common/tier.py
+++ b/review/common/tier.py
@@ -459,7 +459,7 @@
     record = Record(folder / "record.txt")
     try:
         held = asyncio.run(within_limit())
-    except (CannotRun, OSError) as reason:
+    except (CannotRun, OSError, ValueError, LookupError, TypeError) as reason:  # no result
         record.line(f"cannot run: {reason!r}")
         print(f"cannot run: {reason!r}")
         return 2
