Stores complete the configuration's group where control nodes are too few

Cause: the configuration's shard was placed on control nodes alone, and `next_voters` goes on with as many candidates as there are: three voters where five are needed. The budgets' shards fall back on the other class of disks and wait for a complete group; this one did neither.

Change: stores are its last candidates. They complete the group once their disks are recorded, stand after the control nodes in the order, and are replaced by control nodes that come. A store that is elected answers as a process that is not the owner and transfers the leadership to a control node; where all that voted are lost, it takes live ones into the group first. Stores hold no reports of backends that leave, so they don't count there. Connections to target voters are kept, so that a replica that is not a voter yet is filled without reconnecting. A target is set only once the owner has committed an entry of its term, since it needs all records of nodes that are being emptied. Why it works: an acknowledgement now counts on three of five disks, and the two that may go leave one of them and a majority.

The fleet in memory takes `Tolerate.Nodes` as a part of its size, and its rule asks for groups of that size: it played 1 alone, so no search could see this.

--- a/kestrelbend/tier/configuration/shard_service.py
+++ b/kestrelbend/tier/configuration/shard_service.py
@@ -31,15 +31,14 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
-import attrs
-
 from ..errors import TierError
 from ..membership.placement import CONFIGURATION_SHARD, address_of
-from ..protocol.codec import decode, encode
+from ..protocol.codec import encode
 from .document_orders import checked_entry
 from .messages import UNDETERMINED, ConfigOrder, ConfigOutcome, OrderKind, ReadReply, ReadRequest
 from .shard_ports import HostedShards, OwnerConnections, RunOffLoop, run_inline
 from .state import ConfigurationState
+from .state_machine import ConfigurationStateMachine
 from .statuses import OK
 
 if TYPE_CHECKING:
@@ -66,41 +65,6 @@
         super().__init__("configuration shard: no replica is open in this process: check `is_open` first")
 
 
-@attrs.frozen
-class FinishedSnapshot:
-    """A snapshot that was encoded in one step."""
-
-    state: bytes
-
-    def advance(self) -> bytes:
-        """Returns the complete encoded state."""
-        return self.state
-
-
-class ConfigurationStateMachine:
-    """Adapts `ConfigurationState` to the state machine interface of a shard."""
-
-    def __init__(self) -> None:
-        self.state = ConfigurationState()
-
-    def apply(self, command: bytes) -> ConfigOutcome:
-        """Applies an encoded order."""
-        order: ConfigOrder = decode(command)
-        return self.state.apply(order)
-
-    def begin_snapshot(self) -> FinishedSnapshot:
-        """Returns a snapshot of the state; it takes milliseconds because the document is kept as bytes."""
-        return FinishedSnapshot(self.state.snapshot())
-
-    def snapshot(self) -> bytes:
-        """Returns the complete encoded state."""
-        return self.state.snapshot()
-
-    def restore(self, state: bytes) -> None:
-        """Replaces the state; raises `snapshot.SnapshotError` and keeps the state if it is unreadable."""
-        self.state.restore(state)
-
-
 class ConfigurationService:
     """Forwards orders to the owner, and decides on them if this process is the owner.
 
--- a/kestrelbend/tier/configuration/stores.py
+++ b/kestrelbend/tier/configuration/stores.py
@@ -139,6 +139,15 @@
         """Whether a node with this name has ever served as a store."""
         return any(disk.node == node and disk.serves_storage for disk in self._disks.values())
 
+    def is_recorded(self, replica: str) -> bool:
+        """Whether the disk of a replica is recorded."""
+        return replica in self._disks
+
+    def is_storage_disk(self, replica: str) -> bool:
+        """Whether the replica is on the disk of a node that serves as a store."""
+        disk = self._disks.get(replica)
+        return disk is not None and disk.serves_storage
+
     def replicas_of(self, node: str) -> set[str]:
         """Returns the replicas on all disks that the node ever had."""
         return {disk.replica for disk in self._disks.values() if disk.node == node}
--- a/kestrelbend/tier/control/backend_reports.py
+++ b/kestrelbend/tier/control/backend_reports.py
@@ -1,10 +1,10 @@
 """Processes backends' own reports: records them in the registry and publishes them to nodes and gateways.
 
-Invariant: a backend's report that it is draining or has ended is acknowledged only by a node in contact, once
-the processes of a majority of the configuration shard's voters hold it.  Any other majority includes one of
-these processes, and whoever connects to that one receives the report; a gateway in contact is connected to
-all of them.  A plain heartbeat is accepted by any node: its acknowledgement guarantees nothing, and after a
-loss of all control nodes the gateways become ready only once backends have reported.
+Invariant: a backend's report that it is draining or has ended is acknowledged only by a node in contact, once a
+majority of the control nodes that vote in the configuration shard holds it.  Whoever connects to one of these
+receives the report; a gateway in contact is connected to all of them.  A plain heartbeat is accepted by any
+node: its acknowledgement guarantees nothing, and after a loss of all control nodes the gateways become ready
+only once backends have reported.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 RETRY_INTERVAL_S = 0.1  # between checks whether a report may be acknowledged
 
 MayAcknowledge = Callable[[set[str]], bool]
-"""Whether this node is in contact and forms a majority together with these other control nodes."""
+"""Whether this node is in contact, and it and these other control nodes are enough to hold a report."""
 
 
 class BackendReports:
@@ -43,10 +43,10 @@
         self._may_acknowledge = may_acknowledge
         self._published_change = 0  # the registry's change number up to which changes were published
         self._reported_here: set[str] = set()  # backends that reported here since the last update to peers
-        self._majority_states: dict[str, int] = {}  # states that a majority holds, of non-ready backends
+        self._held_states: dict[str, int] = {}  # states that enough nodes hold, of non-ready backends
 
     async def heartbeat(self, identity: str, report: dict[str, Any]) -> ReportOutcome:
-        """Handles a heartbeat; that of a draining backend is acknowledged once a majority holds it."""
+        """Handles a heartbeat; that of a draining backend is acknowledged once enough nodes hold it."""
         return await self._publish_outcome(self._registry.heartbeat(identity, report, self._now()))
 
     async def leave(self, identity: str) -> ReportOutcome:
@@ -81,7 +81,7 @@
         if nothing_urgent and outcome.state == BackendState.READY:
             return ReportOutcome.ACCEPTED
         changes = self._take_changes()
-        if outcome.state != BackendState.READY and not self._majority_holds(outcome):
+        if outcome.state != BackendState.READY and not self._is_held(outcome):
             return await self._publish_leaving(outcome, changes)
         if any(backend.state != BackendState.READY for backend in changes):
             await self._exchange.notify_all(changes)
@@ -109,18 +109,18 @@
             holders = await self._exchange.notify_remaining_peers(
                 [leaving], holders, remaining - RETRY_INTERVAL_S
             )
-        self._record_majority(leaving)
+        self._record_held(leaving)
         return ReportOutcome.ACCEPTED
 
-    def _majority_holds(self, leaving: Backend) -> bool:
-        return self._majority_states.get(leaving.identity, 0) >= leaving.state
+    def _is_held(self, leaving: Backend) -> bool:
+        return self._held_states.get(leaving.identity, 0) >= leaving.state
 
-    def _record_majority(self, leaving: Backend) -> None:
-        """Records the state that a majority holds, for at most the `MAX_TOMBSTONES` latest backends."""
-        self._majority_states.pop(leaving.identity, None)
-        self._majority_states[leaving.identity] = leaving.state
-        while len(self._majority_states) > MAX_TOMBSTONES:
-            del self._majority_states[next(iter(self._majority_states))]
+    def _record_held(self, leaving: Backend) -> None:
+        """Records the state that enough nodes hold, for at most the `MAX_TOMBSTONES` latest backends."""
+        self._held_states.pop(leaving.identity, None)
+        self._held_states[leaving.identity] = leaving.state
+        while len(self._held_states) > MAX_TOMBSTONES:
+            del self._held_states[next(iter(self._held_states))]
 
     def _take_changes(self) -> list[Backend]:
         """Returns the registry's changes since the last call and marks them as published."""
--- a/kestrelbend/tier/control/shard_placer.py
+++ b/kestrelbend/tier/control/shard_placer.py
@@ -3,7 +3,8 @@
 One pass of the placer, at each heartbeat:
 
     not the owner ------------------------------> nothing
-    owner ---> set learners and target voters of the configuration shard's own group
+    owner ---> set learners and target voters of the configuration shard's own group: control nodes, and
+               stores where these are too few
           ---> after `FIRST_HEARTBEATS_S`, and while no earlier orders are being committed:
                record unknown disks, then due placements, then shards that have left retiring nodes
 
@@ -22,13 +23,17 @@
 from ..configuration.shard_service import NOT_OWNER, ConfigurationService
 from ..membership.messages import ShardPlacement
 from ..membership.placement import (
+    LAST_RESORT,
     PREFERRED,
     SPARE_TIMEOUT_S,
+    Candidate,
+    budget_candidates,
     budget_shards,
-    candidates,
+    configuration_candidates,
+    configuration_voters,
+    control_replicas,
     group_size,
     initial_budget_placements,
-    next_voters,
 )
 from ..membership.placement_changes import due_placements
 from ..membership.table import MemberTable
@@ -94,21 +99,36 @@
         return disks + placements + due_emptied_orders(state, self._members.reports())
 
     def _place_configuration(self, now: float) -> None:
-        """Sets the learners and the target voters of the configuration shard's own group."""
+        """Sets the learners and the target voters of the configuration shard's own group.
+
+        A target is set only once all earlier entries are applied here: nodes that are being retired and disks
+        are known by them.
+        """
         replica = self._configuration.replica
         stores = self._configuration.state.stores
-        learners = candidates(self._members.staying(now), (), stores_first=False)
-        replica.set_learners(tuple(candidate.replica for candidate in learners))
-        available = candidates(self._members.staying(now), stores.retiring, stores_first=False)
-        voters = next_voters(
-            tuple(replica.voters),
+        replica.set_learners(control_replicas(self._members.staying(now)))
+        if not replica.has_committed_in_term:
+            return
+        voters = configuration_voters(
+            replica.voters,
             self._group_size,
-            available,
+            self._configuration_candidates(now),
             lambda voter: self._absence(voter, now),
             [voter for voter in replica.voters if stores.is_on_retiring_node(voter)],
+            stores.is_storage_disk,
         )
         replica.set_target(voters, term=replica.term)
 
+    def _configuration_candidates(self, now: float) -> list[Candidate]:
+        """Returns the live disks that may hold the configuration; a store only once its disk is recorded."""
+        stores = self._configuration.state.stores
+        found = configuration_candidates(self._members.staying(now), stores.retiring)
+        return [
+            candidate
+            for candidate in found
+            if candidate.preference < LAST_RESORT or stores.is_recorded(candidate.replica)
+        ]
+
     def _absence(self, replica_id: str, now: float) -> float:
         """Returns for how many seconds a replica has been absent.
 
@@ -120,7 +140,7 @@
 
     def _due_placements(self, now: float) -> list[ShardPlacement]:
         state = self._configuration.state
-        available = candidates(self._members.staying(now), state.retiring, stores_first=True)
+        available = budget_candidates(self._members.staying(now), state.retiring)
         placed_shards = {placement.shard for placement in state.placements}
         if not placed_shards.issuperset(budget_shards()):
             stores = [candidate for candidate in available if candidate.preference == PREFERRED]
--- a/kestrelbend/tier/fleet/fleet.py
+++ b/kestrelbend/tier/fleet/fleet.py
@@ -34,6 +34,7 @@
     control: int = 3
     stores: int = 3
     gateways: int = 2  # machines without a disk
+    tolerate_nodes: int = 1  # machines with a disk that may be lost at once
 
 
 class Fleet:
@@ -57,6 +58,7 @@
         self._numbers = {"front": 0, "storage": 0}
         loop.set_exception_handler(self._unhandled)
         size = size or Size()
+        self.tolerate_nodes = size.tolerate_nodes
         for number in range(size.control):
             self.create_machine("front", ZONES[number % 3], True, ("control", "gateway"))
         for number in range(size.gateways):
@@ -118,7 +120,7 @@
 
     def settings_for(self, machine: Machine, role: str, bootstrap: bool) -> Settings:
         """What the platform writes for a process now."""
-        return make_settings(machine.spec, role, self.seeds, bootstrap, ZONES)
+        return make_settings(machine.spec, role, self.seeds, bootstrap, ZONES, self.tolerate_nodes)
 
     def change_seeds(self, seeds: tuple[str, ...]) -> None:
         """The settings name other seeds from now on."""
--- a/kestrelbend/tier/fleet/rules/groups.py
+++ b/kestrelbend/tier/fleet/rules/groups.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ...membership.placement import group_size
 from ...replication.replica import Replica
 from ..fleet import Fleet
 from ..machines import Process
@@ -11,7 +12,6 @@
 
 LAG_S = 1.0  # from an entry's commit until every voter has applied it, in a calm time
 CATCH_UP_S = 4.0  # CatchupS: from a fault's end until each group bears the next one
-GROUP = 3  # voters where the loss of one machine is to be borne
 
 
 def replica_processes(fleet: Fleet) -> list[Process]:
@@ -33,6 +33,7 @@
     def __init__(self, fleet: Fleet, violations: Violations) -> None:
         self._fleet = fleet
         self._violations = violations
+        self._group_size = group_size(fleet.tolerate_nodes)
         self._owners: dict[tuple[str, int], str] = {}  # by shard and epoch
         self._recorded_at = 0.0
         self._committed: dict[str, _Committed] = {}
@@ -60,7 +61,7 @@
 
     def _check_group(self, replica: Replica, live: set[str]) -> None:
         gone = [voter for voter in replica.voters if voter not in live]
-        if replica.is_leader and (gone or len(replica.voters) < GROUP):
+        if replica.is_leader and (gone or len(replica.voters) < self._group_size):
             rule = f"{replica.shard} is held by {replica.voters} after CatchupS, lost are {gone}"
             self._violations.report(f"group {replica.shard} {replica.voters}", rule)
 
--- a/kestrelbend/tier/fleet/settings.py
+++ b/kestrelbend/tier/fleet/settings.py
@@ -32,7 +32,12 @@
 
 
 def make_settings(
-    spec: MachineSpec, role: str, seeds: tuple[str, ...], bootstrap: bool, zones: Iterable[str]
+    spec: MachineSpec,
+    role: str,
+    seeds: tuple[str, ...],
+    bootstrap: bool,
+    zones: Iterable[str],
+    tolerate_nodes: int,
 ) -> Settings:
     """The settings file of a role's process on a machine."""
     serves = ROLES_SERVE[role]
@@ -61,7 +66,7 @@
         data_dir=f"/data/{role}" if spec.has_disk else "",
         heartbeat_ms=1200,
         contracts=(),
-        tolerate_nodes=1,
+        tolerate_nodes=tolerate_nodes,
         tolerate_zones=0,
         tolerate_regions=0,
         bounds=Bounds(),
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -5,6 +5,9 @@
 node is being retired.  A spare of the preferred class replaces it soon, as it was added for that purpose; any
 other candidate only after a long absence.
 
+The configuration's shard belongs to the control nodes.  Stores complete its group where there are fewer
+control disks than it needs, and are replaced by control nodes that come later.
+
 Invariant: voters are removed without a replacement only from a group that is too large; a lost replica that
 no candidate can replace stays a voter.
 
@@ -14,7 +17,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -28,6 +31,7 @@
 CONFIGURATION_SHARD = "configuration"
 PREFERRED = 0  # preference of candidates that are taken first
 FALLBACK = 1
+LAST_RESORT = 2
 
 AbsenceLookup = Callable[[str], float]
 """Returns for how many seconds a replica has been absent; 0 for a live one."""
@@ -54,20 +58,45 @@
     return replica.split("#", 1)[0]
 
 
-def candidates(members: Iterable[Member], retiring: Iterable[str], stores_first: bool) -> list[Candidate]:
-    """Returns the live disks that may hold a shard's replicas, in order of preference.
+def budget_candidates(members: Iterable[Member], retiring: Iterable[str]) -> list[Candidate]:
+    """Returns the live disks that may hold a budget shard, in order of preference: stores come first."""
+    return _candidates(members, retiring, lambda member: PREFERRED if member.serves_storage else FALLBACK)
+
 
-    With `stores_first` stores are preferred to control nodes; otherwise only control nodes qualify.
+def configuration_candidates(members: Iterable[Member], retiring: Iterable[str]) -> list[Candidate]:
+    """Returns the live disks that may hold the configuration, in order of preference.
+
+    Control nodes come first, those that serve no storage before the others; stores come last.
     """
+    return _candidates(members, retiring, _configuration_preference)
+
+
+def control_replicas(members: Iterable[Member]) -> tuple[str, ...]:
+    """Returns the replicas of the control nodes among the members, ordered by address."""
+    controls = [member for member in members if member.serves_control and member.replica]
+    return tuple(member.replica for member in sorted(controls, key=lambda member: member.address))
+
+
+def store_replicas(members: Iterable[Member]) -> tuple[str, ...]:
+    """Returns the replicas of the members that are not control nodes."""
+    return tuple(member.replica for member in members if member.replica and not member.serves_control)
+
+
+def _configuration_preference(member: Member) -> int:
+    if not member.serves_control:
+        return LAST_RESORT
+    return FALLBACK if member.serves_storage else PREFERRED
+
+
+def _candidates(
+    members: Iterable[Member], retiring: Iterable[str], preference_of: Callable[[Member], int]
+) -> list[Candidate]:
     retiring_nodes = set(retiring)
-    eligible = []
-    for member in members:
-        if not member.replica or member.node in retiring_nodes:
-            continue
-        if not stores_first and not member.serves_control:
-            continue
-        preference = PREFERRED if member.serves_storage == stores_first else FALLBACK
-        eligible.append(Candidate(member.replica, member.address, member.node, member.zone, preference))
+    eligible = [
+        Candidate(member.replica, member.address, member.node, member.zone, preference_of(member))
+        for member in members
+        if member.replica and member.node not in retiring_nodes
+    ]
     return sorted(eligible, key=lambda candidate: (candidate.preference, candidate.address))
 
 
@@ -77,14 +106,16 @@
     available: list[Candidate],
     absence_of: AbsenceLookup,
     retiring_replicas: Iterable[str] = (),
+    fallback_replicas: Collection[str] = (),
 ) -> tuple[str, ...]:
     """Returns the voters that a shard should have, in the order of preference as owner.
 
-    These are the voters in `current`, unless some must be replaced, added or removed.
+    These are the voters in `current`, unless some must be replaced, added or removed.  `fallback_replicas`
+    are those known not to be of the preferred class, live or absent: any candidate replaces them soon.
     """
     by_replica = {candidate.replica: candidate for candidate in available}
     voters = list(current)
-    _replace_absent(voters, available, by_replica, absence_of, set(retiring_replicas))
+    _replace_absent(voters, available, by_replica, absence_of, set(retiring_replicas), fallback_replicas)
     while len(voters) < size:
         added = _best_candidate(available, voters, by_replica, len(voters))
         if added is None:
@@ -102,6 +133,7 @@
     by_replica: dict[str, Candidate],
     absence_of: AbsenceLookup,
     retiring: set[str],
+    fallback_replicas: Collection[str],
 ) -> None:
     """Replaces unavailable voters whose replacement is due and for which there is a candidate."""
     by_address = {candidate.address: candidate for candidate in available}
@@ -115,7 +147,8 @@
         substitute = _best_candidate(available, voters, by_replica, index)
         if substitute is None:
             continue
-        timeout = SPARE_TIMEOUT_S if substitute.preference == PREFERRED else LOST_TIMEOUT_S
+        is_spare = substitute.preference == PREFERRED or replica in fallback_replicas
+        timeout = SPARE_TIMEOUT_S if is_spare else LOST_TIMEOUT_S
         if replica in retiring or absence_of(replica) > timeout:
             voters[index] = substitute.replica
 
@@ -143,17 +176,33 @@
 def _upgrade_one_voter(
     voters: list[str], available: list[Candidate], by_replica: dict[str, Candidate]
 ) -> None:
-    """Replaces one voter of the fallback class, if a candidate of the preferred class is free."""
-    free = [
-        candidate
-        for candidate in available
-        if candidate.preference == PREFERRED and candidate.replica not in voters
-    ]
-    for index, replica in enumerate(voters):
-        known = by_replica.get(replica)
-        if free and known is not None and known.preference > PREFERRED:
-            voters[index] = free[0].replica
-            return
+    """Replaces one live voter of the least preferred class, if a candidate of a better class is free."""
+    live = [index for index, replica in enumerate(voters) if replica in by_replica]
+    free = [candidate for candidate in available if candidate.replica not in voters]
+    if not live or not free:
+        return
+    least_preferred = max(live, key=lambda index: by_replica[voters[index]].preference)
+    best = free[0]
+    if best.preference < by_replica[voters[least_preferred]].preference:
+        voters[least_preferred] = best.replica
+
+
+def configuration_voters(
+    current: tuple[str, ...],
+    size: int,
+    available: list[Candidate],
+    absence_of: AbsenceLookup,
+    retiring_replicas: Iterable[str],
+    is_storage_disk: Callable[[str], bool],
+) -> tuple[str, ...]:
+    """Returns the voters that the configuration's shard should have; `next_voters` with stores as stand-ins.
+
+    Control nodes come first in the order, as they are to own the shard.  `is_storage_disk` tells the stores
+    also of replicas that are absent.
+    """
+    stores = [replica for replica in current if is_storage_disk(replica)]
+    voters = next_voters(current, size, available, absence_of, retiring_replicas, stores)
+    return tuple(sorted(voters, key=is_storage_disk))
 
 
 def budget_shards() -> list[str]:
--- a/kestrelbend/tier/model/orders.py
+++ b/kestrelbend/tier/model/orders.py
@@ -19,7 +19,8 @@
 
 from ..configuration.document_orders import checked_entry
 from ..configuration.messages import UNDETERMINED, ConfigOrder, ConfigOutcome, OrderKind
-from ..configuration.shard_service import ConfigurationService, ConfigurationStateMachine
+from ..configuration.shard_service import ConfigurationService
+from ..configuration.state_machine import ConfigurationStateMachine
 from ..configuration.statuses import OK
 from ..fleet.operator import marker_route, route, services
 from ..protocol.codec import encode
--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -111,6 +111,17 @@
         """The number of the placement towards which the newest group is a step, committed or not."""
         return self._state.log.placement_number
 
+    @property
+    def target(self) -> Voters:
+        """The target group as far as known here and valid; the leader changes the group towards it."""
+        return self._placement.target
+
+    @property
+    def has_committed_in_term(self) -> bool:
+        """As the leader: whether an entry of this term, and so each earlier one, is committed and applied."""
+        leader_state = self._roles.leader_state
+        return leader_state is not None and leader_state.has_committed
+
     def is_stable(self, now: float) -> bool:
         """As the leader: whether no group change is pending and live voters hold all that is committed."""
         leader_state = self._roles.leader_state
@@ -246,11 +257,15 @@
         self._placement.set_target(Target(tuple(voters), number, term))
         self._update_followers()
 
-    def transfer_leadership(self, now: float) -> None:
-        """Transfers the leadership, if this replica has it; it remains leader if no voter can take over."""
+    def transfer_leadership(self, now: float, receivers: Voters | None = None) -> None:
+        """Transfers the leadership, if this replica has it; it remains leader if no voter can take over.
+
+        `receivers` are the voters of which one is to take over; by default any other voter.
+        """
         self._advance_clock(now)
         if self._roles.leader_state is not None:
-            self._placement.begin_transfer(self._roles.leader_state, self._state.other_voters(), now)
+            candidates = self._state.other_voters() if receivers is None else receivers
+            self._placement.begin_transfer(self._roles.leader_state, candidates, now)
 
     def compact(self, index: int, state: bytes) -> None:
         """Replaces the log up to the applied entry `index` with the state machine's state after it."""
--- /dev/null
+++ b/kestrelbend/tier/roles/configuration_voter.py
@@ -0,0 +1,77 @@
+"""A store's replica of the configuration's shard, which it holds where there are too few control nodes.
+
+The replica votes and keeps the log, so that the group tolerates the losses that it must.  A store does not
+serve the configuration: if it is elected, since it alone has the newest entries, it brings a control node's
+replica up to date and transfers the leadership to that one.
+
+    elected --> a control node is a voter ------> leadership transferred to it, once its log is complete
+            --> none is (all their disks lost) -> target: control nodes that are live in place of lost voters
+
+Invariant: a store proposes no orders, and answers every order and read as a process that is not the owner.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import cast
+
+from ..configuration.state_machine import ConfigurationStateMachine
+from ..membership.directory import DirectoryView
+from ..membership.placement import (
+    CONFIGURATION_SHARD,
+    configuration_candidates,
+    configuration_voters,
+    control_replicas,
+)
+from ..replication.host import ShardHost
+from ..replication.messages import ReplicaId
+from ..replication.replica import Replica
+
+
+class ConfigurationVoter:
+    """Looks after the replica, if this store holds one; `now` returns seconds of a monotonic clock."""
+
+    def __init__(self, host: ShardHost, directory: DirectoryView, now: Callable[[], float]) -> None:
+        self._host = host
+        self._directory = directory
+        self._now = now
+
+    def open_stored(self) -> None:
+        """Opens the replica that the disk holds, if any."""
+        if CONFIGURATION_SHARD in self._host.stored_shards():
+            self._host.open(CONFIGURATION_SHARD, (), self._now())
+
+    def tick(self, now: float) -> None:
+        """Passes a leadership on to a control node."""
+        replica = self._host.replica(CONFIGURATION_SHARD)
+        if replica is None or not replica.is_leader:
+            return
+        controls = control_replicas(self._directory.members)
+        voting_controls = tuple(control for control in controls if control in replica.voters)
+        if voting_controls:
+            replica.transfer_leadership(now, voting_controls)
+        else:
+            self._admit_control_nodes(replica, controls)
+        self._host.flush(CONFIGURATION_SHARD)
+
+    def _admit_control_nodes(self, replica: Replica, controls: tuple[ReplicaId, ...]) -> None:
+        """Sets a target in which control nodes take the places of lost voters and of stores."""
+        replica.set_learners(controls)
+        if not replica.has_committed_in_term:
+            return
+        machine = cast(ConfigurationStateMachine, self._host.state_machine(CONFIGURATION_SHARD))
+        stores = machine.state.stores
+        voters = configuration_voters(
+            replica.voters,
+            len(replica.voters),
+            configuration_candidates(self._directory.members, stores.retiring),
+            _not_absent,
+            (),
+            stores.is_storage_disk,
+        )
+        replica.set_target(voters, term=replica.term)
+
+
+def _not_absent(replica: ReplicaId) -> float:
+    """Absence is judged by control nodes alone, which know the heartbeats."""
+    return 0.0
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -23,8 +23,8 @@
     FORWARD_TIMEOUT_S,
     NOT_OWNER,
     ConfigurationService,
-    ConfigurationStateMachine,
 )
+from ..configuration.state_machine import ConfigurationStateMachine
 from ..configuration.stream import ConfigStream
 from ..control.backend_reports import BackendReports
 from ..control.directory_stream import DirectoryStream
@@ -45,8 +45,8 @@
     Subscribe,
 )
 from ..membership.owner_contact import in_contact
-from ..membership.placement import CONFIGURATION_SHARD, address_of
-from ..membership.table import LIVENESS_TIMEOUT_S, MemberTable
+from ..membership.placement import CONFIGURATION_SHARD, address_of, store_replicas
+from ..membership.table import LIVENESS_TIMEOUT_S, RETENTION_S, MemberTable
 from ..protocol.peer_connection import PeerConnection
 from ..replication.group import has_quorum
 from ..replication.host import ShardHost
@@ -143,11 +143,15 @@
         return [connection for connection in connections if connection is not None]
 
     def _may_acknowledge_leaving(self, holders: set[str]) -> bool:
-        """In contact, and with the control nodes `holders` a majority of the configuration's voters."""
-        replica = self.configuration.replica
+        """In contact, and enough control nodes hold the report: this one and those at `holders`."""
         known = holders | {self.address}
-        majority_knows = has_quorum(replica.voters, lambda voter: address_of(voter) in known)
-        return majority_knows and in_contact(replica, self.now())
+        held = has_quorum(self._voting_control_replicas(), lambda voter: address_of(voter) in known)
+        return held and in_contact(self.configuration.replica, self.now())
+
+    def _voting_control_replicas(self) -> tuple[ReplicaId, ...]:
+        """The configuration's voters without the stores among them, which hold no reports of backends."""
+        stores = set(store_replicas(self.members.members(self.now(), within=RETENTION_S)))
+        return tuple(voter for voter in self.configuration.replica.voters if voter not in stores)
 
     def on_peer(self, connection: PeerConnection) -> None:
         """Another control node gets all that is known of backends; it has no need of other streams."""
--- a/kestrelbend/tier/roles/local_shards.py
+++ b/kestrelbend/tier/roles/local_shards.py
@@ -143,7 +143,7 @@
 
     def peer_addresses(self, placements: Iterable[ShardPlacement]) -> list[str]:
         """Where the other replicas of the shards are that are here or should be, with repetitions."""
-        voters = [voter for replica in self.replicas() for voter in replica.voters]
+        voters = [voter for replica in self.replicas() for voter in (*replica.voters, *replica.target)]
         if self.host is not None:
             placed_here = [placed for placed in placements if self.replica_id in placed.voters]
             voters += [voter for placed in placed_here for voter in placed.voters]
--- /dev/null
+++ b/tests/tier/test_fleet_tolerance.py
@@ -0,0 +1,67 @@
+"""Stories of deployments that tolerate the loss of two machines and have few control nodes."""
+
+import asyncio
+
+from kestrelbend.tier.fleet.fleet import Size
+from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD, group_size
+from tests.tier.fleet_story import FleetStory
+from tests.tier.test_fleet_placement import CATCHUP_S, holders, holders_or_none
+
+DOWN_S = 1.0
+TOLERATED = 2
+
+
+def size(control, stores=5):
+    return Size(control=control, stores=stores, gateways=1, tolerate_nodes=TOLERATED)
+
+
+def voting_machines(world):
+    """The machines of the configuration's voters, control nodes first."""
+    by_replica = {
+        process.instance.replica_id: machine
+        for role, machines in (("control", world.fleet.control_machines()), ("store", world.fleet.stores()))
+        for machine in machines
+        for process in [machine.processes[role]]
+    }
+    return [by_replica[voter] for voter in holders(world, CONFIGURATION_SHARD)]
+
+
+async def lose_disks(world, machines):
+    for machine in machines:
+        world.fleet.wipe(machine)
+    await asyncio.sleep(DOWN_S)
+    for machine in machines:
+        world.fleet.start(machine)
+    await asyncio.sleep(2 * CATCHUP_S)
+
+
+class TestConfigurationSurvivesTheToleratedLosses(FleetStory):
+    """The configuration is lost with two disks where control nodes alone hold it and are too few."""
+
+    def lose_after_an_acknowledgement(self, control, picked):
+        async def story(world):
+            await asyncio.sleep(CATCHUP_S)
+            order = await world.operator.change()
+            self.assertIsNotNone(order.acknowledged_at)
+            lost = picked(world)
+            self.assertEqual(TOLERATED, len(lost))
+            await lose_disks(world, lost)
+            await world.operator.read_back()
+            self.assertEqual([], world.fleet.violations)
+            self.assertEqual(group_size(TOLERATED), len(holders_or_none(world, CONFIGURATION_SHARD)))
+
+        self.tell(story, seeds=(1, 2, 3), size=size(control))
+
+    def test_given_three_control_nodes_when_two_lose_their_disks_then_the_configuration_is_read(self):
+        self.lose_after_an_acknowledgement(3, lambda world: world.fleet.control_machines()[:2])
+
+    def test_given_two_control_nodes_when_both_lose_their_disks_then_the_configuration_is_read(self):
+        self.lose_after_an_acknowledgement(2, lambda world: world.fleet.control_machines())
+
+    def test_given_a_store_and_a_control_node_when_they_lose_their_disks_then_the_configuration_is_read(self):
+        self.lose_after_an_acknowledgement(
+            3, lambda world: [voting_machines(world)[0], voting_machines(world)[-1]]
+        )
+
+    def test_given_four_control_nodes_when_two_lose_their_disks_then_the_configuration_is_read(self):
+        self.lose_after_an_acknowledgement(4, lambda world: world.fleet.control_machines()[1:3])
--- a/tests/tier/test_membership_placement.py
+++ b/tests/tier/test_membership_placement.py
@@ -2,10 +2,13 @@
 
 import testtools
 
+from kestrelbend.tier.membership.messages import Member
 from kestrelbend.tier.membership.placement import (
     LOST_TIMEOUT_S,
     SPARE_TIMEOUT_S,
     Candidate,
+    configuration_candidates,
+    configuration_voters,
     initial_budget_placements,
     next_voters,
 )
@@ -48,6 +51,46 @@
         self.assertEqual(("a:1#new", *replicas("b", "c")), voters)
 
 
+def member(name, serves_control, zone="a"):
+    role = "control" if serves_control else "store"
+    return Member(
+        name, role, f"{name}:1", "", zone, f"{name}:1#x", serves_control, not serves_control, False, 1
+    )
+
+
+class ConfigurationVotersTest(testtools.TestCase):
+    """The configuration's group lacks voters where control nodes are fewer than it needs."""
+
+    def voters(self, current, members, size, absent_s=0.0):
+        return configuration_voters(
+            replicas(*current),
+            size,
+            configuration_candidates(members, ()),
+            lambda replica: absent_s,
+            (),
+            lambda replica: replica.startswith("store"),
+        )
+
+    def test_stores_complete_a_group_with_too_few_control_nodes(self):
+        members = [member("a", True), member("b", True), member("store-1", False), member("store-2", False)]
+        self.assertEqual(replicas("b", "a", "store-1"), self.voters(("b", "a"), members, 3))
+        self.assertEqual(replicas("a", "b"), self.voters(("a", "b"), members, 2))
+
+    def test_control_node_that_comes_replaces_a_store_and_stands_before_the_others(self):
+        members = [member("a", True), member("b", True), member("store-1", False)]
+        self.assertEqual(replicas("a", "b"), self.voters(("a", "store-1"), members, 2))
+        self.assertEqual(replicas("a", "b", "store-1"), self.voters(("store-1", "a", "b"), members, 3))
+
+    def test_absent_store_is_replaced_by_another_after_the_spare_timeout_and_a_control_node_later(self):
+        members = [member("a", True), member("store-2", False)]
+        self.assertEqual(
+            replicas("a", "store-2"), self.voters(("a", "store-1"), members, 2, SPARE_TIMEOUT_S + 0.1)
+        )
+        soon = self.voters(("a", "b"), members, 2, LOST_TIMEOUT_S - 0.1)
+        late = self.voters(("a", "b"), members, 2, LOST_TIMEOUT_S + 0.1)
+        self.assertEqual((replicas("a", "b"), replicas("a", "store-2")), (soon, late))
+
+
 class TestFounding(testtools.TestCase):
     def test_budget_shards_are_placed_only_with_enough_disks_for_a_complete_group(self):
         two = [candidate("a"), candidate("b")]
--- a/tests/tier/test_recorded_disk.py
+++ b/tests/tier/test_recorded_disk.py
@@ -9,7 +9,7 @@
 import testtools
 
 from kestrelbend.tier.budgets.state_machine import BudgetStateMachine
-from kestrelbend.tier.configuration.shard_service import ConfigurationStateMachine
+from kestrelbend.tier.configuration.state_machine import ConfigurationStateMachine
 from kestrelbend.tier.protocol.codec import decode, encode
 from kestrelbend.tier.replication.durable import replay
 from kestrelbend.tier.replication.messages import EntryKind
