A backend's leave is held by more control nodes than may be lost

What callers could see: with `Tolerate.Nodes` 2 and three control nodes, a leave was acknowledged once two of them held it. If just these two are lost, with what they had sent, the third lists the backend as ready.

Cause: the rule asked for a majority of the configuration's voters, which is more than the tolerated losses only in a group of 2 x `Tolerate.Nodes` + 1.

Change: a majority of the control nodes that vote, and more than may be lost, or all that are live (`control/report_quorum.py`).

Evidence: test_report_quorum; by the former rule, `has_quorum` alone, two of three are enough with two tolerated losses, so its second test fails there.

--- a/kestrelbend/tier/control/backend_reports.py
+++ b/kestrelbend/tier/control/backend_reports.py
@@ -1,10 +1,10 @@
 """Processes backends' own reports: records them in the registry and publishes them to nodes and gateways.
 
-Invariant: a backend's report that it is draining or has ended is acknowledged only by a node in contact, once a
-majority of the control nodes that vote in the configuration shard holds it.  Whoever connects to one of these
-receives the report; a gateway in contact is connected to all of them.  A plain heartbeat is accepted by any
-node: its acknowledgement guarantees nothing, and after a loss of all control nodes the gateways become ready
-only once backends have reported.
+Invariant: a backend's report that it is draining or has ended is acknowledged only by a node in contact, once
+enough control nodes hold it (`report_quorum`).  After the tolerated losses one of them is left, and whoever
+connects to that one receives the report; a gateway in contact is connected to all of them.  A plain heartbeat
+is accepted by any node: its acknowledgement guarantees nothing, and after a loss of all control nodes the
+gateways become ready only once backends have reported.
 """
 
 from __future__ import annotations
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -29,6 +29,7 @@
 from ..control.backend_reports import BackendReports
 from ..control.directory_stream import DirectoryStream
 from ..control.member_summaries import MemberSummaries
+from ..control.report_quorum import ControlReplicas, is_held_by_enough
 from ..control.retirement import Retirement
 from ..control.shard_placer import ShardPlacer
 from ..dataplane.server import Listener
@@ -45,10 +46,9 @@
     Subscribe,
 )
 from ..membership.owner_contact import in_contact
-from ..membership.placement import CONFIGURATION_SHARD, address_of, store_replicas
+from ..membership.placement import CONFIGURATION_SHARD, address_of, control_replicas, store_replicas
 from ..membership.table import LIVENESS_TIMEOUT_S, RETENTION_S, MemberTable
 from ..protocol.peer_connection import PeerConnection
-from ..replication.group import has_quorum
 from ..replication.host import ShardHost
 from ..replication.interfaces import StateMachine
 from ..replication.messages import ReplicaId, ShardId
@@ -145,13 +145,21 @@
     def _may_acknowledge_leaving(self, holders: set[str]) -> bool:
         """In contact, and enough control nodes hold the report: this one and those at `holders`."""
         known = holders | {self.address}
-        held = has_quorum(self._voting_control_replicas(), lambda voter: address_of(voter) in known)
+        held = is_held_by_enough(
+            self._control_replicas(),
+            lambda replica: address_of(replica) in known,
+            self.settings.tolerate_nodes,
+        )
         return held and in_contact(self.configuration.replica, self.now())
 
-    def _voting_control_replicas(self) -> tuple[ReplicaId, ...]:
-        """The configuration's voters without the stores among them, which hold no reports of backends."""
-        stores = set(store_replicas(self.members.members(self.now(), within=RETENTION_S)))
-        return tuple(voter for voter in self.configuration.replica.voters if voter not in stores)
+    def _control_replicas(self) -> ControlReplicas:
+        now = self.now()
+        voters = self.configuration.replica.voters
+        stores = set(store_replicas(self.members.members(now, within=RETENTION_S)))
+        return ControlReplicas(
+            voting=tuple(voter for voter in voters if voter not in stores),
+            live=control_replicas(self.members.members(now)),
+        )
 
     def on_peer(self, connection: PeerConnection) -> None:
         """Another control node gets all that is known of backends; it has no need of other streams."""
