New voters are taken from the zone with the fewest

Need: of five voters in three zones three stood in one zone, so that a cut of that zone took the majority of every group: a voter was taken from a zone without one, and once each zone had one, by address alone. With the configuration's group completed by stores, a zone would have held a control node and both stores.

Change: `_best_candidate` counts the voters of each zone. Groups of three in three zones are chosen as before.

Evidence: test_no_zone_of_three_gets_a_majority_of_five_voters fails on the text before (3, 1, 1) and passes now; 32 tests of placement pass.

--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 
 import attrs
@@ -161,16 +162,18 @@
 def _best_candidate(
     available: list[Candidate], voters: list[str], by_replica: dict[str, Candidate], index: int
 ) -> Candidate | None:
-    """Returns the best new voter at `index`: by preference, then a zone without a voter, then by address."""
-    zones = {
+    """Returns the best new voter at `index`: by preference, voters in its zone (few first), and address."""
+    voters_in_zone = Counter(
         by_replica[replica].zone
         for other, replica in enumerate(voters)
         if other != index and replica in by_replica
-    }
+    )
     free = [candidate for candidate in available if candidate.replica not in voters]
-    if not free:
-        return None
-    return min(free, key=lambda candidate: (candidate.preference, candidate.zone in zones, candidate.address))
+    return min(
+        free,
+        key=lambda candidate: (candidate.preference, voters_in_zone[candidate.zone], candidate.address),
+        default=None,
+    )
 
 
 def _upgrade_one_voter(
--- a/tests/tier/test_membership_placement.py
+++ b/tests/tier/test_membership_placement.py
@@ -50,6 +50,11 @@
         voters = next_voters(replicas("a", "b", "c"), 3, available, lambda replica: 0.0)
         self.assertEqual(("a:1#new", *replicas("b", "c")), voters)
 
+    def test_no_zone_of_three_gets_a_majority_of_five_voters(self):
+        available = [candidate(f"{zone}{number}", zone) for zone in "abc" for number in range(4)]
+        voters = next_voters((), 5, available, lambda replica: 0.0)
+        self.assertEqual([1, 2, 2], sorted(sum(voter[0] == zone for voter in voters) for zone in "abc"))
+
 
 def member(name, serves_control, zone="a"):
     role = "control" if serves_control else "store"
