A raised `Tolerate.Nodes` makes the groups grow at once

Cause: `ShardPlacer` and `Retirement` took the number when they were made. Change: both ask the present settings.

--- a/kestrelbend/tier/control/retirement.py
+++ b/kestrelbend/tier/control/retirement.py
@@ -29,20 +29,21 @@
 class Retirement:
     """Accepts orders to retire storage nodes and reports their progress.
 
-    `now` returns seconds of a monotonic clock; `owned_for(now)` is how long this node has been the owner.
+    `now` returns seconds of a monotonic clock; `owned_for(now)` is how long this node has been the owner;
+    `tolerated_nodes()` is how many nodes may be lost, by the present settings.
     """
 
     def __init__(
         self,
         configuration: ConfigurationService,
         members: MemberTable,
-        tolerated_nodes: int,
+        tolerated_nodes: Callable[[], int],
         now: Callable[[], float],
         owned_for: Callable[[float], float],
     ) -> None:
         self._configuration = configuration
         self._members = members
-        self._group_size = group_size(tolerated_nodes)
+        self._tolerated_nodes = tolerated_nodes
         self._now = now
         self._owned_for = owned_for
         configuration.owner_check = self.rejection
@@ -74,7 +75,7 @@
             if any(member.node == node and member.serves_storage for member in self._members.members(now)):
                 return NOT_OWNER  # the store is live but not recorded yet
             return ConfigOutcome(NOT_FOUND, state.version, "no store of this name was ever here")
-        if len(self._remaining_without(node, now)) < self._group_size:
+        if len(self._remaining_without(node, now)) < group_size(self._tolerated_nodes()):
             return ConfigOutcome(CONFLICT, state.version, "too few would be left")
         return None
 
--- a/kestrelbend/tier/control/shard_placer.py
+++ b/kestrelbend/tier/control/shard_placer.py
@@ -48,23 +48,31 @@
 
 
 class ShardPlacer:
-    """Updates shard placements while this node owns the configuration shard."""
+    """Updates shard placements while this node owns the configuration shard.
+
+    `tolerated_nodes()` returns how many nodes may be lost, by the present settings.
+    """
 
     def __init__(
         self,
         configuration: ConfigurationService,
         members: MemberTable,
-        tolerated_nodes: int,
+        tolerated_nodes: Callable[[], int],
         spawn: Spawn,
     ) -> None:
         self._configuration = configuration
         self._members = members
-        self._group_size = group_size(tolerated_nodes)
+        self._tolerated_nodes = tolerated_nodes
         self._spawn = spawn
         self._owner_since = 0.0
         self._owned_epoch: int | None = None
         self._proposing = False  # whether orders of an earlier pass are being committed
 
+    @property
+    def _group_size(self) -> int:
+        """How many voters a group needs by the present settings."""
+        return group_size(self._tolerated_nodes())
+
     def run(self, now: float) -> None:
         """Runs one pass."""
         self._record_ownership(now)
--- a/kestrelbend/tier/fleet/fleet.py
+++ b/kestrelbend/tier/fleet/fleet.py
@@ -128,6 +128,12 @@
         self.settings_version += 1
         self.log(f"seeds are {seeds}")
 
+    def change_tolerated_nodes(self, tolerate_nodes: int) -> None:
+        """The settings ask for another tolerance from now on."""
+        self.tolerate_nodes = tolerate_nodes
+        self.settings_version += 1
+        self.log(f"{tolerate_nodes} nodes are tolerated")
+
     # What has happened
 
     def log(self, text: str) -> None:
--- a/kestrelbend/tier/fleet/rules/groups.py
+++ b/kestrelbend/tier/fleet/rules/groups.py
@@ -33,7 +33,6 @@
     def __init__(self, fleet: Fleet, violations: Violations) -> None:
         self._fleet = fleet
         self._violations = violations
-        self._group_size = group_size(fleet.tolerate_nodes)
         self._owners: dict[tuple[str, int], str] = {}  # by shard and epoch
         self._recorded_at = 0.0
         self._committed: dict[str, _Committed] = {}
@@ -61,7 +60,7 @@
 
     def _check_group(self, replica: Replica, live: set[str]) -> None:
         gone = [voter for voter in replica.voters if voter not in live]
-        if replica.is_leader and (gone or len(replica.voters) < self._group_size):
+        if replica.is_leader and (gone or len(replica.voters) < group_size(self._fleet.tolerate_nodes)):
             rule = f"{replica.shard} is held by {replica.voters} after CatchupS, lost are {gone}"
             self._violations.report(f"group {replica.shard} {replica.voters}", rule)
 
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -96,14 +96,17 @@
         self._streams = ControlStreams(
             self.configuration, self.config_stream, self.exchange, self.directory_stream, self.now
         )
-        tolerated_nodes = settings.tolerate_nodes
-        self._placer = ShardPlacer(self.configuration, self.members, tolerated_nodes, self.spawn)
+        self._placer = ShardPlacer(self.configuration, self.members, self._tolerated_nodes, self.spawn)
         self.retirement = Retirement(
-            self.configuration, self.members, tolerated_nodes, self.now, self._placer.owned_for
+            self.configuration, self.members, self._tolerated_nodes, self.now, self._placer.owned_for
         )
         self._contact = ContactPeriod(self.now())
         self._serving: asyncio.Task[None] | None = None
 
+    def _tolerated_nodes(self) -> int:
+        """By the present settings, which may change while the process runs."""
+        return self.settings.tolerate_nodes
+
     # The shards
 
     def machine_for(self, shard: ShardId) -> StateMachine:
@@ -148,7 +151,7 @@
         held = is_held_by_enough(
             self._control_replicas(),
             lambda replica: address_of(replica) in known,
-            self.settings.tolerate_nodes,
+            self._tolerated_nodes(),
         )
         return held and in_contact(self.configuration.replica, self.now())
 
--- a/tests/tier/test_fleet_tolerance.py
+++ b/tests/tier/test_fleet_tolerance.py
@@ -5,7 +5,7 @@
 from kestrelbend.tier.fleet.fleet import Size
 from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD, group_size
 from tests.tier.fleet_story import FleetStory
-from tests.tier.test_fleet_placement import CATCHUP_S, holders, holders_or_none
+from tests.tier.test_fleet_placement import CATCHUP_S, SHARDS, holders, holders_or_none
 
 DOWN_S = 1.0
 TOLERATED = 2
@@ -65,3 +65,20 @@
 
     def test_given_four_control_nodes_when_two_lose_their_disks_then_the_configuration_is_read(self):
         self.lose_after_an_acknowledgement(4, lambda world: world.fleet.control_machines()[1:3])
+
+
+class TestToleranceThatIsRaised(FleetStory):
+    """Groups keep the size of the settings that their owner was started with."""
+
+    def test_given_settings_that_tolerate_two_losses_when_they_change_then_all_groups_grow(self):
+        async def story(world):
+            await asyncio.sleep(CATCHUP_S)
+            sizes = [len(holders(world, shard)) for shard in SHARDS]
+            self.assertEqual({3}, set(sizes))
+            world.fleet.change_tolerated_nodes(TOLERATED)
+            world.fleet.contact.record_event(world.fleet.control_machines()[0].name)
+            await asyncio.sleep(CATCHUP_S)
+            self.assertEqual([], world.fleet.violations)
+            self.assertEqual({5}, {len(holders(world, shard)) for shard in SHARDS})
+
+        self.tell(story, seeds=(1, 2), size=Size(control=3, stores=5, gateways=1))
--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -323,7 +323,7 @@
 
 def retirement_of_an_owner_for(seconds):
     """Orders to empty stores, at a node that has owned the configuration for this long."""
-    return Retirement(Configuration(), MemberTable(), 1, lambda: 100.0, lambda now: seconds)
+    return Retirement(Configuration(), MemberTable(), lambda: 1, lambda: 100.0, lambda now: seconds)
 
 
 class TestBudgetReplies(testtools.TestCase):
