`status` and the log name groups with fewer voters than are needed

`Status` has `VotersNeeded`; `kestrelbend status` names such groups, and says when no budget shard is placed. An answer without the key, of a process of the version before, is read as before.

--- a/kestrelbend/command/status.py
+++ b/kestrelbend/command/status.py
@@ -10,6 +10,7 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
+from ..tier.membership.placement import CONFIGURATION_SHARD, tolerated_losses
 from .asking import ask
 from .outcome import DONE, CommandFailed
 from .verb import Verb
@@ -71,6 +72,7 @@
             yield f"{process['Role']} on {process['Node']}: still serves by version {version}"
     for shard in told["Shards"]:
         yield from _shard_remarks(shard, nodes)
+    yield from _group_remarks(told)
     for node in told["Retiring"]:
         held = [shard["Shard"] for shard in told["Shards"] if node in _nodes(shard["Voters"], nodes)]
         if held:
@@ -80,6 +82,18 @@
             yield f"service {service}: no ready backend"
 
 
+def _group_remarks(told: dict[str, Any]) -> Iterator[str]:
+    """Groups with fewer voters than the settings ask for; a process of an earlier version doesn't say."""
+    needed = told.get("VotersNeeded", 0)
+    for shard in told["Shards"]:
+        count = len(shard["Voters"])
+        if 0 < count < needed:
+            lost = tolerated_losses(count)
+            yield f"{shard['Shard']}: {count} voters, {needed} needed: {lost} of its nodes may be lost"
+    if needed and all(shard["Shard"] == CONFIGURATION_SHARD for shard in told["Shards"]):
+        yield f"no budget shard is placed: {needed} processes with a disk are needed"
+
+
 def _shard_remarks(shard: dict[str, Any], nodes: dict[str, str]) -> Iterator[str]:
     name, replicas = shard["Shard"], {replica["Replica"]: replica for replica in shard["Replicas"]}
     owner = replicas.get(shard["Owner"])
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -54,6 +54,11 @@
     return 2 * tolerated_nodes + 1
 
 
+def tolerated_losses(voters: int) -> int:
+    """Returns how many voters of a group may be lost while a majority of them is left."""
+    return max(0, (voters - 1) // 2)
+
+
 def address_of(replica: str) -> str:
     """Returns the address of a replica's process."""
     return replica.split("#", 1)[0]
--- a/kestrelbend/tier/membership/status.py
+++ b/kestrelbend/tier/membership/status.py
@@ -23,10 +23,11 @@
 
 @attrs.frozen
 class DesiredShards:
-    """Placements and retiring nodes, as recorded in the configuration shard."""
+    """Placements and retiring nodes, as recorded in the configuration shard, and the size of groups."""
 
     placements: tuple[ShardPlacement, ...]
     retiring: tuple[str, ...]  # nodes whose replicas are to be moved away
+    group_size: int  # voters that each group needs, by the settings of the responding process
 
 
 def status(
@@ -46,6 +47,7 @@
         "InTouch": in_contact,
         "ConfigVersion": config_version,
         "Processes": [_process(age) for age in ages],
+        "VotersNeeded": desired.group_size,
         "Shards": _shards(ages, table.reports(), desired.placements),
         "Retiring": list(desired.retiring),
         "Backends": _backends(backends),
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -28,6 +28,7 @@
 from ..configuration.stream import ConfigStream
 from ..control.backend_reports import BackendReports
 from ..control.directory_stream import DirectoryStream
+from ..control.group_sizes import GroupSizes, voter_counts
 from ..control.member_summaries import MemberSummaries
 from ..control.report_quorum import ControlReplicas, is_held_by_enough
 from ..control.retirement import Retirement
@@ -100,6 +101,7 @@
         self.retirement = Retirement(
             self.configuration, self.members, self._tolerated_nodes, self.now, self._placer.owned_for
         )
+        self._group_sizes = GroupSizes(self.log)
         self._contact = ContactPeriod(self.now())
         self._serving: asyncio.Task[None] | None = None
 
@@ -231,10 +233,19 @@
         self._refresh_directory(now)
         self.directory_stream.send()
         self._placer.run(now)
+        self._log_group_sizes(now)
         self.backend_reports.publish_pending_changes()
         heartbeat_interval_s = self.settings.heartbeat_ms / 1000
         self.backend_reports.expire_unresponsive(self._contact.duration_s(now), heartbeat_interval_s)
 
+    def _log_group_sizes(self, now: float) -> None:
+        replica = self.configuration.replica
+        if replica.is_leader:
+            counts = voter_counts(len(replica.voters), self.members.reports())
+            self._group_sizes.observe(counts, self._tolerated_nodes(), now)
+        else:
+            self._group_sizes.forget()
+
     def _refresh_directory(self, now: float) -> None:
         directory = self.directory_stream.refresh(self.configuration, self._contact.duration_s(now), now)
         if directory is not None:
@@ -252,6 +263,7 @@
             self.registry,
             self.backend_reports,
             self.retirement,
+            self._tolerated_nodes,
             self.now,
         )
         listener = Listener(OperatorApi(operations), self.settings.listen_control, self.until_served_enough)
--- a/kestrelbend/tier/roles/control_operations.py
+++ b/kestrelbend/tier/roles/control_operations.py
@@ -15,6 +15,7 @@
 from ..discovery.registry import BackendRegistry
 from ..membership.messages import Member
 from ..membership.owner_contact import in_contact
+from ..membership.placement import group_size
 from ..membership.status import DesiredShards, status
 from ..membership.table import MemberTable
 
@@ -29,6 +30,7 @@
     registry: BackendRegistry
     backend_reports: BackendReports
     retirement: Retirement
+    tolerated_nodes: Callable[[], int]
     now: Callable[[], float]
 
     async def submit_order(self, order: ConfigOrder) -> ConfigOutcome:
@@ -64,7 +66,7 @@
             in_contact(self.configuration.replica, now),
             state.version,
             self.members,
-            DesiredShards(state.placements, state.retiring),
+            DesiredShards(state.placements, state.retiring, group_size(self.tolerated_nodes())),
             self.registry.all(),
             now,
         )
--- a/tests/tier/test_status.py
+++ b/tests/tier/test_status.py
@@ -44,13 +44,14 @@
         self.table = MemberTable()
         self.placements = (ShardPlacement("budget-0", VOTERS, VOTERS),)
         self.retiring = ()
+        self.group_size = 3
         self.backends = [backend("i", BackendState.READY)]
         for number, applied in ((1, 5000), (2, 4990), (3, 5000)):
             self.table.record_heartbeat(heartbeat(number, applied), NOW)
         self.table.record_heartbeat(heartbeat(4, 0, role="gateway", version=7), NOW)
 
     def status(self, now=NOW):
-        desired = DesiredShards(self.placements, self.retiring)
+        desired = DesiredShards(self.placements, self.retiring, self.group_size)
         answer = status(member(1), True, 7, self.table, desired, self.backends, now)
         return json.loads(json.dumps(answer))
 
@@ -118,6 +119,16 @@
         self.assertIn("budget-0: moves to store-1, store-2, 10.0.0.9:70#d", output)
         self.assertIn("store-3: being emptied, still holds budget-0", output)
 
+    def test_group_with_fewer_voters_than_needed_and_missing_placements_are_reported(self):
+        self.group_size = 5
+        answer = self.status()
+        self.assertEqual(5, answer["VotersNeeded"])
+        self.assertIn("budget-0: 3 voters, 5 needed: 1 of its nodes may be lost", self.printed(answer)[1])
+        answer["Shards"] = []
+        self.assertIn("no budget shard is placed: 5 processes with a disk", self.printed(answer)[1])
+        del answer["VotersNeeded"]
+        self.assertNotIn("needed", self.printed(answer)[1])
+
     def test_old_configuration_version_and_missing_ready_backend_are_reported(self):
         self.table.record_heartbeat(Heartbeat(member(4, "gateway"), 2, 6, False, ()), NOW)
         self.backends = [backend("i", BackendState.DEPARTED), backend("ii", BackendState.DRAINING)]
