A group that has stand-ins replaces a lost voter soon by any disk

What callers could see: a control machine is replaced as planned where stores complete the configuration's group; the group counted the gone machine for 5 s, longer than `CatchupS`, after which two more losses are allowed.

Cause: the successor took a stand-in's place at once, and the voter that it was meant for could then be replaced by the other class alone, after 5 s.

The unit test fails on the text before.

--- a/kestrelbend/command/lab_fleet.py
+++ b/kestrelbend/command/lab_fleet.py
@@ -50,6 +50,7 @@
         option("first", None, "The first seed.", flag=False, default="1"),
         option("day", None, "Play this day alone (SEED:PLACES, as a failing one is told).", flag=False),
         option("kinds", None, "Draw from these kinds of trouble alone, with commas between.", flag=False),
+        option("shape", None, "Play on a deployment of this shape.", flag=False),
         option("jobs", None, "Processes to play in.", flag=False, default=str(os.cpu_count() or 1)),
         option("without", None, "Take this guard out, to see what finds its removal.", flag=False),
         option("shrink", None, "Leave out what a failing day doesn't need."),
@@ -67,11 +68,11 @@
             return self._search(first, seeds, jobs)
 
     def _play_one(self, line: str) -> int:
-        from kestrelbend.tier.fleet.day import UnknownKind
+        from kestrelbend.tier.fleet.day import UnknownKind, UnknownShape
 
         try:
             result = _play_line(line)
-        except UnknownKind as unknown:
+        except (UnknownKind, UnknownShape) as unknown:
             raise wrong(f"--day: {unknown}") from None
         except ValueError:
             raise wrong(f"--day: '{line}' names no day") from None
@@ -99,15 +100,18 @@
         return self._tell_search(first, lines, played, time.monotonic() - begun)
 
     def _lines(self, first: int, count: int) -> list[str]:
-        """The days to be played; ends the verb where `--kinds` names an unknown one."""
-        from kestrelbend.tier.fleet.day import Day, UnknownKind
+        """The days to be played; ends the verb where `--kinds` or `--shape` names an unknown one."""
+        from kestrelbend.tier.fleet.day import Day, UnknownKind, UnknownShape
 
         kinds = f"/{self.option('kinds')}" if self.option("kinds") else ""
+        shape = f"@{self.option('shape')}" if self.option("shape") else ""
         try:
-            Day.read(f"{first}{kinds}")
+            Day.read(f"{first}{kinds}{shape}")
         except UnknownKind as unknown:
             raise wrong(f"--kinds: {unknown}") from None
-        return [f"{seed}{kinds}" for seed in range(first, first + count)]
+        except UnknownShape as unknown:
+            raise wrong(f"--shape: {unknown}") from None
+        return [f"{seed}{kinds}{shape}" for seed in range(first, first + count)]
 
     def _tell_search(self, first: int, lines: list[str], played: PlayedDays, seconds: float) -> int:
         wanted = set(lines)
--- a/kestrelbend/tier/control/shard_placer.py
+++ b/kestrelbend/tier/control/shard_placer.py
@@ -163,6 +163,7 @@
             state.retiring,
             now,
             lambda replica_id: self._absence(replica_id, now),
+            state.stores.is_storage_disk,
         )
 
     @staticmethod
--- a/kestrelbend/tier/fleet/day.py
+++ b/kestrelbend/tier/fleet/day.py
@@ -1,7 +1,7 @@
 """A day of mixed faults, drawn by a seed; played, and shrunk where it breaks a rule.
 
-A day is named by one line, `seed:places/kinds`: the seed, the places of the faults that are left of it, and
-the kinds that it was drawn from (none: all).
+A day is named by one line, `seed:places/kinds@shape`: the seed, the places of the faults that are left of it,
+the kinds that it was drawn from (none: all that the shape bears), and the deployment (none: the default).
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from .faults import KINDS, FaultKind, acknowledging_machine, start_all
 from .fleet import Size
+from .shapes import DEFAULT_SHAPE, SHAPES
 from .world import World, play
 
 LENGTH_S = 5.0  # faults begin within this
@@ -28,6 +29,13 @@
         super().__init__(f"'{name}' is none of {', '.join(sorted(KINDS))}")
 
 
+class UnknownShape(ValueError):
+    """A name of no shape."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"'{name}' is none of {', '.join(SHAPES)}")
+
+
 @attrs.frozen
 class Fault:
     """One fault of a day; `place` is where it stands in the seed's whole list."""
@@ -37,6 +45,11 @@
     kind: str
 
 
+def kinds_borne(tolerated: int) -> list[str]:
+    """The kinds of fault that a deployment bears which tolerates so many losses."""
+    return [kind.name for kind in KINDS.values() if kind.tolerated <= tolerated]
+
+
 @attrs.frozen
 class Day:
     """A seed's faults, or those that are left of them."""
@@ -44,29 +57,34 @@
     seed: int
     faults: tuple[Fault, ...]
     closing: str
-    kinds: tuple[str, ...] = ()  # that it was drawn from; none: all
+    kinds: tuple[str, ...] = ()  # that it was drawn from; none: all that the shape bears
+    shape: str = DEFAULT_SHAPE
 
     @classmethod
-    def draw(cls, seed: int, kinds: tuple[str, ...] = ()) -> Day:
-        """The whole day of a seed, out of all kinds of fault or some."""
+    def draw(cls, seed: int, kinds: tuple[str, ...] = (), shape: str = DEFAULT_SHAPE) -> Day:
+        """The whole day of a seed, out of all kinds of fault that the shape bears or some."""
         rng = random.Random(f"day {seed}")
-        names = sorted(kinds or KINDS)
+        names = sorted(kinds or kinds_borne(SHAPES[shape].tolerate_nodes))
         drawn = [rng.choice(names) for _ in range(rng.randint(1, MAX_FAULTS))]
         times = sorted(rng.uniform(0.0, LENGTH_S) for _ in drawn)
         pairs = enumerate(zip(times, drawn, strict=True))
         faults = tuple(Fault(index, at, kind) for index, (at, kind) in pairs)
-        return cls(seed, faults, rng.choice(CLOSINGS), tuple(kinds))
+        return cls(seed, faults, rng.choice(CLOSINGS), tuple(kinds), shape)
 
     @classmethod
     def read(cls, line: str) -> Day:
-        """The day that `str` names; raises `ValueError` where the seed is no number or a kind is unknown."""
+        """The day that `str` names; raises `ValueError` where the seed is no number or a name is unknown."""
+        line, _, shape = line.partition("@")
+        shape = shape or DEFAULT_SHAPE
+        if shape not in SHAPES:
+            raise UnknownShape(shape)
         head, _, names = line.partition("/")
         seed, _, places = head.partition(":")
         kinds = tuple(names.split(",")) if names else ()
         unknown = [kind for kind in kinds if kind not in KINDS]
         if unknown:
             raise UnknownKind(unknown[0])
-        whole = cls.draw(int(seed), kinds)
+        whole = cls.draw(int(seed), kinds, shape)
         if not places:
             return whole
         kept = places.split(",")
@@ -78,7 +96,8 @@
         places = [str(fault.index) for fault in self.faults]
         places += ["end"] if self.closing != "none" else [] if places else ["none"]
         names = f"/{','.join(self.kinds)}" if self.kinds else ""
-        return f"{self.seed}:{','.join(places)}{names}"
+        shape = f"@{self.shape}" if self.shape != DEFAULT_SHAPE else ""
+        return f"{self.seed}:{','.join(places)}{names}{shape}"
 
     def describe(self) -> str:
         """The faults in words, times in seconds."""
@@ -156,8 +175,8 @@
 
 
 def play_day(day: Day, size: Size | None = None) -> Result:
-    """Plays a day to its calm end."""
-    world = play(lambda world: _Player(world, day).play(), day.seed, size)
+    """Plays a day to its calm end, on a deployment of the day's shape or of a given size."""
+    world = play(lambda world: _Player(world, day).play(), day.seed, size or SHAPES[day.shape])
     programs = world.programs.all.values()
     return Result(
         day=day,
--- a/kestrelbend/tier/fleet/faults/disks.py
+++ b/kestrelbend/tier/fleet/faults/disks.py
@@ -22,6 +22,24 @@
     world.fleet.start(machine)
 
 
+@fault("wipe_tolerated", affects_quorum=True, tolerated=2)
+async def wipe_tolerated(world: World, rng: random.Random) -> None:
+    """As many machines as may be lost lose their disks at once, at times the others their power."""
+    machine = await acknowledging_machine(world)
+    count = world.fleet.tolerate_nodes
+    candidates = world.fleet.control_machines() if rng.random() < 0.5 else world.fleet.quorum_machines()
+    wiped = rng.sample(candidates, count)
+    if machine is not None and machine not in wiped and rng.random() < 0.6:
+        wiped[0] = machine
+    others = [other for other in world.fleet.quorum_machines() if other not in wiped and other.has_power]
+    for lost in wiped:
+        world.fleet.wipe(lost)
+    dark = others if rng.random() < 0.3 else []
+    for other in dark:
+        world.fleet.lose_power(other)
+    await start_all(world, rng, [*wiped, *dark], rng.uniform(0.5, 3.0))
+
+
 @fault("wipe_and_power", affects_quorum=True)
 async def wipe_and_power(world: World, rng: random.Random) -> None:
     """A machine loses its disk while all others that count lose power."""
--- a/kestrelbend/tier/fleet/faults/machines.py
+++ b/kestrelbend/tier/fleet/faults/machines.py
@@ -128,6 +128,18 @@
         await asyncio.sleep(GRACE_S)
 
 
+@fault("replace_tolerated", affects_quorum=True, tolerated=2)
+async def replace_tolerated(world: World, rng: random.Random) -> None:
+    """As many machines as may be lost are gone for good, and empty ones come at other addresses."""
+    lost = rng.sample(world.fleet.quorum_machines(), world.fleet.tolerate_nodes)
+    for machine in lost:
+        world.fleet.remove(machine)
+    for machine in lost:
+        await asyncio.sleep(rng.uniform(0.3, 2.0))
+        spec = machine.spec
+        world.fleet.add_machine(spec.machine_class, spec.zone, True, tuple(machine.processes))
+
+
 @fault("add_store", affects_quorum=True)
 async def add_store(world: World, rng: random.Random) -> None:
     """A storage machine comes."""
--- a/kestrelbend/tier/fleet/mutations/groups.py
+++ b/kestrelbend/tier/fleet/mutations/groups.py
@@ -6,7 +6,7 @@
 
 from ...configuration.messages import OrderKind
 from ...configuration.stores import ShardRemoval
-from ...membership.placement import initial_budget_placements
+from ...membership.placement import LAST_RESORT, configuration_candidates, initial_budget_placements
 from ...replication.group import has_quorum, remove_voter
 from ...storage.identity import BOOTSTRAP_IDENTITY
 from ...storage.identity import _write_identity as _write_any_identity
@@ -17,8 +17,9 @@
 
     from ...configuration.messages import ConfigOrder, ConfigOutcome
     from ...configuration.stores import StoreRecords
+    from ...control.report_quorum import ControlReplicas
     from ...control.retirement import Retirement
-    from ...membership.messages import ShardPlacement, ShardReport
+    from ...membership.messages import Member, ShardPlacement, ShardReport
     from ...membership.placement import Candidate
     from ...replication.group import Voters
     from ...replication.leader import LeaderState
@@ -26,9 +27,11 @@
     from ...replication.messages import ReplicaId
     from ...replication.placement import Placement, Target
     from ...replication.replica import Replica
+    from ...roles.configuration_voter import ConfigurationVoter
     from ...storage.disk import Disk
 
 _initial_budget_placements = initial_budget_placements
+_configuration_candidates = configuration_candidates
 
 
 @guard("learner", "replication.leader:LeaderState.is_caught_up", "voters that hold nothing")
@@ -165,3 +168,29 @@
 ) -> Voters | None:
     """Replaces the whole group in one step."""
     return target if target and target != voters else None
+
+
+@guard(
+    "stores-complete",
+    "membership.placement:configuration_candidates",
+    "a configuration lost with as many disks as may go",
+)
+def take_no_store(members: Iterable[Member], retiring: Iterable[str]) -> list[Candidate]:
+    """Leaves the configuration's group to the control nodes, however few they are."""
+    found = _configuration_candidates(members, retiring)
+    return [candidate for candidate in found if candidate.preference < LAST_RESORT]
+
+
+@guard(
+    "store-hands-over",
+    "roles.configuration_voter:ConfigurationVoter.tick",
+    "a configuration led by a store, which serves no orders",
+)
+def keep_the_leadership(voter: ConfigurationVoter, now: float) -> None:
+    """Lets an elected store go on leading."""
+
+
+@guard("leave-holders", "control.report_quorum:is_held_by_enough", "sends to who left")
+def count_as_held(controls: ControlReplicas, is_holder: Callable[[ReplicaId], bool], tolerated: int) -> bool:
+    """Asks a majority of the voting control nodes alone."""
+    return has_quorum(controls.voting, is_holder)
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -3,7 +3,8 @@
 A replica keeps its place while it is live or was live recently.  It is replaced when its process has been
 absent for too long, when its node came back with an emptied disk (which has another identity), or when its
 node is being retired.  A spare of the preferred class replaces it soon, as it was added for that purpose; any
-other candidate only after a long absence.
+other candidate only after a long absence, unless the group has such voters already: then there are too few of
+the preferred class, and nothing better is to be waited for.
 
 The configuration's shard belongs to the control nodes.  Stores complete its group where there are fewer
 control disks than it needs, and are replaced by control nodes that come later.
@@ -117,7 +118,7 @@
     """Returns the voters that a shard should have, in the order of preference as owner.
 
     These are the voters in `current`, unless some must be replaced, added or removed.  `fallback_replicas`
-    are those known not to be of the preferred class, live or absent: any candidate replaces them soon.
+    are those known not to be of the preferred class, live or absent.
     """
     by_replica = {candidate.replica: candidate for candidate in available}
     voters = list(current)
@@ -143,6 +144,7 @@
 ) -> None:
     """Replaces unavailable voters whose replacement is due and for which there is a candidate."""
     by_address = {candidate.address: candidate for candidate in available}
+    lacks_preferred = any(replica in fallback_replicas for replica in voters)
     for index, replica in enumerate(voters):
         if replica in by_replica:
             continue
@@ -153,7 +155,7 @@
         substitute = _best_candidate(available, voters, by_replica, index)
         if substitute is None:
             continue
-        is_spare = substitute.preference == PREFERRED or replica in fallback_replicas
+        is_spare = substitute.preference == PREFERRED or lacks_preferred
         timeout = SPARE_TIMEOUT_S if is_spare else LOST_TIMEOUT_S
         if replica in retiring or absence_of(replica) > timeout:
             voters[index] = substitute.replica
--- a/tests/tier/test_fleet_search.py
+++ b/tests/tier/test_fleet_search.py
@@ -1,6 +1,7 @@
 """A seeded search over days of mixed troubles; a failing day is told as one line for `lab fleet --day`."""
 
 import gc
+import itertools
 import json
 import os
 import pathlib
@@ -16,9 +17,11 @@
 from kestrelbend.tier.fleet.day import Day, Fault, play_day
 from kestrelbend.tier.fleet.disks import MemoryDisk
 from kestrelbend.tier.fleet.played_days import PlayedDay, PlayedDays
+from kestrelbend.tier.fleet.shapes import DEFAULT_SHAPE, SHAPES
 from tests.tier.forked_pool import forked_pool
 
 SEEDS = 200
+SEEDS_OF_A_SHAPE = 8
 DAY_OF_ITS_OWN = 46  # two control machines replaced in turn: see the test that has its faults
 COLLECT_AFTER = 50_000  # allocations between collections of garbage
 
@@ -67,10 +70,23 @@
         self.assertEqual(first.turns, second.turns)
 
     def test_a_day_is_read_as_it_is_told(self):
-        for seed in range(20):
-            day = Day.draw(seed)
+        for seed, shape in itertools.product(range(20), SHAPES):
+            day = Day.draw(seed, shape=shape)
             self.assertEqual(day, Day.read(str(day)))
-            self.assertEqual(day, Day.read(str(seed)))
+            self.assertEqual(day, Day.read(f"{seed}@{shape}"))
+
+    def test_no_day_with_two_tolerated_losses_breaks_a_rule(self):
+        """Groups of three voters, where five were needed, lost the configuration with two disks."""
+        days = [
+            Day.draw(seed, shape=shape)
+            for shape in SHAPES
+            if shape != DEFAULT_SHAPE
+            for seed in range(1, SEEDS_OF_A_SHAPE + 1)
+        ]
+        with forked_pool(os.cpu_count()) as pool:
+            results = pool.map(play_whole, days, chunksize=1)
+        broken = [f"--day {result.day}: {result.violations[0]}" for result in results if result.violations]
+        self.assertEqual([], broken)
 
     def test_a_mistake_is_found(self):
         with forked_pool(1) as pool:
@@ -100,6 +116,12 @@
             self.assertEqual(WRONG, code)
             self.assertIn("'nonsense' is none of absent, ", told)
 
+    def test_a_shape_that_is_unknown_is_named_beside_those_that_are_known(self):
+        for words in ("--shape nonsense", "--day 1@nonsense"):
+            code, told = self.run_verb(words)
+            self.assertEqual(WRONG, code)
+            self.assertIn("'nonsense' is none of one-loss, ", told)
+
     def test_a_search_that_was_ended_plays_only_what_is_missing(self):
         options = f"--seeds 2 --first 3 --kinds gateway_kill --jobs 1 --out {self.file}"
         code, told = self.run_verb(options)
--- a/tests/tier/test_fleet_tolerance.py
+++ b/tests/tier/test_fleet_tolerance.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+from kestrelbend.tier.fleet.faults import owner_machine
 from kestrelbend.tier.fleet.fleet import Size
-from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD, group_size
+from kestrelbend.tier.membership.placement import CONFIGURATION_SHARD, LOST_TIMEOUT_S, group_size
 from tests.tier.fleet_story import FleetStory
 from tests.tier.test_fleet_placement import CATCHUP_S, SHARDS, holders, holders_or_none
 
@@ -82,3 +83,87 @@
             self.assertEqual({5}, {len(holders(world, shard)) for shard in SHARDS})
 
         self.tell(story, seeds=(1, 2), size=Size(control=3, stores=5, gateways=1))
+
+
+class TestGroupsWhileMachinesChange(FleetStory):
+    """The configuration's group of three control nodes and two stores keeps its size and its order."""
+
+    def tell_of_three(self, story):
+        self.tell(story, seeds=(1, 2), size=size(3))
+
+    def assert_complete(self, world, expected_controls):
+        voters = holders(world, CONFIGURATION_SHARD)
+        controls = [
+            machine.processes["control"].instance.replica_id for machine in world.fleet.control_machines()
+        ]
+        self.assertEqual(group_size(TOLERATED), len(voters))
+        self.assertEqual(set(controls), set(voters[:expected_controls]))
+        self.assertIn(owner_machine(world), world.fleet.control_machines())
+
+    def test_given_a_control_node_that_comes_then_it_takes_a_stores_place(self):
+        async def story(world):
+            await asyncio.sleep(CATCHUP_S)
+            self.assert_complete(world, 3)
+            world.fleet.add_machine("front", "zone-1", True, ("control", "gateway"))
+            await asyncio.sleep(CATCHUP_S)
+            self.assert_complete(world, 4)
+
+        self.tell_of_three(story)
+
+    def test_given_a_store_that_votes_when_it_is_retired_then_it_holds_the_configuration_no_more(self):
+        async def story(world):
+            await asyncio.sleep(CATCHUP_S)
+            leaving = voting_machines(world)[-1]
+            replica = leaving.processes["store"].instance.replica_id
+            world.fleet.add_machine("storage", leaving.spec.zone, True, ("store",))
+            self.assertTrue(await world.operator.retire(leaving.name, 20.0))
+            self.assertNotIn(replica, holders(world, CONFIGURATION_SHARD))
+            world.fleet.remove(leaving)
+            await asyncio.sleep(CATCHUP_S)
+            self.assert_complete(world, 3)
+
+        self.tell_of_three(story)
+
+    def test_given_a_store_that_votes_when_it_is_replaced_then_another_votes_within_the_catch_up_time(self):
+        async def story(world):
+            await asyncio.sleep(CATCHUP_S)
+            gone = voting_machines(world)[-1]
+            world.fleet.remove(gone)
+            world.fleet.add_machine("storage", gone.spec.zone, True, ("store",))
+            await asyncio.sleep(CATCHUP_S)
+            self.assert_complete(world, 3)
+
+        self.tell_of_three(story)
+
+    def test_given_a_control_node_that_is_away_for_long_when_it_returns_then_it_votes_again(self):
+        async def story(world):
+            await asyncio.sleep(CATCHUP_S)
+            away = world.fleet.control_machines()[0]
+            replica = away.processes["control"].instance.replica_id
+            world.fleet.lose_power(away)
+            await asyncio.sleep(LOST_TIMEOUT_S + CATCHUP_S)
+            self.assertNotIn(replica, holders(world, CONFIGURATION_SHARD))
+            world.fleet.start(away)
+            await asyncio.sleep(CATCHUP_S)
+            self.assert_complete(world, 3)
+
+        self.tell_of_three(story)
+
+    def test_given_stores_alone_with_the_newest_entries_when_one_leads_then_it_hands_over(self):
+        async def story(world):
+            await asyncio.sleep(CATCHUP_S)
+            first, second, third = world.fleet.control_machines()
+            world.fleet.partition(third, [first, second, *world.fleet.stores()])
+            order = await world.operator.change()
+            self.assertIsNotNone(order.acknowledged_at)
+            for machine in (first, second):
+                world.fleet.wipe(machine)
+            world.fleet.heal(third, [first, second, *world.fleet.stores()])
+            await asyncio.sleep(2.0)
+            self.assertIs(third, owner_machine(world))
+            for machine in (first, second):
+                world.fleet.start(machine)
+            await asyncio.sleep(2 * CATCHUP_S)
+            self.assert_complete(world, 3)
+
+        self.tell_of_three(story)
--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -149,6 +149,12 @@
     ".test_given_an_uncommitted_change_then_the_previous_group_is_reported_and_it_is_not_stable",
     "add-before-remove": "test_replication_placement.TestLossDuringAGroupChange"
     ".test_given_live_voters_to_replace_then_the_group_exceeds_its_size_by_at_most_one",
+    "stores-complete": "test_fleet_tolerance.TestConfigurationSurvivesTheToleratedLosses"
+    ".test_given_three_control_nodes_when_two_lose_their_disks_then_the_configuration_is_read",
+    "store-hands-over": "test_fleet_tolerance.TestGroupsWhileMachinesChange"
+    ".test_given_stores_alone_with_the_newest_entries_when_one_leads_then_it_hands_over",
+    "leave-holders": "test_report_quorum.ReportQuorumTest"
+    ".test_report_on_two_of_three_nodes_would_be_lost_with_two_tolerated_losses",
     "ended-connection": "test_guards.TestEndedConnections.test_who_waits_for_a_reply_hears_of_it_at_once",
 }
 
--- a/tests/tier/test_membership_placement.py
+++ b/tests/tier/test_membership_placement.py
@@ -50,6 +50,14 @@
         voters = next_voters(replicas("a", "b", "c"), 3, available, lambda replica: 0.0)
         self.assertEqual(("a:1#new", *replicas("b", "c")), voters)
 
+    def test_any_candidate_replaces_an_absent_voter_soon_where_the_group_lacks_preferred_ones(self):
+        available = [candidate("b"), candidate("other", preference=1), candidate("stand-in", preference=1)]
+        current = replicas("a", "b", "stand-in")
+        voters = next_voters(
+            current, 3, available, lambda replica: SPARE_TIMEOUT_S + 0.1, (), replicas("stand-in")
+        )
+        self.assertEqual(replicas("other", "b", "stand-in"), voters)
+
     def test_no_zone_of_three_gets_a_majority_of_five_voters(self):
         available = [candidate(f"{zone}{number}", zone) for zone in "abc" for number in range(4)]
         voters = next_voters((), 5, available, lambda replica: 0.0)
--- a/tests/tier/test_report_quorum.py
+++ b/tests/tier/test_report_quorum.py
@@ -2,13 +2,13 @@
 
 import testtools
 
-from kestrelbend.tier.control.report_quorum import ControlReplicas, is_held_by_enough
+from kestrelbend.tier.control import report_quorum
 
 
 class ReportQuorumTest(testtools.TestCase):
     def held(self, holders, tolerated_nodes, live="abc", voting="abc"):
-        controls = ControlReplicas(tuple(voting), live)
-        return is_held_by_enough(controls, holders.__contains__, tolerated_nodes)
+        controls = report_quorum.ControlReplicas(tuple(voting), live)
+        return report_quorum.is_held_by_enough(controls, holders.__contains__, tolerated_nodes)
 
     def test_one_tolerated_loss_needs_two_holders(self):
         self.assertEqual((False, True), (self.held("a", 1), self.held("ab", 1)))
