A store that leads the configuration judges control nodes by their replies

What callers could see: both control machines of a deployment with two tolerated losses replaced by others: the store that led went on handing over to the lost ones, which its last directory still named, and the configuration was not served any more.

Cause: the store took the directory's members for live; that of a control node that is lost stays as long as no other connection ends. Change: who is live is asked of the leader's own replies.

--- a/kestrelbend/tier/replication/replica.py
+++ b/kestrelbend/tier/replication/replica.py
@@ -122,6 +122,11 @@
         leader_state = self._roles.leader_state
         return leader_state is not None and leader_state.has_committed
 
+    def is_live(self, identity: ReplicaId, now: float) -> bool:
+        """As the leader: whether a voter or learner has replied within the election timeout."""
+        leader_state = self._roles.leader_state
+        return leader_state is not None and leader_state.is_live(identity, now)
+
     def is_stable(self, now: float) -> bool:
         """As the leader: whether no group change is pending and live voters hold all that is committed."""
         leader_state = self._roles.leader_state
--- a/kestrelbend/tier/roles/configuration_voter.py
+++ b/kestrelbend/tier/roles/configuration_voter.py
@@ -4,8 +4,8 @@
 serve the configuration: if it is elected, since it alone has the newest entries, it brings a control node's
 replica up to date and transfers the leadership to that one.
 
-    elected --> a control node is a voter ------> leadership transferred to it, once its log is complete
-            --> none is (all their disks lost) -> target: control nodes that are live in place of lost voters
+    elected --> a live control node votes ---> leadership transferred to it, once its log is complete
+            --> none does (all disks lost) --> target: live control nodes in place of lost voters and stores
 
 Invariant: a store proposes no orders, and answers every order and read as a process that is not the owner.
 """
@@ -19,14 +19,16 @@
 from ..membership.directory import DirectoryView
 from ..membership.placement import (
     CONFIGURATION_SHARD,
+    LOST_TIMEOUT_S,
     configuration_candidates,
     configuration_voters,
     control_replicas,
 )
 from ..replication.host import ShardHost
-from ..replication.messages import ReplicaId
 from ..replication.replica import Replica
 
+LOST_ABSENCE_S = LOST_TIMEOUT_S + 1.0  # of a voter that does not reply: it may be replaced
+
 
 class ConfigurationVoter:
     """Looks after the replica, if this store holds one; `now` returns seconds of a monotonic clock."""
@@ -47,31 +49,33 @@
         if replica is None or not replica.is_leader:
             return
         controls = control_replicas(self._directory.members)
-        voting_controls = tuple(control for control in controls if control in replica.voters)
-        if voting_controls:
-            replica.transfer_leadership(now, voting_controls)
+        replica.set_learners(controls)
+        live_controls = [control for control in controls if replica.is_live(control, now)]
+        receivers = tuple(control for control in live_controls if control in replica.voters)
+        if receivers:
+            replica.transfer_leadership(now, receivers)
         else:
-            self._admit_control_nodes(replica, controls)
+            self._admit_control_nodes(replica, now)
         self._host.flush(CONFIGURATION_SHARD)
 
-    def _admit_control_nodes(self, replica: Replica, controls: tuple[ReplicaId, ...]) -> None:
-        """Sets a target in which control nodes take the places of lost voters and of stores."""
-        replica.set_learners(controls)
+    def _admit_control_nodes(self, replica: Replica, now: float) -> None:
+        """Sets a target in which live control nodes take the places of lost voters and of stores.
+
+        Who is live is known from replies to this leader: the directory may be that of a lost control node.
+        """
         if not replica.has_committed_in_term:
             return
         machine = cast(ConfigurationStateMachine, self._host.state_machine(CONFIGURATION_SHARD))
         stores = machine.state.stores
+        listed = configuration_candidates(self._directory.members, stores.retiring)
+        available = [candidate for candidate in listed if replica.is_live(candidate.replica, now)]
+        live = {candidate.replica for candidate in available}
         voters = configuration_voters(
             replica.voters,
             len(replica.voters),
-            configuration_candidates(self._directory.members, stores.retiring),
-            _not_absent,
+            available,
+            lambda voter: 0.0 if voter in live else LOST_ABSENCE_S,
             (),
             stores.is_storage_disk,
         )
         replica.set_target(voters, term=replica.term)
-
-
-def _not_absent(replica: ReplicaId) -> float:
-    """Absence is judged by control nodes alone, which know the heartbeats."""
-    return 0.0
