Orders of many small items no longer end a control process

What callers saw: one POST to Config.Put of 7.8 MB, inside the limit of an order, took a control process from 60 MB to 301 MB (a trial with one such body after the other); four at once took it to 958 MB. On a machine of 300 MB the process ends.

Cause: an order was decoded before anything was checked but its size, and a decoded value takes up to a hundred times the bytes of its text ("[]," is 3 bytes, a list with its place 64).

Change: an order whose text can hold more values than a quarter of RamMb has room for, at 128 bytes each, is rejected with 413 before it is decoded: 614,400 values at 300 MB. The count of commas and opening brackets is an upper bound and costs one pass. The target's 5,300 routes have about 90,000.

Tests: tests/crowd is new: the processes of the deploy file with RamMb 128 (the target of docs/CAPACITY.md), a small crowd, and checks of memory, descriptors and one ordinary answer.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	cat requirements.txt requirements-dev.txt requirements-tier.txt constraints.txt > $@
 
 test: build
-	.venv/bin/python -m pytest -q -n auto --dist worksteal
+	.venv/bin/python -m pytest -q -n auto --dist worksteal --ignore tests/crowd
+	.venv/bin/python -m pytest -q tests/crowd
 
 lint: build
 	.venv/bin/ruff check .
--- a/kestrelbend/tier/configuration/config_calls.py
+++ b/kestrelbend/tier/configuration/config_calls.py
@@ -2,24 +2,28 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from kestrelbend.tier.configuration.http_answers import (
     ApiResponse,
     error_response,
     json_response,
     unavailable_response,
 )
+from kestrelbend.tier.configuration.json_codec import count_items
 from kestrelbend.tier.configuration.messages import UNDETERMINED, ConfigOrder, OrderKind
 from kestrelbend.tier.configuration.operator_call import Call
 from kestrelbend.tier.configuration.ports import ControlPort
 from kestrelbend.tier.configuration.schemas import MAX_VERSION
-from kestrelbend.tier.configuration.statuses import INVALID, NOT_FOUND, OK
+from kestrelbend.tier.configuration.statuses import BODY_TOO_LARGE, INVALID, NOT_FOUND, OK
 
 
 class ConfigCalls:
     """Handles calls on the configuration through the port."""
 
-    def __init__(self, port: ControlPort) -> None:
+    def __init__(self, port: ControlPort, max_items: Callable[[], int]) -> None:
         self._port = port
+        self._max_items = max_items
 
     async def put(self, call: Call) -> ApiResponse:
         """Replaces the configuration by a complete one."""
@@ -42,6 +46,8 @@
         base = _base_version(call.base_version_header)
         if base is None:
             return error_response(INVALID, "X-Kestrelbend-Base-Version is missing or no whole number")
+        if count_items(call.body) > self._max_items():
+            return error_response(BODY_TOO_LARGE, "the body holds too many items")
         outcome = await self._port.submit_order(ConfigOrder(int(kind), base, call.body))
         if outcome.status == OK:
             return json_response(OK, {"Ver": outcome.version})
--- a/kestrelbend/tier/configuration/json_codec.py
+++ b/kestrelbend/tier/configuration/json_codec.py
@@ -18,3 +18,11 @@
     except (ValueError, RecursionError):
         return None
     return values if isinstance(values, dict) else None
+
+
+def count_items(body: bytes) -> int:
+    """An upper bound for the number of values in a JSON text, without decoding it.
+
+    A decoded value takes up to a hundred times the bytes of its text.
+    """
+    return body.count(b",") + body.count(b"[") + body.count(b"{")
--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -38,6 +38,7 @@
 MAX_ORDER_BYTES = 8 * 1024 * 1024
 MAX_REPORT_BYTES = 64 * 1024
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # of a body that is too large; beyond this limit, reading stops
+UNLIMITED_ITEMS = 1 << 62  # of an order's JSON text
 MAX_NAME = 256  # characters
 BODY_TIMEOUT_S = 20.0
 RETRY_AFTER_S = "0.2"
@@ -63,9 +64,9 @@
 class OperatorApi:
     """Translates HTTP calls into calls of a `ControlPort`."""
 
-    def __init__(self, port: ControlPort) -> None:
+    def __init__(self, port: ControlPort, max_items: Callable[[], int] = lambda: UNLIMITED_ITEMS) -> None:
         self._port = port
-        config = ConfigCalls(port)
+        config = ConfigCalls(port, max_items)
         backends = BackendCalls(port)
         retirement = RetirementCalls(port)
         handlers = (
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -58,6 +58,7 @@
 from .control_streams import ControlStreams
 from .environment import Environment
 from .process import TierProcess
+from .serving_limits import order_items
 from .settings import Settings
 
 HAND_OVER_TIMEOUT_S = 1.0
@@ -269,7 +270,8 @@
             self._tolerated_nodes,
             self.now,
         )
-        listener = Listener(OperatorApi(operations), self.settings.listen_control, self.until_served_enough)
+        api = OperatorApi(operations, lambda: order_items(self.settings))
+        listener = Listener(api, self.settings.listen_control, self.until_served_enough)
         self._serving = self.spawn(self.environment.serve([listener]))
 
     async def stop(self) -> None:
