Strangers at the internal ports can no longer fill a process's memory

Five connections to the internal port of any process, each with the head of the largest frame (32 MiB) and all but its end, held 160 MB for good.

Cause: the frame reader took the largest message from a peer that had not said who it is, and kept such connections without a bound.

Change: until a peer's Hello has come a message has 64 KiB at most, and 256 incoming connections wait for theirs; one more costs the oldest. A peer of the tier sends its Hello before anything else, so it meets neither.

A peer that does greet and then lies is not bounded by this; the internal ports are not for clients.

--- a/kestrelbend/tier/protocol/framing.py
+++ b/kestrelbend/tier/protocol/framing.py
@@ -158,7 +158,8 @@
 class FrameReader:
     """Complete messages out of a connection's bytes."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
+        self.max_message_bytes = max_message_bytes
         self._buffer = bytearray()
         self._chunks = bytearray()
         self.chunk_bytes = 0  # since the caller last set it back, to be acknowledged
@@ -172,7 +173,7 @@
             while len(self._buffer) - position >= HEADER_WORD.size:
                 (header,) = HEADER_WORD.unpack_from(self._buffer, position)
                 length = header & MAX_LENGTH
-                if length > MAX_MESSAGE_BYTES:
+                if length > self.max_message_bytes:
                     raise FramingError("a frame that is too long")
                 end = position + HEADER_WORD.size + length
                 if len(self._buffer) < end:
@@ -195,7 +196,7 @@
             return None
         self.chunk_bytes += len(body)
         self._chunks += body
-        if len(self._chunks) > MAX_MESSAGE_BYTES:
+        if len(self._chunks) > self.max_message_bytes:
             raise FramingError("a message that is too long")
         if kind == CHUNK:
             return None
--- a/kestrelbend/tier/protocol/peer_connection.py
+++ b/kestrelbend/tier/protocol/peer_connection.py
@@ -22,7 +22,7 @@
 from ..replication import messages as replication
 from ..socket_options import SilenceLimits, configure_socket
 from .codec import DecodeError, decode_with_sequence, encode
-from .framing import FrameReader, FrameWriter, FramingError, LargeMessage
+from .framing import MAX_MESSAGE_BYTES, FrameReader, FrameWriter, FramingError, LargeMessage
 from .wire_names import WIRE_NAMES
 
 ANY_ORDER = frozenset(  # replicas bear any order of these
@@ -36,6 +36,7 @@
         replication.TransferLeadership,
     )
 )
+MAX_GREETING_BYTES = 64 * 1024  # of a message of a peer that has not said who it is
 MAX_WAITING_BYTES = 24 << 20  # a peer that reads nothing loses its connection beyond
 MAX_SEQUENCE = 2**31 - 1  # a message's header has no room for more
 SILENCE_LIMITS = SilenceLimits(unacknowledged_ms=600, probe_after_s=1, probe_interval_s=1, probes=2)
@@ -76,7 +77,7 @@
         self.peer: Hello | None = None  # once it has greeted
         self.peer_replica = ""  # from then on, the identity of its disk; "" where it has none
         self._transport: asyncio.Transport | None = None
-        self._reader = FrameReader()
+        self._reader = FrameReader(MAX_GREETING_BYTES)
         self._writer = FrameWriter(ANY_ORDER)
         self._write_due = False  # once the loop comes round
         self._pending_replies: dict[int, asyncio.Future[Any]] = {}  # by sequence number
@@ -139,6 +140,7 @@
             self._endpoint.log.warning("frame refused: {}", fault)
             return False
         if isinstance(message, Hello):
+            self._reader.max_message_bytes = MAX_MESSAGE_BYTES
             self.peer = message
             self.peer_replica = message.replica
             self._endpoint.greeted(self)
--- a/kestrelbend/tier/protocol/peer_connections.py
+++ b/kestrelbend/tier/protocol/peer_connections.py
@@ -24,6 +24,7 @@
 from .peer_connection import Log, PeerConnection
 
 LISTEN_BACKLOG = 512
+MAX_UNGREETED = 256  # incoming connections that have not said who they are
 CONNECT_TIMEOUT_S = 0.3  # until the peer has greeted
 FIRST_BACKOFF_S = 0.03
 MAX_BACKOFF_S = 0.12
@@ -66,6 +67,7 @@
         self._on_lost = on_lost
         self.opened: dict[PeerConnection, None] = {}  # in the order in which they were opened
         self.sent_bytes = 0
+        self._ungreeted: dict[PeerConnection, None] = {}  # incoming ones, oldest first
         self._peers: dict[str, _Peer] = {}
         self._server: asyncio.Server | None = None
 
@@ -74,13 +76,23 @@
         host, port = self.hello.address.rsplit(":", 1)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: PeerConnection(self, outgoing=False),
+            self._accept,
             host,
             int(port),
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
 
+    def _accept(self) -> PeerConnection:
+        """A new incoming connection; too many that say nothing cost the oldest of them."""
+        if len(self._ungreeted) >= MAX_UNGREETED:
+            oldest = next(iter(self._ungreeted))
+            del self._ungreeted[oldest]
+            oldest.close()
+        connection = PeerConnection(self, outgoing=False)
+        self._ungreeted[connection] = None
+        return connection
+
     def keep(self, addresses: Iterable[str]) -> None:
         """Keeps outgoing connections to exactly these addresses (and never to itself)."""
         wanted = set(addresses) - {self.hello.address, ""}
@@ -116,6 +128,7 @@
 
     def greeted(self, connection: PeerConnection) -> None:
         """A connection knows its peer now."""
+        self._ungreeted.pop(connection, None)
         if not connection.outgoing:
             return
         peer = self._peers.get(connection.address)
@@ -128,6 +141,7 @@
 
     def lost(self, connection: PeerConnection) -> None:
         """A connection ended."""
+        self._ungreeted.pop(connection, None)
         peer = self._peers.get(connection.address)
         if peer is not None and (peer.connection is connection or peer.connection is None):
             peer.connection = None
--- a/tests/crowd/test_crowds.py
+++ b/tests/crowd/test_crowds.py
@@ -4,9 +4,12 @@
 
 import pytest
 
+from kestrelbend.tier.protocol.framing import HEADER_WORD, MAX_MESSAGE_BYTES
+
 from .clients import Crowd, head
-from .deployment import run_with_deployment
+from .deployment import INTERNAL_PORTS, MEBIBYTE, run_with_deployment
 
+STRANGER_CROWD = 5  # of the largest frame of the internal protocol
 PATHS = {"front": "/slow/a", "control": "/api/Config.Put", "ready": "/api/readyz"}
 
 
@@ -44,3 +47,14 @@
         yield body
 
     run_crowd("control", ORDER_CROWD, pieces)
+
+
+@pytest.mark.parametrize("listener", INTERNAL_PORTS)
+def test_frames_of_strangers_at_the_internal_port(listener):
+    def pieces(_identity):
+        yield HEADER_WORD.pack(MAX_MESSAGE_BYTES)
+        piece = bytes(MEBIBYTE)
+        for _ in range(MAX_MESSAGE_BYTES // MEBIBYTE - 1):
+            yield piece
+
+    run_crowd(listener, STRANGER_CROWD, pieces)
