The bodies of all requests of a process together have a bound

What callers saw: 120 clients with bodies of legal size, whole or just short of their end, took a gateway to 525 to 722 MB and a control process to 358 to 763 MB where RamMb is 300; such clients ended a process. Bodies far over the limit that were just sent did the same at the control API.

Cause: each body was bounded, their sum was not. The server read as fast as bytes came, into a queue without a bound, whether or not the application took them; it kept up to 384 KiB of each connection unread; and a client that stopped short of its end held what it had sent until its time-out.

Change: bodies hold memory from one budget, a quarter of RamMb (and room for two of the largest). When it is used up, the incomplete body that holds the most is rejected: 503, a retry-after and the promise that nothing ran; so who stops halfway keeps nobody out, and a quarter is left to bodies up to 16 KiB. A complete body counts twice, since what waits for a backend is a copy. The server (now http_server/, hypercorn's protocol on streams of our own) reads 16 KiB at once, and no more before the application has taken it. A request that is refused before its body has come ends its connection only after a second of reading on, since closing at once resets it and loses the response.

Tests: tests/crowd, RamMb 128, 40 clients, crowd and bounds fixed before.

--- a/kestrelbend/tier/configuration/http_answers.py
+++ b/kestrelbend/tier/configuration/http_answers.py
@@ -12,11 +12,15 @@
 
 @attrs.frozen
 class ApiResponse:
-    """A status and a JSON body; `allow` is the value of the Allow header of a 405 response."""
+    """A status and a JSON body.
+
+    `allow` is the value of the Allow header of a 405 response; `closes` ends the connection.
+    """
 
     status: int
     body: bytes
     allow: str = ""
+    closes: bool = False
 
 
 def json_response(status: int, values: dict[str, Any]) -> ApiResponse:
--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -34,6 +34,8 @@
     OK,
     UNAVAILABLE,
 )
+from kestrelbend.tier.http_server.body_budget import BodyBudget, BodyBuffer
+from kestrelbend.tier.http_server.request_body import BodyRejection
 
 MAX_ORDER_BYTES = 8 * 1024 * 1024
 MAX_REPORT_BYTES = 64 * 1024
@@ -44,6 +46,7 @@
 RETRY_AFTER_S = "0.2"
 BASE_VERSION_HEADER = b"x-kestrelbend-base-version"
 CALL_PATH = re.compile(r"/api/(?P<call>[A-Za-z]+(?:\.[A-Za-z]+)?)(?:/(?P<name>[^/]+))?")
+OVERLOADED = attrs.evolve(unavailable_response(), closes=True)  # too little memory for all calls
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -64,8 +67,14 @@
 class OperatorApi:
     """Translates HTTP calls into calls of a `ControlPort`."""
 
-    def __init__(self, port: ControlPort, max_items: Callable[[], int] = lambda: UNLIMITED_ITEMS) -> None:
+    def __init__(
+        self,
+        port: ControlPort,
+        bodies: BodyBudget | None = None,
+        max_items: Callable[[], int] = lambda: UNLIMITED_ITEMS,
+    ) -> None:
         self._port = port
+        self._bodies = bodies or BodyBudget()
         config = ConfigCalls(port, max_items)
         backends = BackendCalls(port)
         retirement = RetirementCalls(port)
@@ -90,19 +99,29 @@
 
     async def _serve_http(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         found = self._find_handler(scope)
+        with self._bodies.open() as buffer:
+            try:
+                response = await self._read_and_respond(found, scope, receive, buffer)
+            except _Disconnected:
+                return
+        await _send(send, response)
+
+    async def _read_and_respond(
+        self, found: _Match | ApiResponse, scope: dict[str, Any], receive: Receive, buffer: BodyBuffer
+    ) -> ApiResponse:
         max_bytes = 0 if isinstance(found, ApiResponse) else found.handler.max_bytes
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await _read_body(receive, max_bytes)
+                body = await _read_body(receive, buffer, max_bytes)
         except TimeoutError:
-            await _send(send, error_response(BODY_TIMEOUT, "the body did not come in time"))
-            return
-        except _Disconnected:
-            return
+            return error_response(BODY_TIMEOUT, "the body did not come in time")
         if isinstance(found, ApiResponse):
-            await _send(send, found)
-            return
-        await _send(send, await self._respond(found, scope, body))
+            return found
+        if body is BodyRejection.NO_MEMORY:
+            return OVERLOADED
+        if isinstance(body, BodyRejection):
+            return error_response(BODY_TOO_LARGE, "the body is too large")
+        return await self._respond(found, scope, body)
 
     def _find_handler(self, scope: dict[str, Any]) -> _Match | ApiResponse:
         """Returns the handler of a call, or the response to an unknown call or method."""
@@ -118,9 +137,7 @@
             )
         return _Match(handler, name)
 
-    async def _respond(self, found: _Match, scope: dict[str, Any], body: bytes | None) -> ApiResponse:
-        if body is None:
-            return error_response(BODY_TOO_LARGE, "the body is too large")
+    async def _respond(self, found: _Match, scope: dict[str, Any], body: bytes) -> ApiResponse:
         base_versions = [value for key, value in scope["headers"] if key.lower() == BASE_VERSION_HEADER]
         call = Call(found.name, base_versions[0] if len(base_versions) == 1 else None, body)
         return _allowed(found.handler.call_name, await found.handler.run(call))
@@ -136,31 +153,33 @@
     return response
 
 
-async def _read_body(receive: Receive, max_bytes: int) -> bytes | None:
-    """Returns the complete body, or None if it is longer than `max_bytes`.
+async def _read_body(receive: Receive, buffer: BodyBuffer, max_bytes: int) -> bytes | BodyRejection:
+    """Returns the complete body, or why it is rejected.  A call that takes no body (0) ignores it.
 
-    The rest of a body that is too long is read and discarded, so that a caller that is still sending gets the
+    The rest of a body that is rejected is read and discarded, so that a caller that is still sending gets the
     response.
     """
-    chunks: list[bytes] = []
     size = 0
+    rejection: BodyRejection | None = None
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
             raise _Disconnected
         chunk = event.get("body", b"")
         size += len(chunk)
-        if size <= max_bytes:
-            chunks.append(chunk)
-        else:
-            chunks.clear()
+        if size > max_bytes:
+            rejection = rejection or BodyRejection.TOO_LARGE
+            buffer.close()
+        elif rejection is None and not buffer.append(chunk):
+            rejection = BodyRejection.NO_MEMORY
         if size > MAX_DISCARDED_BYTES:
-            return None
+            return BodyRejection.TOO_LARGE
         if not event.get("more_body", False):
             break
-    if max_bytes and size > max_bytes:
-        return None
-    return b"".join(chunks)
+    if rejection is not None:
+        return rejection if max_bytes else b""
+    body = buffer.complete()
+    return BodyRejection.NO_MEMORY if body is None else body
 
 
 async def _send(send: Send, response: ApiResponse) -> None:
@@ -170,6 +189,8 @@
     ]
     if response.status == UNAVAILABLE:
         headers.append((b"retry-after", RETRY_AFTER_S.encode()))
+    if response.closes:
+        headers.append((b"connection", b"close"))
     if response.allow:
         headers.append((b"allow", response.allow.encode()))
     await send({"type": "http.response.start", "status": response.status, "headers": headers})
--- a/kestrelbend/tier/dataplane/app.py
+++ b/kestrelbend/tier/dataplane/app.py
@@ -24,6 +24,8 @@
 import attrs
 import logbook
 
+from ..http_server.body_budget import BodyBudget, BodyBuffer
+from ..http_server.request_body import ClientDisconnected, Receive
 from . import ports
 from .admission_control import AdmissionControl
 from .attempt import AttemptRunner, Progress
@@ -40,8 +42,6 @@
 from .lifecycle import Lifecycle
 from .reading import (
     DEADLINE_RETRY_S,
-    ClientDisconnected,
-    Receive,
     RequestHead,
     build_exchange,
     check_head,
@@ -79,6 +79,7 @@
     split: TrafficSplit
     lifecycle: Lifecycle
     may_refuse: Callable[[], bool]  # whether the configuration in force is known to be the newest
+    bodies: BodyBudget
     _maintained_at: float = 0.0
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
@@ -105,8 +106,21 @@
         if self.lifecycle.closed:
             await client.respond(LocalResponse(503, "this gateway is leaving", SHUTDOWN_RETRY_S))
             return
+        with self.bodies.open() as body_buffer:
+            await self._read_and_forward(scope, receive, client, table, received_at, body_buffer)
+
+    async def _read_and_forward(
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        client: Client,
+        table: ports.RoutingTable,
+        received_at: float,
+        body_buffer: BodyBuffer,
+    ) -> None:
+        """Reads a request whose body `body_buffer` holds, forwards it, and responds."""
         try:
-            exchange = await self._read(scope, receive, table, received_at)
+            exchange = await self._read(scope, receive, table, received_at, body_buffer)
         except ClientDisconnected:
             return
         if isinstance(exchange, LocalResponse):
@@ -124,7 +138,12 @@
         return STARTUP_WAIT_S if route is None else min(STARTUP_WAIT_S, head.allowed_s(route))
 
     async def _read(
-        self, scope: dict[str, Any], receive: Receive, table: ports.RoutingTable, received_at: float
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        table: ports.RoutingTable,
+        received_at: float,
+        body_buffer: BodyBuffer,
     ) -> Exchange | LocalResponse:
         """Reads the request; returns its exchange or its rejection.  Nothing is sent to a backend.
 
@@ -138,7 +157,7 @@
         timeout_s = math.inf
         if route is not None:
             timeout_s = max(0.0, received_at + head.allowed_s(route) - asyncio.get_running_loop().time())
-        body = await read_body(receive, table.limits, timeout_s)
+        body = await read_body(receive, body_buffer, table.limits, timeout_s)
         if isinstance(body, LocalResponse):
             return body
         newest_table = self.routing.current() or table
@@ -304,4 +323,5 @@
         split=TrafficSplit(backends, rng),
         lifecycle=lifecycle,
         may_refuse=dependencies.may_refuse,
+        bodies=dependencies.bodies,
     )
--- a/kestrelbend/tier/dataplane/ports.py
+++ b/kestrelbend/tier/dataplane/ports.py
@@ -14,6 +14,7 @@
 
 from ..budgets.messages import Reserve, ReserveOutcome, Settlement
 from ..discovery.messages import Backend
+from ..http_server.body_budget import BodyBudget
 
 
 class Target(Protocol):
@@ -254,3 +255,4 @@
     zone: str  # the zone of this gateway
     gateways: Callable[[], int] = lambda: 10
     may_refuse: Callable[[], bool] = lambda: True
+    bodies: BodyBudget = attrs.field(factory=BodyBudget)  # of the requests in progress
--- a/kestrelbend/tier/dataplane/reading.py
+++ b/kestrelbend/tier/dataplane/reading.py
@@ -5,27 +5,24 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
 
+from ..http_server.body_budget import BodyBuffer
+from ..http_server.request_body import BodyRejection, Receive, read_request_body
 from . import ports
 from .client import LocalResponse
 from .exchange import DEADLINE_MS, REQUEST_ID, Exchange, Headers
 from .split import TrafficSplit
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
 NO_SERVICE_RETRY_S = 0.5
 DEADLINE_RETRY_S = 0.1
 HEADER_LINE_OVERHEAD_BYTES = 4  # colon, space and line end
+NO_MEMORY_RETRY_S = 0.5
 TOO_LARGE = LocalResponse(413, "the body is too large", closes=True)
-
-
-class ClientDisconnected(Exception):
-    """The client disconnected before its request was complete."""
+NO_MEMORY = LocalResponse(503, "too many large bodies at once", NO_MEMORY_RETRY_S, closes=True)
 
 
 def check_head(headers: Headers, limits: ports.Limits) -> LocalResponse | None:
@@ -46,37 +43,23 @@
 
 
 async def read_body(
-    receive: Receive, limits: ports.Limits, timeout_s: float = math.inf
+    receive: Receive, buffer: BodyBuffer, limits: ports.Limits, timeout_s: float = math.inf
 ) -> bytes | LocalResponse:
-    """Returns the complete body, or the rejection if it is too large or too slow.
+    """Returns the complete body, or the rejection if it is too large, too slow or one too many.
 
     Raises ClientDisconnected.
     """
-    message = await receive()
-    if message["type"] == "http.request" and not message.get("more_body", False):
-        body = message.get("body", b"")
-        return body if len(body) <= limits.max_body_bytes else TOO_LARGE
-    try:
-        async with asyncio.timeout(min(limits.header_timeout_ms / 1000, timeout_s)):
-            return await _read_chunks(message, receive, limits.max_body_bytes)
-    except TimeoutError:
-        return LocalResponse(408, "the body did not come in time", closes=True)
-
-
-async def _read_chunks(message: dict[str, Any], receive: Receive, max_bytes: int) -> bytes | LocalResponse:
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        if message["type"] == "http.disconnect":
-            raise ClientDisconnected
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > max_bytes:
+    timeout_s = min(limits.header_timeout_ms / 1000, timeout_s)
+    body = await read_request_body(receive, buffer, limits.max_body_bytes, timeout_s)
+    match body:
+        case BodyRejection.TOO_LARGE:
             return TOO_LARGE
-        chunks.append(chunk)
-        if not message.get("more_body", False):
-            return b"".join(chunks)
-        message = await receive()
+        case BodyRejection.TOO_SLOW:
+            return LocalResponse(408, "the body did not come in time", closes=True)
+        case BodyRejection.NO_MEMORY:
+            return NO_MEMORY
+        case _:
+            return body
 
 
 @attrs.define
--- a/kestrelbend/tier/fleet/http.py
+++ b/kestrelbend/tier/fleet/http.py
@@ -17,7 +17,7 @@
 from .network import Network
 
 if TYPE_CHECKING:
-    from ..dataplane.server import Listener
+    from ..http_server.server import Listener
 
 CALLER_DELAY_S = 0.003  # one way between a caller outside and a listener
 
--- a/kestrelbend/tier/fleet/machines.py
+++ b/kestrelbend/tier/fleet/machines.py
@@ -21,7 +21,7 @@
 from .settings import MachineSpec
 
 if TYPE_CHECKING:
-    from ..dataplane.server import CurrentLimits, Listener
+    from ..http_server.server import CurrentLimits, Listener
     from ..replication.host import ShardHost
     from ..replication.interfaces import StateMachine
     from ..replication.replica import Replica
--- /dev/null
+++ b/kestrelbend/tier/http_server/connection.py
@@ -0,0 +1,126 @@
+"""One connection of a client: reads no faster than the application takes.
+
+A request that is answered before its body has been read ends its connection.  What the client still sends is
+then read and dropped for a moment, since closing at once would reset the connection, and the client could
+lose the response.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+from hypercorn.asyncio.task_group import TaskGroup
+from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.events import Closed, Event, RawData
+from hypercorn.utils import parse_socket_addr
+
+from ..bounded_reads import READ_BYTES
+from .http_protocol import HttpProtocol
+from .request_tasks import RequestTasks
+
+LINGER_S = 1.0
+LINGER_BYTES = 16 << 20
+
+
+class ClientConnection(TCPServer):
+    """A connection from its first byte to its last."""
+
+    def __init__(
+        self,
+        app: Any,
+        config: Any,
+        context: Any,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        super().__init__(app, asyncio.get_running_loop(), config, context, {}, reader, writer)
+        self._lingering = False
+        self._lingered_bytes = 0
+        self._abort_timer: asyncio.TimerHandle | None = None
+        self._http: HttpProtocol
+
+    async def run(self) -> None:
+        """Serves the connection until it ends."""
+        try:
+            await self._serve()
+        except OSError:
+            pass
+        finally:
+            self._close_soon()
+            await self._close()
+            if self._abort_timer is not None:
+                self._abort_timer.cancel()
+
+    async def _serve(self) -> None:
+        socket = self.writer.get_extra_info("socket")
+        client = parse_socket_addr(socket.family, self.writer.get_extra_info("peername"))
+        server = parse_socket_addr(socket.family, self.writer.get_extra_info("sockname"))
+        async with RequestTasks(self.loop) as tasks:
+            self._task_group: TaskGroup = tasks
+            self._http = HttpProtocol(
+                self.app,
+                self.config,
+                self.context,
+                tasks,
+                client,
+                server,
+                self.protocol_send,
+            )
+            self.protocol = self._http  # type: ignore[assignment]
+            await self.idle_task.restart(tasks, self._idle_timeout)
+            await self._read_data()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self.writer.transport.abort()
+
+    async def _read_data(self) -> None:
+        """Reads until the connection ends."""
+        while not self.reader.at_eof():
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except OSError:
+                break
+            if self._lingering:
+                self._drop(data)
+                continue
+            await self._http.handle(RawData(data))
+            await self._http.wait_until_taken()
+        await self._http.handle(Closed())
+
+    def _drop(self, data: bytes) -> None:
+        self._lingered_bytes += len(data)
+        if self._lingered_bytes > LINGER_BYTES:
+            self.abort()
+
+    async def protocol_send(self, event: Event) -> None:
+        """Writes bytes, or ends the connection."""
+        if isinstance(event, Closed):
+            if self._http.request_is_complete:
+                self._close_soon()
+            else:
+                self._linger()
+        else:
+            await super().protocol_send(event)
+
+    def _linger(self) -> None:
+        """Ends the response's side, and reads the rest of the request for a moment."""
+        if self._lingering or self.writer.transport.is_closing():
+            return
+        self._lingering = True
+        with contextlib.suppress(OSError, RuntimeError):
+            self.writer.write_eof()
+        self._abort_after(LINGER_S)
+
+    def _close_soon(self) -> None:
+        """Closes the connection once the client has read what was written, if it does."""
+        if not self.writer.transport.is_closing():
+            self.writer.close()
+            self._abort_after(self.config.keep_alive_timeout)
+
+    def _abort_after(self, delay_s: float) -> None:
+        if self._abort_timer is not None:
+            self._abort_timer.cancel()
+        self._abort_timer = self.loop.call_later(delay_s, self.abort)
--- /dev/null
+++ b/kestrelbend/tier/http_server/http_protocol.py
@@ -0,0 +1,72 @@
+"""HTTP/1.1 on one connection, by hypercorn's protocol.
+
+Only HTTP/1.1 and HTTP/1.0 are served: an offer to upgrade is ignored, as RFC 9110, section 7.8 allows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import h11
+from hypercorn.events import Event
+from hypercorn.protocol.events import Request
+from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
+from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.typing import ConnectionState
+
+from .request_tasks import RequestTasks
+
+
+class HttpProtocol(H11Protocol):
+    """Reads requests and writes responses; `send` takes what goes to the socket."""
+
+    def __init__(
+        self,
+        app: Any,
+        config: Any,
+        context: Any,
+        tasks: RequestTasks,
+        client: tuple[str, int] | None,
+        server: tuple[str, int] | None,
+        send: Callable[[Event], Awaitable[None]],
+    ) -> None:
+        super().__init__(app, config, context, tasks, ConnectionState({}), False, client, server, send)
+        self._tasks = tasks
+
+    @property
+    def request_is_complete(self) -> bool:
+        """Whether the current request has been read to its end."""
+        return self.connection.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+    async def wait_until_taken(self) -> None:
+        """Returns once the application has taken what has come of its request."""
+        if self._tasks.messages is not None and self.stream is not None:
+            await self._tasks.messages.wait_until_taken()
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        self.stream = HTTPStream(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            STREAM_ID,
+        )
+        await self.stream.handle(
+            Request(
+                stream_id=STREAM_ID,
+                headers=list(request.headers),
+                http_version=request.http_version.decode(),
+                method=request.method.decode("ascii").upper(),
+                raw_path=request.target,
+                state=self.connection_state,
+            )
+        )
+        self.keep_alive_requests += 1
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """Nothing but HTTP/1.1 is served."""
--- a/kestrelbend/tier/dataplane/server.py
+++ b/kestrelbend/tier/http_server/server.py
@@ -1,16 +1,18 @@
-"""Serves ASGI applications with hypercorn, on several addresses in one event loop."""
+"""Serves ASGI applications on several addresses in one event loop."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
 
 import anyio.lowlevel
 import attrs
 import hypercorn
-from hypercorn.asyncio import serve
+from hypercorn.asyncio.worker_context import WorkerContext
 
-from . import ports
+from ..bounded_reads import READ_BYTES, BoundedReads
+from .connection import ClientConnection
 
 IDLE_FACTOR = 1.5  # on the operator's IdleTimeoutMs, until which clients may reuse a connection
 DEFAULT_IDLE_MS = 40000.0  # before the first configuration
@@ -18,7 +20,20 @@
 GRACEFUL_TIMEOUT_S = 7.0
 BACKLOG = 1024
 
-CurrentLimits = Callable[[], ports.Limits | None]
+
+class RequestLimits(Protocol):
+    """The operator's limits that the server applies."""
+
+    @property
+    def max_header_bytes(self) -> int:
+        """Total size of a request's header lines."""
+
+    @property
+    def idle_timeout_ms(self) -> float:
+        """How long clients may reuse an idle connection."""
+
+
+CurrentLimits = Callable[[], RequestLimits | None]
 Application = Callable[..., Awaitable[None]]  # an ASGI application: scope, receive, send
 
 
@@ -47,11 +62,8 @@
         self._limits = limits
         self.bind = [address]
         self.keep_alive_max_requests = 1_000_000_000
-        self.graceful_timeout = GRACEFUL_TIMEOUT_S
-        self.backlog = BACKLOG
         self.include_server_header = False
         self.include_date_header = False
-        self.max_app_queue_size = 0  # a full queue would deadlock an application that rejects a body early
         self.accesslog = None
         self.errorlog = None
 
@@ -81,7 +93,47 @@
     await anyio.lowlevel.checkpoint()  # loads modules that httpcore would load during its first request
     async with asyncio.TaskGroup() as group:
         for listener in listeners:
-            config = ServerConfig(listener.address, limits)
-            group.create_task(
-                serve(listener.application, config, shutdown_trigger=listener.until_closing, mode="asgi")
-            )
+            server = _ListenerServer(listener, ServerConfig(listener.address, limits))
+            group.create_task(server.serve())
+
+
+class _StreamProtocol(asyncio.StreamReaderProtocol, BoundedReads):
+    """A connection's streams, which hold little that is not read."""
+
+    data_received = asyncio.StreamReaderProtocol.data_received
+
+
+class _ListenerServer:
+    """Accepts the connections of one listener."""
+
+    def __init__(self, listener: Listener, config: ServerConfig) -> None:
+        self._listener = listener
+        self._config = config
+        self._context = WorkerContext(None)
+        self._connections: set[asyncio.Task[None]] = set()
+
+    async def serve(self) -> None:
+        """Accepts until the listener is shut down, then lets the connections end."""
+        loop = asyncio.get_running_loop()
+        (sock,) = self._config.create_sockets().insecure_sockets
+        server = await loop.create_server(self._protocol, sock=sock, backlog=BACKLOG)
+        try:
+            await self._listener.until_closing()
+        finally:
+            await self._context.terminated.set()
+            server.close()
+            await server.wait_closed()
+            if self._connections:
+                await asyncio.wait(self._connections, timeout=GRACEFUL_TIMEOUT_S)
+            for task in self._connections:
+                task.cancel()
+
+    def _protocol(self) -> _StreamProtocol:
+        reader = asyncio.StreamReader(limit=READ_BYTES // 2)
+        return _StreamProtocol(reader, self._connected)
+
+    def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = ClientConnection(self._listener.application, self._config, self._context, reader, writer)
+        task = asyncio.ensure_future(connection.run())
+        self._connections.add(task)
+        task.add_done_callback(self._connections.discard)
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -17,7 +17,7 @@
 from ..budgets.messages import BudgetRequest
 from ..budgets.shard_service import BudgetShards
 from ..configuration.messages import ConfigOrder, ConfigOutcome, ReadRequest
-from ..configuration.operator_api import OperatorApi
+from ..configuration.operator_api import MAX_ORDER_BYTES, OperatorApi
 from ..configuration.shard_ports import HostedShards
 from ..configuration.shard_service import (
     FORWARD_TIMEOUT_S,
@@ -33,10 +33,11 @@
 from ..control.report_quorum import ControlReplicas, is_held_by_enough
 from ..control.retirement import Retirement
 from ..control.shard_placer import ShardPlacer
-from ..dataplane.server import Listener
 from ..discovery.exchange import BackendExchange
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.registry import BackendRegistry
+from ..http_server.body_budget import BodyBudget
+from ..http_server.server import Listener
 from ..membership.contact_period import ContactPeriod
 from ..membership.messages import (
     ConfigAck,
@@ -58,11 +59,12 @@
 from .control_streams import ControlStreams
 from .environment import Environment
 from .process import TierProcess
-from .serving_limits import order_items
+from .serving_limits import body_bytes, order_items
 from .settings import Settings
 
 HAND_OVER_TIMEOUT_S = 1.0
 API_CLOSE_TIMEOUT_S = 1.5
+BODY_COPIES = 2  # the body itself, and the order that is made of it
 
 
 class ControlProcess(TierProcess):
@@ -270,8 +272,12 @@
             self._tolerated_nodes,
             self.now,
         )
-        api = OperatorApi(operations, lambda: order_items(self.settings))
-        listener = Listener(api, self.settings.listen_control, self.until_served_enough)
+        bodies = BodyBudget(lambda: body_bytes(self.settings, MAX_ORDER_BYTES, BODY_COPIES), BODY_COPIES)
+        listener = Listener(
+            OperatorApi(operations, bodies, lambda: order_items(self.settings)),
+            self.settings.listen_control,
+            self.until_served_enough,
+        )
         self._serving = self.spawn(self.environment.serve([listener]))
 
     async def stop(self) -> None:
--- a/kestrelbend/tier/roles/environment.py
+++ b/kestrelbend/tier/roles/environment.py
@@ -20,7 +20,7 @@
 from .settings import Settings
 
 if TYPE_CHECKING:
-    from ..dataplane.server import CurrentLimits, Listener
+    from ..http_server.server import CurrentLimits, Listener
 
 IDENTITY_BYTES = 4  # of a disk
 BROKEN_INVARIANT = 70  # the exit status of a process that must not go on
@@ -125,7 +125,7 @@
 
     async def serve(self, listeners: Sequence[Listener], limits: CurrentLimits = no_limits) -> None:
         """By hypercorn."""
-        from ..dataplane.server import serve_all  # stores serve nothing and don't load it
+        from ..http_server.server import serve_all  # stores serve nothing and don't load it
 
         await serve_all(listeners, limits)
 
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -21,9 +21,10 @@
 from ..dataplane.network import TcpNetwork
 from ..dataplane.ports import Dependencies, Limits
 from ..dataplane.ready import ReadyApplication
-from ..dataplane.server import Listener
 from ..discovery.messages import BackendUpdate
 from ..discovery.view import BackendView
+from ..http_server.body_budget import BodyBudget
+from ..http_server.server import Listener
 from ..membership.messages import ConfigUpdate, ContactReply, ContactRequest
 from ..membership.placement import address_of, budget_shards
 from ..protocol.peer_connection import PeerConnection
@@ -35,8 +36,10 @@
 from .gateway_contact import GatewayContact
 from .process import TierProcess
 from .routing_state import RoutingState
+from .serving_limits import body_bytes
 from .settings import Settings
 
+BODY_COPIES = 2  # the body itself, and what waits to be sent to a backend
 DRAIN_NOTICE_S = 2.6  # the platform's two misses of readiness, and a little
 
 
@@ -74,6 +77,7 @@
             settings.zone,
             gateways=self._gateways,
             may_refuse=self.may_refuse,
+            bodies=BodyBudget(self._body_bytes, BODY_COPIES),
         )
         self.data_plane = build_data_plane(dependencies, self.lifecycle)
 
@@ -157,7 +161,9 @@
             self.data_plane.stop_accepting,
         )
         ready = Listener(
-            ReadyApplication(self.lifecycle), self.settings.listen_ready, self.until_served_enough
+            ReadyApplication(self.lifecycle),
+            self.settings.listen_ready,
+            self.until_served_enough,
         )
         self._serving = self.spawn(self.environment.serve([clients, ready], limits=self._limits))
 
@@ -165,6 +171,10 @@
         table = self.routing.current()
         return None if table is None else table.limits
 
+    def _body_bytes(self) -> int:
+        limits = self._limits()
+        return body_bytes(self.settings, 0 if limits is None else limits.max_body_bytes, BODY_COPIES)
+
     async def stop(self) -> None:
         """Takes no new connections, finishes what runs, and brings the settlements home."""
         self.lifecycle.drain()
--- a/tests/crowd/test_crowds.py
+++ b/tests/crowd/test_crowds.py
@@ -6,14 +6,30 @@
 
 from kestrelbend.tier.protocol.framing import HEADER_WORD, MAX_MESSAGE_BYTES
 
-from .clients import Crowd, head
-from .deployment import INTERNAL_PORTS, MEBIBYTE, run_with_deployment
+from .clients import Crowd, chunked, head, with_length
+from .deployment import INTERNAL_PORTS, MAX_BODY_BYTES, MEBIBYTE, run_with_deployment
 
+BODY_CROWD = 40  # of the largest body: more than the memory of a process
 STRANGER_CROWD = 5  # of the largest frame of the internal protocol
+ENDLESS_BYTES = 16 * MEBIBYTE  # sent by each client of a body that never ends
+LISTENERS = ("front", "control")
 PATHS = {"front": "/slow/a", "control": "/api/Config.Put", "ready": "/api/readyz"}
 
-
-def run_crowd(listener, size, pieces, limits=None):
+BODIES = {
+    "in pieces, short of its end": lambda path: with_length(path, MAX_BODY_BYTES, MAX_BODY_BYTES - 1),
+    "in small pieces, short of its end": lambda path: with_length(
+        path, MAX_BODY_BYTES, MAX_BODY_BYTES - 1, 1400
+    ),
+    "whole": lambda path: with_length(path, MAX_BODY_BYTES, MAX_BODY_BYTES),
+    "in chunks, short of its end": lambda path: chunked(path, [16 * 1024], MAX_BODY_BYTES),
+    "in chunks, whole": lambda path: chunked(path, [16 * 1024], MAX_BODY_BYTES, ends=True),
+    "in chunks, without end": lambda path: chunked(path, [16 * 1024], ENDLESS_BYTES),
+    "one large chunk": lambda path: chunked(path, [MAX_BODY_BYTES - 1], MAX_BODY_BYTES),
+    "announced far over the limit": lambda path: with_length(path, 1 << 40, ENDLESS_BYTES),
+}
+
+
+def run_crowd(listener, size, pieces):
     """A crowd sends and stays; an ordinary client is served beside it and after it."""
 
     async def scenario(deployment):
@@ -29,7 +45,23 @@
         await deployment.ordinary_request(listener)
         deployment.check_limits(listener)
 
-    run_with_deployment(scenario, limits)
+    run_with_deployment(scenario)
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+@pytest.mark.parametrize("body", BODIES)
+def test_large_bodies(listener, body):
+    run_crowd(listener, BODY_CROWD, BODIES[body](PATHS[listener]))
+
+
+@pytest.mark.parametrize("body", BODIES)
+def test_large_bodies_without_a_route(body):
+    run_crowd("front", BODY_CROWD, BODIES[body]("/none/a"))
+
+
+@pytest.mark.parametrize("body", ["in pieces, short of its end", "in chunks, without end"])
+def test_large_bodies_at_the_health_check(body):
+    run_crowd("ready", BODY_CROWD, BODIES[body](PATHS["ready"]))
 
 
 ORDER_BYTES = 7_800_000
@@ -58,3 +90,24 @@
             yield piece
 
     run_crowd(listener, STRANGER_CROWD, pieces)
+
+
+CALM_BODIES = {
+    "whole": lambda path: with_length(path, MAX_BODY_BYTES, MAX_BODY_BYTES),
+    "in small pieces": lambda path: with_length(path, MAX_BODY_BYTES, MAX_BODY_BYTES, 1400),
+    "in chunks": lambda path: chunked(path, [16 * 1024], MAX_BODY_BYTES, ends=True),
+}
+
+
+@pytest.mark.parametrize("body", CALM_BODIES)
+def test_single_request_inside_the_limits_is_served_in_calm(body):
+    async def scenario(deployment):
+        crowd = Crowd(1)
+        await crowd.send(deployment.addresses["front"], CALM_BODIES[body]("/quick/a"))
+        client = crowd.clients[0]
+        line = await client.reader.readline()
+        await crowd.close()
+        assert line.startswith(b"HTTP/1.1 200"), line
+        deployment.check_limits("front")
+
+    run_with_deployment(scenario)
--- a/tests/tier/test_dataplane_server.py
+++ b/tests/tier/test_dataplane_server.py
@@ -9,7 +9,7 @@
 from kestrelbend.lab.addresses import AddressReservations
 from kestrelbend.tier.dataplane.lifecycle import Lifecycle
 from kestrelbend.tier.dataplane.ready import ReadyApplication
-from kestrelbend.tier.dataplane.server import Listener, serve_all
+from kestrelbend.tier.http_server.server import Listener, serve_all
 from kestrelbend.tier.dataplane.client import Client
 
 HOST = b" HTTP/1.1\r\nHost: a.example\r\n"
--- a/tests/tier/test_dataplane_sockets.py
+++ b/tests/tier/test_dataplane_sockets.py
@@ -16,7 +16,7 @@
 from kestrelbend.tier.dataplane.lifecycle import Lifecycle
 from kestrelbend.tier.dataplane.network import TcpNetwork
 from kestrelbend.tier.dataplane.ports import Dependencies
-from kestrelbend.tier.dataplane.server import Listener, serve_all
+from kestrelbend.tier.http_server.server import Listener, serve_all
 from kestrelbend.tier.discovery.messages import Backend
 from tests.tier.dataplane_world import ROUTES, SERVICES, ZONE, FakeBudget, event
 
