Bodies in tiny chunks no longer hang a process

What callers saw: 20 clients whose bodies come in chunks of one byte kept a gateway from answering anybody for 20 s and took it to 314 MB; the same at the control API. A single body of a megabyte in such chunks got a 408 in calm.

Cause: each chunk became an event, a task switch and a message in a queue, some 20 microseconds and 300 bytes for one byte of body, and one read brought thousands of them before anything else had its turn.

Change: `ChunkedDecoder` turns each piece of input into one piece of body. A connection whose reads hold more than 64 chunks gives the loop to all others after each read, one such connection a turn. h11 still parses heads and writes responses, through `RequestParser`, which also refuses more than 256 header lines (431): parsed, 16 KiB of "a:b" take over a megabyte.

Tests: tests/crowd, 20 clients with half a megabyte each, in chunks of one byte and of one to three.

--- a/kestrelbend/tier/http_server/connection.py
+++ b/kestrelbend/tier/http_server/connection.py
@@ -22,10 +22,14 @@
 
 LINGER_S = 1.0
 LINGER_BYTES = 16 << 20
+MAX_CHEAP_CHUNKS = 64  # in one read; with more of them, connections take turns
 
 
 class ClientConnection(TCPServer):
-    """A connection from its first byte to its last."""
+    """A connection from its first byte to its last.
+
+    `turns` is shared by all connections: one that sends tiny chunks is read only while it holds it.
+    """
 
     def __init__(
         self,
@@ -34,8 +38,10 @@
         context: Any,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        turns: asyncio.Lock,
     ) -> None:
         super().__init__(app, asyncio.get_running_loop(), config, context, {}, reader, writer)
+        self._turns = turns
         self._lingering = False
         self._lingered_bytes = 0
         self._abort_timer: asyncio.TimerHandle | None = None
@@ -88,6 +94,9 @@
                 continue
             await self._http.handle(RawData(data))
             await self._http.wait_until_taken()
+            if self._http.parser.chunks > MAX_CHEAP_CHUNKS:
+                async with self._turns:
+                    await asyncio.sleep(0)
         await self._http.handle(Closed())
 
     def _drop(self, data: bytes) -> None:
@@ -98,7 +107,7 @@
     async def protocol_send(self, event: Event) -> None:
         """Writes bytes, or ends the connection."""
         if isinstance(event, Closed):
-            if self._http.request_is_complete:
+            if self._http.parser.request_is_complete:
                 self._close_soon()
             else:
                 self._linger()
--- a/kestrelbend/tier/http_server/http_protocol.py
+++ b/kestrelbend/tier/http_server/http_protocol.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 on one connection, by hypercorn's protocol.
+"""HTTP/1.1 on one connection: hypercorn's protocol with the parser of `request_parser`.
 
 Only HTTP/1.1 and HTTP/1.0 are served: an offer to upgrade is ignored, as RFC 9110, section 7.8 allows.
 """
@@ -15,6 +15,7 @@
 from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.typing import ConnectionState
 
+from .request_parser import RequestParser
 from .request_tasks import RequestTasks
 
 
@@ -33,11 +34,8 @@
     ) -> None:
         super().__init__(app, config, context, tasks, ConnectionState({}), False, client, server, send)
         self._tasks = tasks
-
-    @property
-    def request_is_complete(self) -> bool:
-        """Whether the current request has been read to its end."""
-        return self.connection.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        self.parser = RequestParser(config.h11_max_incomplete_size)
+        self.connection = self.parser
 
     async def wait_until_taken(self) -> None:
         """Returns once the application has taken what has come of its request."""
--- /dev/null
+++ b/kestrelbend/tier/http_server/request_parser.py
@@ -0,0 +1,140 @@
+"""Parses the requests of one connection: h11 for the heads and the responses, `ChunkedDecoder` for bodies.
+
+It has the interface of `h11.Connection` that hypercorn uses.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import h11
+
+from .chunked_decoder import ChunkedDecoder, ChunkedFramingError
+
+MAX_HEADER_LINES = 256  # a header line takes many times its length once it is parsed
+SERVED_VERSIONS = (b"1.0", b"1.1")
+HEADERS_TOO_LARGE = 431
+VERSION_NOT_SUPPORTED = 505
+
+
+class RequestParser:
+    """The requests of one connection, one after the other.
+
+    `chunks` is the number of chunks in the input that was received last.
+    """
+
+    def __init__(self, max_incomplete_bytes: int) -> None:
+        self._max_incomplete_bytes = max_incomplete_bytes
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max_incomplete_bytes)
+        self._decoder: ChunkedDecoder | None = None  # while a chunked body is read, and after it
+        self._decoded = b""
+        self._fault: ChunkedFramingError | None = None
+        self._body_received = False
+        self._end_given = False
+        self._head_complete = False
+        self.chunks = 0
+
+    # The interface of h11.Connection
+
+    @property
+    def our_state(self) -> Any:
+        """The state of the response."""
+        return self._h11.our_state
+
+    @property
+    def their_state(self) -> Any:
+        """The state of the request."""
+        if self._decoder is None:
+            return self._h11.their_state
+        return h11.DONE if self._end_given else h11.SEND_BODY
+
+    @property
+    def they_are_waiting_for_100_continue(self) -> bool:
+        """Whether the client waits for an interim response before it sends the body."""
+        return self._h11.they_are_waiting_for_100_continue and not self._body_received
+
+    @property
+    def trailing_data(self) -> tuple[bytes, bool]:
+        """The input that is not parsed yet, and whether it has ended."""
+        return self._h11.trailing_data if self._decoder is None else (self._decoder.trailing_data, False)
+
+    def receive_data(self, data: bytes) -> None:
+        """Takes input, whose faults `next_event` reports."""
+        self.chunks = 0
+        if self._decoder is None:
+            self._h11.receive_data(data)
+        else:
+            self._decode(data)
+
+    def next_event(self) -> Any:
+        """The next event of the request; raises h11.RemoteProtocolError."""
+        if self._decoder is not None:
+            return self._next_body_event()
+        event = self._h11.next_event()
+        if isinstance(event, h11.Request):
+            self._head_complete = True
+            self._begin_body(event)
+        return event
+
+    def send(self, event: Any) -> bytes | None:
+        """The bytes of an event of the response."""
+        return self._h11.send(event)
+
+    def start_next_cycle(self) -> None:
+        """Continues with the next request; raises h11.LocalProtocolError if there is none."""
+        self._head_complete = False
+        if self._decoder is None:
+            self._h11.start_next_cycle()
+            return
+        following = self._decoder.trailing_data
+        self._decoder = None
+        self._body_received = False
+        self._end_given = False
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_incomplete_bytes)
+        if following:
+            self._h11.receive_data(following)
+
+    # Beyond it
+
+    @property
+    def awaits_head(self) -> bool:
+        """Whether no request has begun or its head is not complete."""
+        return not self._head_complete
+
+    @property
+    def request_is_complete(self) -> bool:
+        """Whether the current request has been read to its end."""
+        return self.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+    def _begin_body(self, request: h11.Request) -> None:
+        if request.http_version not in SERVED_VERSIONS:
+            raise h11.RemoteProtocolError("not HTTP/1.1", error_status_hint=VERSION_NOT_SUPPORTED)
+        if len(request.headers) > MAX_HEADER_LINES:
+            raise h11.RemoteProtocolError("too many header lines", error_status_hint=HEADERS_TOO_LARGE)
+        if any(name == b"transfer-encoding" for name, _ in request.headers):
+            self._decoder = ChunkedDecoder(self._max_incomplete_bytes)
+            self._decode(self._h11.trailing_data[0])
+
+    def _decode(self, data: bytes) -> None:
+        assert self._decoder is not None
+        self._body_received = self._body_received or bool(data)
+        try:
+            self._decoded += self._decoder.feed(data)
+        except ChunkedFramingError as fault:
+            self._fault = fault
+        self.chunks = self._decoder.chunks
+
+    def _next_body_event(self) -> Any:
+        assert self._decoder is not None
+        if self._decoded:
+            event = h11.Data(data=self._decoded)
+            self._decoded = b""
+            return event
+        if self._fault is not None:
+            raise h11.RemoteProtocolError(str(self._fault))
+        if not self._decoder.ended:
+            return h11.NEED_DATA
+        if not self._end_given:
+            self._end_given = True
+            return h11.EndOfMessage()
+        return h11.PAUSED if self._decoder.trailing_data else h11.NEED_DATA
--- a/kestrelbend/tier/http_server/server.py
+++ b/kestrelbend/tier/http_server/server.py
@@ -91,9 +91,10 @@
     one ExceptionGroup.
     """
     await anyio.lowlevel.checkpoint()  # loads modules that httpcore would load during its first request
+    turns = asyncio.Lock()
     async with asyncio.TaskGroup() as group:
         for listener in listeners:
-            server = _ListenerServer(listener, ServerConfig(listener.address, limits))
+            server = _ListenerServer(listener, ServerConfig(listener.address, limits), turns)
             group.create_task(server.serve())
 
 
@@ -106,9 +107,10 @@
 class _ListenerServer:
     """Accepts the connections of one listener."""
 
-    def __init__(self, listener: Listener, config: ServerConfig) -> None:
+    def __init__(self, listener: Listener, config: ServerConfig, turns: asyncio.Lock) -> None:
         self._listener = listener
         self._config = config
+        self._turns = turns
         self._context = WorkerContext(None)
         self._connections: set[asyncio.Task[None]] = set()
 
@@ -133,7 +135,9 @@
         return _StreamProtocol(reader, self._connected)
 
     def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = ClientConnection(self._listener.application, self._config, self._context, reader, writer)
+        connection = ClientConnection(
+            self._listener.application, self._config, self._context, reader, writer, self._turns
+        )
         task = asyncio.ensure_future(connection.run())
         self._connections.add(task)
         task.add_done_callback(self._connections.discard)
--- a/tests/crowd/test_crowds.py
+++ b/tests/crowd/test_crowds.py
@@ -10,6 +10,8 @@
 from .deployment import INTERNAL_PORTS, MAX_BODY_BYTES, MEBIBYTE, run_with_deployment
 
 BODY_CROWD = 40  # of the largest body: more than the memory of a process
+TINY_CHUNK_CROWD = 20
+TINY_CHUNK_BODY_BYTES = MEBIBYTE // 2
 STRANGER_CROWD = 5  # of the largest frame of the internal protocol
 ENDLESS_BYTES = 16 * MEBIBYTE  # sent by each client of a body that never ends
 LISTENERS = ("front", "control")
@@ -27,6 +29,7 @@
     "one large chunk": lambda path: chunked(path, [MAX_BODY_BYTES - 1], MAX_BODY_BYTES),
     "announced far over the limit": lambda path: with_length(path, 1 << 40, ENDLESS_BYTES),
 }
+TINY_CHUNKS = {"of one byte": [1], "of one to three bytes": [1, 3, 2, 1, 2]}
 
 
 def run_crowd(listener, size, pieces):
@@ -59,6 +62,13 @@
     run_crowd("front", BODY_CROWD, BODIES[body]("/none/a"))
 
 
+@pytest.mark.parametrize("listener", LISTENERS)
+@pytest.mark.parametrize("sizes", TINY_CHUNKS)
+def test_tiny_chunks(listener, sizes):
+    body = chunked(PATHS[listener], TINY_CHUNKS[sizes], TINY_CHUNK_BODY_BYTES)
+    run_crowd(listener, TINY_CHUNK_CROWD, body)
+
+
 @pytest.mark.parametrize("body", ["in pieces, short of its end", "in chunks, without end"])
 def test_large_bodies_at_the_health_check(body):
     run_crowd("ready", BODY_CROWD, BODIES[body](PATHS["ready"]))
@@ -96,6 +106,7 @@
     "whole": lambda path: with_length(path, MAX_BODY_BYTES, MAX_BODY_BYTES),
     "in small pieces": lambda path: with_length(path, MAX_BODY_BYTES, MAX_BODY_BYTES, 1400),
     "in chunks": lambda path: chunked(path, [16 * 1024], MAX_BODY_BYTES, ends=True),
+    "in chunks of one byte": lambda path: chunked(path, [1], MAX_BODY_BYTES // 4, ends=True),
 }
 
 
