Connections and unfinished heads have a bound for each process

What callers saw: 3,000 connections with heads that never end took a gateway to 175 MB; a process held more connections than MaxFds allows, after which accepting fails for everybody.

Cause: every connection was accepted, whatever the settings said, and kept its head and some 45 KB until the idle time-out.

Change: `ConnectionTable` bounds the connections of each listener by a quarter of RamMb (64 KiB each) and half of the descriptors that MaxFds leaves: 1,200 at 300 MB and 4,100; 64 for health checks. It bounds the bytes of all incomplete heads by a sixteenth of RamMb. One more connection costs one that is closing anyway, else the one that has waited longest for its first head, else the one that has been idle longest; a request in progress never ends for another. Sixteen connections are accepted in a turn of the loop, so that a burst does not pass the limit by more.

Tests: tests/crowd, 3,000 heads of 15 KiB with RamMb 128, and 400 connections with MaxFds 256.

--- a/kestrelbend/tier/http_server/connection.py
+++ b/kestrelbend/tier/http_server/connection.py
@@ -17,6 +17,7 @@
 from hypercorn.utils import parse_socket_addr
 
 from ..bounded_reads import READ_BYTES
+from .connection_table import ConnectionTable
 from .http_protocol import HttpProtocol
 from .request_tasks import RequestTasks
 
@@ -38,9 +39,11 @@
         context: Any,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        table: ConnectionTable,
         turns: asyncio.Lock,
     ) -> None:
         super().__init__(app, asyncio.get_running_loop(), config, context, {}, reader, writer)
+        self._table = table
         self._turns = turns
         self._lingering = False
         self._lingered_bytes = 0
@@ -49,6 +52,9 @@
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
+        if not self._table.add(self):
+            self.abort()
+            return
         try:
             await self._serve()
         except OSError:
@@ -56,6 +62,7 @@
         finally:
             self._close_soon()
             await self._close()
+            self._table.remove(self)
             if self._abort_timer is not None:
                 self._abort_timer.cancel()
 
@@ -73,6 +80,8 @@
                 client,
                 server,
                 self.protocol_send,
+                self._table,
+                self,
             )
             self.protocol = self._http  # type: ignore[assignment]
             await self.idle_task.restart(tasks, self._idle_timeout)
@@ -119,6 +128,7 @@
         if self._lingering or self.writer.transport.is_closing():
             return
         self._lingering = True
+        self._table.closing(self)
         with contextlib.suppress(OSError, RuntimeError):
             self.writer.write_eof()
         self._abort_after(LINGER_S)
@@ -126,6 +136,7 @@
     def _close_soon(self) -> None:
         """Closes the connection once the client has read what was written, if it does."""
         if not self.writer.transport.is_closing():
+            self._table.closing(self)
             self.writer.close()
             self._abort_after(self.config.keep_alive_timeout)
 
--- a/kestrelbend/tier/http_server/http_protocol.py
+++ b/kestrelbend/tier/http_server/http_protocol.py
@@ -9,12 +9,13 @@
 from typing import Any
 
 import h11
-from hypercorn.events import Event
+from hypercorn.events import Event, RawData
 from hypercorn.protocol.events import Request
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.typing import ConnectionState
 
+from .connection_table import ConnectionTable, TrackedConnection
 from .request_parser import RequestParser
 from .request_tasks import RequestTasks
 
@@ -31,18 +32,29 @@
         client: tuple[str, int] | None,
         server: tuple[str, int] | None,
         send: Callable[[Event], Awaitable[None]],
+        table: ConnectionTable,
+        owner: TrackedConnection,
     ) -> None:
         super().__init__(app, config, context, tasks, ConnectionState({}), False, client, server, send)
         self._tasks = tasks
+        self._table = table
+        self._owner = owner
         self.parser = RequestParser(config.h11_max_incomplete_size)
         self.connection = self.parser
 
+    async def handle(self, event: Event) -> None:
+        """Takes input, or the end of the connection."""
+        if isinstance(event, RawData) and self.parser.awaits_head:
+            self._table.head_received(self._owner, len(event.data))
+        await super().handle(event)
+
     async def wait_until_taken(self) -> None:
         """Returns once the application has taken what has come of its request."""
         if self._tasks.messages is not None and self.stream is not None:
             await self._tasks.messages.wait_until_taken()
 
     async def _create_stream(self, request: h11.Request) -> None:
+        self._table.request_started(self._owner)
         self.stream = HTTPStream(
             self.app,
             self.config,
@@ -68,3 +80,8 @@
 
     async def _check_protocol(self, event: h11.Request) -> None:
         """Nothing but HTTP/1.1 is served."""
+
+    async def _maybe_recycle(self) -> None:
+        await super()._maybe_recycle()
+        if self.parser.awaits_head:
+            self._table.request_finished(self._owner)
--- a/kestrelbend/tier/http_server/server.py
+++ b/kestrelbend/tier/http_server/server.py
@@ -13,12 +13,14 @@
 
 from ..bounded_reads import READ_BYTES, BoundedReads
 from .connection import ClientConnection
+from .connection_table import UNLIMITED, ConnectionLimits, ConnectionTable
 
 IDLE_FACTOR = 1.5  # on the operator's IdleTimeoutMs, until which clients may reuse a connection
 DEFAULT_IDLE_MS = 40000.0  # before the first configuration
 DEFAULT_HEADER_BYTES = 65536
 GRACEFUL_TIMEOUT_S = 7.0
 BACKLOG = 1024
+ACCEPTS_PER_TURN = 16  # of the event loop, so that a burst cannot exceed the limit on connections by more
 
 
 class RequestLimits(Protocol):
@@ -48,6 +50,7 @@
     address: str
     shutdown: Callable[[], Awaitable[None]]
     closing: Callable[[], None] = lambda: None
+    connection_limits: ConnectionLimits = UNLIMITED
 
     async def until_closing(self) -> None:
         """Waits for the shutdown and then calls `closing`."""
@@ -112,13 +115,15 @@
         self._config = config
         self._turns = turns
         self._context = WorkerContext(None)
+        self._table = ConnectionTable(listener.connection_limits)
         self._connections: set[asyncio.Task[None]] = set()
 
     async def serve(self) -> None:
         """Accepts until the listener is shut down, then lets the connections end."""
         loop = asyncio.get_running_loop()
         (sock,) = self._config.create_sockets().insecure_sockets
-        server = await loop.create_server(self._protocol, sock=sock, backlog=BACKLOG)
+        server = await loop.create_server(self._protocol, sock=sock, backlog=ACCEPTS_PER_TURN)
+        sock.listen(BACKLOG)  # asyncio takes one number for the queue and for what it accepts at once
         try:
             await self._listener.until_closing()
         finally:
@@ -136,7 +141,7 @@
 
     def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = ClientConnection(
-            self._listener.application, self._config, self._context, reader, writer, self._turns
+            self._listener.application, self._config, self._context, reader, writer, self._table, self._turns
         )
         task = asyncio.ensure_future(connection.run())
         self._connections.add(task)
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -59,7 +59,7 @@
 from .control_streams import ControlStreams
 from .environment import Environment
 from .process import TierProcess
-from .serving_limits import body_bytes, order_items
+from .serving_limits import body_bytes, client_limits, order_items
 from .settings import Settings
 
 HAND_OVER_TIMEOUT_S = 1.0
@@ -277,6 +277,7 @@
             OperatorApi(operations, bodies, lambda: order_items(self.settings)),
             self.settings.listen_control,
             self.until_served_enough,
+            connection_limits=client_limits(self.settings),
         )
         self._serving = self.spawn(self.environment.serve([listener]))
 
--- a/kestrelbend/tier/roles/gateway.py
+++ b/kestrelbend/tier/roles/gateway.py
@@ -36,7 +36,7 @@
 from .gateway_contact import GatewayContact
 from .process import TierProcess
 from .routing_state import RoutingState
-from .serving_limits import body_bytes
+from .serving_limits import body_bytes, client_limits, health_check_limits
 from .settings import Settings
 
 BODY_COPIES = 2  # the body itself, and what waits to be sent to a backend
@@ -159,11 +159,13 @@
             self.settings.listen_clients,
             self.until_served_enough,
             self.data_plane.stop_accepting,
+            client_limits(self.settings),
         )
         ready = Listener(
             ReadyApplication(self.lifecycle),
             self.settings.listen_ready,
             self.until_served_enough,
+            connection_limits=health_check_limits(self.settings),
         )
         self._serving = self.spawn(self.environment.serve([clients, ready], limits=self._limits))
 
--- a/kestrelbend/tier/roles/serving_limits.py
+++ b/kestrelbend/tier/roles/serving_limits.py
@@ -1,4 +1,4 @@
-"""How much memory a process gives to its clients, from its settings.
+"""How much memory and how many descriptors a process gives to its clients, from its settings.
 
 The shares leave room for what the process itself holds, and for all of them being used up at once.
 """
@@ -6,14 +6,39 @@
 from __future__ import annotations
 
 from ..http_server.body_budget import MEBIBYTE
+from ..http_server.connection_table import ConnectionLimits
 from .settings import Settings
 
-BODIES_SHARE = 1 / 4  # of `RamMb`
+CONNECTIONS_SHARE = 1 / 4  # of `RamMb`
+HEADS_SHARE = 1 / 16
+BODIES_SHARE = 1 / 4
 ORDER_SHARE = 1 / 4
 ORDER_ITEM_BYTES = 128  # once it is decoded
+CONNECTION_BYTES = 64 * 1024
+RESERVED_FDS = 200  # for files outside the disk folder
+CLIENTS_FDS_DIVISOR = 2  # the other half is for backends and for processes of the tier
+MIN_CONNECTIONS = 16
+MAX_HEALTH_CHECKS = 64
 MIN_BODIES = 2  # of the largest size that hold at once, however little memory there is
 
 
+def client_limits(settings: Settings) -> ConnectionLimits:
+    """The limits of a listener for clients, backends or the operator."""
+    ram_bytes = settings.ram_mb * MEBIBYTE
+    by_memory = int(ram_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES)
+    by_descriptors = (settings.max_fds - RESERVED_FDS) // CLIENTS_FDS_DIVISOR
+    return ConnectionLimits(
+        max_connections=max(MIN_CONNECTIONS, min(by_memory, by_descriptors)),
+        max_head_bytes=int(ram_bytes * HEADS_SHARE),
+    )
+
+
+def health_check_limits(settings: Settings) -> ConnectionLimits:
+    """The limits of the listener for the platform's health checks."""
+    clients = client_limits(settings)
+    return ConnectionLimits(min(MAX_HEALTH_CHECKS, clients.max_connections), clients.max_head_bytes)
+
+
 def order_items(settings: Settings) -> int:
     """How many values the JSON text of a configuration may hold."""
     return int(settings.ram_mb * MEBIBYTE * ORDER_SHARE / ORDER_ITEM_BYTES)
--- a/tests/crowd/test_crowds.py
+++ b/tests/crowd/test_crowds.py
@@ -7,12 +7,17 @@
 from kestrelbend.tier.protocol.framing import HEADER_WORD, MAX_MESSAGE_BYTES
 
 from .clients import Crowd, chunked, head, with_length
-from .deployment import INTERNAL_PORTS, MAX_BODY_BYTES, MEBIBYTE, run_with_deployment
+from .deployment import INTERNAL_PORTS, MAX_BODY_BYTES, MEBIBYTE, Limits, run_with_deployment
 
 BODY_CROWD = 40  # of the largest body: more than the memory of a process
 TINY_CHUNK_CROWD = 20
 TINY_CHUNK_BODY_BYTES = MEBIBYTE // 2
+HEAD_CROWD = 3000
+HEAD_BYTES = 15 * 1024  # of at most 16 KiB
 STRANGER_CROWD = 5  # of the largest frame of the internal protocol
+FEW_FDS = 256
+MANY_FDS = 4100
+CONNECTION_CROWD = 400
 ENDLESS_BYTES = 16 * MEBIBYTE  # sent by each client of a body that never ends
 LISTENERS = ("front", "control")
 PATHS = {"front": "/slow/a", "control": "/api/Config.Put", "ready": "/api/readyz"}
@@ -32,7 +37,7 @@
 TINY_CHUNKS = {"of one byte": [1], "of one to three bytes": [1, 3, 2, 1, 2]}
 
 
-def run_crowd(listener, size, pieces):
+def run_crowd(listener, size, pieces, limits=None):
     """A crowd sends and stays; an ordinary client is served beside it and after it."""
 
     async def scenario(deployment):
@@ -48,7 +53,7 @@
         await deployment.ordinary_request(listener)
         deployment.check_limits(listener)
 
-    run_with_deployment(scenario)
+    run_with_deployment(scenario, limits)
 
 
 @pytest.mark.parametrize("listener", LISTENERS)
@@ -74,6 +79,22 @@
     run_crowd("ready", BODY_CROWD, BODIES[body](PATHS["ready"]))
 
 
+@pytest.mark.parametrize("listener", (*LISTENERS, "ready"))
+def test_heads_that_never_end(listener):
+    def pieces(identity):
+        yield head("GET", PATHS[listener], identity, "X-Filler: " + "x" * HEAD_BYTES)[:-4]
+
+    run_crowd(listener, HEAD_CROWD, pieces, Limits(max_fds=MANY_FDS))
+
+
+@pytest.mark.parametrize("listener", (*LISTENERS, "ready"))
+def test_more_connections_than_descriptors(listener):
+    def pieces(identity):
+        yield b"GET "
+
+    run_crowd(listener, CONNECTION_CROWD, pieces, Limits(max_fds=FEW_FDS))
+
+
 ORDER_BYTES = 7_800_000
 ORDER_CROWD = 4
 ITEMS = {"objects": b"{},", "lists": b"[],", "numbers": b"1.5,"}
