Answers that nobody reads have a bound for each process

What callers saw: 200 clients that ask for long answers and do not read them took a gateway to 184 MB and, in pipelines, a control process to 155 MB (RamMb 128); a control process kept such answers without a time limit.

Cause: what waits for one slow client was bounded, the sum was not: up to half a megabyte on the way from a backend, and a whole configuration at the control API for each. Nothing ended a write for which nobody reads.

Change: a connection whose client does not take what is written is ended after the time that it may be idle, and the one that has stalled longest ends when more than an eighth of RamMb is held so (256 KiB each: 150 at 300 MB). Backends' answers are read 16 KiB at once and 64 KiB ahead. The control API's responses hold memory from a budget of an eighth of RamMb; when it is used up the oldest that has been under way for a second ends, else the new call gets 503 and its connection closes; eight reads of the configuration run at once. A large request body goes to a backend without a copy.

Tests: tests/crowd, RamMb 128, 200 clients, long answers and pipelines.

--- a/kestrelbend/tier/configuration/config_calls.py
+++ b/kestrelbend/tier/configuration/config_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from kestrelbend.tier.configuration.http_answers import (
@@ -17,6 +18,8 @@
 from kestrelbend.tier.configuration.schemas import MAX_VERSION
 from kestrelbend.tier.configuration.statuses import BODY_TOO_LARGE, INVALID, NOT_FOUND, OK
 
+MAX_CONCURRENT_READS = 8  # each may hold a copy of the configuration, before its response is counted
+
 
 class ConfigCalls:
     """Handles calls on the configuration through the port."""
@@ -24,6 +27,7 @@
     def __init__(self, port: ControlPort, max_items: Callable[[], int]) -> None:
         self._port = port
         self._max_items = max_items
+        self._reads = asyncio.Semaphore(MAX_CONCURRENT_READS)
 
     async def put(self, call: Call) -> ApiResponse:
         """Replaces the configuration by a complete one."""
@@ -35,7 +39,8 @@
 
     async def get(self, call: Call) -> ApiResponse:
         """Returns the newest configuration, byte for byte."""
-        reply = await self._port.read()
+        async with self._reads:
+            reply = await self._port.read()
         if not reply.owner:
             return unavailable_response()
         if not reply.body:
--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -36,10 +36,12 @@
 )
 from kestrelbend.tier.http_server.body_budget import BodyBudget, BodyBuffer
 from kestrelbend.tier.http_server.request_body import BodyRejection
+from kestrelbend.tier.http_server.response_budget import ResponseBudget
 
 MAX_ORDER_BYTES = 8 * 1024 * 1024
 MAX_REPORT_BYTES = 64 * 1024
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # of a body that is too large; beyond this limit, reading stops
+SEND_BYTES = 64 * 1024  # of a response that are handed to the server at once
 UNLIMITED_ITEMS = 1 << 62  # of an order's JSON text
 MAX_NAME = 256  # characters
 BODY_TIMEOUT_S = 20.0
@@ -71,10 +73,12 @@
         self,
         port: ControlPort,
         bodies: BodyBudget | None = None,
+        responses: ResponseBudget | None = None,
         max_items: Callable[[], int] = lambda: UNLIMITED_ITEMS,
     ) -> None:
         self._port = port
         self._bodies = bodies or BodyBudget()
+        self._responses = responses or ResponseBudget()
         config = ConfigCalls(port, max_items)
         backends = BackendCalls(port)
         retirement = RetirementCalls(port)
@@ -104,7 +108,8 @@
                 response = await self._read_and_respond(found, scope, receive, buffer)
             except _Disconnected:
                 return
-        await _send(send, response)
+        if not await self._responses.send(len(response.body), lambda: _send(send, response)):
+            await _send(send, OVERLOADED)
 
     async def _read_and_respond(
         self, found: _Match | ApiResponse, scope: dict[str, Any], receive: Receive, buffer: BodyBuffer
@@ -194,7 +199,11 @@
     if response.allow:
         headers.append((b"allow", response.allow.encode()))
     await send({"type": "http.response.start", "status": response.status, "headers": headers})
-    await send({"type": "http.response.body", "body": response.body, "more_body": False})
+    last = max(0, len(response.body) - 1) // SEND_BYTES * SEND_BYTES
+    for start in range(0, last, SEND_BYTES):
+        piece = response.body[start : start + SEND_BYTES]
+        await send({"type": "http.response.body", "body": piece, "more_body": True})
+    await send({"type": "http.response.body", "body": response.body[last:], "more_body": False})
 
 
 async def _serve_lifespan(receive: Receive, send: Send) -> None:
--- a/kestrelbend/tier/dataplane/network.py
+++ b/kestrelbend/tier/dataplane/network.py
@@ -13,15 +13,17 @@
 
 import httpcore
 
+from ..bounded_reads import BoundedReads
 from ..socket_options import SilenceLimits, configure_socket
 from . import ports
 
 # Detect a dead backend while waiting for its response.
 SILENCE_LIMITS = SilenceLimits(unacknowledged_ms=2000, probe_after_s=1, probe_interval_s=1, probes=2)
-RECEIVE_HIGH_WATER_BYTES = 256 * 1024
+RECEIVE_HIGH_WATER_BYTES = 64 * 1024
+JOINED_BYTES = 64 * 1024  # larger writes are not copied to leave in one packet with others
 
 
-class TcpStream(asyncio.Protocol, ports.BackendStream):
+class TcpStream(BoundedReads, ports.BackendStream):
     """One TCP connection.  Only one task at a time may read or write.
 
     The event loop calls `connection_made` before the stream is handed out.
@@ -39,7 +41,7 @@
         self._reading_paused = False
         self._discarding_writes = False
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
@@ -135,10 +137,13 @@
     def _flush(self) -> None:
         if not self._outgoing or self._ended:
             return
-        data = b"".join(self._outgoing)
-        self._outgoing.clear()
         self._wire_state.sent = True
-        self._transport.write(data)
+        if sum(map(len, self._outgoing)) <= JOINED_BYTES:
+            self._transport.write(b"".join(self._outgoing))
+        else:
+            for part in self._outgoing:
+                self._transport.write(part)
+        self._outgoing.clear()
 
     async def aclose(self) -> None:
         """Closes at once, so that the rest of an abandoned request is not sent."""
--- a/kestrelbend/tier/http_server/connection.py
+++ b/kestrelbend/tier/http_server/connection.py
@@ -1,4 +1,4 @@
-"""One connection of a client: reads no faster than the application takes.
+"""One connection of a client: reads no faster than the application takes, and gives up who does not read.
 
 A request that is answered before its body has been read ends its connection.  What the client still sends is
 then read and dropped for a moment, since closing at once would reset the connection, and the client could
@@ -24,6 +24,7 @@
 LINGER_S = 1.0
 LINGER_BYTES = 16 << 20
 MAX_CHEAP_CHUNKS = 64  # in one read; with more of them, connections take turns
+WRITE_HIGH_WATER_BYTES = 64 * 1024
 
 
 class ClientConnection(TCPServer):
@@ -115,7 +116,9 @@
 
     async def protocol_send(self, event: Event) -> None:
         """Writes bytes, or ends the connection."""
-        if isinstance(event, Closed):
+        if isinstance(event, RawData):
+            await self._write(event.data)
+        elif isinstance(event, Closed):
             if self._http.parser.request_is_complete:
                 self._close_soon()
             else:
@@ -123,6 +126,29 @@
         else:
             await super().protocol_send(event)
 
+    async def _write(self, data: bytes) -> None:
+        async with self.send_lock:
+            try:
+                self.writer.write(data)
+                if self.writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER_BYTES:
+                    await self._drain()
+                else:
+                    await self.writer.drain()
+            except (ConnectionError, RuntimeError):
+                await self._http.handle(Closed())
+
+    async def _drain(self) -> None:
+        """Waits for a client that does not read, for as long as a connection may be idle."""
+        self._table.stalled(self)
+        try:
+            async with asyncio.timeout(self.config.keep_alive_timeout):
+                await self.writer.drain()
+        except TimeoutError:
+            self.abort()
+            raise ConnectionAbortedError from None
+        finally:
+            self._table.resumed(self)
+
     def _linger(self) -> None:
         """Ends the response's side, and reads the rest of the request for a moment."""
         if self._lingering or self.writer.transport.is_closing():
--- a/kestrelbend/tier/http_server/connection_table.py
+++ b/kestrelbend/tier/http_server/connection_table.py
@@ -2,7 +2,7 @@
 
 The first to go is one that is closing anyway, then the one that has waited longest for its first request,
 then the one that has been idle longest.  A connection whose request is in progress is never closed for
-another one.
+another one, unless its client does not read the response.
 """
 
 from __future__ import annotations
@@ -25,9 +25,10 @@
 
     max_connections: int
     max_head_bytes: int  # of all incomplete heads
+    max_stalled: int  # connections whose clients do not read a response that is being sent
 
 
-UNLIMITED = ConnectionLimits(1 << 30, 1 << 62)
+UNLIMITED = ConnectionLimits(1 << 30, 1 << 62, 1 << 30)
 
 
 class ConnectionTable:
@@ -39,6 +40,7 @@
         self._unused: dict[TrackedConnection, None] = {}  # without a complete head so far, oldest first
         self._closing: dict[TrackedConnection, None] = {}  # they serve no more requests
         self._idle: dict[TrackedConnection, None] = {}  # between two requests, longest idle first
+        self._stalled: dict[TrackedConnection, None] = {}  # longest stalled first
         self._head_bytes: dict[TrackedConnection, int] = {}
         self._all_head_bytes = 0
 
@@ -54,6 +56,7 @@
         """Forgets a closed connection."""
         self._open.pop(connection, None)
         self._forget_waiting(connection)
+        self._stalled.pop(connection, None)
         self._closing.pop(connection, None)
 
     def request_started(self, connection: TrackedConnection) -> None:
@@ -80,6 +83,16 @@
         while self._all_head_bytes > self.limits.max_head_bytes:
             self._close(next(iter(self._head_bytes)))
 
+    def stalled(self, connection: TrackedConnection) -> None:
+        """The client does not read: a write waits for it."""
+        self._stalled[connection] = None
+        if len(self._stalled) > self.limits.max_stalled:
+            self._close(next(iter(self._stalled)))
+
+    def resumed(self, connection: TrackedConnection) -> None:
+        """The client has read."""
+        self._stalled.pop(connection, None)
+
     def _make_room(self) -> bool:
         for candidates in (self._closing, self._unused, self._idle):
             if candidates:
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -37,6 +37,7 @@
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.registry import BackendRegistry
 from ..http_server.body_budget import BodyBudget
+from ..http_server.response_budget import ResponseBudget
 from ..http_server.server import Listener
 from ..membership.contact_period import ContactPeriod
 from ..membership.messages import (
@@ -59,7 +60,7 @@
 from .control_streams import ControlStreams
 from .environment import Environment
 from .process import TierProcess
-from .serving_limits import body_bytes, client_limits, order_items
+from .serving_limits import body_bytes, client_limits, order_items, response_bytes
 from .settings import Settings
 
 HAND_OVER_TIMEOUT_S = 1.0
@@ -273,8 +274,9 @@
             self.now,
         )
         bodies = BodyBudget(lambda: body_bytes(self.settings, MAX_ORDER_BYTES, BODY_COPIES), BODY_COPIES)
+        responses = ResponseBudget(lambda: response_bytes(self.settings, MAX_ORDER_BYTES))
         listener = Listener(
-            OperatorApi(operations, bodies, lambda: order_items(self.settings)),
+            OperatorApi(operations, bodies, responses, lambda: order_items(self.settings)),
             self.settings.listen_control,
             self.until_served_enough,
             connection_limits=client_limits(self.settings),
--- a/tests/crowd/test_crowds.py
+++ b/tests/crowd/test_crowds.py
@@ -5,6 +5,7 @@
 import pytest
 
 from kestrelbend.tier.protocol.framing import HEADER_WORD, MAX_MESSAGE_BYTES
+from review.common.tier import new_request_id
 
 from .clients import Crowd, chunked, head, with_length
 from .deployment import INTERNAL_PORTS, MAX_BODY_BYTES, MEBIBYTE, Limits, run_with_deployment
@@ -14,6 +15,7 @@
 TINY_CHUNK_BODY_BYTES = MEBIBYTE // 2
 HEAD_CROWD = 3000
 HEAD_BYTES = 15 * 1024  # of at most 16 KiB
+READER_CROWD = 200
 STRANGER_CROWD = 5  # of the largest frame of the internal protocol
 FEW_FDS = 256
 MANY_FDS = 4100
@@ -95,6 +97,29 @@
     run_crowd(listener, CONNECTION_CROWD, pieces, Limits(max_fds=FEW_FDS))
 
 
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_answers_that_nobody_reads(listener):
+    path = {"front": "/slow/long", "control": "/api/Config.Get"}[listener]
+
+    def pieces(identity):
+        yield head("GET", path, identity)
+
+    run_crowd(listener, READER_CROWD, pieces)
+
+
+@pytest.mark.parametrize("listener", (*LISTENERS, "ready"))
+def test_pipelines_whose_answers_nobody_reads(listener):
+    path = {"front": "/quick/a", "control": "/api/Config.Get", "ready": "/api/readyz"}[listener]
+
+    def pieces(identity):
+        yield head("GET", path, identity)
+        batch = head("GET", path, new_request_id()) * 500
+        for _ in range(MEBIBYTE // len(batch)):
+            yield batch
+
+    run_crowd(listener, READER_CROWD, pieces)
+
+
 ORDER_BYTES = 7_800_000
 ORDER_CROWD = 4
 ITEMS = {"objects": b"{},", "lists": b"[],", "numbers": b"1.5,"}
