A connection that ends before its pipelined requests does not stay in memory

What callers saw: nothing at first; each connection that was closed by the server while further requests on it had been read (a refusal, a broken answer, a gateway that drains) left its task and some 60 KB behind until the process ended. Found while the pipelines of tests/crowd were traced: a control process grew by 50 MB as their clients left.

Cause: hypercorn's protocol waits for its next cycle when it has read more than the current request, and a connection that ends has none. On a connection whose client had gone all requests that had been read still ran.

Change: the parser is told that no request follows, and drops what is left.

--- a/kestrelbend/tier/http_server/connection.py
+++ b/kestrelbend/tier/http_server/connection.py
@@ -88,6 +88,11 @@
             await self.idle_task.restart(tasks, self._idle_timeout)
             await self._read_data()
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is lost or about to be closed."""
+        return self.writer.transport.is_closing()
+
     def abort(self) -> None:
         """Closes the connection at once."""
         self.writer.transport.abort()
--- a/kestrelbend/tier/http_server/http_protocol.py
+++ b/kestrelbend/tier/http_server/http_protocol.py
@@ -82,6 +82,13 @@
         """Nothing but HTTP/1.1 is served."""
 
     async def _maybe_recycle(self) -> None:
+        """Ends a request; the next one follows, if the connection goes on.
+
+        Hypercorn lets a connection that ends here wait for good if the client has sent more requests.
+        """
+        states = (self.parser.our_state, self.parser.their_state)
+        if states != (h11.DONE, h11.DONE) or self.context.terminated.is_set() or self._owner.is_closing:
+            self.parser.finish()
         await super()._maybe_recycle()
         if self.parser.awaits_head:
             self._table.request_finished(self._owner)
--- a/kestrelbend/tier/http_server/request_parser.py
+++ b/kestrelbend/tier/http_server/request_parser.py
@@ -32,6 +32,7 @@
         self._body_received = False
         self._end_given = False
         self._head_complete = False
+        self._finished = False
         self.chunks = 0
 
     # The interface of h11.Connection
@@ -61,6 +62,8 @@
     def receive_data(self, data: bytes) -> None:
         """Takes input, whose faults `next_event` reports."""
         self.chunks = 0
+        if self._finished:
+            return
         if self._decoder is None:
             self._h11.receive_data(data)
         else:
@@ -68,6 +71,8 @@
 
     def next_event(self) -> Any:
         """The next event of the request; raises h11.RemoteProtocolError."""
+        if self._finished:
+            return h11.NEED_DATA
         if self._decoder is not None:
             return self._next_body_event()
         event = self._h11.next_event()
@@ -106,6 +111,10 @@
         """Whether the current request has been read to its end."""
         return self.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
+    def finish(self) -> None:
+        """Serves no more requests: input that is left or still comes is dropped."""
+        self._finished = True
+
     def _begin_body(self, request: h11.Request) -> None:
         if request.http_version not in SERVED_VERSIONS:
             raise h11.RemoteProtocolError("not HTTP/1.1", error_status_hint=VERSION_NOT_SUPPORTED)
--- a/tests/tier/test_dataplane_server.py
+++ b/tests/tier/test_dataplane_server.py
@@ -143,6 +143,22 @@
 
         self.assertTrue(self.run_scenario(scenario))
 
+    def test_connection_that_is_closed_before_its_pipelined_requests_leaves_no_task(self):
+        first = b"GET /cut" + HOST + b"\r\n"
+
+        async def scenario():
+            await self.send_and_read(first)
+            for _ in range(1000):  # turns of the loop, in which the first connection ends
+                await asyncio.sleep(0)
+            before = len(asyncio.all_tasks())
+            out = await self.send_and_read(first + b"GET /b" + HOST + b"\r\n")
+            while len(asyncio.all_tasks()) > before:
+                await asyncio.sleep(0.01)
+            return out
+
+        out = self.run_scenario(scenario)
+        self.assertEqual(1, out.count(b"HTTP/1.1 200"))
+
     def test_shutdown_calls_closing_and_responses_have_no_server_or_date_header(self):
         out = self.run_scenario(lambda: self.send_and_read(b"GET /a" + HOST + b"Connection: close\r\n\r\n"))
         self.assertEqual([1], self.closing_calls)
