--- a/kestrelbend/tier/http_server/connection.py
+++ b/kestrelbend/tier/http_server/connection.py
@@ -50,6 +50,7 @@
         self._lingered_bytes = 0
         self._abort_timer: asyncio.TimerHandle | None = None
         self._http: HttpProtocol
+        self._task_group: TaskGroup
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
@@ -71,8 +72,9 @@
         socket = self.writer.get_extra_info("socket")
         client = parse_socket_addr(socket.family, self.writer.get_extra_info("peername"))
         server = parse_socket_addr(socket.family, self.writer.get_extra_info("sockname"))
-        async with RequestTasks(self.loop) as tasks:
-            self._task_group: TaskGroup = tasks
+        tasks = RequestTasks(self.loop)
+        async with tasks:
+            self._task_group = tasks
             self._http = HttpProtocol(
                 self.app,
                 self.config,
--- a/kestrelbend/tier/http_server/http_protocol.py
+++ b/kestrelbend/tier/http_server/http_protocol.py
@@ -40,7 +40,7 @@
         self._table = table
         self._owner = owner
         self.parser = RequestParser(config.h11_max_incomplete_size)
-        self.connection = self.parser
+        self.connection = self.parser  # type: ignore[assignment]  # it has the interface
 
     async def handle(self, event: Event) -> None:
         """Takes input, or the end of the connection."""
--- a/kestrelbend/tier/http_server/request_parser.py
+++ b/kestrelbend/tier/http_server/request_parser.py
@@ -83,7 +83,8 @@
 
     def send(self, event: Any) -> bytes | None:
         """The bytes of an event of the response."""
-        return self._h11.send(event)
+        data: bytes | None = self._h11.send(event)
+        return data
 
     def start_next_cycle(self) -> None:
         """Continues with the next request; raises h11.LocalProtocolError if there is none."""
