--- a/kestrelbend/tier/http_server/connection_table.py
+++ b/kestrelbend/tier/http_server/connection_table.py
@@ -1,8 +1,9 @@
 """The connections of a listener: how many there may be, and which are closed to make room.
 
 The first to go is one whose request was refused, then the one that has waited longest for its first request,
-then the one that has been idle longest, then one that only waits for its client to read its last response.  A connection whose request is in progress is never closed for
-another one, unless its client does not read the response.
+then the one that has been idle longest, then one that only waits for its client to read its last response.
+A connection whose request is in progress is never closed for another one, unless its client does not read
+the response.
 """
 
 from __future__ import annotations
