What the reading of the whole change found: state that is derived, pieces that stood twice

No behaviour is meant to change but one: a request without a body asks the body budget for nothing, so a budget that a new configuration has just made smaller can no longer refuse it.

- RequestParser held nine fields, three of which had to be reset with each request.
What belongs to a chunked body is one object that goes with the request; whether a head is awaited and how many chunks came are derived.
Its trailing_data served only hypercorn's HTTP/2 and web socket paths, which are not reached, and is gone.
- The operator's API used its own type for a client that disconnected, and its own Receive; both are request_body's.
- The connection table no longer asks its connections for `is_closing`, which only the protocol needs.
An override that the order of bases made superfluous, a second test of the same event, and MEBIBYTE in a module without use for it are gone.
- tests/crowd: the gateway in service is started by gateway_process of test_gateway_races.py, which also holds it to its descriptors by the kernel, in place of a copy; check_process is one function for both programs.

--- a/kestrelbend/tier/configuration/operator_api.py
+++ b/kestrelbend/tier/configuration/operator_api.py
@@ -35,7 +35,7 @@
     UNAVAILABLE,
 )
 from kestrelbend.tier.http_server.body_budget import BodyBudget, BodyBuffer
-from kestrelbend.tier.http_server.request_body import BodyRejection
+from kestrelbend.tier.http_server.request_body import BodyRejection, ClientDisconnected, Receive
 from kestrelbend.tier.http_server.response_budget import ResponseBudget
 
 MAX_ORDER_BYTES = 8 * 1024 * 1024
@@ -50,7 +50,6 @@
 CALL_PATH = re.compile(r"/api/(?P<call>[A-Za-z]+(?:\.[A-Za-z]+)?)(?:/(?P<name>[^/]+))?")
 OVERLOADED = attrs.evolve(unavailable_response(), closes=True)  # too little memory for all calls
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
@@ -62,10 +61,6 @@
     name: str
 
 
-class _Disconnected(Exception):
-    """The caller disconnected before its body was complete, so no response is sent."""
-
-
 class OperatorApi:
     """Translates HTTP calls into calls of a `ControlPort`."""
 
@@ -106,7 +101,7 @@
         with self._bodies.open() as buffer:
             try:
                 response = await self._read_and_respond(found, scope, receive, buffer)
-            except _Disconnected:
+            except ClientDisconnected:
                 return
         if not await self._responses.send(len(response.body), lambda: _send(send, response)):
             await _send(send, OVERLOADED)
@@ -169,7 +164,7 @@
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
-            raise _Disconnected
+            raise ClientDisconnected
         chunk = event.get("body", b"")
         size += len(chunk)
         if size > max_bytes:
--- a/kestrelbend/tier/http_server/body_budget.py
+++ b/kestrelbend/tier/http_server/body_budget.py
@@ -11,7 +11,6 @@
 
 from collections.abc import Callable
 
-MEBIBYTE = 1 << 20
 BLOCK_BYTES = 64 * 1024
 SMALL_BODY_BYTES = 16 * 1024
 LARGE_BODIES_SHARE = 0.75  # of the budget; the rest is left to small bodies
@@ -39,6 +38,8 @@
 
     def reserve(self, buffer: BodyBuffer, count: int) -> bool:
         """Gives `count` more bytes to a body, at the cost of larger incomplete ones; False if it can't."""
+        if not count:
+            return True
         required = buffer.held_bytes + count
         capacity = self._capacity_bytes()
         limit = capacity if required <= SMALL_BODY_BYTES else int(capacity * LARGE_BODIES_SHARE)
--- a/kestrelbend/tier/http_server/connection.py
+++ b/kestrelbend/tier/http_server/connection.py
@@ -30,7 +30,7 @@
 class ClientConnection(TCPServer):
     """A connection from its first byte to its last.
 
-    `turns` is shared by all connections: one that sends tiny chunks is read only while it holds it.
+    `turns` is shared by all connections: after a read that held many chunks, a connection waits for its turn.
     """
 
     def __init__(
--- a/kestrelbend/tier/http_server/connection_table.py
+++ b/kestrelbend/tier/http_server/connection_table.py
@@ -16,10 +16,6 @@
 class TrackedConnection(Protocol):
     """What the table needs of a connection."""
 
-    @property
-    def is_closing(self) -> bool:
-        """Whether the connection is lost or about to be closed."""
-
     def abort(self) -> None:
         """Closes the connection at once."""
 
--- a/kestrelbend/tier/http_server/http_protocol.py
+++ b/kestrelbend/tier/http_server/http_protocol.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 from hypercorn.events import Event, RawData
@@ -20,6 +20,14 @@
 from .request_tasks import RequestTasks
 
 
+class ConnectionOwner(TrackedConnection, Protocol):
+    """The connection that the protocol serves."""
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is lost or about to be closed."""
+
+
 class HttpProtocol(H11Protocol):
     """Reads requests and writes responses; `send` takes what goes to the socket."""
 
@@ -33,7 +41,7 @@
         server: tuple[str, int] | None,
         send: Callable[[Event], Awaitable[None]],
         table: ConnectionTable,
-        owner: TrackedConnection,
+        owner: ConnectionOwner,
     ) -> None:
         super().__init__(app, config, context, tasks, ConnectionState({}), False, client, server, send)
         self._tasks = tasks
@@ -50,7 +58,7 @@
 
     async def wait_until_taken(self) -> None:
         """Returns once the application has taken what has come of its request."""
-        if self._tasks.messages is not None and self.stream is not None:
+        if self._tasks.messages is not None:
             await self._tasks.messages.wait_until_taken()
 
     async def _create_stream(self, request: h11.Request) -> None:
--- a/kestrelbend/tier/http_server/request_parser.py
+++ b/kestrelbend/tier/http_server/request_parser.py
@@ -17,23 +17,51 @@
 VERSION_NOT_SUPPORTED = 505
 
 
-class RequestParser:
-    """The requests of one connection, one after the other.
+class _ChunkedBody:
+    """The chunked body of one request, given out as events of h11."""
+
+    def __init__(self, max_line_bytes: int) -> None:
+        self.decoder = ChunkedDecoder(max_line_bytes)
+        self.received = False
+        self.end_given = False
+        self._decoded = b""
+        self._fault: ChunkedFramingError | None = None
+
+    def receive(self, data: bytes) -> None:
+        """Takes input, whose faults `next_event` reports."""
+        self.received = self.received or bool(data)
+        try:
+            self._decoded += self.decoder.feed(data)
+        except ChunkedFramingError as fault:
+            self._fault = fault
+
+    def next_event(self) -> Any:
+        """The next event of the request; raises h11.RemoteProtocolError."""
+        if self._decoded:
+            event = h11.Data(data=self._decoded)
+            self._decoded = b""
+            return event
+        if self._fault is not None:
+            raise h11.RemoteProtocolError(str(self._fault))
+        if not self.decoder.ended:
+            return h11.NEED_DATA
+        if not self.end_given:
+            self.end_given = True
+            return h11.EndOfMessage()
+        return h11.PAUSED if self.decoder.trailing_data else h11.NEED_DATA
+
 
-    `chunks` is the number of chunks in the input that was received last.
-    """
+class RequestParser:
+    """The requests of one connection, one after the other."""
 
     def __init__(self, max_incomplete_bytes: int) -> None:
         self._max_incomplete_bytes = max_incomplete_bytes
-        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max_incomplete_bytes)
-        self._decoder: ChunkedDecoder | None = None  # while a chunked body is read, and after it
-        self._decoded = b""
-        self._fault: ChunkedFramingError | None = None
-        self._body_received = False
-        self._end_given = False
-        self._head_complete = False
+        self._h11 = self._new_connection()
+        self._chunked: _ChunkedBody | None = None  # until the next request, if its body is chunked
         self._finished = False
-        self.chunks = 0
+
+    def _new_connection(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_incomplete_bytes)
 
     # The interface of h11.Connection
 
@@ -45,39 +73,33 @@
     @property
     def their_state(self) -> Any:
         """The state of the request."""
-        if self._decoder is None:
+        if self._chunked is None:
             return self._h11.their_state
-        return h11.DONE if self._end_given else h11.SEND_BODY
+        return h11.DONE if self._chunked.end_given else h11.SEND_BODY
 
     @property
     def they_are_waiting_for_100_continue(self) -> bool:
         """Whether the client waits for an interim response before it sends the body."""
-        return self._h11.they_are_waiting_for_100_continue and not self._body_received
-
-    @property
-    def trailing_data(self) -> tuple[bytes, bool]:
-        """The input that is not parsed yet, and whether it has ended."""
-        return self._h11.trailing_data if self._decoder is None else (self._decoder.trailing_data, False)
+        received = self._chunked is not None and self._chunked.received
+        return self._h11.they_are_waiting_for_100_continue and not received
 
     def receive_data(self, data: bytes) -> None:
         """Takes input, whose faults `next_event` reports."""
-        self.chunks = 0
         if self._finished:
             return
-        if self._decoder is None:
+        if self._chunked is None:
             self._h11.receive_data(data)
         else:
-            self._decode(data)
+            self._chunked.receive(data)
 
     def next_event(self) -> Any:
         """The next event of the request; raises h11.RemoteProtocolError."""
         if self._finished:
             return h11.NEED_DATA
-        if self._decoder is not None:
-            return self._next_body_event()
+        if self._chunked is not None:
+            return self._chunked.next_event()
         event = self._h11.next_event()
         if isinstance(event, h11.Request):
-            self._head_complete = True
             self._begin_body(event)
         return event
 
@@ -88,15 +110,12 @@
 
     def start_next_cycle(self) -> None:
         """Continues with the next request; raises h11.LocalProtocolError if there is none."""
-        self._head_complete = False
-        if self._decoder is None:
+        if self._chunked is None:
             self._h11.start_next_cycle()
             return
-        following = self._decoder.trailing_data
-        self._decoder = None
-        self._body_received = False
-        self._end_given = False
-        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_incomplete_bytes)
+        following = self._chunked.decoder.trailing_data
+        self._chunked = None
+        self._h11 = self._new_connection()
         if following:
             self._h11.receive_data(following)
 
@@ -105,13 +124,18 @@
     @property
     def awaits_head(self) -> bool:
         """Whether no request has begun or its head is not complete."""
-        return not self._head_complete
+        return self._h11.their_state is h11.IDLE
 
     @property
     def request_is_complete(self) -> bool:
         """Whether the current request has been read to its end."""
         return self.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
+    @property
+    def chunks(self) -> int:
+        """The number of chunks in the input that was received last."""
+        return 0 if self._chunked is None else self._chunked.decoder.chunks
+
     def finish(self) -> None:
         """Serves no more requests: input that is left or still comes is dropped."""
         self._finished = True
@@ -122,29 +146,5 @@
         if len(request.headers) > MAX_HEADER_LINES:
             raise h11.RemoteProtocolError("too many header lines", error_status_hint=HEADERS_TOO_LARGE)
         if any(name == b"transfer-encoding" for name, _ in request.headers):
-            self._decoder = ChunkedDecoder(self._max_incomplete_bytes)
-            self._decode(self._h11.trailing_data[0])
-
-    def _decode(self, data: bytes) -> None:
-        assert self._decoder is not None
-        self._body_received = self._body_received or bool(data)
-        try:
-            self._decoded += self._decoder.feed(data)
-        except ChunkedFramingError as fault:
-            self._fault = fault
-        self.chunks = self._decoder.chunks
-
-    def _next_body_event(self) -> Any:
-        assert self._decoder is not None
-        if self._decoded:
-            event = h11.Data(data=self._decoded)
-            self._decoded = b""
-            return event
-        if self._fault is not None:
-            raise h11.RemoteProtocolError(str(self._fault))
-        if not self._decoder.ended:
-            return h11.NEED_DATA
-        if not self._end_given:
-            self._end_given = True
-            return h11.EndOfMessage()
-        return h11.PAUSED if self._decoder.trailing_data else h11.NEED_DATA
+            self._chunked = _ChunkedBody(self._max_incomplete_bytes)
+            self._chunked.receive(self._h11.trailing_data[0])
--- a/kestrelbend/tier/http_server/request_tasks.py
+++ b/kestrelbend/tier/http_server/request_tasks.py
@@ -43,8 +43,7 @@
 
     async def wait_until_taken(self) -> None:
         """Returns once the application has received everything, or has ended."""
-        if not self._taken.is_set():
-            await self._taken.wait()
+        await self._taken.wait()
 
 
 class RequestTasks(TaskGroup):
--- a/kestrelbend/tier/http_server/server.py
+++ b/kestrelbend/tier/http_server/server.py
@@ -104,8 +104,6 @@
 class _StreamProtocol(asyncio.StreamReaderProtocol, BoundedReads):
     """A connection's streams, which hold little that is not read."""
 
-    data_received = asyncio.StreamReaderProtocol.data_received
-
 
 class _ListenerServer:
     """Accepts the connections of one listener."""
--- a/kestrelbend/tier/roles/serving_limits.py
+++ b/kestrelbend/tier/roles/serving_limits.py
@@ -1,14 +1,14 @@
 """How much memory and how many descriptors a process gives to its clients, from its settings.
 
-The shares leave room for what the process itself holds, and for all of them being used up at once.
+Hazard: the shares of a control process together are more than `RamMb`; each bounds one kind of crowd.
 """
 
 from __future__ import annotations
 
-from ..http_server.body_budget import MEBIBYTE
 from ..http_server.connection_table import ConnectionLimits
 from .settings import Settings
 
+MEBIBYTE = 1 << 20
 CONNECTIONS_SHARE = 1 / 4  # of `RamMb`
 HEADS_SHARE = 1 / 16
 STALLED_SHARE = 1 / 8
--- a/tests/crowd/deployment.py
+++ b/tests/crowd/deployment.py
@@ -153,13 +153,7 @@
         """Fails if a process has ended, or if that of the listener has exceeded its limits."""
         ended = self.tier.ended_by_itself()
         assert not ended, ended
-        process_id = self.process_id(listener)
-        peak_mb = peak_memory_kb(process_id) / 1024
-        descriptors = len(list(pathlib.Path(f"/proc/{process_id}/fd").iterdir()))
-        used = f"{listener}: peak {peak_mb:.0f} MB, {descriptors} descriptors"
-        print(used)
-        assert peak_mb <= self.tier.limits.ram_mb, used
-        assert descriptors <= self.tier.limits.max_fds, used
+        check_process(self.process_id(listener), listener, self.tier.limits)
 
     async def ordinary_request(self, listener: str) -> Response:
         """What an ordinary client of a listener gets, with retries; fails if it gets no answer at all."""
@@ -188,6 +182,16 @@
         return {identity for backend in (self.quick, self.slow) for _, identity in backend.runs}
 
 
+def check_process(process_id: int, name: str, limits: Limits) -> None:
+    """Fails if a process has exceeded its limits; prints what it used."""
+    peak_mb = peak_memory_kb(process_id) / 1024
+    descriptors = len(list(pathlib.Path(f"/proc/{process_id}/fd").iterdir()))
+    used = f"{name}: peak {peak_mb:.0f} MB, {descriptors} descriptors"
+    print(used)
+    assert peak_mb <= limits.ram_mb, used
+    assert descriptors <= limits.max_fds, used
+
+
 def peak_memory_kb(process_id: int) -> int:
     """The peak of a process's resident memory, in KiB."""
     status = pathlib.Path(f"/proc/{process_id}/status").read_text()
--- a/tests/crowd/test_gateway_in_service.py
+++ b/tests/crowd/test_gateway_in_service.py
@@ -5,21 +5,16 @@
 import asyncio
 import contextlib
 import itertools
-import json
-import os
-import pathlib
-import sys
 
 import pytest
 
-from tests.helpers import StubServices, run
-from tests.test_net import nest_settings
+from tests.helpers import run
+from tests.test_gateway_races import gateway_process
 
 from .clients import Crowd, chunked, with_length
-from .deployment import MEBIBYTE, peak_memory_kb
+from .deployment import MEBIBYTE, Limits, check_process
 
-SOCKETS = 512
-MEMORY_MB = 256  # as the platform's 2048 MB are to its 4096 sockets
+LIMITS = Limits(ram_mb=256, max_fds=512)  # as the platform's 2048 MB are to its 4096 sockets
 MAX_BODY_BYTES = 1 << 16
 BODY_CROWD = 400
 TINY_CHUNK_CROWD = 20
@@ -69,33 +64,6 @@
 }  # fmt: skip
 
 
-@contextlib.asynccontextmanager
-async def running_gateway(world, folder):
-    """A gateway in service as its own process."""
-    config = {
-        "name": "n0",
-        "listen": "%s:%d" % world.listen,
-        "discovery": world.discovery.address,
-        "counter": world.counter.address,
-        "seed": "7",
-        "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
-        "settings": nest_settings(world.pairs),
-        "known": {"rev": 1, "all": True, "targets": world.rows},
-    }
-    path = folder / "config.json"
-    path.write_text(json.dumps(config))
-    environment = {**os.environ, "ROUTER_CONFIG": str(path)}
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-O", "-m", "kestrelbend", env=environment, stderr=asyncio.subprocess.DEVNULL
-    )
-    try:
-        yield process
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
-
-
 async def ordinary_request(world):
     """Retries until a request is answered with 200."""
     async with asyncio.timeout(60):
@@ -109,12 +77,7 @@
 
 def check_limits(process):
     assert process.returncode is None, process.returncode
-    peak_mb = peak_memory_kb(process.pid) / 1024
-    descriptors = len(list(pathlib.Path(f"/proc/{process.pid}/fd").iterdir()))
-    used = f"peak {peak_mb:.0f} MB, {descriptors} descriptors"
-    print(used)
-    assert peak_mb <= MEMORY_MB, used
-    assert descriptors <= SOCKETS, used
+    check_process(process.pid, "gateway in service", LIMITS)
 
 
 @pytest.mark.parametrize("kind", CROWDS)
@@ -122,7 +85,7 @@
     size, pieces = CROWDS[kind]
 
     async def test():
-        async with StubServices(1) as world, running_gateway(world, tmp_path) as process:
+        async with gateway_process(tmp_path, sockets=LIMITS.max_fds) as (world, process, _):
             await ordinary_request(world)
             crowd = Crowd(size)
             try:
--- a/tests/tier/test_http_server_budgets.py
+++ b/tests/tier/test_http_server_budgets.py
@@ -14,8 +14,6 @@
 class Connection:
     """A connection that notes whether it was closed."""
 
-    is_closing = False
-
     def __init__(self):
         self.aborted = False
 
