--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 import sys
 
 from tier_2 import actors, http
-from tier_2.deployment import Deployment, Machine, Record
+from tier_2.deployment import Deployment, Machine, Record, play
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 TOLERATE = {"Nodes": 0, "Zones": 1, "Regions": 0}
@@ -63,4 +63,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run(Record(pathlib.Path(__file__).with_name("record.txt")))))
+    sys.exit(play(run, pathlib.Path(__file__).with_name("record.txt")))
--- a/review/tier_2/deployment.py
+++ b/review/tier_2/deployment.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import os
@@ -16,9 +17,12 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -50,6 +54,20 @@
         self._file.flush()
 
 
+def play(run: Callable[[Record], Coroutine[Any, Any, int]], path: pathlib.Path) -> int:
+    """Plays a case and writes its record to `path`; returns the exit status.
+
+    That is 2 where the case couldn't run: an error of the script says nothing about the rule.
+    """
+    record = Record(path)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes of the deployment are ended first
+    try:
+        return asyncio.run(run(record))
+    except Exception:  # noqa: BLE001
+        record.line(f"the case couldn't run: {traceback.format_exc()}")
+        return 2
+
+
 class Machine:
     """One machine: its address, its roles with a folder each, and the processes that run."""
 
