Spread voters so that tolerated zones and regions leave a majority

Cause: a group had 2 x Tolerate.Nodes + 1 voters and nothing else was asked of it. Tolerate.Zones and Tolerate.Regions were read and decided nothing, so with Nodes 0 the owner shrank the founders' three voters to one. Zones were a preference among new voters of one class; a live voter was never exchanged because of its zone.

Change: membership/fault_tolerance.py derives the size of groups and the excess of voters in the zones or regions that may go. Placement chooses by excess before class, exchanges live voters while there is an excess, and upgrades none where that would make one. The first placement of budgets waits 2.5 s for stores in enough zones. With Zones and Regions 0 every choice is as before.

Left, next: a group in transition (4 voters of 3, two in one zone) does not survive that zone; leaves, retirement and the log count machines alone.

--- a/kestrelbend/command/status.py
+++ b/kestrelbend/command/status.py
@@ -10,7 +10,8 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from ..tier.membership.placement import CONFIGURATION_SHARD, tolerated_losses
+from ..tier.membership.fault_tolerance import tolerated_losses
+from ..tier.membership.placement import CONFIGURATION_SHARD
 from .asking import ask
 from .outcome import DONE, CommandFailed
 from .verb import Verb
--- a/kestrelbend/tier/control/group_sizes.py
+++ b/kestrelbend/tier/control/group_sizes.py
@@ -11,8 +11,9 @@
 
 import attrs
 
+from ..membership.fault_tolerance import tolerated_losses
 from ..membership.messages import ShardReport
-from ..membership.placement import CONFIGURATION_SHARD, budget_shards, group_size, tolerated_losses
+from ..membership.placement import CONFIGURATION_SHARD, budget_shards
 
 GRACE_S = 6.0
 
@@ -50,15 +51,14 @@
         """Another node owns the configuration's shard now, and logs in place of this one."""
         self._small.clear()
 
-    def observe(self, voters: Mapping[str, int], tolerated_nodes: int, now: float) -> None:
+    def observe(self, voters: Mapping[str, int], needed: int, now: float) -> None:
         """Logs what has changed, given the number of voters of each shard."""
-        needed = group_size(tolerated_nodes)
         for shard, count in voters.items():
             if count < needed:
-                self._observe_small(shard, count, tolerated_nodes, now)
+                self._observe_small(shard, count, needed, now)
         self._observe_complete([shard for shard in self._small if voters.get(shard, needed) >= needed])
 
-    def _observe_small(self, shard: str, count: int, tolerated_nodes: int, now: float) -> None:
+    def _observe_small(self, shard: str, count: int, needed: int, now: float) -> None:
         small = self._small.setdefault(shard, _SmallGroup(now))
         if now - small.since < GRACE_S or small.logged_size == count:
             return
@@ -67,9 +67,9 @@
             "{}: {} voters, {} needed: {} of its nodes may be lost, not {}",
             shard,
             count,
-            group_size(tolerated_nodes),
+            needed,
             tolerated_losses(count),
-            tolerated_nodes,
+            tolerated_losses(needed),
         )
 
     def _observe_complete(self, shards: Iterable[str]) -> None:
--- a/kestrelbend/tier/control/retirement.py
+++ b/kestrelbend/tier/control/retirement.py
@@ -13,7 +13,7 @@
 from ..configuration.ports import RetireOutcome, RetireState
 from ..configuration.shard_service import NOT_OWNER, ConfigurationService
 from ..configuration.statuses import CONFLICT, NOT_FOUND, OK
-from ..membership.placement import group_size
+from ..membership.fault_tolerance import Tolerance
 from ..membership.table import MemberTable
 
 ALL_STORES_HEARD_S = 2.0  # time as the owner after which heartbeats of all live stores have arrived
@@ -30,20 +30,20 @@
     """Accepts orders to retire storage nodes and reports their progress.
 
     `now` returns seconds of a monotonic clock; `owned_for(now)` is how long this node has been the owner;
-    `tolerated_nodes()` is how many nodes may be lost, by the present settings.
+    `tolerance()` is which losses must be survived, by the present settings.
     """
 
     def __init__(
         self,
         configuration: ConfigurationService,
         members: MemberTable,
-        tolerated_nodes: Callable[[], int],
+        tolerance: Callable[[], Tolerance],
         now: Callable[[], float],
         owned_for: Callable[[float], float],
     ) -> None:
         self._configuration = configuration
         self._members = members
-        self._tolerated_nodes = tolerated_nodes
+        self._tolerance = tolerance
         self._now = now
         self._owned_for = owned_for
         configuration.owner_check = self.rejection
@@ -75,7 +75,7 @@
             if any(member.node == node and member.serves_storage for member in self._members.members(now)):
                 return NOT_OWNER  # the store is live but not recorded yet
             return ConfigOutcome(NOT_FOUND, state.version, "no store of this name was ever here")
-        if len(self._remaining_without(node, now)) < group_size(self._tolerated_nodes()):
+        if len(self._remaining_without(node, now)) < self._tolerance().min_group_size:
             return ConfigOutcome(CONFLICT, state.version, "too few would be left")
         return None
 
--- a/kestrelbend/tier/control/shard_placer.py
+++ b/kestrelbend/tier/control/shard_placer.py
@@ -10,7 +10,8 @@
 
 Invariant: only the owner proposes a placement of a budget shard, and the placement takes effect once it is
 committed; every disk that it names is recorded before.  The first placement of the budget shards needs enough
-disks for a complete group.  All times are seconds of this node's monotonic clock.
+disks for a complete group, and waits for a while for stores in enough zones.  All times are seconds of this
+node's monotonic clock.
 """
 
 from __future__ import annotations
@@ -21,26 +22,29 @@
 from ..configuration.messages import ConfigOrder, OrderKind
 from ..configuration.placements import encode_placement
 from ..configuration.shard_service import NOT_OWNER, ConfigurationService
+from ..membership.fault_tolerance import Tolerance, group_size
 from ..membership.messages import ShardPlacement
 from ..membership.placement import (
     LAST_RESORT,
     PREFERRED,
     SPARE_TIMEOUT_S,
     Candidate,
+    Spread,
     budget_candidates,
     budget_shards,
+    can_form_group,
     configuration_candidates,
     configuration_voters,
     control_replicas,
-    group_size,
     initial_budget_placements,
+    zones_of_replicas,
 )
 from ..membership.placement_changes import due_placements
-from ..membership.table import MemberTable
+from ..membership.table import RETENTION_S, MemberTable
 from .store_facts import due_emptied_orders, unknown_disk_orders
 
 LEAVING_ABSENCE_S = SPARE_TIMEOUT_S + 0.1  # minimum absence counted for a leaving process
-STORE_JOIN_WAIT_S = 2.5  # how long the first placement of budget shards waits for enough stores
+STORE_JOIN_WAIT_S = 2.5  # how long the first placement of budget shards waits for stores that suffice
 FIRST_HEARTBEATS_S = 0.5  # how long a new owner waits for heartbeats before it proposes orders
 
 Spawn = Callable[[Coroutine[Any, Any, None]], object]
@@ -50,28 +54,34 @@
 class ShardPlacer:
     """Updates shard placements while this node owns the configuration shard.
 
-    `tolerated_nodes()` returns how many nodes may be lost, by the present settings.
+    `tolerance()` returns which losses must be survived, by the present settings.
     """
 
     def __init__(
         self,
         configuration: ConfigurationService,
         members: MemberTable,
-        tolerated_nodes: Callable[[], int],
+        tolerance: Callable[[], Tolerance],
         spawn: Spawn,
     ) -> None:
         self._configuration = configuration
         self._members = members
-        self._tolerated_nodes = tolerated_nodes
+        self._tolerance = tolerance
         self._spawn = spawn
         self._owner_since = 0.0
         self._owned_epoch: int | None = None
         self._proposing = False  # whether orders of an earlier pass are being committed
 
-    @property
-    def _group_size(self) -> int:
-        """How many voters a group needs by the present settings."""
-        return group_size(self._tolerated_nodes())
+    def spread(self, now: float) -> Spread:
+        """Returns how voters are to be spread: by the present settings, over all disks known here."""
+        return Spread(self._tolerance(), zones_of_replicas(self._members.members(now, RETENTION_S)))
+
+    def group_size(self, now: float) -> int:
+        """Returns how many voters each group needs, by the present settings and the disks known here."""
+        retiring = self._configuration.state.retiring
+        members = self._members.members(now, RETENTION_S)
+        zones = [member.zone for member in members if member.replica and member.node not in retiring]
+        return group_size(self._tolerance(), zones)
 
     def run(self, now: float) -> None:
         """Runs one pass."""
@@ -122,11 +132,12 @@
         retiring = [voter for voter in replica.voters if stores.is_on_retiring_node(voter)]
         voters = configuration_voters(
             replica.voters,
-            self._group_size,
+            self.group_size(now),
             self._configuration_candidates(now),
             lambda voter: self._absence(voter, now),
             leaving + retiring,
             stores.is_storage_disk,
+            self.spread(now),
         )
         replica.set_target(voters, term=replica.term)
 
@@ -152,21 +163,23 @@
     def _due_placements(self, now: float) -> list[ShardPlacement]:
         state = self._configuration.state
         available = budget_candidates(self._members.staying(now), state.retiring)
+        size, spread = self.group_size(now), self.spread(now)
         placed_shards = {placement.shard for placement in state.placements}
         if not placed_shards.issuperset(budget_shards()):
             stores = [candidate for candidate in available if candidate.preference == PREFERRED]
-            if len(stores) < self._group_size and self.owned_for(now) < STORE_JOIN_WAIT_S:
+            if not can_form_group(size, stores, spread) and self.owned_for(now) < STORE_JOIN_WAIT_S:
                 return []
-            return initial_budget_placements(placed_shards, self._group_size, available)
+            return initial_budget_placements(placed_shards, size, available, spread)
         return due_placements(
             state.placements,
-            self._group_size,
+            size,
             available,
             self._members,
             state.retiring,
             now,
             lambda replica_id: self._absence(replica_id, now),
             state.stores.is_storage_disk,
+            spread,
         )
 
     @staticmethod
--- a/kestrelbend/tier/fleet/day.py
+++ b/kestrelbend/tier/fleet/day.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from ..membership.fault_tolerance import Losses
 from .faults import KINDS, FaultKind, acknowledging_machine, start_all
 from .fleet import Size
 from .shapes import DEFAULT_SHAPE, SHAPES
@@ -45,9 +46,9 @@
     kind: str
 
 
-def kinds_borne(tolerated: int) -> list[str]:
-    """The kinds of fault that a deployment bears which tolerates so many losses."""
-    return [kind.name for kind in KINDS.values() if kind.tolerated <= tolerated]
+def kinds_borne(tolerated: Losses) -> list[str]:
+    """The kinds of fault that a deployment bears which tolerates these losses."""
+    return [kind.name for kind in KINDS.values() if kind.is_borne(tolerated)]
 
 
 @attrs.frozen
@@ -64,7 +65,7 @@
     def draw(cls, seed: int, kinds: tuple[str, ...] = (), shape: str = DEFAULT_SHAPE) -> Day:
         """The whole day of a seed, out of all kinds of fault that the shape bears or some."""
         rng = random.Random(f"day {seed}")
-        names = sorted(kinds or kinds_borne(SHAPES[shape].tolerate_nodes))
+        names = sorted(kinds or kinds_borne(SHAPES[shape].tolerance.losses))
         drawn = [rng.choice(names) for _ in range(rng.randint(1, MAX_FAULTS))]
         times = sorted(rng.uniform(0.0, LENGTH_S) for _ in drawn)
         pairs = enumerate(zip(times, drawn, strict=True))
--- a/kestrelbend/tier/fleet/faults/__init__.py
+++ b/kestrelbend/tier/fleet/faults/__init__.py
@@ -4,7 +4,7 @@
 machines whose loss is counted keeps to what `Tolerate` allows; `day.py` keeps such faults apart in time.
 """
 
-from . import backends, disks, machines, network, orders, pairs, programs
+from . import backends, disks, machines, network, orders, pairs, programs, zones
 from .kinds import KINDS, FaultKind
 from .picking import acknowledging_machine, owner_machine, pick_quorum_machine, start_all
 
@@ -22,4 +22,5 @@
     "pick_quorum_machine",
     "programs",
     "start_all",
+    "zones",
 ]
--- a/kestrelbend/tier/fleet/faults/disks.py
+++ b/kestrelbend/tier/fleet/faults/disks.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from ...membership.fault_tolerance import Losses
 from ..disks import DiskFault
 from ..world import World
 from .kinds import fault
@@ -22,11 +23,11 @@
     world.fleet.start(machine)
 
 
-@fault("wipe_tolerated", affects_quorum=True, tolerated=2)
+@fault("wipe_tolerated", affects_quorum=True, tolerated=Losses(nodes=2))
 async def wipe_tolerated(world: World, rng: random.Random) -> None:
     """As many machines as may be lost lose their disks at once, at times the others their power."""
     machine = await acknowledging_machine(world)
-    count = world.fleet.tolerate_nodes
+    count = world.fleet.tolerance.losses.nodes
     candidates = world.fleet.control_machines() if rng.random() < 0.5 else world.fleet.quorum_machines()
     wiped = rng.sample(candidates, count)
     if machine is not None and machine not in wiped and rng.random() < 0.6:
--- a/kestrelbend/tier/fleet/faults/machines.py
+++ b/kestrelbend/tier/fleet/faults/machines.py
@@ -6,6 +6,7 @@
 import enum
 import random
 
+from ...membership.fault_tolerance import Losses
 from ..fleet import GRACE_S
 from ..machines import Machine
 from ..rules.groups import CATCH_UP_S
@@ -128,10 +129,10 @@
         await asyncio.sleep(GRACE_S)
 
 
-@fault("replace_tolerated", affects_quorum=True, tolerated=2)
+@fault("replace_tolerated", affects_quorum=True, tolerated=Losses(nodes=2))
 async def replace_tolerated(world: World, rng: random.Random) -> None:
     """As many machines as may be lost are gone for good, and empty ones come at other addresses."""
-    lost = rng.sample(world.fleet.quorum_machines(), world.fleet.tolerate_nodes)
+    lost = rng.sample(world.fleet.quorum_machines(), world.fleet.tolerance.losses.nodes)
     for machine in lost:
         world.fleet.remove(machine)
     for machine in lost:
--- a/kestrelbend/tier/fleet/fleet.py
+++ b/kestrelbend/tier/fleet/fleet.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import attrs
 
+from ..membership.fault_tolerance import Losses, Tolerance
 from ..roles.settings import Settings
 from .contact import Contact
 from .disks import DiskFault
@@ -20,7 +22,7 @@
 from .machines import Machine, Process
 from .network import Network
 from .settings import MachineSpec, make_settings
-from .topology import ZONES, PublishedAddresses, Topology
+from .topology import ALL_ZONES, ONE_REGION, ZONES, PublishedAddresses, Topology
 
 START_SPREAD_S = 0.3  # the first start of all machines
 GRACE_S = 8.0  # from SIGTERM to SIGKILL
@@ -29,12 +31,23 @@
 
 @attrs.frozen
 class Size:
-    """How many machines there are at first; control and stores stand in zones of their own."""
+    """How many machines there are at first, where they stand, and which losses are tolerated.
+
+    Machines of a kind stand in the zones of that kind in turn.
+    """
 
     control: int = 3
     stores: int = 3
     gateways: int = 2  # machines without a disk
-    tolerate_nodes: int = 1  # machines with a disk that may be lost at once
+    tolerated: Losses = Losses(nodes=1)
+    control_zones: tuple[str, ...] = ZONES
+    store_zones: tuple[str, ...] = ZONES
+    region_of_zone: Mapping[str, str] = attrs.field(factory=lambda: dict(ONE_REGION))
+
+    @property
+    def tolerance(self) -> Tolerance:
+        """The losses that are tolerated, and the regions."""
+        return Tolerance(self.tolerated, self.region_of_zone)
 
 
 class Fleet:
@@ -58,13 +71,13 @@
         self._numbers = {"front": 0, "storage": 0}
         loop.set_exception_handler(self._unhandled)
         size = size or Size()
-        self.tolerate_nodes = size.tolerate_nodes
-        for number in range(size.control):
-            self.create_machine("front", ZONES[number % 3], True, ("control", "gateway"))
-        for number in range(size.gateways):
-            self.create_machine("front", ZONES[number % 3], False, ("gateway",))
-        for number in range(size.stores):
-            self.create_machine("storage", ZONES[number % 3], True, ("store",))
+        self.tolerance = size.tolerance
+        for _, zone in zip(range(size.control), itertools.cycle(size.control_zones)):
+            self.create_machine("front", zone, True, ("control", "gateway"))
+        for _, zone in zip(range(size.gateways), itertools.cycle(ZONES)):
+            self.create_machine("front", zone, False, ("gateway",))
+        for _, zone in zip(range(size.stores), itertools.cycle(size.store_zones)):
+            self.create_machine("storage", zone, True, ("store",))
         self.seeds = tuple(self.control_addresses()[:3])
 
     # What is there
@@ -80,7 +93,7 @@
         self._numbers[machine_class] += 1
         number = self._numbers[machine_class]
         offset = 0 if machine_class == "front" else 100
-        ip = f"10.{ZONES.index(zone) + 1}.0.{offset + number}"
+        ip = f"10.{ALL_ZONES.index(zone) + 1}.0.{offset + number}"
         machine = Machine(
             self, MachineSpec(f"{machine_class}-{number}", machine_class, zone, ip, has_disk), roles
         )
@@ -120,7 +133,7 @@
 
     def settings_for(self, machine: Machine, role: str, bootstrap: bool) -> Settings:
         """What the platform writes for a process now."""
-        return make_settings(machine.spec, role, self.seeds, bootstrap, ZONES, self.tolerate_nodes)
+        return make_settings(machine.spec, role, self.seeds, bootstrap, self.tolerance)
 
     def change_seeds(self, seeds: tuple[str, ...]) -> None:
         """The settings name other seeds from now on."""
@@ -128,11 +141,16 @@
         self.settings_version += 1
         self.log(f"seeds are {seeds}")
 
-    def change_tolerated_nodes(self, tolerate_nodes: int) -> None:
+    def change_tolerated_losses(self, losses: Losses) -> None:
         """The settings ask for another tolerance from now on."""
-        self.tolerate_nodes = tolerate_nodes
+        self.tolerance = attrs.evolve(self.tolerance, losses=losses)
         self.settings_version += 1
-        self.log(f"{tolerate_nodes} nodes are tolerated")
+        self.log(f"tolerated are {losses}")
+
+    def machines_in(self, zones: Iterable[str]) -> list[Machine]:
+        """The machines that stand in one of the zones."""
+        chosen = set(zones)
+        return [machine for machine in self.machines.values() if machine.spec.zone in chosen]
 
     # What has happened
 
@@ -209,6 +227,13 @@
         machine.lose_power()
         machine.present_disk().wipe()
 
+    def wipe_or_darken(self, machine: Machine) -> None:
+        """A machine goes dark and loses its disk, if it has one."""
+        if machine.spec.has_disk:
+            self.wipe(machine)
+        else:
+            self.lose_power(machine)
+
     def start(self, machine: Machine) -> None:
         """A machine that was killed or dark comes back."""
         if machine.removed:
--- a/kestrelbend/tier/fleet/mutations/groups.py
+++ b/kestrelbend/tier/fleet/mutations/groups.py
@@ -20,7 +20,7 @@
     from ...control.report_quorum import ControlReplicas
     from ...control.retirement import Retirement
     from ...membership.messages import Member, ShardPlacement, ShardReport
-    from ...membership.placement import Candidate
+    from ...membership.placement import Candidate, Spread
     from ...replication.group import Voters
     from ...replication.leader import LeaderState
     from ...replication.log import ReplicaLog
@@ -143,11 +143,11 @@
 
 @guard("whole-group", "membership.placement:initial_budget_placements", "groups that bear no loss")
 def found_by_whoever_is_there(
-    placed: Iterable[str], size: int, available: list[Candidate]
+    placed: Iterable[str], size: int, available: list[Candidate], spread: Spread
 ) -> list[ShardPlacement]:
     """Places groups that are smaller than the tolerated loss requires."""
     most = min(size, len(available))
-    return _initial_budget_placements(placed, most, available) if most else []
+    return _initial_budget_placements(placed, most, available, spread) if most else []
 
 
 @guard_property(
@@ -194,3 +194,9 @@
 def count_as_held(controls: ControlReplicas, is_holder: Callable[[ReplicaId], bool], tolerated: int) -> bool:
     """Asks a majority of the voting control nodes alone."""
     return has_quorum(controls.voting, is_holder)
+
+
+@guard("spread", "membership.placement:Spread.excess", "a group lost with as many zones as may go")
+def place_in_any_zone(spread: Spread, voters: Iterable[str], size: int) -> int:
+    """Chooses voters wherever they stand."""
+    return 0
--- a/kestrelbend/tier/fleet/rules/groups.py
+++ b/kestrelbend/tier/fleet/rules/groups.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ...membership.placement import group_size
+from ...membership.fault_tolerance import excess_voters, group_size
 from ...replication.replica import Replica
 from ..fleet import Fleet
 from ..machines import Process
@@ -53,16 +53,21 @@
         if self._fleet.now() < self._fleet.contact.core_fault_free_since() + CATCH_UP_S:
             return
         processes = replica_processes(self._fleet)
-        live = {process.host.identity for process in processes}
+        zones = {process.host.identity: process.machine.spec.zone for process in processes}
         for process in processes:
             for replica in process.replicas():
-                self._check_group(replica, live)
-
-    def _check_group(self, replica: Replica, live: set[str]) -> None:
-        gone = [voter for voter in replica.voters if voter not in live]
-        if replica.is_leader and (gone or len(replica.voters) < group_size(self._fleet.tolerate_nodes)):
-            rule = f"{replica.shard} is held by {replica.voters} after CatchupS, lost are {gone}"
-            self._violations.report(f"group {replica.shard} {replica.voters}", rule)
+                if replica.is_leader:
+                    self._check_group(replica, zones)
+
+    def _check_group(self, replica: Replica, zones: dict[str, str]) -> None:
+        """Each voter is live, and a majority is left after any tolerated loss."""
+        tolerance = self._fleet.tolerance
+        size = group_size(tolerance, list(zones.values()))
+        gone = [voter for voter in replica.voters if voter not in zones]
+        voter_zones = [zones[voter] for voter in replica.voters if voter in zones]
+        if gone or len(replica.voters) < size or excess_voters(voter_zones, size, tolerance):
+            held = f"{replica.shard} is held by {replica.voters} in {voter_zones} after CatchupS"
+            self._violations.report(f"group {replica.shard} {replica.voters}", f"{held}, lost are {gone}")
 
     def check_lag(self) -> None:
         """`CatchupS` after a fault each voter has applied what was committed `LAG_S` ago."""
--- a/kestrelbend/tier/fleet/settings.py
+++ b/kestrelbend/tier/fleet/settings.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import attrs
 
+from ..membership.fault_tolerance import Tolerance
 from ..roles.settings import Bounds, Settings
 
 FRONT_PORT = 8149
@@ -36,8 +35,7 @@
     role: str,
     seeds: tuple[str, ...],
     bootstrap: bool,
-    zones: Iterable[str],
-    tolerate_nodes: int,
+    tolerance: Tolerance,
 ) -> Settings:
     """The settings file of a role's process on a machine."""
     serves = ROLES_SERVE[role]
@@ -48,8 +46,8 @@
         serves=serves,
         ip=spec.ip,
         zone=spec.zone,
-        region="region",
-        zones=dict.fromkeys(zones, "region"),
+        region=tolerance.region_of_zone[spec.zone],
+        zones=dict(tolerance.region_of_zone),
         listen_clients=f"{spec.ip}:{FRONT_PORT}" if "front" in serves else "",
         listen_ready=f"{spec.ip}:{READY_PORT}" if "front" in serves else "",
         listen_control=f"{spec.ip}:{CONTROL_PORT}" if "control" in serves else "",
@@ -66,8 +64,8 @@
         data_dir=f"/data/{role}" if spec.has_disk else "",
         heartbeat_ms=1200,
         contracts=(),
-        tolerate_nodes=tolerate_nodes,
-        tolerate_zones=0,
-        tolerate_regions=0,
+        tolerate_nodes=tolerance.losses.nodes,
+        tolerate_zones=tolerance.losses.zones,
+        tolerate_regions=tolerance.losses.regions,
         bounds=Bounds(),
     )
--- a/kestrelbend/tier/fleet/topology.py
+++ b/kestrelbend/tier/fleet/topology.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-ZONES = ("zone-1", "zone-2", "zone-3")
+ZONES = ("zone-1", "zone-2", "zone-3")  # where backends are
+ALL_ZONES = (*ZONES, "zone-4", "zone-5", "zone-6")
+ONE_REGION = dict.fromkeys(ZONES, "region")
 IN_ZONE_S = 0.0001  # one way
 IN_MACHINE_S = IN_ZONE_S / 5
 BETWEEN_ZONES_S = 0.0005
--- a/kestrelbend/tier/membership/placement.py
+++ b/kestrelbend/tier/membership/placement.py
@@ -9,6 +9,10 @@
 The configuration's shard belongs to the control nodes.  Stores complete its group where there are fewer
 control disks than it needs, and are replaced by control nodes that come later.
 
+Voters are spread over zones and regions so that the group survives the tolerated losses (`fault_tolerance`).
+This outranks the preferred class: a candidate of another class is taken where only that one makes the spread
+even enough, and a live voter is exchanged for a candidate elsewhere.
+
 Invariant: voters are removed without a replacement only from a group that is too large; a lost replica that
 no candidate can replace stays a voter.
 
@@ -19,11 +23,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 import attrs
 
 from ..budgets.shards import shard_names
+from .fault_tolerance import Tolerance, Unevenness, best_move, excess_voters, unevenness
 from .messages import Member, ShardPlacement
 
 SPARE_TIMEOUT_S = 1.5  # absence after which a spare of the preferred class replaces a replica
@@ -50,14 +55,39 @@
     preference: int
 
 
-def group_size(tolerated_nodes: int) -> int:
-    """Returns how many voters a group needs to tolerate the loss of that many nodes."""
-    return 2 * tolerated_nodes + 1
+@attrs.frozen
+class Spread:
+    """The tolerated losses, and the zone of each known replica, live or absent."""
+
+    tolerance: Tolerance = Tolerance()
+    zone_of: Mapping[str, str] = attrs.field(factory=dict)
+
+    def with_candidates(self, candidates: Iterable[Candidate]) -> Spread:
+        """Returns the same with the zones of these candidates."""
+        live = {candidate.replica: candidate.zone for candidate in candidates}
+        return attrs.evolve(self, zone_of={**self.zone_of, **live})
+
+    def zones(self, voters: Iterable[str]) -> list[str]:
+        """Returns the zone of each voter; a replica that is not known counts as a zone of its own."""
+        return [self.zone_of.get(voter, voter) for voter in voters]
+
+    def excess(self, voters: Iterable[str], size: int) -> int:
+        """Returns how many voters too many stand in the tolerated zones or regions."""
+        if not self.tolerance.depends_on_zones:
+            return 0
+        return excess_voters(self.zones(voters), size, self.tolerance)
+
+    def unevenness(self, voters: Iterable[str], size: int) -> Unevenness:
+        """Returns how uneven the voters are spread."""
+        return unevenness(self.zones(voters), size, self.tolerance)
+
 
+ANY_SPREAD = Spread()
 
-def tolerated_losses(voters: int) -> int:
-    """Returns how many voters of a group may be lost while a majority of them is left."""
-    return max(0, (voters - 1) // 2)
+
+def zones_of_replicas(members: Iterable[Member]) -> dict[str, str]:
+    """Returns the zone of each disk of the members."""
+    return {member.replica: member.zone for member in members if member.replica}
 
 
 def address_of(replica: str) -> str:
@@ -114,89 +144,153 @@
     absence_of: AbsenceLookup,
     retiring_replicas: Iterable[str] = (),
     fallback_replicas: Collection[str] = (),
+    spread: Spread = ANY_SPREAD,
 ) -> tuple[str, ...]:
     """Returns the voters that a shard should have, in the order of preference as owner.
 
-    These are the voters in `current`, unless some must be replaced, added or removed.  `fallback_replicas`
-    are those known not to be of the preferred class, live or absent.  While a voter is absent, a candidate
-    of the preferred class is kept for its place.
+    These are the voters in `current`, unless some must be replaced, added, removed or exchanged.
+    `fallback_replicas` are those known not to be of the preferred class, live or absent.  While a voter is
+    absent, a candidate of the preferred class is kept for its place.
     """
-    by_replica = {candidate.replica: candidate for candidate in available}
-    voters = list(current)
-    _replace_absent(voters, available, by_replica, absence_of, set(retiring_replicas), fallback_replicas)
-    while len(voters) < size:
-        added = _best_candidate(available, voters, by_replica, len(voters))
-        if added is None:
-            break
-        voters.append(added.replica)
-    while len(voters) > size:
-        voters.remove(_surplus_voter(voters, by_replica))
-    if all(voter in by_replica for voter in voters):
-        _upgrade_one_voter(voters, available, by_replica)
-    return tuple(voters)
-
-
-def _replace_absent(
-    voters: list[str],
-    available: list[Candidate],
-    by_replica: dict[str, Candidate],
-    absence_of: AbsenceLookup,
-    retiring: set[str],
-    fallback_replicas: Collection[str],
-) -> None:
-    """Replaces unavailable voters whose replacement is due and for which there is a candidate."""
-    by_address = {candidate.address: candidate for candidate in available}
-    lacks_preferred = any(replica in fallback_replicas for replica in voters)
-    for index, replica in enumerate(voters):
-        if replica in by_replica:
-            continue
-        same_machine = by_address.get(address_of(replica))
-        if same_machine is not None and same_machine.replica not in voters:
-            voters[index] = same_machine.replica  # the same machine with an emptied disk
-            continue
-        substitute = _best_candidate(available, voters, by_replica, index)
-        if substitute is None:
-            continue
-        is_spare = substitute.preference == PREFERRED or lacks_preferred
-        timeout = SPARE_TIMEOUT_S if is_spare else LOST_TIMEOUT_S
-        if replica in retiring or absence_of(replica) > timeout:
-            voters[index] = substitute.replica
-
-
-def _surplus_voter(voters: list[str], by_replica: dict[str, Candidate]) -> str:
-    """Returns the voter to remove from a group that is too large: an absent one, or else the last."""
-    return next((voter for voter in voters if voter not in by_replica), voters[-1])
-
-
-def _best_candidate(
-    available: list[Candidate], voters: list[str], by_replica: dict[str, Candidate], index: int
-) -> Candidate | None:
-    """Returns the best new voter at `index`: by preference, voters in its zone (few first), and address."""
-    voters_in_zone = Counter(
-        by_replica[replica].zone
-        for other, replica in enumerate(voters)
-        if other != index and replica in by_replica
-    )
-    free = [candidate for candidate in available if candidate.replica not in voters]
-    return min(
-        free,
-        key=lambda candidate: (candidate.preference, voters_in_zone[candidate.zone], candidate.address),
-        default=None,
-    )
-
-
-def _upgrade_one_voter(
-    voters: list[str], available: list[Candidate], by_replica: dict[str, Candidate]
-) -> None:
-    """Replaces one live voter of the least preferred class, if a candidate of a better class is free."""
-    live = [index for index, replica in enumerate(voters) if replica in by_replica]
-    free = [candidate for candidate in available if candidate.replica not in voters]
-    if not live or not free:
-        return
-    least_preferred = max(live, key=lambda index: by_replica[voters[index]].preference)
-    best = free[0]
-    if best.preference < by_replica[voters[least_preferred]].preference:
-        voters[least_preferred] = best.replica
+    choice = _VoterChoice(list(current), size, available, spread)
+    choice.replace_absent(absence_of, set(retiring_replicas), fallback_replicas)
+    choice.fit_size()
+    choice.spread_evenly()
+    choice.upgrade_one()
+    return tuple(choice.voters)
+
+
+class _VoterChoice:
+    """The voters of one group of `size` voters while they are being chosen; changes `voters` in place."""
+
+    def __init__(self, voters: list[str], size: int, available: list[Candidate], spread: Spread) -> None:
+        self.voters = voters
+        self._size = size
+        self._available = available
+        self._by_replica = {candidate.replica: candidate for candidate in available}
+        self._spread = spread.with_candidates(available)
+
+    def replace_absent(
+        self, absence_of: AbsenceLookup, retiring: set[str], fallback_replicas: Collection[str]
+    ) -> None:
+        """Replaces unavailable voters whose replacement is due and for which there is a candidate."""
+        by_address = {candidate.address: candidate for candidate in self._available}
+        lacks_preferred = any(replica in fallback_replicas for replica in self.voters)
+        for index, replica in enumerate(self.voters):
+            if replica in self._by_replica:
+                continue
+            same_machine = by_address.get(address_of(replica))
+            if same_machine is not None and same_machine.replica not in self.voters:
+                self.voters[index] = same_machine.replica  # the same machine with an emptied disk
+                continue
+            substitute = self._best_candidate(index)
+            if substitute is None:
+                continue
+            is_spare = substitute.preference == PREFERRED or lacks_preferred
+            timeout = SPARE_TIMEOUT_S if is_spare else LOST_TIMEOUT_S
+            if replica in retiring or absence_of(replica) > timeout:
+                self.voters[index] = substitute.replica
+
+    def fit_size(self) -> None:
+        """Adds voters while the group is too small, and removes voters while it is too large."""
+        while len(self.voters) < self._size:
+            added = self._best_candidate(len(self.voters))
+            if added is None:
+                break
+            self.voters.append(added.replica)
+        while len(self.voters) > self._size:
+            self.voters.remove(self._surplus_voter())
+
+    def spread_evenly(self) -> None:
+        """Exchanges voters for candidates of other zones if that lowers the excess."""
+        if not self._excess(self.voters):
+            return
+        exchanged = list(self.voters)
+        while self._exchange_one(exchanged):
+            pass
+        if self._excess(exchanged) < self._excess(self.voters):
+            self.voters = exchanged
+
+    def upgrade_one(self) -> None:
+        """Replaces one live voter by a candidate of a better class, where the spread bears it."""
+        if not all(voter in self._by_replica for voter in self.voters):
+            return
+        free = self._free(self.voters)
+        for index in sorted(range(len(self.voters)), key=self._preference, reverse=True):
+            for candidate in free:
+                if candidate.preference >= self._preference(index):
+                    break
+                if self._excess(self._replaced(index, candidate)) <= self._excess(self.voters):
+                    self.voters[index] = candidate.replica
+                    return
+
+    def _preference(self, index: int) -> int:
+        return self._by_replica[self.voters[index]].preference
+
+    def _excess(self, voters: Iterable[str]) -> int:
+        return self._spread.excess(voters, self._size)
+
+    def _free(self, voters: Collection[str]) -> list[Candidate]:
+        """Returns the candidates that are not among the voters, best preference first."""
+        return [candidate for candidate in self._available if candidate.replica not in voters]
+
+    def _replaced(self, index: int, candidate: Candidate) -> list[str]:
+        """Returns the voters with another one at `index`, which may be the one after the last."""
+        return [*self.voters[:index], candidate.replica, *self.voters[index + 1 :]]
+
+    def _surplus_voter(self) -> str:
+        """Returns the voter to remove from a group that is too large.
+
+        That is an absent one, or else the last of those without which the spread is best.
+        """
+        absent = next((voter for voter in self.voters if voter not in self._by_replica), None)
+        if absent is not None:
+            return absent
+
+        def rest(removed: str) -> Unevenness:
+            others = [voter for voter in self.voters if voter != removed]
+            return self._spread.unevenness(others, self._size)
+
+        return min(reversed(self.voters), key=rest)
+
+    def _best_candidate(self, index: int) -> Candidate | None:
+        """Returns the best new voter at `index`: by spread, preference, voters in its zone, and address."""
+        voters_in_zone = Counter(
+            self._by_replica[replica].zone
+            for other, replica in enumerate(self.voters)
+            if other != index and replica in self._by_replica
+        )
+        return min(
+            self._free(self.voters),
+            key=lambda candidate: (
+                self._excess(self._replaced(index, candidate)),
+                candidate.preference,
+                voters_in_zone[candidate.zone],
+                candidate.address,
+            ),
+            default=None,
+        )
+
+    def _exchange_one(self, voters: list[str]) -> bool:
+        """Exchanges one of `voters` so that they are spread more evenly; returns whether it could."""
+        free = self._free(voters)
+        preferences = {candidate.zone: candidate.preference for candidate in reversed(free)}
+        zones = self._spread.zones(voters)
+        move = best_move(zones, self._size, self._spread.tolerance, preferences)
+        if move is None:
+            return False
+        leaving = self._leaving_voter(voters, zones, move.source)
+        voters[leaving] = next(candidate.replica for candidate in free if candidate.zone == move.target)
+        return True
+
+    def _leaving_voter(self, voters: Sequence[str], zones: Sequence[str], zone: str) -> int:
+        """Returns the index of the voter to take out of a zone: an absent one, else the least preferred."""
+
+        def rank(index: int) -> tuple[bool, int, int]:
+            candidate = self._by_replica.get(voters[index])
+            return (candidate is None, candidate.preference if candidate else PREFERRED, index)
+
+        return max((index for index, other in enumerate(zones) if other == zone), key=rank)
 
 
 def configuration_voters(
@@ -206,6 +300,7 @@
     absence_of: AbsenceLookup,
     retiring_replicas: Iterable[str],
     is_storage_disk: Callable[[str], bool],
+    spread: Spread = ANY_SPREAD,
 ) -> tuple[str, ...]:
     """Returns the voters that the configuration's shard should have; `next_voters` with stores as stand-ins.
 
@@ -213,7 +308,7 @@
     also of replicas that are absent.
     """
     stores = [replica for replica in current if is_storage_disk(replica)]
-    voters = next_voters(current, size, available, absence_of, retiring_replicas, stores)
+    voters = next_voters(current, size, available, absence_of, retiring_replicas, stores, spread)
     return tuple(sorted(voters, key=is_storage_disk))
 
 
@@ -226,7 +321,7 @@
 
 
 def initial_budget_placements(
-    placed_shards: Iterable[str], size: int, available: list[Candidate]
+    placed_shards: Iterable[str], size: int, available: list[Candidate], spread: Spread = ANY_SPREAD
 ) -> list[ShardPlacement]:
     """Returns initial placements of the budget shards not placed yet, with owners spread over the replicas.
 
@@ -236,7 +331,7 @@
     if len(available) < size:
         return []
     known = set(placed_shards)
-    chosen = next_voters((), size, available, _no_absence)
+    chosen = _first_voters(size, available, spread)
     placements = []
     for index, shard in enumerate(budget_shards()):
         owner_index = index % len(chosen)
@@ -246,5 +341,17 @@
     return placements
 
 
+def can_form_group(size: int, available: list[Candidate], spread: Spread) -> bool:
+    """Whether these disks are enough for a group of `size` voters that survives the tolerated losses."""
+    if len(available) < size:
+        return False
+    voters = _first_voters(size, available, spread)
+    return not spread.with_candidates(available).excess(voters, size)
+
+
+def _first_voters(size: int, available: list[Candidate], spread: Spread) -> tuple[str, ...]:
+    return next_voters((), size, available, _no_absence, spread=spread)
+
+
 def _no_absence(replica: str) -> float:
     return 0.0
--- a/kestrelbend/tier/membership/placement_changes.py
+++ b/kestrelbend/tier/membership/placement_changes.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from .messages import ShardPlacement
-from .placement import FIRST_NUMBER, AbsenceLookup, Candidate, next_voters
+from .placement import FIRST_NUMBER, AbsenceLookup, Candidate, Spread, next_voters
 from .table import RETENTION_S, MemberTable
 
 
@@ -22,6 +22,7 @@
     now: float,
     absence_of: AbsenceLookup,
     is_storage_disk: Callable[[str], bool],
+    spread: Spread,
 ) -> list[ShardPlacement]:
     """Returns new placements for the shards whose voters should change.
 
@@ -34,7 +35,9 @@
     due = []
     for placement in placements:
         fallback = [voter for voter in placement.voters if not is_storage_disk(voter)]
-        voters = next_voters(placement.voters, size, available, absence_of, retiring_replicas, fallback)
+        voters = next_voters(
+            placement.voters, size, available, absence_of, retiring_replicas, fallback, spread
+        )
         if voters != placement.voters or placement.number < FIRST_NUMBER:
             due.append(ShardPlacement(placement.shard, placement.founders, voters, placement.number + 1))
     return due
--- a/kestrelbend/tier/roles/configuration_voter.py
+++ b/kestrelbend/tier/roles/configuration_voter.py
@@ -17,12 +17,15 @@
 
 from ..configuration.state_machine import ConfigurationStateMachine
 from ..membership.directory import DirectoryView
+from ..membership.fault_tolerance import Tolerance
 from ..membership.placement import (
     CONFIGURATION_SHARD,
     LOST_TIMEOUT_S,
+    Spread,
     configuration_candidates,
     configuration_voters,
     control_replicas,
+    zones_of_replicas,
 )
 from ..replication.host import ShardHost
 from ..replication.replica import Replica
@@ -31,11 +34,21 @@
 
 
 class ConfigurationVoter:
-    """Looks after the replica, if this store holds one; `now` returns seconds of a monotonic clock."""
+    """Looks after the replica, if this store holds one.
 
-    def __init__(self, host: ShardHost, directory: DirectoryView, now: Callable[[], float]) -> None:
+    `now` returns seconds of a monotonic clock, `tolerance` which losses must be survived.
+    """
+
+    def __init__(
+        self,
+        host: ShardHost,
+        directory: DirectoryView,
+        tolerance: Callable[[], Tolerance],
+        now: Callable[[], float],
+    ) -> None:
         self._host = host
         self._directory = directory
+        self._tolerance = tolerance
         self._now = now
 
     def open_stored(self) -> None:
@@ -77,5 +90,6 @@
             lambda voter: 0.0 if voter in live else LOST_ABSENCE_S,
             (),
             stores.is_storage_disk,
+            Spread(self._tolerance(), zones_of_replicas(self._directory.members)),
         )
         replica.set_target(voters, term=replica.term)
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -40,6 +40,7 @@
 from ..http_server.response_budget import ResponseBudget
 from ..http_server.server import Listener
 from ..membership.contact_period import ContactPeriod
+from ..membership.fault_tolerance import Tolerance
 from ..membership.messages import (
     ConfigAck,
     ConfigFetch,
@@ -49,7 +50,12 @@
     Subscribe,
 )
 from ..membership.owner_contact import in_contact
-from ..membership.placement import CONFIGURATION_SHARD, address_of, control_replicas, store_replicas
+from ..membership.placement import (
+    CONFIGURATION_SHARD,
+    address_of,
+    control_replicas,
+    store_replicas,
+)
 from ..membership.table import LIVENESS_TIMEOUT_S, RETENTION_S, MemberTable
 from ..protocol.peer_connection import PeerConnection
 from ..replication.host import ShardHost
@@ -101,17 +107,17 @@
         self._streams = ControlStreams(
             self.configuration, self.config_stream, self.exchange, self.directory_stream, self.now
         )
-        self._placer = ShardPlacer(self.configuration, self.members, self._tolerated_nodes, self.spawn)
+        self._placer = ShardPlacer(self.configuration, self.members, self._tolerance, self.spawn)
         self.retirement = Retirement(
-            self.configuration, self.members, self._tolerated_nodes, self.now, self._placer.owned_for
+            self.configuration, self.members, self._tolerance, self.now, self._placer.owned_for
         )
         self._group_sizes = GroupSizes(self.log)
         self._contact = ContactPeriod(self.now())
         self._serving: asyncio.Task[None] | None = None
 
-    def _tolerated_nodes(self) -> int:
+    def _tolerance(self) -> Tolerance:
         """By the present settings, which may change while the process runs."""
-        return self.settings.tolerate_nodes
+        return self.settings.tolerance
 
     # The shards
 
@@ -160,7 +166,7 @@
         held = is_held_by_enough(
             self._control_replicas(),
             lambda replica: address_of(replica) in known,
-            self._tolerated_nodes(),
+            self.settings.tolerate_nodes,
         )
         return held and in_contact(self.configuration.replica, self.now())
 
@@ -249,7 +255,7 @@
         replica = self.configuration.replica
         if replica.is_leader:
             counts = voter_counts(len(replica.voters), self.members.reports())
-            self._group_sizes.observe(counts, self._tolerated_nodes(), now)
+            self._group_sizes.observe(counts, self._placer.group_size(now), now)
         else:
             self._group_sizes.forget()
 
@@ -270,7 +276,7 @@
             self.registry,
             self.backend_reports,
             self.retirement,
-            self._tolerated_nodes,
+            self._placer,
             self.now,
         )
         bodies = BodyBudget(lambda: body_bytes(self.settings, MAX_ORDER_BYTES, BODY_COPIES), BODY_COPIES)
--- a/kestrelbend/tier/roles/control_operations.py
+++ b/kestrelbend/tier/roles/control_operations.py
@@ -12,10 +12,10 @@
 from ..configuration.shard_service import ConfigurationService
 from ..control.backend_reports import BackendReports
 from ..control.retirement import Retirement
+from ..control.shard_placer import ShardPlacer
 from ..discovery.registry import BackendRegistry
 from ..membership.messages import Member
 from ..membership.owner_contact import in_contact
-from ..membership.placement import group_size
 from ..membership.status import DesiredShards, status
 from ..membership.table import MemberTable
 
@@ -30,7 +30,7 @@
     registry: BackendRegistry
     backend_reports: BackendReports
     retirement: Retirement
-    tolerated_nodes: Callable[[], int]
+    placer: ShardPlacer
     now: Callable[[], float]
 
     async def submit_order(self, order: ConfigOrder) -> ConfigOutcome:
@@ -66,7 +66,7 @@
             in_contact(self.configuration.replica, now),
             state.version,
             self.members,
-            DesiredShards(state.placements, state.retiring, group_size(self.tolerated_nodes())),
+            DesiredShards(state.placements, state.retiring, self.placer.group_size(now)),
             self.registry.all(),
             now,
         )
--- a/kestrelbend/tier/roles/settings.py
+++ b/kestrelbend/tier/roles/settings.py
@@ -13,6 +13,7 @@
 import yaml
 
 from ..errors import TierError
+from ..membership.fault_tolerance import Losses, Tolerance
 from .value_rules import (
     ADDRESS,
     ADDRESSES,
@@ -109,6 +110,12 @@
     tolerate_regions: int
     bounds: Bounds
 
+    @property
+    def tolerance(self) -> Tolerance:
+        """The losses that must be survived."""
+        losses = Losses(self.tolerate_nodes, self.tolerate_zones, self.tolerate_regions)
+        return Tolerance(losses, self.zones)
+
     @classmethod
     def read(cls, path: str | pathlib.Path) -> Settings:
         """Reads a settings file; raises `SettingsError`."""
--- a/kestrelbend/tier/roles/store.py
+++ b/kestrelbend/tier/roles/store.py
@@ -43,7 +43,9 @@
         self.budgets = BudgetShards()  # before the disk is read: it makes the state machines
         super().__init__(settings, settings_path, environment)
         self.budgets.attach(self.host, self.now)
-        self._configuration_voter = ConfigurationVoter(cast(ShardHost, self.host), self.directory, self.now)
+        self._configuration_voter = ConfigurationVoter(
+            cast(ShardHost, self.host), self.directory, lambda: self.settings.tolerance, self.now
+        )
 
     def machine_for(self, shard: ShardId) -> StateMachine:
         """A budget table, or the configuration's state where control nodes are too few."""
--- a/tests/tier/test_guards.py
+++ b/tests/tier/test_guards.py
@@ -153,6 +153,8 @@
     ".test_given_three_control_nodes_when_two_lose_their_disks_then_the_configuration_is_read",
     "store-hands-over": "test_fleet_tolerance.TestGroupsWhileMachinesChange"
     ".test_given_stores_alone_with_the_newest_entries_when_one_leads_then_it_hands_over",
+    "spread": "test_membership_placement.SpreadVotersTest"
+    ".test_founders_in_one_zone_are_exchanged_and_the_first_stays",
     "leave-holders": "test_report_quorum.ReportQuorumTest"
     ".test_report_on_two_of_three_nodes_would_be_lost_with_two_tolerated_losses",
     "ended-connection": "test_guards.TestEndedConnections.test_who_waits_for_a_reply_hears_of_it_at_once",
--- a/tests/tier/test_membership_placement.py
+++ b/tests/tier/test_membership_placement.py
@@ -2,11 +2,14 @@
 
 import testtools
 
+from kestrelbend.tier.membership.fault_tolerance import Losses, Tolerance
 from kestrelbend.tier.membership.messages import Member
 from kestrelbend.tier.membership.placement import (
     LOST_TIMEOUT_S,
     SPARE_TIMEOUT_S,
     Candidate,
+    Spread,
+    can_form_group,
     configuration_candidates,
     configuration_voters,
     initial_budget_placements,
@@ -112,3 +115,62 @@
         placements = initial_budget_placements((), 3, three)
         self.assertEqual({3}, {len(placed.voters) for placed in placements})
         self.assertEqual({1}, {placed.number for placed in placements})
+
+
+ONE_ZONE = Spread(Tolerance(Losses(zones=1)), {f"{name}:1#x": name[0] for name in ("a1", "a2", "b1", "c1")})
+
+
+def in_zones(*names, preference=0):
+    """Candidates whose zone is the first letter of their name."""
+    return [candidate(name, name[0], preference) for name in names]
+
+
+class SpreadVotersTest(testtools.TestCase):
+    """A group whose majority stood in one zone was lost with that zone (review/4)."""
+
+    def voters(self, current, available, size=3, absent_s=0.0, spread=ONE_ZONE):
+        return next_voters(replicas(*current), size, available, lambda replica: absent_s, spread=spread)
+
+    def test_founders_in_one_zone_are_exchanged_and_the_first_stays(self):
+        available = in_zones("a1", "a2", "a3", "b1", "c1")
+        self.assertEqual(replicas("a1", "c1", "b1"), self.voters(("a1", "a2", "a3"), available))
+
+    def test_fallback_candidate_in_another_zone_outranks_a_preferred_one(self):
+        available = in_zones("a1", "a2", "a3", "b1") + in_zones("c1", preference=2)
+        self.assertEqual(replicas("a1", "b1", "c1"), self.voters(("a1", "b1"), available))
+
+    def test_upgrade_does_not_take_the_only_voter_out_of_a_zone(self):
+        available = in_zones("a1", "a2", "b1") + in_zones("c1", preference=2)
+        self.assertEqual(replicas("a1", "b1", "c1"), self.voters(("a1", "b1", "c1"), available))
+        better = in_zones("a1", "a2", "b1", "c2") + in_zones("c1", preference=2)
+        self.assertEqual(replicas("a1", "b1", "c2"), self.voters(("a1", "b1", "c1"), better))
+
+    def test_zone_that_returns_gets_its_voter_back(self):
+        available = in_zones("a1", "b1", "c1") + in_zones("a2", preference=2)
+        self.assertEqual(replicas("a1", "b1", "c1"), self.voters(("a1", "a2", "c1"), available))
+
+    def test_absent_voter_still_counts_for_its_zone(self):
+        available = in_zones("a1", "b1", "c1", "d1")
+        self.assertEqual(replicas("a1", "c1", "b1"), self.voters(("a1", "a2", "b1"), available))
+
+    def test_group_that_is_too_large_keeps_its_spread(self):
+        available = in_zones("a1", "a2", "b1", "b2", "c1")
+        voters = self.voters(("a1", "a2", "b1", "b2", "c1"), available)
+        self.assertEqual(replicas("a1", "b1", "c1"), voters)
+
+    def test_voters_stay_where_no_exchange_helps(self):
+        available = in_zones("a1", "a2", "b1", "b2")
+        self.assertEqual(replicas("a1", "a2", "b1"), self.voters(("a1", "a2", "b1"), available))
+
+    def test_regions_count_as_zones_do(self):
+        regions = {"a": "east", "b": "east", "c": "west", "d": "north"}
+        spread = Spread(Tolerance(Losses(nodes=2, zones=1, regions=1), regions))
+        available = in_zones("a1", "a2", "b1", "b2", "c1", "c2", "d1")
+        voters = self.voters((), available, 5, spread=spread)
+        self.assertEqual([2, 2, 1], [sum(voter[0] in zone for voter in voters) for zone in ("ab", "c", "d")])
+
+    def test_first_placement_is_complete_only_in_enough_zones(self):
+        self.assertFalse(can_form_group(3, in_zones("a1", "a2", "b1", "b2"), ONE_ZONE))
+        self.assertTrue(can_form_group(3, in_zones("a1", "a2", "b1", "c1"), ONE_ZONE))
+        placements = initial_budget_placements((), 3, in_zones("a1", "a2", "a3", "b1", "c1"), ONE_ZONE)
+        self.assertEqual({("a", "b", "c")}, {tuple(sorted(v[0] for v in p.voters)) for p in placements})
