Acknowledge a leave only once control nodes of enough zones hold it

What callers could see: a backend's leave is acknowledged, one tolerated zone is lost, and a late heartbeat makes the backend get requests again.

Cause: report_quorum counted holders and never asked where they stand, so those of one zone were enough. Change: holders must stand in more zones and regions than may go, or in all with a live control node.

--- a/kestrelbend/tier/fleet/mutations/groups.py
+++ b/kestrelbend/tier/fleet/mutations/groups.py
@@ -19,6 +19,7 @@
     from ...configuration.stores import StoreRecords
     from ...control.report_quorum import ControlReplicas
     from ...control.retirement import Retirement
+    from ...membership.fault_tolerance import Tolerance
     from ...membership.messages import Member, ShardPlacement, ShardReport
     from ...membership.placement import Candidate, Spread
     from ...replication.group import Voters
@@ -191,7 +192,9 @@
 
 
 @guard("leave-holders", "control.report_quorum:is_held_by_enough", "sends to who left")
-def count_as_held(controls: ControlReplicas, is_holder: Callable[[ReplicaId], bool], tolerated: int) -> bool:
+def count_as_held(
+    controls: ControlReplicas, is_holder: Callable[[ReplicaId], bool], tolerance: Tolerance
+) -> bool:
     """Asks a majority of the voting control nodes alone."""
     return has_quorum(controls.voting, is_holder)
 
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -55,6 +55,7 @@
     address_of,
     control_replicas,
     store_replicas,
+    zones_of_replicas,
 )
 from ..membership.table import LIVENESS_TIMEOUT_S, RETENTION_S, MemberTable
 from ..protocol.peer_connection import PeerConnection
@@ -166,7 +167,7 @@
         held = is_held_by_enough(
             self._control_replicas(),
             lambda replica: address_of(replica) in known,
-            self.settings.tolerate_nodes,
+            self._tolerance(),
         )
         return held and in_contact(self.configuration.replica, self.now())
 
@@ -174,9 +175,11 @@
         now = self.now()
         voters = self.configuration.replica.voters
         stores = set(store_replicas(self.members.members(now, within=RETENTION_S)))
+        live = self.members.members(now)
         return ControlReplicas(
             voting=tuple(voter for voter in voters if voter not in stores),
-            live=control_replicas(self.members.members(now)),
+            live=control_replicas(live),
+            zone_of=zones_of_replicas(live),
         )
 
     def on_peer(self, connection: PeerConnection) -> None:
