Refuse to retire a disk without which a tolerated zone takes a majority

What callers could see: Retire.Start of the only store of a third zone gets 200; once it is gone, one tolerated zone holds two of three voters.

Cause: the order was refused only where fewer than 2 x Tolerate.Nodes + 1 machines with a disk would be left. Change: also where groups on the other disks would survive fewer of the tolerated zones or regions than now; not where the layout cannot keep a figure with the disk either.

--- a/kestrelbend/tier/control/retirement.py
+++ b/kestrelbend/tier/control/retirement.py
@@ -13,7 +13,7 @@
 from ..configuration.ports import RetireOutcome, RetireState
 from ..configuration.shard_service import NOT_OWNER, ConfigurationService
 from ..configuration.statuses import CONFLICT, NOT_FOUND, OK
-from ..membership.fault_tolerance import Tolerance
+from ..membership.fault_tolerance import Tolerance, group_size, unavoidable_excess
 from ..membership.table import MemberTable
 
 ALL_STORES_HEARD_S = 2.0  # time as the owner after which heartbeats of all live stores have arrived
@@ -75,15 +75,35 @@
             if any(member.node == node and member.serves_storage for member in self._members.members(now)):
                 return NOT_OWNER  # the store is live but not recorded yet
             return ConfigOutcome(NOT_FOUND, state.version, "no store of this name was ever here")
-        if len(self._remaining_without(node, now)) < self._tolerance().min_group_size:
+        if not self._may_do_without(node, now):
             return ConfigOutcome(CONFLICT, state.version, "too few would be left")
         return None
 
-    def _remaining_without(self, node: str, now: float) -> set[str]:
-        """Returns the other nodes that can hold replicas, now or after a short fault."""
+    def _may_do_without(self, node: str, now: float) -> bool:
+        """Whether groups survive the same losses on the other nodes.
+
+        What cannot be survived with this node either, as too few zones have disks, is no reason to keep it.
+        """
+        zones = self._zones_of_nodes(now)
+        remaining = [zone for name, zone in zones.items() if name != node]
+        if len(remaining) < self._tolerance().min_group_size:
+            return False
+        return self._excess(remaining) <= self._excess(list(zones.values()))
+
+    def _excess(self, disk_zones: list[str]) -> int:
+        """Returns the excess of the best group on disks in these zones."""
+        tolerance = self._tolerance()
+        return unavoidable_excess(disk_zones, group_size(tolerance, disk_zones), tolerance)
+
+    def _zones_of_nodes(self, now: float) -> dict[str, str]:
+        """Returns the zone of each node that can hold replicas, now or after a short fault.
+
+        A node that no heartbeat has told of counts as a zone of its own.
+        """
         stores = self._configuration.state.stores
-        recent_members = self._members.members(now, within=SHORT_FAULT_S)
-        remaining = {member.node for member in recent_members if member.replica}
+        zones: dict[str, str] = {}
         if self._owned_for(now) < SHORT_FAULT_S:
-            remaining.update(disk.node for disk in stores.disks)
-        return remaining - {*stores.retiring, node}
+            zones.update((disk.node, disk.node) for disk in stores.disks)
+        recent_members = self._members.members(now, within=SHORT_FAULT_S)
+        zones.update((member.node, member.zone) for member in recent_members if member.replica)
+        return {node: zone for node, zone in zones.items() if node not in stores.retiring}
