Tell the operator of layouts that cannot keep a figure of Tolerate

The log line on small groups and `status` knew of numbers of voters alone: a group of the right size in too few zones was as it should be.

GET /api/Status tells Tolerate and, for each shard, Survives; `kestrelbend status` has a line for each difference. A control process logs at its start, and `kestrelbend check` tells, figures that the zones named by the settings cannot keep.

--- a/kestrelbend/command/checking.py
+++ b/kestrelbend/command/checking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from pathlib import Path
 from typing import ClassVar
 
@@ -43,8 +44,10 @@
         """Print every fault of the file with its place; exit code 2 where there is one."""
         path = self.existing_path()
         kind = self._kind() or guess(path)
-        CHECKS[kind](path)
+        notes = CHECKS[kind](path) or []
         self.say(f"{path}: a usable {kind.value} file")
+        for note in notes:
+            self.say(f"{path}: {note}")
         return DONE
 
     def _kind(self) -> Kind | None:
@@ -116,14 +119,16 @@
         raise wrong(faults) from None
 
 
-def check_boot(path: Path) -> None:
-    """The settings file of a process of the tier."""
+def check_boot(path: Path) -> list[str]:
+    """The settings file of a process of the tier; returns what a usable file asks for in vain."""
+    from kestrelbend.tier.roles.layout_check import find_impossible_figures
     from kestrelbend.tier.roles.settings import Settings, SettingsError
 
     try:
-        Settings.read(path)
+        settings = Settings.read(path)
     except SettingsError as faults:
         raise wrong(faults) from None
+    return find_impossible_figures(settings)
 
 
 def check_document(path: Path) -> None:
@@ -145,7 +150,7 @@
         raise wrong(f"{path}: {fault}") from None
 
 
-CHECKS = {
+CHECKS: dict[Kind, Callable[[Path], list[str] | None]] = {
     Kind.INSTALLATION: check_installation,
     Kind.PLATFORM: check_platform,
     Kind.SCENARIO: check_scenario,
--- a/kestrelbend/command/status.py
+++ b/kestrelbend/command/status.py
@@ -10,7 +10,7 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from ..tier.membership.fault_tolerance import tolerated_losses
+from ..tier.membership.fault_tolerance import Losses, find_shortfalls, tolerated_losses
 from ..tier.membership.placement import CONFIGURATION_SHARD
 from .asking import ask
 from .outcome import DONE, CommandFailed
@@ -74,6 +74,7 @@
     for shard in told["Shards"]:
         yield from _shard_remarks(shard, nodes)
     yield from _group_remarks(told)
+    yield from _spread_remarks(told)
     for node in told["Retiring"]:
         held = [shard["Shard"] for shard in told["Shards"] if node in _nodes(shard["Voters"], nodes)]
         if held:
@@ -95,6 +96,21 @@
         yield f"no budget shard is placed: {needed} processes with a disk are needed"
 
 
+def _spread_remarks(told: dict[str, Any]) -> Iterator[str]:
+    """Groups that survive the loss of fewer zones or regions than the settings ask for."""
+    tolerated = _zones_and_regions(told.get("Tolerate", {}))
+    for shard in told["Shards"]:
+        if not shard["Voters"] or "Survives" not in shard:
+            continue
+        for shortfall in find_shortfalls(_zones_and_regions(shard["Survives"]), tolerated):
+            yield f"{shard['Shard']}: {shortfall}"
+
+
+def _zones_and_regions(figures: dict[str, int]) -> Losses:
+    """The figures for zones and regions; a process of an earlier version doesn't say."""
+    return Losses(0, figures.get("Zones", 0), figures.get("Regions", 0))
+
+
 def _shard_remarks(shard: dict[str, Any], nodes: dict[str, str]) -> Iterator[str]:
     name, replicas = shard["Shard"], {replica["Replica"]: replica for replica in shard["Replicas"]}
     owner = replicas.get(shard["Owner"])
--- a/kestrelbend/tier/membership/status.py
+++ b/kestrelbend/tier/membership/status.py
@@ -13,7 +13,9 @@
 import attrs
 
 from ..discovery.messages import Backend, BackendState
+from .fault_tolerance import Losses, survived_losses
 from .messages import Member, ShardPlacement, ShardReport
+from .placement import ANY_SPREAD, Spread
 from .table import LIVENESS_TIMEOUT_S, HeartbeatAge, MemberTable
 
 AGE_DIGITS = 2  # decimals of `SilentS`
@@ -23,11 +25,15 @@
 
 @attrs.frozen
 class DesiredShards:
-    """Placements and retiring nodes, as recorded in the configuration shard, and the size of groups."""
+    """Placements and retiring nodes, as recorded in the configuration shard, and what groups must be like.
+
+    Size and spread are by the settings of the responding process and the disks that it knows.
+    """
 
     placements: tuple[ShardPlacement, ...]
     retiring: tuple[str, ...]  # nodes whose replicas are to be moved away
-    group_size: int  # voters that each group needs, by the settings of the responding process
+    group_size: int  # voters that each group needs
+    spread: Spread = ANY_SPREAD
 
 
 def status(
@@ -48,7 +54,8 @@
         "ConfigVersion": config_version,
         "Processes": [_process(age) for age in ages],
         "VotersNeeded": desired.group_size,
-        "Shards": _shards(ages, table.reports(), desired.placements),
+        "Tolerate": _losses(desired.spread.tolerance.losses),
+        "Shards": _shards(ages, table.reports(), desired),
         "Retiring": list(desired.retiring),
         "Backends": _backends(backends),
     }
@@ -71,27 +78,35 @@
     }
 
 
+def _losses(losses: Losses) -> dict[str, int]:
+    return {"Nodes": losses.nodes, "Zones": losses.zones, "Regions": losses.regions}
+
+
 def _shards(
-    ages: list[HeartbeatAge],
-    latest: dict[str, ShardReport],
-    placements: tuple[ShardPlacement, ...],
+    ages: list[HeartbeatAge], latest: dict[str, ShardReport], desired: DesiredShards
 ) -> list[dict[str, Any]]:
-    desired = {placement.shard: list(placement.voters) for placement in placements}
-    names = sorted(latest.keys() | desired.keys())
-    return [_shard(name, latest.get(name), desired.get(name), ages) for name in names]
+    wanted = {placement.shard: list(placement.voters) for placement in desired.placements}
+    names = sorted(latest.keys() | wanted.keys())
+    return [_shard(name, latest.get(name), wanted.get(name), ages, desired.spread) for name in names]
 
 
 def _shard(
-    name: str, latest: ShardReport | None, desired: list[str] | None, ages: list[HeartbeatAge]
+    name: str,
+    latest: ShardReport | None,
+    wanted: list[str] | None,
+    ages: list[HeartbeatAge],
+    spread: Spread,
 ) -> dict[str, Any]:
     """Returns one shard's status; `Wanted` is None for the configuration shard, which has no placement."""
     commit_index = latest.commit_index if latest else 0
+    voters = list(latest.voters) if latest else []
     return {
         "Shard": name,
         "Epoch": latest.epoch if latest else 0,
         "Owner": latest.owner if latest else "",
-        "Voters": list(latest.voters) if latest else [],
-        "Wanted": desired,
+        "Voters": voters,
+        "Survives": _losses(survived_losses(spread.zones(voters), spread.tolerance)),
+        "Wanted": wanted,
         "CommitIndex": commit_index,
         "Replicas": [
             _replica(report, age.seconds, commit_index)
--- a/kestrelbend/tier/roles/control.py
+++ b/kestrelbend/tier/roles/control.py
@@ -28,11 +28,11 @@
 from ..configuration.stream import ConfigStream
 from ..control.backend_reports import BackendReports
 from ..control.directory_stream import DirectoryStream
-from ..control.group_sizes import GroupSizes, voter_counts
 from ..control.member_summaries import MemberSummaries
 from ..control.report_quorum import ControlReplicas, is_held_by_enough
 from ..control.retirement import Retirement
 from ..control.shard_placer import ShardPlacer
+from ..control.shortfall_log import ShortfallLog, control_shortfall, group_shortfalls, voters_by_shard
 from ..discovery.exchange import BackendExchange
 from ..discovery.messages import BackendAck, BackendUpdate
 from ..discovery.registry import BackendRegistry
@@ -66,6 +66,7 @@
 from .control_operations import ControlOperations
 from .control_streams import ControlStreams
 from .environment import Environment
+from .layout_check import find_impossible_figures
 from .process import TierProcess
 from .serving_limits import body_bytes, client_limits, order_items, response_bytes
 from .settings import Settings
@@ -112,7 +113,7 @@
         self.retirement = Retirement(
             self.configuration, self.members, self._tolerance, self.now, self._placer.owned_for
         )
-        self._group_sizes = GroupSizes(self.log)
+        self._shortfall_log = ShortfallLog(self.log)
         self._contact = ContactPeriod(self.now())
         self._serving: asyncio.Task[None] | None = None
 
@@ -249,18 +250,23 @@
         self._refresh_directory(now)
         self.directory_stream.send()
         self._placer.run(now)
-        self._log_group_sizes(now)
+        self._log_shortfalls(now)
         self.backend_reports.publish_pending_changes()
         heartbeat_interval_s = self.settings.heartbeat_ms / 1000
         self.backend_reports.expire_unresponsive(self._contact.duration_s(now), heartbeat_interval_s)
 
-    def _log_group_sizes(self, now: float) -> None:
+    def _log_shortfalls(self, now: float) -> None:
         replica = self.configuration.replica
-        if replica.is_leader:
-            counts = voter_counts(len(replica.voters), self.members.reports())
-            self._group_sizes.observe(counts, self._placer.group_size(now), now)
-        else:
-            self._group_sizes.forget()
+        if not replica.is_leader:
+            self._shortfall_log.forget()
+            return
+        voters = voters_by_shard(replica.voters, self.members.reports())
+        size, spread = self._placer.group_size(now), self._placer.spread(now)
+        known = self.members.members(now, within=RETENTION_S)
+        control_zones = [member.zone for member in known if member.serves_control and member.replica]
+        shortfalls = group_shortfalls(voters, size, spread)
+        shortfalls |= control_shortfall(control_zones, spread.tolerance)
+        self._shortfall_log.observe(shortfalls, now)
 
     def _refresh_directory(self, now: float) -> None:
         directory = self.directory_stream.refresh(self.configuration, self._contact.duration_s(now), now)
@@ -272,6 +278,8 @@
 
     async def start(self) -> None:
         """Serves the operator's API."""
+        for figure in find_impossible_figures(self.settings):
+            self.log.warning("{}", figure)
         operations = ControlOperations(
             self.member,
             self.configuration,
--- a/kestrelbend/tier/roles/control_operations.py
+++ b/kestrelbend/tier/roles/control_operations.py
@@ -66,7 +66,9 @@
             in_contact(self.configuration.replica, now),
             state.version,
             self.members,
-            DesiredShards(state.placements, state.retiring, self.placer.group_size(now)),
+            DesiredShards(
+                state.placements, state.retiring, self.placer.group_size(now), self.placer.spread(now)
+            ),
             self.registry.all(),
             now,
         )
--- a/tests/tier/test_check_command.py
+++ b/tests/tier/test_check_command.py
@@ -50,6 +50,11 @@
         self.assertEqual(0, self.check("settings", FULL, "--kind", "boot")[0])
         self.assertEqual(0, self.check("configuration", text, "--kind=document")[0])
 
+    def test_figure_that_the_named_zones_cannot_keep_is_told(self):
+        code, lines = self.check("boot.yaml", FULL + "\nTolerate: {Nodes: 1, Zones: 1, Regions: 0}\n")
+        told = "boot.yaml: Tolerate.Zones: 1 cannot be kept: 3 zones are needed, the settings name 1"
+        self.assertEqual((0, ["boot.yaml: a usable boot file", told]), (code, lines))
+
     def test_all_errors_of_a_settings_file_are_printed(self):
         code, lines = self.check("boot.yml", "Ip: here\nPortRange: [9, 1]\nBounds: {AckMs: no}\n")
         self.assertEqual(2, code)
--- a/tests/tier/test_status.py
+++ b/tests/tier/test_status.py
@@ -11,7 +11,9 @@
 from kestrelbend.__main__ import serve
 from kestrelbend.command.application import run
 from kestrelbend.tier.discovery.messages import Backend, BackendState
+from kestrelbend.tier.membership.fault_tolerance import Losses, Tolerance
 from kestrelbend.tier.membership.messages import Heartbeat, Member, ShardPlacement, ShardReport
+from kestrelbend.tier.membership.placement import Spread
 from kestrelbend.tier.membership.status import DesiredShards, status
 from kestrelbend.tier.membership.table import MemberTable
 
@@ -45,13 +47,14 @@
         self.placements = (ShardPlacement("budget-0", VOTERS, VOTERS),)
         self.retiring = ()
         self.group_size = 3
+        self.spread = Spread()
         self.backends = [backend("i", BackendState.READY)]
         for number, applied in ((1, 5000), (2, 4990), (3, 5000)):
             self.table.record_heartbeat(heartbeat(number, applied), NOW)
         self.table.record_heartbeat(heartbeat(4, 0, role="gateway", version=7), NOW)
 
     def status(self, now=NOW):
-        desired = DesiredShards(self.placements, self.retiring, self.group_size)
+        desired = DesiredShards(self.placements, self.retiring, self.group_size, self.spread)
         answer = status(member(1), True, 7, self.table, desired, self.backends, now)
         return json.loads(json.dumps(answer))
 
@@ -129,6 +132,19 @@
         del answer["VotersNeeded"]
         self.assertNotIn("needed", self.printed(answer)[1])
 
+    def test_voters_in_too_few_zones_are_reported(self):
+        """A layout that cannot keep a tolerated figure is told."""
+        zones = dict(zip(VOTERS, ("a", "a", "b"), strict=True))
+        self.spread = Spread(Tolerance(Losses(1, 1, 1)), zones)
+        answer = self.status()
+        self.assertEqual({"Nodes": 1, "Zones": 1, "Regions": 1}, answer["Tolerate"])
+        self.assertEqual({"Nodes": 1, "Zones": 0, "Regions": 0}, answer["Shards"][0]["Survives"])
+        output = self.printed(answer)[1]
+        self.assertIn("budget-0: 0 zones may be lost, not 1", output)
+        self.assertIn("budget-0: 0 regions may be lost, not 1", output)
+        del answer["Tolerate"]
+        self.assertNotIn("may be lost", self.printed(answer)[1])
+
     def test_old_configuration_version_and_missing_ready_backend_are_reported(self):
         self.table.record_heartbeat(Heartbeat(member(4, "gateway"), 2, 6, False, ()), NOW)
         self.backends = [backend("i", BackendState.DEPARTED), backend("ii", BackendState.DRAINING)]
